Add the workspace, the kernel, the design and the package contracts

Cause: the repository is empty and several packages are to be written side by side. Change: npm workspace with checked format, lint and types; a micro-kernel whose services are found by typed name with ordered start and awaited stop; docs/design.md; typed contracts of each package. Measured: the four kernel tests pass; format, lint and types are clean. Conclusion: the packages can be written against the contracts.

--- /dev/null
+++ b/packages/admission/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/admission`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/packages/configuration/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/configuration`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/packages/configuration/types.ts
@@ -0,0 +1,128 @@
+/**
+ * Contracts of the configuration document.
+ *
+ * @module
+ */
+import type { Millis } from "@jaypass/kernel";
+
+/** A language model that engines serve. */
+export interface ModelConfig {
+  /** Longest prompt plus answer, in tokens. */
+  contextTokens: number;
+  /** Average bytes of text in a token, for estimates before the engine counts. */
+  bytesPerToken: number;
+  /** Prefill speed of one warm engine, in tokens per second. */
+  prefillTokensPerSecond: number;
+  /** Time between output tokens of one request on a warm engine. */
+  msPerOutputToken: number;
+  /** Version that engines should serve. */
+  version: string;
+}
+
+/** An operation of a plain service. */
+export interface OperationConfig {
+  idempotent: boolean;
+}
+
+/** A plain service, for example the booking desk. */
+export interface ServiceConfig {
+  operations: Record<string, OperationConfig>;
+  /** How an unknown outcome is settled. */
+  resolution: "none" | "lookup" | "fence";
+}
+
+/** A model engine or a server of a plain service. */
+export interface BackendServerConfig {
+  url: string;
+  kind: "engine" | "service";
+  /** Model or service that it serves. */
+  serves: string;
+  dataCentre: string;
+  /** Most concurrent requests when warm. */
+  warmLimit: number;
+  /** Most concurrent requests right after a start. */
+  coldLimit: number;
+  /** Memory for KV cache in tokens; 0 for a plain service. */
+  memoryTokens: number;
+  /** Whether it refuses orders with an old fencing number. */
+  fencing: "checked" | "ignored";
+  state: "in" | "leaving";
+}
+
+/** A customer of the platform. */
+export interface WorkspaceConfig {
+  /** SHA-256 of the workspace's key, in hex. */
+  keyHash: string;
+  /** Most concurrent requests in the whole system. */
+  maxConcurrent: number;
+  models: string[];
+  services: string[];
+}
+
+/** A data centre (zone). */
+export interface DataCentreConfig {
+  region: string;
+  state: "in" | "out";
+  /** One-way latency to other data centres in milliseconds. */
+  oneWayMs: Record<string, Millis>;
+}
+
+/** Timeout of a caller kind in some hours of the day. */
+export interface HourTimeout {
+  /** First hour, 0 to 23, local time. */
+  fromHour: number;
+  /** Hour after the last, 1 to 24; smaller than `fromHour` when the span crosses midnight. */
+  toHour: number;
+  /** Time until the whole answer. */
+  timeoutMs: Millis;
+  /** Time until the first token. */
+  firstTokenMs: Millis;
+}
+
+/** How long a kind of caller waits. */
+export interface TimeoutConfig {
+  /** IANA time zone, for example `Europe/Brussels`. */
+  timeZone: string;
+  hours: HourTimeout[];
+}
+
+/** The whole document; each section is owned by a team. */
+export interface ConfigDocument {
+  models: Record<string, ModelConfig>;
+  services: Record<string, ServiceConfig>;
+  backendServers: Record<string, BackendServerConfig>;
+  workspaces: Record<string, WorkspaceConfig>;
+  dataCentres: Record<string, DataCentreConfig>;
+  timeouts: Record<string, TimeoutConfig>;
+}
+
+/** Name of a section. */
+export type SectionName = keyof ConfigDocument;
+
+/** Entries set or, with `null`, removed in one section. */
+export interface SectionChange {
+  section: SectionName;
+  entries: Record<string, unknown>;
+}
+
+/** An accepted change. */
+export interface ConfigChange {
+  revision: number;
+  /** Random id, by which its writer finds it again after a lost answer. */
+  changeId: string;
+  changes: SectionChange[];
+  who: string;
+  why: string;
+  /** Wall time of the writer, for people. */
+  whenMs: Millis;
+}
+
+/** The configuration as it is in force on this host. */
+export interface Configuration {
+  revision(): number;
+  document(): Readonly<ConfigDocument>;
+  /** Called after each applied change. */
+  onChange(listener: (document: Readonly<ConfigDocument>, revision: number) => void): void;
+  /** Resolves when a first document is known. */
+  ready(signal: AbortSignal): Promise<void>;
+}
--- /dev/null
+++ b/packages/engines/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/engines`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/packages/idempotency/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/idempotency`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/packages/kernel/create_clock.ts
@@ -0,0 +1,17 @@
+import type { Clock } from "./types.ts";
+
+/**
+ * Creates the clock of the running process.
+ *
+ * @returns a clock with a monotonic and a wall side, both in milliseconds
+ *
+ * @example
+ * const clock = createClock();
+ * const startMs = clock.nowMs();
+ */
+export function createClock(): Clock {
+  return {
+    nowMs: () => performance.now(),
+    wallMs: () => Date.now(),
+  };
+}
--- /dev/null
+++ b/packages/kernel/create_deadline.ts
@@ -0,0 +1,42 @@
+import type { Clock, Deadline, Millis } from "./types.ts";
+
+/** Options of {@linkcode createDeadline}. */
+export interface DeadlineOptions {
+  /** Monotonic time source. */
+  clock: Clock;
+  /** A signal that ends the work earlier, for example a closed connection. */
+  parent?: AbortSignal;
+}
+
+/**
+ * Creates a deadline some milliseconds from now.
+ *
+ * A deadline crosses process borders as remaining milliseconds, so that clock skew between hosts
+ * cannot stretch it.
+ *
+ * @param timeoutMs milliseconds until the deadline
+ * @param options clock and parent signal
+ * @returns the deadline, whose timer is released by `clear`
+ *
+ * @example
+ * const deadline = createDeadline(900, { clock });
+ * await call({ timeoutMs: deadline.remainingMs(), signal: deadline.signal });
+ */
+export function createDeadline(timeoutMs: Millis, options: DeadlineOptions): Deadline {
+  const { clock, parent } = options;
+  const endMs = clock.nowMs() + timeoutMs;
+  const controller = new AbortController();
+  const timer = setTimeout(() => controller.abort(new Error("Deadline passed")), timeoutMs);
+  const onParentAbort = () => controller.abort(parent?.reason);
+  if (parent?.aborted) onParentAbort();
+  parent?.addEventListener("abort", onParentAbort, { once: true });
+  return {
+    remainingMs: () => Math.max(0, endMs - clock.nowMs()),
+    isExpired: () => clock.nowMs() >= endMs,
+    signal: controller.signal,
+    clear: () => {
+      clearTimeout(timer);
+      parent?.removeEventListener("abort", onParentAbort);
+    },
+  };
+}
--- /dev/null
+++ b/packages/kernel/errors.ts
@@ -0,0 +1,15 @@
+/**
+ * Errors of the kernel.
+ *
+ * @module
+ */
+
+/** A service is missing, declared twice, part of a cycle, or failed to start. */
+export class KernelError extends Error {
+  override name = "KernelError";
+}
+
+/** Thrown when a signal or a deadline ends a wait. */
+export class AbortedError extends Error {
+  override name = "AbortedError";
+}
--- /dev/null
+++ b/packages/kernel/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Micro-kernel of a jaypass process: services found by name, clock, deadlines, tasks, logs and
+ * metrics.
+ *
+ * @module
+ */
+
+export * from "./create_clock.ts";
+export * from "./create_deadline.ts";
+export * from "./create_kernel.ts";
+export * from "./create_logger.ts";
+export * from "./create_metrics.ts";
+export * from "./create_task_group.ts";
+export * from "./errors.ts";
+export * from "./service_name.ts";
+export * from "./sleep.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/leases/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/leases`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/packages/membership/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/membership`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/packages/peers/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/peers`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/packages/platform/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Public interface of `@jaypass/platform`.
+ *
+ * @module
+ */
+
+export * from "./types.ts";
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,26 @@
+// Bundles every program of the workspace into dist/, so that processes start without a transpiler.
+import { build } from "esbuild";
+import { existsSync, readFileSync } from "node:fs";
+
+/** Programs by name: the entry file of each. */
+const programs = JSON.parse(readFileSync(new URL("programs.json", import.meta.url), "utf8"));
+
+const entryPoints = Object.entries(programs)
+  .filter(([, file]) => existsSync(file))
+  .map(([name, file]) => ({ in: file, out: name }));
+
+await build({
+  entryPoints,
+  outdir: "dist",
+  bundle: true,
+  platform: "node",
+  format: "esm",
+  target: "node20",
+  sourcemap: true,
+  external: ["dtrace-provider", "unix-dgram", "source-map-support", "mv", "safe-json-stringify"],
+  banner: {
+    js:
+      "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);",
+  },
+  logLevel: "warning",
+});
