--- /dev/null
+++ b/packages/admission/_lib/acquire_from_pool.ts
@@ -0,0 +1,89 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import { sleep } from "@jaypass/kernel";
+import { AdmissionRefusedError } from "../errors.ts";
+import type { AcquireMessage, AcquireReply } from "../messages.ts";
+import { REFUSAL } from "../types.ts";
+import type { Grant } from "../types.ts";
+import type { CoordinatorDirectory } from "./coordinator_directory.ts";
+import type { PoolView } from "./list_pools.ts";
+
+/** Rounds over all known addresses before the coordinator counts as unreachable. */
+const MAX_ROUNDS = 2;
+/** Pause between two rounds. */
+const ROUND_PAUSE_MS = 100;
+
+/** How a pool is asked. */
+export interface PoolAcquireOptions {
+  clock: Clock;
+  directory: CoordinatorDirectory;
+  signal: AbortSignal;
+  /** Monotonic time at which the request is no longer worth a grant. */
+  deadlineMs: Millis;
+  /** Builds the message with the time left at this moment. */
+  message: () => AcquireMessage;
+  call: (address: string, message: AcquireMessage) => Promise<AcquireReply>;
+  onWait: (waitMs: Millis) => void;
+}
+
+/**
+ * Gets a grant from the coordinator of one pool, calling again while the request waits in its lane.
+ *
+ * @param pool the pool
+ * @param options clients and limits
+ * @returns the grant and the time at which the call that got it was sent
+ * @throws {AdmissionRefusedError} with the coordinator's reason, or `coordinator_unreachable`
+ */
+export async function acquireFromPool(
+  pool: PoolView,
+  options: PoolAcquireOptions,
+): Promise<{ grant: Grant; sentMs: Millis }> {
+  const { clock, directory, signal } = options;
+  let cause: unknown;
+  for (let round = 0; round < MAX_ROUNDS; round++) {
+    const addresses = directory.addresses(pool);
+    const asked = new Set<string>();
+    for (let address = addresses.shift(); address !== undefined; address = addresses.shift()) {
+      if (asked.has(address)) continue;
+      asked.add(address);
+      for (;;) {
+        signal.throwIfAborted();
+        const sentMs = clock.nowMs();
+        if (sentMs >= options.deadlineMs) {
+          throw new AdmissionRefusedError(REFUSAL.DEADLINE_PASSED, "The deadline has passed", {
+            cause,
+          });
+        }
+        let reply: AcquireReply;
+        try {
+          reply = await options.call(address, options.message());
+        } catch (err) {
+          signal.throwIfAborted();
+          cause = err;
+          directory.forget(pool.name, address);
+          break;
+        }
+        if (reply.type === "refused" && reply.reason === REFUSAL.NOT_COORDINATOR) {
+          directory.forget(pool.name, address);
+          if (reply.holder !== undefined && !asked.has(reply.holder)) {
+            addresses.unshift(reply.holder);
+          }
+          break;
+        }
+        directory.learn(pool.name, address);
+        if (reply.type === "refused") {
+          throw new AdmissionRefusedError(reply.reason, `Pool "${pool.name}": ${reply.message}`, {
+            retryAfterMs: reply.retryAfterMs,
+          });
+        }
+        options.onWait(reply.waitMs);
+        if (reply.type === "granted") return { grant: reply.grant, sentMs };
+      }
+    }
+    if (round + 1 < MAX_ROUNDS) await sleep(ROUND_PAUSE_MS, signal);
+  }
+  throw new AdmissionRefusedError(
+    REFUSAL.COORDINATOR_UNREACHABLE,
+    `No coordinator of pool "${pool.name}" answers`,
+    { cause, retryAfterMs: 1_000 },
+  );
+}
--- /dev/null
+++ b/packages/admission/_lib/admit_waiting.ts
@@ -0,0 +1,136 @@
+import type { Millis } from "@jaypass/kernel";
+import { classifyLane } from "../classify_lane.ts";
+import { MAX_WAITING } from "../constants.ts";
+import { LANE, REFUSAL } from "../types.ts";
+import type { AcquireRequest, Lane } from "../types.ts";
+import { declareSet } from "./declare_set.ts";
+import { estimateWait } from "./estimate_wait.ts";
+import { LANES } from "./lanes.ts";
+import type { Decision, WaitingRequest } from "./lanes.ts";
+import { longEngines, openServers } from "./pool_state.ts";
+import type { PoolState } from "./pool_state.ts";
+import { refuseWaiting } from "./run_round.ts";
+
+/** A call of `Acquire` as it reaches the scheduler. */
+export interface AcquireCall {
+  /** Identifies one try of one request over several calls. */
+  acquireId: string;
+  req: AcquireRequest;
+  owner: WaitingRequest["owner"];
+  settle: (decision: Decision) => void;
+}
+
+/** Estimates the wait of a lane for a request with a given deadline. */
+export function laneWaitMs(pool: PoolState, lane: Lane, firstTokenDeadlineMs: Millis): Millis {
+  return estimateWait(lane, firstTokenDeadlineMs, {
+    lanes: pool.lanes,
+    servers: openServers(pool),
+    allow: pool.options.allow,
+    nowMs: pool.options.clock.nowMs(),
+    longEngines: longEngines(pool),
+    holdMs: pool.holdMs,
+  });
+}
+
+/** Reports whether every request of a lane still meets its deadline by the estimate. */
+function isLaneOnTime(pool: PoolState, lane: Lane): boolean {
+  const nowMs = pool.options.clock.nowMs();
+  const engines = lane === LANE.LONG ? longEngines(pool) : openServers(pool).length;
+  const lead = pool.lanes.of(lane)[0];
+  if (lead === undefined) return true;
+  let startMs = nowMs + laneWaitMs(pool, lane, -Infinity);
+  for (const entry of pool.lanes.of(lane)) {
+    if (startMs + entry.prefillMs > entry.firstTokenDeadlineMs) return false;
+    startMs += entry.prefillMs / Math.max(1, engines);
+  }
+  return true;
+}
+
+function shed(pool: PoolState): void {
+  const nowMs = pool.options.clock.nowMs();
+  const [longest] = LANES.filter((lane) => pool.lanes.of(lane).length > 0)
+    .map((lane) => ({ lane, waitMs: laneWaitMs(pool, lane, Infinity) }))
+    .sort((a, b) => b.waitMs - a.waitMs);
+  if (longest === undefined) return;
+  const latest = pool.lanes.of(longest.lane)
+    .reduce((a, b) => (b.arrivedMs >= a.arrivedMs ? b : a));
+  refuseWaiting(pool, latest, {
+    reason: REFUSAL.OVERLOADED,
+    message: `More than ${MAX_WAITING} requests wait, for ${Math.round(longest.waitMs)} ms`,
+    retryAfterMs: Math.max(100, Math.min(longest.waitMs, latest.deadlineMs - nowMs)),
+  });
+}
+
+/**
+ * Puts a new request into its lane, or refuses it at once.
+ *
+ * @param pool the pool
+ * @param call the call
+ */
+export function admitWaiting(pool: PoolState, call: AcquireCall): void {
+  const { clock, isQuarantined } = pool.options;
+  const { req } = call;
+  const nowMs = clock.nowMs();
+  const servers = openServers(pool);
+  const cached = Math.max(
+    0,
+    ...servers.map(({ id }) => pool.prefixes.cachedTokens(id, req.prefixBlocks)),
+  );
+  const uncached = Math.max(0, req.promptTokens - cached);
+  const entry: WaitingRequest = {
+    ...call,
+    lane: classifyLane(uncached),
+    prefillMs: uncached / pool.prefillTokensPerSecond * 1_000,
+    arrivedMs: nowMs,
+    firstTokenDeadlineMs: nowMs + Math.min(req.firstTokenRemainingMs, req.remainingMs),
+    deadlineMs: nowMs + req.remainingMs,
+    seenMs: nowMs,
+    claim: undefined,
+  };
+  const refuse = (reason: typeof REFUSAL[keyof typeof REFUSAL], message: string, waitMs = 1_000) =>
+    refuseWaiting(pool, entry, { reason, message, retryAfterMs: waitMs });
+
+  if (isQuarantined(req.fingerprint)) {
+    return refuse(REFUSAL.QUARANTINED, "The request crashed two servers", 60_000);
+  }
+  if (servers.length === 0) return refuse(REFUSAL.DATA_CENTRE_OUT, "No server is in service");
+  const usable = servers.filter(({ id }) => !req.exclude.includes(id));
+  if (usable.length === 0) return refuse(REFUSAL.NO_CAPACITY, "Every server has failed it");
+  if (servers[0]!.cfg.kind === "engine") {
+    const options = { servers, claimsOn: () => 0 };
+    if (declareSet(req, { ...options, allow: (limit) => limit }) === undefined) {
+      return refuse(REFUSAL.PROMPT_TOO_LARGE, `${req.promptTokens} tokens exceed the pool`);
+    }
+    const set = declareSet(req, {
+      servers,
+      allow: pool.options.allow,
+      claimsOn: (id) => pool.claims.filter((claim) => claim.claim!.includes(id)).length,
+    });
+    if (set === undefined) {
+      return refuse(REFUSAL.NO_CAPACITY, "The retained share cannot hold the prompt", 10_000);
+    }
+    if (set.servers.length > 1) {
+      entry.claim = set.servers;
+      entry.lane = LANE.LONG;
+    }
+  }
+  pool.mix.add(entry.lane, entry.prefillMs);
+  const waitMs = laneWaitMs(pool, entry.lane, entry.firstTokenDeadlineMs);
+  if (nowMs + waitMs + entry.prefillMs > Math.min(entry.firstTokenDeadlineMs, entry.deadlineMs)) {
+    return refuse(
+      REFUSAL.DEADLINE_UNREACHABLE,
+      `Estimated first token after ${Math.round(waitMs + entry.prefillMs)} ms`,
+      waitMs,
+    );
+  }
+  pool.lanes.add(entry);
+  if (!isLaneOnTime(pool, entry.lane)) {
+    return refuse(
+      REFUSAL.DEADLINE_UNREACHABLE,
+      "It would make an earlier request late",
+      Math.max(100, waitMs),
+    );
+  }
+  if ((entry.claim?.length ?? 1) > 1) pool.claims.push(entry);
+  if (pool.lanes.size > MAX_WAITING) shed(pool);
+}
--- /dev/null
+++ b/packages/admission/_lib/commit_grant.ts
@@ -0,0 +1,94 @@
+import type { Millis } from "@jaypass/kernel";
+import { GRANT_DISPATCH_WINDOW_MS } from "../constants.ts";
+import type { Grant } from "../types.ts";
+import { LANES } from "./lanes.ts";
+import type { WaitingRequest } from "./lanes.ts";
+import type { PoolState } from "./pool_state.ts";
+import { reserve } from "./server_capacity.ts";
+import type { ServerState } from "./server_state.ts";
+
+/** A decided grant. */
+export interface GrantDecision {
+  servers: ServerState[];
+  tokensPerServer: number;
+  prefillMs: Millis;
+  firstTokenMs: Millis;
+  explanation: string;
+}
+
+/** Removes a waiting request from its lane and from the declared sets. */
+export function dropWaiting(pool: PoolState, entry: WaitingRequest): void {
+  pool.lanes.remove(entry);
+  const index = pool.claims.indexOf(entry);
+  if (index >= 0) pool.claims.splice(index, 1);
+}
+
+/**
+ * Gives a grant: reserves slots and memory on all its servers at once and answers the open call.
+ *
+ * @param pool the pool
+ * @param entry the waiting request, whose call must be open
+ * @param decision servers and estimates
+ */
+export function commitGrant(
+  pool: PoolState,
+  entry: WaitingRequest,
+  decision: GrantDecision,
+): void {
+  const { options } = pool;
+  const nowMs = options.clock.nowMs();
+  const { req } = entry;
+  const isSuspect = pool.suspects.isSuspect(req.fingerprint);
+  const fencing = options.fencing();
+  const grantId = `${pool.name}/${fencing}/${pool.sequence++}`;
+  const grant: Grant = {
+    grantId,
+    requestId: req.requestId,
+    pool: pool.name,
+    coordinator: options.address,
+    servers: decision.servers.map(({ id, cfg }) => ({
+      id,
+      url: cfg.url,
+      dataCentre: cfg.dataCentre,
+    })),
+    priority: LANES.indexOf(entry.lane),
+    lane: entry.lane,
+    fencing,
+    dispatchWithinMs: GRANT_DISPATCH_WINDOW_MS,
+    explanation: decision.explanation,
+  };
+  for (const server of decision.servers) {
+    reserve(server, {
+      grantId,
+      requestId: req.requestId,
+      tokens: decision.tokensPerServer,
+      lane: entry.lane,
+      isSuspect,
+    });
+    pool.prefixes.add(server.id, req.prefixBlocks);
+    for (const lane of LANES.slice(LANES.indexOf(entry.lane))) {
+      server.freeAtMs[lane] = Math.max(nowMs, server.freeAtMs[lane]) +
+        decision.prefillMs / decision.servers.length;
+    }
+  }
+  pool.grants.set(grantId, {
+    grant,
+    req,
+    acquireId: entry.acquireId,
+    grantedMs: nowMs,
+    deadlineMs: entry.deadlineMs,
+    expectedFirstTokenMs: decision.firstTokenMs,
+    prefillMs: decision.prefillMs,
+    tokensPerServer: decision.tokensPerServer,
+    owners: new Map([[entry.owner.host, entry.owner]]),
+    isReported: false,
+    isAdopted: false,
+    deaths: new Set(),
+  });
+  pool.grantOfAcquire.set(entry.acquireId, grantId);
+  pool.suspects.start(req.fingerprint, decision.servers[0]!.id);
+  dropWaiting(pool, entry);
+  options.metrics.increment("admission.granted", { pool: pool.name, lane: entry.lane });
+  options.metrics.timing("admission.wait", nowMs - entry.arrivedMs, { lane: entry.lane });
+  entry.settle?.({ type: "granted", grant });
+}
--- /dev/null
+++ b/packages/admission/_lib/coordinator_directory.ts
@@ -0,0 +1,33 @@
+import type { Membership } from "@jaypass/membership";
+import type { PoolView } from "./list_pools.ts";
+import { rankCandidates } from "./rank_candidates.ts";
+
+/** Where the coordinator of each pool was last seen. */
+export interface CoordinatorDirectory {
+  /** Addresses to ask, the last known coordinator first. */
+  addresses(pool: PoolView): string[];
+  learn(pool: string, address: string): void;
+  /** Forgets an address that did not answer or is not the coordinator. */
+  forget(pool: string, address: string): void;
+}
+
+/** Creates an empty directory. */
+export function createCoordinatorDirectory(membership: Membership): CoordinatorDirectory {
+  const known = new Map<string, string>();
+  return {
+    addresses(pool) {
+      const candidates = rankCandidates(pool.name, {
+        hosts: membership.hosts(),
+        dataCentre: pool.dataCentre,
+      }).map(({ peerAddress }) => peerAddress);
+      const first = known.get(pool.name);
+      return first === undefined
+        ? candidates
+        : [first, ...candidates.filter((address) => address !== first)];
+    },
+    learn: (pool, address) => void known.set(pool, address),
+    forget(pool, address) {
+      if (known.get(pool) === address) known.delete(pool);
+    },
+  };
+}
--- /dev/null
+++ b/packages/admission/_lib/end_grant.ts
@@ -0,0 +1,104 @@
+import { SLOW_EXCESS_MS, SLOW_FACTOR } from "../constants.ts";
+import { GRANT_OUTCOME } from "../types.ts";
+import type { GrantResult } from "../types.ts";
+import { LANES } from "./lanes.ts";
+import type { PoolState } from "./pool_state.ts";
+import { recordDeath } from "./record_death.ts";
+import { removeForeign, setForeign, unreserve } from "./server_capacity.ts";
+import type { GrantRecord, ServerState } from "./server_state.ts";
+import { countSuccess, turnCold } from "./server_warmth.ts";
+
+/** Weight of one observation in the decaying averages. */
+const WEIGHT = 0.1;
+/** Shorter prefills say nothing about a server's speed. */
+const MEASURABLE_PREFILL_MS = 50;
+
+/** Outcomes after which the server may still run the request until it confirms the opposite. */
+const UNCERTAIN: readonly string[] = [
+  GRANT_OUTCOME.CANCELLED,
+  GRANT_OUTCOME.CONNECTION_LOST,
+  GRANT_OUTCOME.SERVER_DIED,
+];
+
+function learnTimes(record: GrantRecord, server: ServerState, firstTokenMs: number): boolean {
+  const expectedMs = Math.max(1, record.expectedFirstTokenMs);
+  const isSlow = firstTokenMs > expectedMs * SLOW_FACTOR &&
+    firstTokenMs - expectedMs > SLOW_EXCESS_MS;
+  if (!isSlow && record.prefillMs >= MEASURABLE_PREFILL_MS) {
+    const target = Math.min(4, Math.max(0.25, server.slowness * firstTokenMs / expectedMs));
+    server.slowness += WEIGHT * (target - server.slowness);
+  }
+  return isSlow;
+}
+
+function learn(pool: PoolState, record: GrantRecord, result: GrantResult): void {
+  const first = pool.servers.get(record.grant.servers[0]!.id);
+  const nowMs = pool.options.clock.nowMs();
+  if (first === undefined) return;
+  if (result.restartCount !== undefined) {
+    if (first.restartCount !== undefined && result.restartCount > first.restartCount) {
+      recordDeath(pool, first);
+    }
+    first.restartCount = Math.max(first.restartCount ?? 0, result.restartCount);
+  }
+  if (result.outcome === GRANT_OUTCOME.SERVER_REFUSED) turnCold(first, nowMs);
+  if (result.outcome === GRANT_OUTCOME.NOT_DISPATCHED) {
+    for (const lane of LANES.slice(LANES.indexOf(record.grant.lane))) {
+      first.freeAtMs[lane] -= record.prefillMs / record.grant.servers.length;
+    }
+  }
+  if (result.outcome !== GRANT_OUTCOME.DONE) return;
+  pool.suspects.clear(record.req.fingerprint);
+  if (result.totalMs !== undefined) pool.holdMs += WEIGHT * (result.totalMs - pool.holdMs);
+  const isSlow = result.firstTokenMs !== undefined &&
+    learnTimes(record, first, result.firstTokenMs);
+  if (!isSlow) countSuccess(first, record.grantedMs, nowMs);
+  else if (first.warmth === "warm") turnCold(first, nowMs);
+}
+
+/**
+ * Ends a grant: frees its slots and memory, and learns from the result.
+ *
+ * After an uncertain outcome the work stays counted as foreign until the server confirms that it has
+ * ended, so that the limit holds also when the host was wrong.
+ *
+ * @param pool the pool
+ * @param grantId the grant; unknown ones are ignored
+ * @param result how it ended
+ * @returns the ended grant
+ */
+export function endGrant(
+  pool: PoolState,
+  grantId: string,
+  result: GrantResult,
+): GrantRecord | undefined {
+  const record = pool.grants.get(grantId);
+  if (record === undefined) return undefined;
+  const first = pool.servers.get(record.grant.servers[0]!.id);
+  // The death is recorded while the reservations still show which requests ran on the server.
+  if (
+    result.outcome === GRANT_OUTCOME.SERVER_DIED && first !== undefined &&
+    record.grantedMs >= first.coldSinceMs
+  ) recordDeath(pool, first);
+  pool.grants.delete(grantId);
+  pool.grantOfAcquire.delete(record.acquireId);
+  const nowMs = pool.options.clock.nowMs();
+  for (const { id } of record.grant.servers) {
+    const server = pool.servers.get(id);
+    if (server === undefined) continue;
+    const requestId = record.req.requestId;
+    unreserve(server, grantId);
+    removeForeign(server, requestId);
+    const ended = pool.endedMs.get(id) ?? new Map<string, number>();
+    pool.endedMs.set(id, ended.set(requestId, nowMs));
+    if (UNCERTAIN.includes(result.outcome)) {
+      const tokens = record.tokensPerServer;
+      const untilMs = record.deadlineMs;
+      setForeign(server, { requestId, tokens, untilMs, addedMs: nowMs, isReleased: true });
+    }
+  }
+  pool.suspects.end(record.req.fingerprint, record.grant.servers[0]!.id);
+  pool.options.metrics.increment("admission.ended", { pool: pool.name, outcome: result.outcome });
+  learn(pool, record, result);
+  return record;
+}
--- /dev/null
+++ b/packages/admission/_lib/grant_book.ts
@@ -0,0 +1,95 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import type { EndedGrant, HeldGrant, Report } from "../messages.ts";
+import type { AcquireRequest, Grant, GrantResult } from "../types.ts";
+
+/** A grant that this host holds. */
+export interface HeldRecord {
+  grant: Grant;
+  fingerprint: string;
+  tokensPerServer: number;
+  /** Monotonic time after which it must not be dispatched. */
+  dispatchByMs: Millis;
+  deadlineMs: Millis;
+  /** Runs when the grant ends, for example to return its quota slot. */
+  onEnd: () => void;
+}
+
+/** Time for which an unconfirmed end is repeated; no coordinator knows of it later. */
+const ENDED_MEMORY_MS = 900_000;
+
+/** What a host holds and has not yet got confirmed as ended, by pool. */
+export interface GrantBook {
+  add(record: HeldRecord): void;
+  find(grantId: string): HeldRecord | undefined;
+  findRequest(requestId: string): HeldRecord | undefined;
+  /** Moves a grant to the ended ones. */
+  end(grantId: string, result: GrantResult): EndedGrant | undefined;
+  confirm(grantIds: readonly string[]): void;
+  pools(): string[];
+  /** The part of a report that concerns a pool. */
+  part(pool: string): Pick<Report["pools"][number], "held" | "ended">;
+  readonly size: number;
+}
+
+/** Creates an empty book. */
+export function createGrantBook(clock: Clock): GrantBook {
+  const held = new Map<string, HeldRecord>();
+  const ended = new Map<string, EndedGrant & { endedMs: Millis }>();
+  return {
+    add: (record) => void held.set(record.grant.grantId, record),
+    find: (grantId) => held.get(grantId),
+    findRequest: (requestId) =>
+      [...held.values()].find(({ grant }) => grant.requestId === requestId),
+    end(grantId, result) {
+      const record = held.get(grantId);
+      if (record === undefined) return undefined;
+      held.delete(grantId);
+      const item: EndedGrant = {
+        grantId,
+        pool: record.grant.pool,
+        requestId: record.grant.requestId,
+        serverIds: record.grant.servers.map(({ id }) => id),
+        result,
+      };
+      ended.set(grantId, { ...item, endedMs: clock.nowMs() });
+      record.onEnd();
+      return item;
+    },
+    confirm(grantIds) {
+      for (const grantId of grantIds) ended.delete(grantId);
+    },
+    pools: () => [
+      ...new Set([
+        ...[...held.values()].map(({ grant }) => grant.pool),
+        ...[...ended.values()].map(({ pool }) => pool),
+      ]),
+    ],
+    part(pool) {
+      const nowMs = clock.nowMs();
+      for (const [grantId, item] of ended) {
+        if (nowMs - item.endedMs > ENDED_MEMORY_MS) ended.delete(grantId);
+      }
+      const toHeld = (
+        { grant, fingerprint, tokensPerServer, deadlineMs }: HeldRecord,
+      ): HeldGrant => ({
+        grant,
+        fingerprint,
+        tokensPerServer,
+        remainingMs: Math.max(0, deadlineMs - nowMs),
+      });
+      return {
+        held: [...held.values()].filter(({ grant }) => grant.pool === pool).map(toHeld),
+        ended: [...ended.values()].filter((item) => item.pool === pool)
+          .map(({ endedMs: _, ...item }) => item),
+      };
+    },
+    get size() {
+      return held.size + ended.size;
+    },
+  };
+}
+
+/** Tokens that a grant reserves on each of its servers. */
+export function tokensPerServer(req: AcquireRequest, grant: Grant): number {
+  return Math.ceil((req.promptTokens + req.maxTokens) / grant.servers.length);
+}
--- /dev/null
+++ b/packages/admission/_lib/grant_client.ts
@@ -0,0 +1,179 @@
+import type { Configuration } from "@jaypass/configuration";
+import type { Clock, Metrics, Millis, TaskGroup } from "@jaypass/kernel";
+import type { Membership } from "@jaypass/membership";
+import type { PeerPool } from "@jaypass/peers";
+import { classifyLane } from "../classify_lane.ts";
+import { ACQUIRE_WAIT_MS, MAX_POOL_TRIES } from "../constants.ts";
+import { AdmissionRefusedError } from "../errors.ts";
+import { ACQUIRE, FIND, RELEASE } from "../messages.ts";
+import type { GrantOwner } from "../messages.ts";
+import { REFUSAL } from "../types.ts";
+import type { AcquireRequest, Admission, Grant, Lane, Refusal } from "../types.ts";
+import { acquireFromPool } from "./acquire_from_pool.ts";
+import type { CoordinatorDirectory } from "./coordinator_directory.ts";
+import { tokensPerServer } from "./grant_book.ts";
+import type { GrantBook } from "./grant_book.ts";
+import type { PoolView } from "./list_pools.ts";
+import { orderPools } from "./order_pools.ts";
+
+/** Time beyond the coordinator's wait for which a call's answer is awaited. */
+const CALL_MARGIN_MS = 400;
+/** Limit of calls that do not wait. */
+const SHORT_CALL_TIMEOUT_MS = 1_000;
+
+/** Refusals that hold in every pool. */
+const FINAL: readonly Refusal[] = [
+  REFUSAL.QUARANTINED,
+  REFUSAL.WORKSPACE_LIMIT,
+  REFUSAL.DEADLINE_PASSED,
+];
+
+/** What the client side needs. */
+export interface GrantClientOptions {
+  clock: Clock;
+  metrics: Metrics;
+  configuration: Configuration;
+  membership: Membership;
+  peers: PeerPool;
+  owner: GrantOwner;
+  dataCentre: string;
+  book: GrantBook;
+  directory: CoordinatorDirectory;
+  tasks: TaskGroup;
+  pools: () => readonly PoolView[];
+  waitMs: (pool: string, lane: Lane) => Millis;
+  onWait: (pool: string, lane: Lane, waitMs: Millis) => void;
+  /** Makes sure that reports go to a pool for a while, also without grants. */
+  owe: (pool: string) => void;
+}
+
+/** Creates the client side of admission, used by the router of the same host. */
+export function createGrantClient(options: GrantClientOptions): Admission {
+  const { book, clock, configuration, directory, owner, peers } = options;
+  let tries = 0;
+
+  /** Pools of a model or service with a server in service. */
+  const openPools = (serves: string) => {
+    const { dataCentres } = configuration.document();
+    return options.pools().filter((pool) =>
+      pool.serves === serves && dataCentres[pool.dataCentre]?.state !== "out" &&
+      pool.servers.some(({ state }) => state === "in")
+    );
+  };
+
+  const acquire = async (req: AcquireRequest, signal: AbortSignal): Promise<Grant> => {
+    const startMs = clock.nowMs();
+    const deadlineMs = startMs + Math.min(req.remainingMs, req.firstTokenRemainingMs);
+    const lane = classifyLane(req.promptTokens);
+    const pools = orderPools(req, openPools(req.serves), {
+      document: configuration.document(),
+      dataCentre: options.dataCentre,
+      lane,
+      waitMs: options.waitMs,
+    }).slice(0, MAX_POOL_TRIES);
+    let refusal: AdmissionRefusedError | undefined;
+    for (const pool of pools) {
+      const acquireId = `${owner.host}/${owner.incarnation}/${tries++}`;
+      options.owe(pool.name);
+      try {
+        const { grant, sentMs } = await acquireFromPool(pool, {
+          clock,
+          directory,
+          signal,
+          deadlineMs,
+          message: () => {
+            const elapsedMs = clock.nowMs() - startMs;
+            return {
+              pool: pool.name,
+              acquireId,
+              owner,
+              req: {
+                ...req,
+                remainingMs: req.remainingMs - elapsedMs,
+                firstTokenRemainingMs: req.firstTokenRemainingMs - elapsedMs,
+              },
+            };
+          },
+          call: (address, message) =>
+            peers.call(address, ACQUIRE, message, {
+              timeoutMs: ACQUIRE_WAIT_MS + CALL_MARGIN_MS,
+              signal,
+            }),
+          onWait: (waitMs) => options.onWait(pool.name, lane, waitMs),
+        });
+        book.add({
+          grant,
+          fingerprint: req.fingerprint,
+          tokensPerServer: tokensPerServer(req, grant),
+          dispatchByMs: sentMs + grant.dispatchWithinMs,
+          deadlineMs: startMs + req.remainingMs,
+          onEnd: () => {},
+        });
+        return grant;
+      } catch (err) {
+        if (!(err instanceof AdmissionRefusedError) || FINAL.includes(err.reason)) throw err;
+        options.metrics.increment("admission.pool_failed", { reason: err.reason });
+        // Among refusals, the one of the best pool tells most.
+        refusal ??= err;
+      }
+    }
+    throw refusal ??
+      new AdmissionRefusedError(REFUSAL.NO_CAPACITY, `No pool of "${req.serves}" is in service`);
+  };
+
+  const release: Admission["release"] = (grant, result) => {
+    const item = book.end(grant.grantId, result);
+    if (item === undefined) return;
+    const pool = options.pools().find(({ name }) => name === grant.pool);
+    const address = (pool && directory.addresses(pool)[0]) ?? grant.coordinator;
+    options.tasks.run("release", async (signal) => {
+      try {
+        const message = { owner, ended: [item] };
+        const call = { timeoutMs: SHORT_CALL_TIMEOUT_MS, signal };
+        book.confirm((await peers.call(address, RELEASE, message, call)).confirmed);
+      } catch {
+        // The next report repeats it.
+        options.metrics.increment("admission.release_deferred");
+      }
+    });
+  };
+
+  return {
+    acquire,
+    release,
+    checkDispatch(grant) {
+      const record = book.find(grant.grantId);
+      if (record !== undefined && clock.nowMs() < record.dispatchByMs) return;
+      throw new AdmissionRefusedError(
+        REFUSAL.DEADLINE_PASSED,
+        `The dispatch window of grant "${grant.grantId}" has passed`,
+      );
+    },
+    async find(requestId, signal) {
+      const own = book.findRequest(requestId);
+      if (own !== undefined) return own.grant;
+      const addresses = new Set(options.pools().flatMap((pool) => directory.addresses(pool)));
+      const answers = await Promise.all([...addresses].map(async (address) => {
+        try {
+          const call = { timeoutMs: SHORT_CALL_TIMEOUT_MS, signal };
+          return (await peers.call(address, FIND, { requestId, owner }, call)).held;
+        } catch {
+          return undefined;
+        }
+      }));
+      signal.throwIfAborted();
+      const held = answers.find((answer) => answer !== undefined);
+      if (held === undefined) return undefined;
+      book.add({
+        grant: held.grant,
+        fingerprint: held.fingerprint,
+        tokensPerServer: held.tokensPerServer,
+        // It is already dispatched: this host only resumes its stream.
+        dispatchByMs: 0,
+        deadlineMs: clock.nowMs() + held.remainingMs,
+        onEnd: () => {},
+      });
+      return held.grant;
+    },
+  };
+}
--- /dev/null
+++ b/packages/admission/_lib/observe_load.ts
@@ -0,0 +1,41 @@
+import type { EngineLoad } from "@jaypass/engines";
+import type { PoolState } from "./pool_state.ts";
+import { recordDeath } from "./record_death.ts";
+import type { ServerState } from "./server_state.ts";
+import { turnCold, turnWarm } from "./server_warmth.ts";
+
+/** The part of a load report that steers the limits. */
+export type ObservedLoad = Pick<EngineLoad, "restartCount" | "warm" | "ageMs" | "models">;
+
+/**
+ * Applies a load report to a server.
+ *
+ * A changed restart counter makes the server cold at once and its running requests suspects. The
+ * server's own word that it is warm is taken only from a first report, after a takeover; later the
+ * limit rises by successes alone.
+ *
+ * @param pool the pool
+ * @param server the server
+ * @param load its report
+ */
+export function observeLoad(pool: PoolState, server: ServerState, load: ObservedLoad): void {
+  const nowMs = pool.options.clock.nowMs();
+  const known = server.restartCount;
+  if (known === undefined) {
+    server.restartCount = load.restartCount;
+    if (load.warm && server.warmth === "cold") turnWarm(server, nowMs);
+    return;
+  }
+  if (load.restartCount > known) {
+    server.restartCount = load.restartCount;
+    recordDeath(pool, server);
+  } else if (load.restartCount < known) {
+    // A lower counter is either an old report, which is ignored, or a report that was reset.
+    if (load.ageMs < nowMs - server.coldSinceMs) {
+      server.restartCount = load.restartCount;
+      recordDeath(pool, server);
+    }
+  } else if (!load.warm && server.warmth === "warm" && load.ageMs < nowMs - server.warmSinceMs) {
+    turnCold(server, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/admission/_lib/poll_server.ts
@@ -0,0 +1,93 @@
+import type { EngineClient } from "@jaypass/engines";
+import type { Millis } from "@jaypass/kernel";
+import { SERVER_CALL_TIMEOUT_MS } from "../constants.ts";
+import type { Scheduler } from "../create_scheduler.ts";
+import { reconcileServer } from "./reconcile_server.ts";
+import { removeForeign, setForeign } from "./server_capacity.ts";
+import type { ServerState } from "./server_state.ts";
+
+/** What a coordinator asks of a server; plain services have only load reports. */
+export type ServerProbe =
+  & Pick<EngineClient, "load" | "close">
+  & Partial<Pick<EngineClient, "active" | "cancel" | "cacheEvents">>;
+
+/** Time for which ended requests are remembered, to tell leaks from old lists. */
+const ENDED_MEMORY_MS = 600_000;
+
+/** Counts running work of a plain service that no host has reported, from its load report. */
+function countUnreported(server: ServerState, running: number, untilMs: Millis, nowMs: Millis) {
+  const known = server.reservations.size + server.foreign.size;
+  for (let n = 0; n < running - known; n++) {
+    const requestId = `unreported/${n}`;
+    setForeign(server, { requestId, tokens: 0, untilMs, addedMs: nowMs, isReleased: false });
+  }
+}
+
+/**
+ * Reads load and active requests of a server and brings the accounts up to date.
+ *
+ * A server that has not answered yet gets no grants, because its running work is not known.
+ *
+ * @param scheduler scheduler of the pool
+ * @param serverId the server
+ * @param options client, limits and owners
+ */
+export async function pollServer(scheduler: Scheduler, serverId: string, options: {
+  probe: ServerProbe;
+  signal: AbortSignal;
+  longestRequestMs: Millis;
+  isOwned: (requestId: string) => boolean;
+  /** Lists asked for earlier may miss grants of an earlier coordinator that were sent later. */
+  completeFromMs: Millis;
+}): Promise<void> {
+  const { probe, signal, longestRequestMs } = options;
+  const { pool } = scheduler;
+  const { clock, log } = pool.options;
+  const server = pool.servers.get(serverId);
+  if (server === undefined) return;
+  const call = { timeoutMs: SERVER_CALL_TIMEOUT_MS, signal };
+  const askedMs = clock.nowMs();
+  try {
+    const [load, active] = await Promise.all([probe.load(call), probe.active?.(call)]);
+    scheduler.observe(serverId, load);
+    const nowMs = clock.nowMs();
+    if (active === undefined) {
+      const untilMs = nowMs + longestRequestMs;
+      if (!server.isKnown) countUnreported(server, load.running, untilMs, nowMs);
+      for (const work of [...server.foreign.values()]) {
+        if (work.isReleased || work.untilMs <= nowMs) removeForeign(server, work.requestId);
+      }
+    } else {
+      const endedMs = pool.endedMs.get(serverId) ?? new Map<string, Millis>();
+      for (const [requestId, atMs] of endedMs) {
+        if (nowMs - atMs > ENDED_MEMORY_MS) endedMs.delete(requestId);
+      }
+      const unowned = reconcileServer(server, active, {
+        nowMs,
+        askedMs,
+        longestRequestMs,
+        endedMs,
+        isOwned: options.isOwned,
+      });
+      await Promise.all(unowned.map(async (requestId) => {
+        await probe.cancel?.(requestId, call);
+        removeForeign(server, requestId);
+        pool.options.metrics.increment("admission.reconciled", { pool: pool.name });
+      }));
+    }
+    if (askedMs >= options.completeFromMs) server.isKnown = true;
+  } catch (err) {
+    if (signal.aborted) return;
+    if (isConnectionRefused(err)) scheduler.refuseConnection(serverId);
+    log.debug({ pool: pool.name, server: serverId, err }, "Server does not answer");
+  }
+  scheduler.run();
+}
+
+/** Looks for a refused connection in an error and its causes. */
+function isConnectionRefused(err: unknown): boolean {
+  for (let cause = err; cause instanceof Error; cause = cause.cause) {
+    if ((cause as NodeJS.ErrnoException).code === "ECONNREFUSED") return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/admission/_lib/run_round.ts
@@ -0,0 +1,180 @@
+import { ABANDONED_AFTER_MS, FAIR_WAIT_MS, SCAN_LIMIT } from "../constants.ts";
+import { REFUSAL } from "../types.ts";
+import type { Refusal } from "../types.ts";
+import { chooseServer } from "./choose_server.ts";
+import { commitGrant, dropWaiting } from "./commit_grant.ts";
+import { declareSet } from "./declare_set.ts";
+import { LANES } from "./lanes.ts";
+import type { WaitingRequest } from "./lanes.ts";
+import { longEngines, openServers } from "./pool_state.ts";
+import type { PoolState } from "./pool_state.ts";
+import { freeSlots, freeTokens } from "./server_capacity.ts";
+import type { ServerState } from "./server_state.ts";
+
+/** Refuses a waiting request. */
+export function refuseWaiting(pool: PoolState, entry: WaitingRequest, refusal: {
+  reason: Refusal;
+  message: string;
+  retryAfterMs: number;
+}): void {
+  dropWaiting(pool, entry);
+  pool.options.metrics.increment("admission.refused", { pool: pool.name, reason: refusal.reason });
+  entry.settle?.({ type: "refused", ...refusal });
+}
+
+/** Tokens that a claim needs on each of its engines. */
+function claimTokens(entry: WaitingRequest): number {
+  const need = entry.req.promptTokens + entry.req.maxTokens;
+  return Math.ceil(need / (entry.claim?.length ?? 1));
+}
+
+function sweep(pool: PoolState, nowMs: number): void {
+  for (const entry of [...pool.lanes.all()]) {
+    if (entry.settle === undefined) {
+      if (nowMs - entry.seenMs > ABANDONED_AFTER_MS) dropWaiting(pool, entry);
+    } else if (pool.options.isQuarantined(entry.req.fingerprint)) {
+      refuseWaiting(pool, entry, {
+        reason: REFUSAL.QUARANTINED,
+        message: "The request crashed two servers",
+        retryAfterMs: 60_000,
+      });
+    } else if (entry.firstTokenDeadlineMs <= nowMs || entry.deadlineMs <= nowMs) {
+      refuseWaiting(pool, entry, {
+        reason: REFUSAL.DEADLINE_PASSED,
+        message: "The deadline passed in the lane",
+        retryAfterMs: 0,
+      });
+    }
+  }
+}
+
+/** Grants declared sets in their order; a set waits for every earlier set on each of its engines. */
+function grantClaims(pool: PoolState): Map<string, WaitingRequest> {
+  const { allow } = pool.options;
+  const claimed = new Map<string, WaitingRequest>();
+  for (const entry of [...pool.claims]) {
+    const declared = entry.claim!;
+    let servers = declared.map((id) => pool.servers.get(id));
+    if (servers.some((server) => server === undefined || !server.isOpen)) {
+      const set = declareSet(entry.req, {
+        servers: openServers(pool),
+        allow,
+        claimsOn: (id) => claimed.has(id) ? 1 : 0,
+      });
+      if (set === undefined) continue;
+      entry.claim = set.servers;
+      servers = set.servers.map((id) => pool.servers.get(id));
+    }
+    const ready = servers as ServerState[];
+    const need = claimTokens(entry);
+    const isReady = entry.settle !== undefined &&
+      ready.every((server) =>
+        server.isKnown && !claimed.has(server.id) && freeSlots(server, allow) >= 1 &&
+        freeTokens(server, allow) >= need && pool.suspects.mayRun(entry.req.fingerprint, server)
+      );
+    if (!isReady) {
+      for (const server of ready) if (!claimed.has(server.id)) claimed.set(server.id, entry);
+      continue;
+    }
+    commitGrant(pool, entry, {
+      servers: ready,
+      tokensPerServer: need,
+      prefillMs: entry.prefillMs,
+      firstTokenMs: entry.prefillMs,
+      explanation: `set of ${ready.length}, declared in order`,
+    });
+  }
+  return claimed;
+}
+
+/** Whether the rules beyond capacity let a request use a server. */
+function isPermitted(
+  pool: PoolState,
+  entry: WaitingRequest,
+  server: ServerState,
+  round: { claimed: Map<string, WaitingRequest>; longServers: Set<string>; longMost: number },
+): boolean {
+  if (!pool.suspects.mayRun(entry.req.fingerprint, server)) return false;
+  const claim = round.claimed.get(server.id);
+  if (claim !== undefined) {
+    if (entry.lane !== "short") return false;
+    let shortTokens = entry.req.promptTokens + entry.req.maxTokens;
+    for (const reservation of server.reservations.values()) {
+      if (reservation.lane === "short") shortTokens += reservation.tokens;
+    }
+    if (shortTokens > pool.options.allow(server.cfg.memoryTokens) - claimTokens(claim)) {
+      return false;
+    }
+  }
+  if (entry.lane !== "long") return true;
+  if (server.cfg.warmLimit > 1 && pool.servers.size === 1) return true;
+  return round.longServers.has(server.id) || round.longServers.size < round.longMost;
+}
+
+function claimForOverdue(pool: PoolState, nowMs: number): void {
+  for (const lane of LANES) {
+    const head = pool.lanes.of(lane)[0];
+    if (head === undefined || head.claim !== undefined) continue;
+    const fairMs = Math.min(
+      FAIR_WAIT_MS[lane],
+      lane === "short" ? Infinity : (head.firstTokenDeadlineMs - head.arrivedMs) / 4,
+    );
+    if (nowMs - head.arrivedMs < fairMs || pool.claims.some((claim) => claim.lane === lane)) {
+      continue;
+    }
+    const set = declareSet(head.req, {
+      servers: openServers(pool),
+      allow: pool.options.allow,
+      claimsOn: (id) => pool.claims.filter((claim) => claim.claim!.includes(id)).length,
+    });
+    if (set === undefined) continue;
+    head.claim = set.servers;
+    pool.claims.push(head);
+  }
+}
+
+/**
+ * Runs one round of scheduling: refuses what is late, then grants what fits.
+ *
+ * @param pool the pool
+ */
+export function runRound(pool: PoolState): void {
+  const { options } = pool;
+  const nowMs = options.clock.nowMs();
+  sweep(pool, nowMs);
+  if (pool.lanes.size === 0 || !options.canGrant()) return;
+  claimForOverdue(pool, nowMs);
+  const claimed = grantClaims(pool);
+  for (const lane of LANES) {
+    for (const entry of pool.lanes.of(lane).slice(0, SCAN_LIMIT)) {
+      if (entry.settle === undefined || (entry.claim?.length ?? 1) > 1) continue;
+      const longServers = new Set<string>();
+      if (lane === "long") {
+        for (const server of pool.servers.values()) {
+          if ([...server.reservations.values()].some((r) => r.lane === "long")) {
+            longServers.add(server.id);
+          }
+        }
+      }
+      const round = { claimed, longServers, longMost: longEngines(pool) };
+      const choice = chooseServer(entry, {
+        servers: pool.servers.values(),
+        allow: options.allow,
+        nowMs,
+        prefixes: pool.prefixes,
+        prefillTokensPerSecond: pool.prefillTokensPerSecond,
+        isSuspect: pool.suspects.isSuspect(entry.req.fingerprint),
+        isPermitted: (server) => isPermitted(pool, entry, server, round),
+      });
+      if (choice === undefined) continue;
+      commitGrant(pool, entry, {
+        servers: [choice.server],
+        tokensPerServer: entry.req.promptTokens + entry.req.maxTokens,
+        prefillMs: choice.prefillMs,
+        firstTokenMs: choice.firstTokenMs,
+        explanation: `lowest estimated first token ${Math.round(choice.firstTokenMs)} ms, ` +
+          `${choice.cachedTokens} tokens cached`,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/admission/_lib/server_state.ts
@@ -0,0 +1,107 @@
+import type { BackendServerConfig } from "@jaypass/configuration";
+import type { Millis } from "@jaypass/kernel";
+import type { AcquireRequest, Grant, Lane } from "../types.ts";
+
+/** Memory and one slot on a server, held by a grant. */
+export interface Reservation {
+  grantId: string;
+  requestId: string;
+  tokens: number;
+  lane: Lane;
+  isSuspect: boolean;
+}
+
+/** Work on a server that this coordinator did not grant, or whose end is not yet confirmed. */
+export interface ForeignWork {
+  requestId: string;
+  tokens: number;
+  /** Monotonic time after which no live request can own it. */
+  untilMs: Millis;
+  /** When it was added to the accounts. */
+  addedMs: Millis;
+  /** Its host has given it up, so that it may be cancelled before that time. */
+  isReleased: boolean;
+}
+
+/** What the coordinator knows of one server. */
+export interface ServerState {
+  id: string;
+  cfg: BackendServerConfig;
+  /** Neither leaving nor in a data centre that is out. */
+  isOpen: boolean;
+  /** Its running work has been read since this coordinator started. */
+  isKnown: boolean;
+  warmth: "cold" | "warming" | "warm";
+  /** Concurrent requests allowed at its present warmth. */
+  limit: number;
+  /** Successes counted towards the next doubling of the limit. */
+  successes: number;
+  /** Monotonic time at which it last turned cold. */
+  coldSinceMs: Millis;
+  /** Monotonic time at which it last turned warm; older reports do not make it cold. */
+  warmSinceMs: Millis;
+  restartCount: number | undefined;
+  reservations: Map<string, Reservation>;
+  ownTokens: number;
+  foreign: Map<string, ForeignWork>;
+  foreignTokens: number;
+  /** When the granted prefill work of each lane and the lanes before it ends. */
+  freeAtMs: Record<Lane, Millis>;
+  /** Measured over expected time to first token, as a decaying average. */
+  slowness: number;
+}
+
+/** A host that reads the stream of a granted request. */
+export interface GrantOwner {
+  host: string;
+  incarnation: string;
+  address: string;
+}
+
+/** A grant with what the coordinator needs to account for it. */
+export interface GrantRecord {
+  grant: Grant;
+  req: AcquireRequest;
+  acquireId: string;
+  grantedMs: Millis;
+  deadlineMs: Millis;
+  expectedFirstTokenMs: Millis;
+  prefillMs: Millis;
+  tokensPerServer: number;
+  /** Hosts that read its stream, by host id; the first is the one that sent it. */
+  owners: Map<string, GrantOwner>;
+  /** Whether a host has reported it as held. */
+  isReported: boolean;
+  /** Granted by an earlier coordinator, and therefore counted as foreign work. */
+  isAdopted: boolean;
+  /** Servers of the grant that died while it ran. */
+  deaths: Set<string>;
+}
+
+/**
+ * Creates the state of a server that nothing is known of.
+ *
+ * @param id server id
+ * @param cfg its configuration
+ * @returns a cold server without work
+ */
+export function createServerState(id: string, cfg: BackendServerConfig): ServerState {
+  return {
+    id,
+    cfg,
+    isOpen: true,
+    isKnown: false,
+    warmth: "cold",
+    limit: Math.min(cfg.coldLimit, cfg.warmLimit),
+    successes: 0,
+    coldSinceMs: 0,
+    warmSinceMs: 0,
+    restartCount: undefined,
+    reservations: new Map(),
+    ownTokens: 0,
+    foreign: new Map(),
+    foreignTokens: 0,
+    freeAtMs: { short: 0, medium: 0, long: 0 },
+    slowness: 1,
+  };
+}
--- /dev/null
+++ b/packages/admission/_testing/create_manual_clock.ts
@@ -0,0 +1,11 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+
+/** Creates a clock that moves only by `advance`. */
+export function createManualClock(): Clock & { advance(ms: Millis): void } {
+  let nowMs = 1_000_000;
+  return {
+    nowMs: () => nowMs,
+    wallMs: () => nowMs,
+    advance: (ms) => void (nowMs += ms),
+  };
+}
--- /dev/null
+++ b/packages/admission/_testing/create_test_lease.ts
@@ -0,0 +1,73 @@
+import type { Lease, LeaseHolder } from "@jaypass/leases";
+
+/** Rows of leases shared by the hosts of a test; a test moves and splits them by hand. */
+export interface TestLeases {
+  /** Creates the lease of one host; the first host takes a free row at once. */
+  create(name: string, holder: LeaseHolder): Lease;
+  /** Gives the row to a host; the earlier holder goes on with its retained share, or with nothing. */
+  moveTo(name: string, host: string, earlier: "retained" | "none"): void;
+}
+
+interface TestRow {
+  holder: LeaseHolder | undefined;
+  fencing: number;
+  retained: LeaseHolder | undefined;
+  wanted: Map<string, LeaseHolder>;
+}
+
+/** Creates rows without holders. */
+export function createTestLeases(): TestLeases {
+  const rows = new Map<string, TestRow>();
+  const rowOf = (name: string): TestRow => {
+    let row = rows.get(name);
+    if (row === undefined) {
+      row = { holder: undefined, fencing: 0, retained: undefined, wanted: new Map() };
+      rows.set(name, row);
+    }
+    return row;
+  };
+  const take = (row: TestRow, holder: LeaseHolder) => {
+    row.holder = holder;
+    row.fencing += 1;
+  };
+  return {
+    create(name, holder) {
+      const row = rowOf(name);
+      row.wanted.set(holder.host, holder);
+      if (row.holder === undefined) take(row, holder);
+      const fencings = new Map<string, number>();
+      const isHolder = () => row.holder?.host === holder.host;
+      const isRetained = () => row.retained?.host === holder.host;
+      return {
+        name,
+        mode: () => isHolder() ? "held" : isRetained() ? "retained" : "none",
+        fencing() {
+          if (isHolder()) fencings.set(name, row.fencing);
+          return isHolder() || isRetained() ? fencings.get(name) ?? 0 : 0;
+        },
+        allow(limit) {
+          if (isRetained()) return Math.floor(limit / 2);
+          if (!isHolder()) return 0;
+          return row.retained === undefined ? limit : limit - Math.floor(limit / 2);
+        },
+        validMs: () => isHolder() ? 9_000 : 0,
+        holder: () => row.holder,
+        release() {
+          row.wanted.delete(holder.host);
+          if (isRetained()) row.retained = undefined;
+          if (isHolder()) {
+            row.holder = undefined;
+            const [next] = row.wanted.values();
+            if (next !== undefined) take(row, next);
+          }
+          return Promise.resolve();
+        },
+      };
+    },
+    moveTo(name, host, earlier) {
+      const row = rowOf(name);
+      if (earlier === "retained") row.retained = row.holder;
+      take(row, row.wanted.get(host) ?? { host, incarnation: "1", address: host });
+    },
+  };
+}
--- /dev/null
+++ b/packages/admission/create_admission_test.ts
@@ -0,0 +1,45 @@
+import test from "ava";
+import { AdmissionRefusedError } from "./mod.ts";
+import type { Grant } from "./mod.ts";
+import { createTestDocument, testServer } from "./_testing/create_test_document.ts";
+import { createTestSystem, testRequest } from "./_testing/create_test_system.ts";
+
+const never = new AbortController().signal;
+
+test("18 hosts together never exceed the cold limit of an engine", async (t) => {
+  const system = createTestSystem({
+    hostCount: 18,
+    document: createTestDocument({ e0: testServer({ coldLimit: 4, warmLimit: 64 }) }),
+    isWarm: false,
+  });
+  t.teardown(() => system.stop());
+  let running = 0;
+  let most = 0;
+  const granted: Grant[] = [];
+  const results = await Promise.allSettled(system.hosts.map(async (host, n) => {
+    const req = testRequest(`r${n}`, { remainingMs: 2_500, firstTokenRemainingMs: 2_500 });
+    const grant = await host.acquire(req, never);
+    host.checkDispatch(grant);
+    granted.push(grant);
+    running += 1;
+    most = Math.max(most, running);
+  }));
+  t.is(most, 4);
+  t.is(granted.length, 4);
+  for (const result of results) {
+    if (result.status === "rejected") t.true(result.reason instanceof AdmissionRefusedError);
+  }
+});
+
+test("a released grant lets a waiting request of another host run", async (t) => {
+  const system = createTestSystem({
+    hostCount: 3,
+    document: createTestDocument({ e0: testServer({ coldLimit: 1, warmLimit: 1 }) }),
+  });
+  t.teardown(() => system.stop());
+  const [first, second] = system.hosts as [typeof system.hosts[0], typeof system.hosts[0]];
+  const grant = await first.acquire(testRequest("a"), never);
+  const waiting = second.acquire(testRequest("b"), never);
+  first.release(grant, { outcome: "done", firstTokenMs: 60, totalMs: 100 });
+  t.is((await waiting).requestId, "b");
+});
--- /dev/null
+++ b/packages/admission/create_coordinator.ts
@@ -0,0 +1,262 @@
+import type { ConfigDocument } from "@jaypass/configuration";
+import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
+import { createTaskGroup, sleep } from "@jaypass/kernel";
+import type { Lease } from "@jaypass/leases";
+import type { Membership } from "@jaypass/membership";
+import {
+  ACQUIRE_WAIT_MS,
+  GRANT_DISPATCH_WINDOW_MS,
+  REBUILD_MS,
+  SERVER_POLL_INTERVAL_MS,
+} from "./constants.ts";
+import { createScheduler } from "./create_scheduler.ts";
+import type { Scheduler } from "./create_scheduler.ts";
+import { describePool } from "./_lib/describe_pool.ts";
+import { expireGrants } from "./_lib/expire_grants.ts";
+import { findHeld } from "./_lib/find_held.ts";
+import { handleEnded, handleReport } from "./_lib/handle_report.ts";
+import type { Decision } from "./_lib/lanes.ts";
+import type { PoolView } from "./_lib/list_pools.ts";
+import { pollServer } from "./_lib/poll_server.ts";
+import type { ServerProbe } from "./_lib/poll_server.ts";
+import type {
+  AcquireMessage,
+  AcquireReply,
+  EndedGrant,
+  GrantOwner,
+  HeldGrant,
+  Report,
+  ReportReply,
+} from "./messages.ts";
+import { classifyLane } from "./classify_lane.ts";
+import { LANE, REFUSAL } from "./types.ts";
+
+/** Interval of scheduling rounds while requests wait. */
+const ROUND_INTERVAL_MS = 20;
+/** Longest life of a request when the configuration tells none. */
+const DEFAULT_LONGEST_REQUEST_MS = 900_000;
+
+/** What a coordinator needs. */
+export interface CoordinatorOptions {
+  clock: Clock;
+  random: RandomSource;
+  log: Logger;
+  metrics: Metrics;
+  /** Peer address of this host. */
+  address: string;
+  /** Lease of the pool, held when the coordinator is created. */
+  lease: Lease;
+  membership: Pick<Membership, "askIncarnation">;
+  /** Opens the client of a server. */
+  createProbe: (server: PoolView["servers"][number]) => ServerProbe;
+  isQuarantined: (fingerprint: string) => boolean;
+  onConviction: (fingerprint: string, serverId: string) => void;
+  onSuspects: (fingerprints: string[], serverId: string) => void;
+  /** Time in which running work is collected before the first grant; 3 s by default. */
+  rebuildMs?: Millis;
+}
+
+/** Grants the work of one pool while its lease is held. */
+export interface Coordinator {
+  readonly scheduler: Scheduler;
+  /** Fencing number under which it was created; a later holding needs a new coordinator. */
+  readonly fencing: number;
+  configure(view: PoolView, document: Readonly<ConfigDocument>): void;
+  /** Waits up to half a second for a grant. */
+  acquire(message: AcquireMessage, signal: AbortSignal): Promise<AcquireReply>;
+  report(owner: GrantOwner, part: Report["pools"][number]): ReportReply["pools"][number];
+  end(host: string, ended: readonly EndedGrant[]): void;
+  /** Finds the grant of a request and adds a further owner. */
+  find(requestId: string, owner: GrantOwner): HeldGrant | undefined;
+  describe(): Record<string, unknown>;
+  stop(): Promise<void>;
+}
+
+/**
+ * Creates the coordinator of a pool whose lease this process holds.
+ *
+ * It grants nothing until it has collected the running work from hosts and engines.
+ *
+ * @param name pool name
+ * @param options lease, clients and notices
+ * @returns the coordinator, to be configured next
+ *
+ * @example
+ * const coordinator = createCoordinator("small@gent", { lease, clock, ... });
+ * coordinator.configure(view, document);
+ */
+export function createCoordinator(name: string, options: CoordinatorOptions): Coordinator {
+  const { clock, lease, log } = options;
+  const fencing = lease.fencing();
+  const epoch = `${options.address}/${fencing}/${options.random()}`;
+  const startedMs = clock.nowMs();
+  const rebuildMs = options.rebuildMs ?? REBUILD_MS;
+  const seenMs = new Map<string, Millis>();
+  const probes = new Map<string, ServerProbe>();
+  const tasks = createTaskGroup({
+    onError: (task, err) => log.error({ pool: name, task, err }, "Coordinator task failed"),
+  });
+  let longestRequestMs = DEFAULT_LONGEST_REQUEST_MS;
+
+  const canGrant = () => {
+    if (clock.nowMs() - startedMs < rebuildMs || lease.fencing() !== fencing) return false;
+    const mode = lease.mode();
+    return mode === "retained" || (mode === "held" && lease.validMs() > GRANT_DISPATCH_WINDOW_MS);
+  };
+  const scheduler = createScheduler(name, {
+    clock,
+    log,
+    metrics: options.metrics,
+    address: options.address,
+    allow: (limit) => lease.allow(limit),
+    canGrant,
+    fencing: () => fencing,
+    isQuarantined: options.isQuarantined,
+    onConviction: options.onConviction,
+    onSuspects: options.onSuspects,
+  });
+  const { pool } = scheduler;
+
+  const notCoordinator = (): AcquireReply => ({
+    type: "refused",
+    reason: REFUSAL.NOT_COORDINATOR,
+    message: `Pool "${name}" is not held by this host`,
+    retryAfterMs: 0,
+    holder: lease.holder()?.address,
+  });
+
+  const acquire = (message: AcquireMessage, signal: AbortSignal): Promise<AcquireReply> => {
+    if (lease.mode() === "none" || lease.fencing() !== fencing) {
+      return Promise.resolve(notCoordinator());
+    }
+    const { acquireId, req, owner } = message;
+    seenMs.set(owner.host, clock.nowMs());
+    const waitMs = () => Math.min(1e9, scheduler.waitMs(classifyLane(req.promptTokens)));
+    return new Promise((resolve) => {
+      const settle = (decision: Decision) => {
+        clearTimeout(timer);
+        signal.removeEventListener("abort", onAbort);
+        if (decision.type === "refused") resolve(decision);
+        else resolve({ ...decision, waitMs: waitMs() });
+      };
+      const onAbort = () => {
+        scheduler.pause(acquireId);
+        settle({ type: "queued" });
+      };
+      const timer = setTimeout(onAbort, ACQUIRE_WAIT_MS);
+      signal.addEventListener("abort", onAbort, { once: true });
+      scheduler.acquire({ acquireId, req, owner, settle });
+    });
+  };
+
+  tasks.run("rounds", async (signal) => {
+    while (!signal.aborted) {
+      await sleep(ROUND_INTERVAL_MS, signal);
+      if (pool.lanes.size > 0) scheduler.run();
+    }
+  });
+  tasks.run("expiry", async (signal) => {
+    while (!signal.aborted) {
+      await sleep(SERVER_POLL_INTERVAL_MS, signal);
+      await expireGrants(pool, {
+        seenMs,
+        startedMs,
+        askIncarnation: options.membership.askIncarnation,
+      });
+    }
+  });
+
+  const watch = (serverId: string, probe: ServerProbe) =>
+    tasks.run(`poll ${serverId}`, async (signal) => {
+      while (!signal.aborted && probes.get(serverId) === probe) {
+        await pollServer(scheduler, serverId, {
+          probe,
+          signal,
+          longestRequestMs,
+          completeFromMs: startedMs + Math.min(rebuildMs, GRANT_DISPATCH_WINDOW_MS),
+          isOwned: (requestId) => findHeld(pool, requestId) !== undefined,
+        });
+        await sleep(SERVER_POLL_INTERVAL_MS * (0.8 + 0.4 * options.random()), signal);
+      }
+    });
+
+  return {
+    scheduler,
+    fencing,
+    configure(view, document) {
+      longestRequestMs = Math.max(
+        0,
+        ...Object.values(document.timeouts).flatMap(({ hours }) =>
+          hours.map(({ timeoutMs }) => timeoutMs)
+        ),
+      ) || DEFAULT_LONGEST_REQUEST_MS;
+      const isIn = document.dataCentres[view.dataCentre]?.state !== "out";
+      const urls = new Map(
+        view.servers.map((server) => [server.id, server.url]),
+      );
+      for (const server of view.servers) {
+        if (pool.servers.get(server.id)?.cfg.url === server.url) continue;
+        const old = probes.get(server.id);
+        const probe = options.createProbe(server);
+        probes.set(server.id, probe);
+        void old?.close();
+        watch(server.id, probe);
+      }
+      scheduler.configure(
+        view.servers.map(({ id, ...cfg }) => ({ id, cfg, isOpen: isIn && cfg.state === "in" })),
+        document.models[view.serves],
+      );
+      for (const [id, probe] of [...probes]) {
+        if (urls.has(id) || pool.servers.has(id)) continue;
+        probes.delete(id);
+        void probe.close();
+      }
+    },
+    acquire,
+    report(owner, part) {
+      if (lease.mode() === "none" || lease.fencing() !== fencing) {
+        return { pool: name, isAccepted: false, holder: lease.holder()?.address };
+      }
+      seenMs.set(owner.host, clock.nowMs());
+      handleReport(pool, owner, part, epoch);
+      scheduler.run();
+      const waits = Object.values(LANE).map((
+        lane,
+      ) => [lane, Math.min(1e9, scheduler.waitMs(lane))]);
+      return {
+        pool: name,
+        isAccepted: true,
+        mark: { epoch, atMs: clock.nowMs() },
+        waitMs: Object.fromEntries(waits),
+      };
+    },
+    end(host, ended) {
+      handleEnded(pool, host, ended);
+      scheduler.run();
+    },
+    find(requestId, owner) {
+      const record = findHeld(pool, requestId);
+      if (record === undefined) return undefined;
+      record.owners.set(owner.host, owner);
+      return {
+        grant: record.grant,
+        fingerprint: record.req.fingerprint,
+        tokensPerServer: record.tokensPerServer,
+        remainingMs: Math.max(0, record.deadlineMs - clock.nowMs()),
+      };
+    },
+    describe: () => ({ ...describePool(pool), fencing, mode: lease.mode(), isReady: canGrant() }),
+    async stop() {
+      for (const entry of [...pool.lanes.all()]) {
+        entry.settle?.({
+          type: "refused",
+          reason: REFUSAL.NOT_COORDINATOR,
+          message: `Pool "${name}" is not held by this host`,
+          retryAfterMs: 0,
+        });
+      }
+      await tasks.stop();
+      await Promise.all([...probes.values()].map((probe) => probe.close()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/admission/create_scheduler.ts
@@ -0,0 +1,137 @@
+import type { BackendServerConfig, ModelConfig } from "@jaypass/configuration";
+import type { Millis } from "@jaypass/kernel";
+import { admitWaiting, laneWaitMs } from "./_lib/admit_waiting.ts";
+import type { AcquireCall } from "./_lib/admit_waiting.ts";
+import { dropWaiting } from "./_lib/commit_grant.ts";
+import { endGrant } from "./_lib/end_grant.ts";
+import { observeLoad } from "./_lib/observe_load.ts";
+import type { ObservedLoad } from "./_lib/observe_load.ts";
+import { createPoolState } from "./_lib/pool_state.ts";
+import type { PoolState, SchedulerOptions } from "./_lib/pool_state.ts";
+import { recordDeath } from "./_lib/record_death.ts";
+import { runRound } from "./_lib/run_round.ts";
+import { createServerState } from "./_lib/server_state.ts";
+import type { GrantRecord } from "./_lib/server_state.ts";
+import { turnCold } from "./_lib/server_warmth.ts";
+import type { GrantResult, Lane } from "./types.ts";
+
+export type { AcquireCall } from "./_lib/admit_waiting.ts";
+export type { Decision } from "./_lib/lanes.ts";
+export type { PoolState, SchedulerOptions } from "./_lib/pool_state.ts";
+
+/** A server of a pool as the configuration shows it. */
+export interface ScheduledServer {
+  id: string;
+  cfg: BackendServerConfig;
+  /** Neither leaving nor in a data centre that is out. */
+  isOpen: boolean;
+}
+
+/** Decides which request of a pool runs where and when. */
+export interface Scheduler {
+  /** Applies the configuration. Servers that left keep their running work until it ends. */
+  configure(servers: readonly ScheduledServer[], model: ModelConfig | undefined): void;
+  /** Takes a call: a new request enters its lane, a known one waits on. */
+  acquire(call: AcquireCall): void;
+  /** Ends one call without an answer; the request keeps its place for a short time. */
+  pause(acquireId: string): void;
+  /** Forgets a waiting request. */
+  abandon(acquireId: string): void;
+  /** Ends a grant. @returns the ended grant, nothing when it is not known */
+  end(grantId: string, result: GrantResult): GrantRecord | undefined;
+  /** Applies a load report of a server. */
+  observe(serverId: string, load: ObservedLoad): void;
+  /** Notes that a server refused a connection: it is cold, and its requests are suspects. */
+  refuseConnection(serverId: string): void;
+  /** Runs a scheduling round; also called at intervals, since work left shrinks with time. */
+  run(): void;
+  /** Estimated wait of a lane in milliseconds, for hosts that choose a pool. */
+  waitMs(lane: Lane): Millis;
+  /** The accounts, for the coordinator, operators and tests. */
+  readonly pool: PoolState;
+}
+
+/**
+ * Creates the scheduler of a pool, without servers at first.
+ *
+ * @param name pool name
+ * @param options what the lease allows, quarantine and notices
+ * @returns the scheduler
+ *
+ * @example
+ * const scheduler = createScheduler("small@gent", { clock, allow: lease.allow, ... });
+ * scheduler.configure(servers, document.models.small);
+ */
+export function createScheduler(name: string, options: SchedulerOptions): Scheduler {
+  const pool = createPoolState(name, options);
+  return {
+    pool,
+    configure(servers, model) {
+      pool.prefillTokensPerSecond = model?.prefillTokensPerSecond ?? Infinity;
+      for (const { id, cfg, isOpen } of servers) {
+        const server = pool.servers.get(id);
+        if (server === undefined) {
+          pool.servers.set(id, { ...createServerState(id, cfg), isOpen });
+          continue;
+        }
+        // A server that returns starts cold again: its load while it was out is not known.
+        if ((isOpen && !server.isOpen) || server.cfg.url !== cfg.url) {
+          turnCold(server, options.clock.nowMs());
+        }
+        Object.assign(server, { cfg, isOpen });
+        if (server.warmth === "warm") server.limit = cfg.warmLimit;
+        else if (server.warmth === "cold") server.limit = Math.min(cfg.coldLimit, cfg.warmLimit);
+        else server.limit = Math.min(server.limit, cfg.warmLimit);
+      }
+      const listed = new Set(servers.map(({ id }) => id));
+      for (const server of pool.servers.values()) {
+        if (listed.has(server.id)) continue;
+        server.isOpen = false;
+        if (server.reservations.size + server.foreign.size === 0) pool.servers.delete(server.id);
+      }
+      runRound(pool);
+    },
+    acquire(call) {
+      const waiting = pool.lanes.find(call.acquireId);
+      const record = pool.grants.get(pool.grantOfAcquire.get(call.acquireId) ?? "");
+      if (record !== undefined && options.canGrant()) {
+        // The answer was lost: the grant is given anew, with a new dispatch window.
+        record.grantedMs = options.clock.nowMs();
+        call.settle({ type: "granted", grant: record.grant });
+      } else if (waiting === undefined) admitWaiting(pool, call);
+      else {
+        waiting.settle?.({ type: "queued" });
+        waiting.settle = call.settle;
+        waiting.seenMs = options.clock.nowMs();
+      }
+      runRound(pool);
+    },
+    pause(acquireId) {
+      const waiting = pool.lanes.find(acquireId);
+      if (waiting === undefined) return;
+      waiting.settle = undefined;
+      waiting.seenMs = options.clock.nowMs();
+    },
+    abandon(acquireId) {
+      const waiting = pool.lanes.find(acquireId);
+      if (waiting !== undefined) dropWaiting(pool, waiting);
+    },
+    end(grantId, result) {
+      const record = endGrant(pool, grantId, result);
+      if (record !== undefined) runRound(pool);
+      return record;
+    },
+    observe(serverId, load) {
+      const server = pool.servers.get(serverId);
+      if (server !== undefined) observeLoad(pool, server, load);
+    },
+    refuseConnection(serverId) {
+      const server = pool.servers.get(serverId);
+      if (server === undefined) return;
+      if (server.reservations.size > 0) recordDeath(pool, server);
+      else turnCold(server, options.clock.nowMs());
+    },
+    run: () => runRound(pool),
+    waitMs: (lane) => laneWaitMs(pool, lane, Infinity),
+  };
+}
--- /dev/null
+++ b/packages/admission/errors.ts
@@ -0,0 +1,28 @@
+/**
+ * Errors of admission.
+ *
+ * @module
+ */
+import type { Millis } from "@jaypass/kernel";
+import type { Refusal } from "./types.ts";
+
+/** A request got no grant; nothing was sent to a server. */
+export class AdmissionRefusedError extends Error {
+  override name = "AdmissionRefusedError";
+  /** No server has seen this attempt. */
+  readonly ran = "not_run";
+  /** Why the request was refused. */
+  readonly reason: Refusal;
+  /** Milliseconds after which a new try is sensible. */
+  readonly retryAfterMs: Millis | undefined;
+
+  constructor(
+    reason: Refusal,
+    message: string,
+    options: { retryAfterMs?: Millis; cause?: unknown } = {},
+  ) {
+    super(message, { cause: options.cause });
+    this.reason = reason;
+    this.retryAfterMs = options.retryAfterMs;
+  }
+}
--- /dev/null
+++ b/packages/admission/messages.ts
@@ -0,0 +1,150 @@
+/**
+ * Messages of admission between hosts.
+ *
+ * @module
+ */
+import type { PeerMethod } from "@jaypass/peers";
+import { z } from "zod";
+import { GRANT_OUTCOME, LANE, REFUSAL } from "./types.ts";
+
+const ownerSchema = z.object({
+  host: z.string(),
+  incarnation: z.string(),
+  address: z.string(),
+});
+
+const acquireRequestSchema = z.object({
+  requestId: z.string(),
+  serves: z.string(),
+  workspace: z.string(),
+  fingerprint: z.string(),
+  promptTokens: z.number().nonnegative(),
+  maxTokens: z.number().nonnegative(),
+  prefixBlocks: z.array(z.string()),
+  remainingMs: z.number(),
+  firstTokenRemainingMs: z.number(),
+  exclude: z.array(z.string()),
+});
+
+const grantSchema = z.object({
+  grantId: z.string(),
+  requestId: z.string(),
+  pool: z.string(),
+  coordinator: z.string(),
+  servers: z.array(z.object({ id: z.string(), url: z.string(), dataCentre: z.string() })),
+  priority: z.number(),
+  lane: z.enum(LANE),
+  fencing: z.number(),
+  dispatchWithinMs: z.number(),
+  explanation: z.string(),
+});
+
+const resultSchema = z.object({
+  outcome: z.enum(GRANT_OUTCOME),
+  firstTokenMs: z.number().optional(),
+  totalMs: z.number().optional(),
+  outputTokens: z.number().optional(),
+  restartCount: z.number().optional(),
+});
+
+const heldGrantSchema = z.object({
+  grant: grantSchema,
+  fingerprint: z.string(),
+  tokensPerServer: z.number(),
+  remainingMs: z.number(),
+});
+
+const endedGrantSchema = z.object({
+  grantId: z.string(),
+  pool: z.string(),
+  requestId: z.string(),
+  serverIds: z.array(z.string()),
+  result: resultSchema,
+});
+
+/** A point on a coordinator's clock, which a host returns with its next report. */
+const markSchema = z.object({ epoch: z.string(), atMs: z.number() });
+
+const acquireCallSchema = z.object({
+  pool: z.string(),
+  acquireId: z.string(),
+  owner: ownerSchema,
+  req: acquireRequestSchema,
+});
+
+const acquireReplySchema = z.discriminatedUnion("type", [
+  z.object({ type: z.literal("granted"), grant: grantSchema, waitMs: z.number() }),
+  z.object({
+    type: z.literal("refused"),
+    reason: z.enum(REFUSAL),
+    message: z.string(),
+    retryAfterMs: z.number(),
+    /** Peer address of the coordinator, when the called host knows another one. */
+    holder: z.string().optional(),
+  }),
+  z.object({ type: z.literal("queued"), waitMs: z.number() }),
+]);
+
+const reportSchema = z.object({
+  owner: ownerSchema,
+  pools: z.array(z.object({
+    pool: z.string(),
+    mark: markSchema.optional(),
+    held: z.array(heldGrantSchema),
+    ended: z.array(endedGrantSchema),
+  })),
+});
+
+const reportReplySchema = z.object({
+  pools: z.array(z.object({
+    pool: z.string(),
+    /** Whether the called host coordinates the pool. */
+    isAccepted: z.boolean(),
+    mark: markSchema.optional(),
+    holder: z.string().optional(),
+    waitMs: z.record(z.string(), z.number()).optional(),
+  })),
+});
+
+const releaseSchema = z.object({ owner: ownerSchema, ended: z.array(endedGrantSchema) });
+const releaseReplySchema = z.object({ confirmed: z.array(z.string()) });
+const findSchema = z.object({ requestId: z.string(), owner: ownerSchema });
+const findReplySchema = z.object({ held: heldGrantSchema.optional() });
+
+/** A host's report to one coordinator. */
+export type Report = z.infer<typeof reportSchema>;
+/** The answer to a report. */
+export type ReportReply = z.infer<typeof reportReplySchema>;
+/** One call of `Acquire`. */
+export type AcquireMessage = z.infer<typeof acquireCallSchema>;
+/** The answer to one call of `Acquire`. */
+export type AcquireReply = z.infer<typeof acquireReplySchema>;
+/** A grant as its host holds it. */
+export type HeldGrant = z.infer<typeof heldGrantSchema>;
+/** A grant that ended, until its coordinator has confirmed that it knows. */
+export type EndedGrant = z.infer<typeof endedGrantSchema>;
+/** A host that sends requests. */
+export type GrantOwner = z.infer<typeof ownerSchema>;
+
+function method<Req, Res>(
+  name: string,
+  req: z.ZodType<Req>,
+  res: z.ZodType<Res>,
+): PeerMethod<Req, Res> {
+  return { path: `/jaypass.Admission/${name}`, req, res, streaming: false };
+}
+
+/** Waits in the lane until granted, refused, or asked to call again. */
+export const ACQUIRE = method("Acquire", acquireCallSchema, acquireReplySchema);
+/** Tells held and ended grants, at intervals. */
+export const REPORT = method("Report", reportSchema, reportReplySchema);
+/** Ends grants. */
+export const RELEASE = method("Release", releaseSchema, releaseReplySchema);
+/** Finds the grant of a request and makes the caller a further owner of it. */
+export const FIND = method("Find", findSchema, findReplySchema);
+/** Describes the pools that the called host coordinates. */
+export const DESCRIBE = method(
+  "Describe",
+  z.object({ pool: z.string().optional() }),
+  z.object({ pools: z.array(z.record(z.string(), z.unknown())) }),
+);
--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -4,4 +4,12 @@
  * @module
  */
 
+export * from "./classify_lane.ts";
+export * from "./constants.ts";
+export * from "./create_admission.ts";
+export * from "./create_coordinator.ts";
+export * from "./create_scheduler.ts";
+export * from "./errors.ts";
+export * from "./messages.ts";
+export * from "./rank_by_hash.ts";
 export * from "./types.ts";
