--- a/packages/admission/_lib/coordinator_set.ts
+++ b/packages/admission/_lib/coordinator_set.ts
@@ -5,10 +5,18 @@
 import type { PoolView } from "./list_pools.ts";
 import { rankCandidates } from "./rank_candidates.ts";
 
+/** Starts to watch a lease and to compete for it while `isCandidate` tells so. */
+export type CreateLease = (
+  name: string,
+  options: { isCandidate: () => boolean; onChange: () => void },
+) => Lease;
+
 /** What the set of coordinators needs. */
 export interface CoordinatorSetOptions {
   membership: Membership;
-  createLease: (name: string) => Lease;
+  createLease: CreateLease;
+  /** Asks for an update soon, after a lease changed. */
+  onLeaseChange: () => void;
   createCoordinator: (pool: PoolView, lease: Lease) => Coordinator;
   /** Called when this host became the coordinator of a pool. */
   onStart: (pool: PoolView, coordinator: Coordinator) => void;
@@ -69,7 +77,10 @@
         let lease = leases.get(pool.name);
         if (lease === undefined) {
           if (!isCandidate(pool, self)) continue;
-          lease = options.createLease(poolLeaseName(pool.name));
+          lease = options.createLease(poolLeaseName(pool.name), {
+            isCandidate: () => isCandidate(pool, options.membership.self()),
+            onChange: options.onLeaseChange,
+          });
           leases.set(pool.name, lease);
         }
         const coordinator = coordinators.get(pool.name);
--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -1,7 +1,6 @@
 import type { Configuration } from "@jaypass/configuration";
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
 import { createTaskGroup, sleep } from "@jaypass/kernel";
-import type { Lease } from "@jaypass/leases";
 import type { Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
 import { REPORT_INTERVAL_MS } from "./constants.ts";
@@ -9,6 +8,7 @@
 import type { CoordinatorOptions } from "./create_coordinator.ts";
 import { createCoordinatorDirectory } from "./_lib/coordinator_directory.ts";
 import { createCoordinatorSet } from "./_lib/coordinator_set.ts";
+import type { CreateLease } from "./_lib/coordinator_set.ts";
 import { createGrantBook } from "./_lib/grant_book.ts";
 import { createGrantClient } from "./_lib/grant_client.ts";
 import { handleAdmissionCalls } from "./_lib/handle_admission_calls.ts";
@@ -35,7 +35,7 @@
   peers: PeerPool;
   server: PeerServer;
   /** Starts to compete for a lease. */
-  createLease: (name: string) => Lease;
+  createLease: CreateLease;
   /** Opens the client by which a coordinator watches a server. */
   createProbe: CoordinatorOptions["createProbe"];
   /** Time in which a new coordinator collects running work; 3 s by default. */
@@ -80,6 +80,7 @@
   const coordinators = createCoordinatorSet({
     membership,
     createLease: options.createLease,
+    onLeaseChange: () => queueMicrotask(update),
     createCoordinator: (pool, lease) =>
       createCoordinator(pool.name, {
         ...options,
@@ -133,9 +134,12 @@
     if (!book.pools().includes(pool)) return;
     tasks.run("report to new coordinator", () => sendReports(reports, [pool]));
   });
+  const update = () => {
+    if (!tasks.signal.aborted) coordinators.update(pools, configuration.document());
+  };
   tasks.run("leases", async (signal) => {
     while (!signal.aborted) {
-      coordinators.update(pools, configuration.document());
+      update();
       await sleep(UPDATE_INTERVAL_MS, signal);
     }
   });
--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -13,3 +13,5 @@
 export * from "./messages.ts";
 export * from "./rank_by_hash.ts";
 export * from "./types.ts";
+export type { CreateLease } from "./_lib/coordinator_set.ts";
+export type { ServerProbe } from "./_lib/poll_server.ts";
