Isolate suspects and quarantine poison requests

Cause: a request that crashes its servers could be sent to every engine. Change: suspects per server death, one per server and one run per fingerprint; a second death convicts; a broken connection counts as a possible death until a newer load report tells; quarantine rows, broadcasts, list and release; the client checks the quarantine right before the send. An engine gets no grant until it answers again. With unrelated crashes at the same time a request that was on two dying engines is quarantined too: its case cannot be told from poison without losing a third engine. The test of the cold limit now expects no grant between the restart and the next answer.

--- a/packages/admission/_lib/choose_server.ts
+++ b/packages/admission/_lib/choose_server.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@jaypass/kernel";
 import { MAX_BACKLOG_MS } from "../constants.ts";
 import type { Allow } from "./server_capacity.ts";
-import { freeSlots, freeTokens } from "./server_capacity.ts";
+import { freeSlots, freeTokens, isUsable } from "./server_capacity.ts";
 import type { WaitingRequest } from "./lanes.ts";
 import type { PrefixIndex } from "./prefix_index.ts";
 import type { ServerState } from "./server_state.ts";
@@ -44,7 +44,7 @@
   const need = entry.req.promptTokens + entry.req.maxTokens;
   let best: (Choice & { score: number }) | undefined;
   for (const server of options.servers) {
-    if (!server.isOpen || !server.isKnown || entry.req.exclude.includes(server.id)) continue;
+    if (!isUsable(server, nowMs) || entry.req.exclude.includes(server.id)) continue;
     if (freeSlots(server, allow) < 1) continue;
     const memory = freeTokens(server, allow);
     if (memory < need || !options.isPermitted(server)) continue;
--- a/packages/admission/_lib/commit_grant.ts
+++ b/packages/admission/_lib/commit_grant.ts
@@ -38,7 +38,6 @@
   const { options } = pool;
   const nowMs = options.clock.nowMs();
   const { req } = entry;
-  const isSuspect = pool.suspects.isSuspect(req.fingerprint);
   const fencing = options.fencing();
   const grantId = `${pool.name}/${fencing}/${pool.sequence++}`;
   const grant: Grant = {
@@ -63,7 +62,7 @@
       requestId: req.requestId,
       tokens: decision.tokensPerServer,
       lane: entry.lane,
-      isSuspect,
+      fingerprint: req.fingerprint,
     });
     pool.prefixes.add(server.id, req.prefixBlocks);
     for (const lane of LANES.slice(LANES.indexOf(entry.lane))) {
--- a/packages/admission/_lib/end_grant.ts
+++ b/packages/admission/_lib/end_grant.ts
@@ -3,7 +3,7 @@
 import type { GrantResult } from "../types.ts";
 import { LANES } from "./lanes.ts";
 import type { PoolState } from "./pool_state.ts";
-import { recordDeath } from "./record_death.ts";
+import { noteDeath, noteRestart } from "./record_death.ts";
 import { removeForeign, setForeign, unreserve } from "./server_capacity.ts";
 import type { GrantRecord, ServerState } from "./server_state.ts";
 import { countSuccess, turnCold } from "./server_warmth.ts";
@@ -36,10 +36,7 @@
   const nowMs = pool.options.clock.nowMs();
   if (first === undefined) return;
   if (result.restartCount !== undefined) {
-    if (first.restartCount !== undefined && result.restartCount > first.restartCount) {
-      recordDeath(pool, first);
-    }
-    first.restartCount = Math.max(first.restartCount ?? 0, result.restartCount);
+    noteRestart(pool, first, Math.max(first.restartCount ?? 0, result.restartCount));
   }
   if (result.outcome === GRANT_OUTCOME.SERVER_REFUSED) turnCold(first, nowMs);
   if (result.outcome === GRANT_OUTCOME.NOT_DISPATCHED) {
@@ -78,8 +75,15 @@
   // The death is recorded while the reservations still show which requests ran on the server.
   if (
     result.outcome === GRANT_OUTCOME.SERVER_DIED && first !== undefined &&
-    record.grantedMs >= first.coldSinceMs
-  ) recordDeath(pool, first);
+    !record.deaths.has(first.id)
+  ) noteDeath(pool, first);
+  if (result.outcome === GRANT_OUTCOME.CONNECTION_LOST && first !== undefined) {
+    const { fingerprint } = record.req;
+    if (!record.deaths.has(first.id)) {
+      first.lost.push({ fingerprint, atMs: pool.options.clock.nowMs() });
+      pool.suspects.addPending(fingerprint, first.id);
+    }
+  }
   pool.grants.delete(grantId);
   pool.grantOfAcquire.delete(record.acquireId);
   const nowMs = pool.options.clock.nowMs();
--- a/packages/admission/_lib/grant_client.ts
+++ b/packages/admission/_lib/grant_client.ts
@@ -43,6 +43,7 @@
   pools: () => readonly PoolView[];
   waitMs: (pool: string, lane: Lane) => Millis;
   onWait: (pool: string, lane: Lane, waitMs: Millis) => void;
+  isQuarantined: (fingerprint: string) => boolean;
   /** Makes sure that reports go to a pool for a while, also without grants. */
   owe: (pool: string) => void;
 }
@@ -143,6 +144,10 @@
     release,
     checkDispatch(grant) {
       const record = book.find(grant.grantId);
+      // The broadcast may arrive between the grant and the send.
+      if (record !== undefined && options.isQuarantined(record.fingerprint)) {
+        throw new AdmissionRefusedError(REFUSAL.QUARANTINED, "The request crashed two servers");
+      }
       if (record !== undefined && clock.nowMs() < record.dispatchByMs) return;
       throw new AdmissionRefusedError(
         REFUSAL.DEADLINE_PASSED,
--- a/packages/admission/_lib/observe_load.ts
+++ b/packages/admission/_lib/observe_load.ts
@@ -1,6 +1,6 @@
 import type { EngineLoad } from "@jaypass/engines";
 import type { PoolState } from "./pool_state.ts";
-import { recordDeath } from "./record_death.ts";
+import { noteRestart } from "./record_death.ts";
 import type { ServerState } from "./server_state.ts";
 import { turnCold, turnWarm } from "./server_warmth.ts";
 
@@ -26,16 +26,17 @@
     if (load.warm && server.warmth === "cold") turnWarm(server, nowMs);
     return;
   }
-  if (load.restartCount > known) {
-    server.restartCount = load.restartCount;
-    recordDeath(pool, server);
-  } else if (load.restartCount < known) {
-    // A lower counter is either an old report, which is ignored, or a report that was reset.
-    if (load.ageMs < nowMs - server.coldSinceMs) {
-      server.restartCount = load.restartCount;
-      recordDeath(pool, server);
-    }
+  const madeMs = nowMs - load.ageMs;
+  // A lower counter is either an old report, which is ignored, or a report that was reset.
+  const isOld = load.restartCount < known && load.ageMs >= nowMs - server.coldSinceMs;
+  if (load.restartCount !== known) {
+    if (!isOld) noteRestart(pool, server, load.restartCount);
   } else if (!load.warm && server.warmth === "warm" && load.ageMs < nowMs - server.warmSinceMs) {
     turnCold(server, nowMs);
   }
+  // A report made after a connection broke, with the same counter, shows that the server lives.
+  for (const { fingerprint, atMs } of server.lost) {
+    if (atMs < madeMs) pool.suspects.removePending(fingerprint, server.id);
+  }
+  server.lost = server.lost.filter(({ atMs }) => atMs >= madeMs);
 }
--- a/packages/admission/_lib/record_death.ts
+++ b/packages/admission/_lib/record_death.ts
@@ -3,33 +3,58 @@
 import { turnCold } from "./server_warmth.ts";
 
 /**
- * Records the death of a server: it turns cold, and the requests that ran on it become suspects.
+ * Records the death of a server: it turns cold, gets no grant until it answers again, and the
+ * requests that ran on it become suspects.
  *
- * A suspect that was already one when it was granted is convicted: it is the only suspect that may
- * have run on this server.
+ * A fingerprint that was on two servers when they died is convicted: at its second run it was the only
+ * suspect on its server.
  *
  * @param pool the pool
  * @param server the server that died
  */
 export function recordDeath(pool: PoolState, server: ServerState): void {
-  const nowMs = pool.options.clock.nowMs();
+  const { clock, log, metrics, onConviction, onSuspects } = pool.options;
+  const nowMs = clock.nowMs();
   const fingerprints = new Set<string>();
-  for (const { grantId } of server.reservations.values()) {
-    const record = pool.grants.get(grantId);
-    if (record === undefined || record.deaths.has(server.id)) continue;
-    record.deaths.add(server.id);
-    fingerprints.add(record.req.fingerprint);
+  for (
+    const requestId of [...server.reservations.values(), ...server.foreign.values()].map((work) =>
+      work.requestId
+    )
+  ) {
+    for (const record of pool.grants.values()) {
+      if (record.req.requestId !== requestId || record.deaths.has(server.id)) continue;
+      if (!record.grant.servers.some(({ id }) => id === server.id)) continue;
+      record.deaths.add(server.id);
+      fingerprints.add(record.req.fingerprint);
+    }
   }
-  const fresh: string[] = [];
-  for (const fingerprint of fingerprints) {
-    if (pool.suspects.isSuspect(fingerprint)) pool.options.onConviction(fingerprint, server.id);
-    else fresh.push(fingerprint);
-  }
-  for (const fingerprint of fresh) pool.suspects.add(fingerprint);
-  if (fresh.length > 0) pool.options.onSuspects(fresh, server.id);
+  for (const { fingerprint } of server.lost) fingerprints.add(fingerprint);
+  server.lost = [];
+  const suspects = [...fingerprints].filter((fingerprint) => {
+    const isConvicted = pool.suspects.countDeath(fingerprint, server.id);
+    if (isConvicted) onConviction(fingerprint, server.id);
+    return !isConvicted;
+  });
+  if (suspects.length > 0) onSuspects(suspects, server.id);
   turnCold(server, nowMs);
+  server.isKnown = false;
   pool.prefixes.clear(server.id);
   server.freeAtMs = { short: 0, medium: 0, long: 0 };
-  pool.options.metrics.increment("admission.server_died", { pool: pool.name, server: server.id });
-  pool.options.log.warn({ pool: pool.name, server: server.id, suspects: fresh }, "Server died");
+  metrics.increment("admission.server_died", { pool: pool.name, server: server.id });
+  log.warn({ pool: pool.name, server: server.id, suspects }, "Server died");
+}
+
+/** Applies a restart counter that a server showed; a change means that it died and started again. */
+export function noteRestart(pool: PoolState, server: ServerState, restartCount: number): void {
+  const known = server.restartCount;
+  server.restartCount = restartCount;
+  if (known === undefined || known === restartCount) return;
+  if (server.isRestartExpected) server.isRestartExpected = false;
+  else recordDeath(pool, server);
+}
+
+/** Records a death that a host or a refused connection tells of. */
+export function noteDeath(pool: PoolState, server: ServerState): void {
+  server.isRestartExpected = true;
+  recordDeath(pool, server);
 }
--- a/packages/admission/_lib/run_round.ts
+++ b/packages/admission/_lib/run_round.ts
@@ -8,7 +8,7 @@
 import type { WaitingRequest } from "./lanes.ts";
 import { longEngines, openServers } from "./pool_state.ts";
 import type { PoolState } from "./pool_state.ts";
-import { freeSlots, freeTokens } from "./server_capacity.ts";
+import { freeSlots, freeTokens, isUsable } from "./server_capacity.ts";
 import type { ServerState } from "./server_state.ts";
 
 /** Refuses a waiting request. */
@@ -49,7 +49,7 @@
 }
 
 /** Grants declared sets in their order; a set waits for every earlier set on each of its engines. */
-function grantClaims(pool: PoolState): Map<string, WaitingRequest> {
+function grantClaims(pool: PoolState, nowMs: number): Map<string, WaitingRequest> {
   const { allow } = pool.options;
   const claimed = new Map<string, WaitingRequest>();
   for (const entry of [...pool.claims]) {
@@ -69,7 +69,7 @@
     const need = claimTokens(entry);
     const isReady = entry.settle !== undefined &&
       ready.every((server) =>
-        server.isKnown && !claimed.has(server.id) && freeSlots(server, allow) >= 1 &&
+        isUsable(server, nowMs) && !claimed.has(server.id) && freeSlots(server, allow) >= 1 &&
         freeTokens(server, allow) >= need && pool.suspects.mayRun(entry.req.fingerprint, server)
       );
     if (!isReady) {
@@ -144,7 +144,7 @@
   sweep(pool, nowMs);
   if (pool.lanes.size === 0 || !options.canGrant()) return;
   claimForOverdue(pool, nowMs);
-  const claimed = grantClaims(pool);
+  const claimed = grantClaims(pool, nowMs);
   for (const lane of LANES) {
     for (const entry of pool.lanes.of(lane).slice(0, SCAN_LIMIT)) {
       if (entry.settle === undefined || (entry.claim?.length ?? 1) > 1) continue;
--- a/packages/admission/_lib/server_capacity.ts
+++ b/packages/admission/_lib/server_capacity.ts
@@ -1,3 +1,5 @@
+import type { Millis } from "@jaypass/kernel";
+import { LOST_CONNECTION_PAUSE_MS } from "../constants.ts";
 import type { ForeignWork, Reservation, ServerState } from "./server_state.ts";
 
 /** The part of a limit that this coordinator may use, as `Lease.allow` tells. */
@@ -24,6 +26,12 @@
   return free(server.cfg.memoryTokens, server.ownTokens, server.foreignTokens, allow);
 }
 
+/** Whether a server may get grants: in service, its running work known, and not suspected dead. */
+export function isUsable(server: ServerState, nowMs: Millis): boolean {
+  return server.isOpen && server.isKnown &&
+    !server.lost.some(({ atMs }) => nowMs - atMs < LOST_CONNECTION_PAUSE_MS);
+}
+
 /** Adds a reservation. */
 export function reserve(server: ServerState, reservation: Reservation): void {
   server.reservations.set(reservation.grantId, reservation);
--- a/packages/admission/_lib/server_state.ts
+++ b/packages/admission/_lib/server_state.ts
@@ -8,7 +8,7 @@
   requestId: string;
   tokens: number;
   lane: Lane;
-  isSuspect: boolean;
+  fingerprint: string;
 }
 
 /** Work on a server that this coordinator did not grant, or whose end is not yet confirmed. */
@@ -41,6 +41,10 @@
   /** Monotonic time at which it last turned warm; older reports do not make it cold. */
   warmSinceMs: Millis;
   restartCount: number | undefined;
+  /** A death was noticed before its restart counter changed, which must not count as another one. */
+  isRestartExpected: boolean;
+  /** Requests whose connection broke lately: they ran on it if it turns out to have died. */
+  lost: { fingerprint: string; atMs: Millis }[];
   reservations: Map<string, Reservation>;
   ownTokens: number;
   foreign: Map<string, ForeignWork>;
@@ -97,6 +101,8 @@
     coldSinceMs: 0,
     warmSinceMs: 0,
     restartCount: undefined,
+    isRestartExpected: false,
+    lost: [],
     reservations: new Map(),
     ownTokens: 0,
     foreign: new Map(),
--- a/packages/admission/_testing/create_test_system.ts
+++ b/packages/admission/_testing/create_test_system.ts
@@ -8,6 +8,8 @@
 import type { AdmissionService } from "../create_admission.ts";
 import type { ServerProbe } from "../_lib/poll_server.ts";
 import { createTestLeases } from "./create_test_lease.ts";
+import { createTestTable } from "./create_test_table.ts";
+import type { TestTable } from "./create_test_table.ts";
 import type { TestLeases } from "./create_test_lease.ts";
 
 type AnyHandler = (req: unknown, context: PeerContext) => Promise<unknown>;
@@ -30,6 +32,7 @@
   counters: ReturnType<typeof createMetrics>;
   /** Host ids whose network is cut. */
   cut: Set<string>;
+  table: TestTable;
   applyDocument(document: ConfigDocument): void;
   stop(): Promise<void>;
 }
@@ -63,6 +66,7 @@
   const leases = createTestLeases();
   const counters = createMetrics({ tags: {} });
   const cut = new Set<string>();
+  const table = createTestTable();
   let document = options.document;
   const views = Array.from({ length: options.hostCount }, (_, n): HostView => ({
     id: `h${n}`,
@@ -197,6 +201,7 @@
       server,
       createLease: (name) => leases.create(name, holder),
       createProbe,
+      table,
       rebuildMs: options.rebuildMs ?? 50,
     });
   });
@@ -207,6 +212,7 @@
     leases,
     counters,
     cut,
+    table,
     applyDocument(next) {
       document = next;
       for (const listener of listeners) listener(next, 2);
--- a/packages/admission/constants.ts
+++ b/packages/admission/constants.ts
@@ -67,3 +67,9 @@
 export const QUOTA_IDLE_MS = 1_000;
 /** Quota slots asked for beyond the immediate need, so that a busy workspace rarely waits. */
 export const QUOTA_BATCH = 2;
+/**
+ * Longest pause of grants on a server after a connection to it broke. Within it a load report made
+ * after the loss normally tells whether the server died; a request granted before that would be
+ * taken for one that ran on it when it died.
+ */
+export const LOST_CONNECTION_PAUSE_MS = 2_000;
--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -3,9 +3,12 @@
 import { createTaskGroup, sleep } from "@jaypass/kernel";
 import type { Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
+import type { TableClient } from "@jaypass/platform";
 import { REPORT_INTERVAL_MS } from "./constants.ts";
 import { createCoordinator } from "./create_coordinator.ts";
 import type { CoordinatorOptions } from "./create_coordinator.ts";
+import { createQuarantine } from "./create_quarantine.ts";
+import type { Quarantine } from "./create_quarantine.ts";
 import { createCoordinatorDirectory } from "./_lib/coordinator_directory.ts";
 import { createCoordinatorSet } from "./_lib/coordinator_set.ts";
 import type { CreateLease } from "./_lib/coordinator_set.ts";
@@ -34,6 +37,8 @@
   membership: Membership;
   peers: PeerPool;
   server: PeerServer;
+  /** Table service, for quarantine rows. */
+  table: TableClient;
   /** Starts to compete for a lease. */
   createLease: CreateLease;
   /** Opens the client by which a coordinator watches a server. */
@@ -46,6 +51,8 @@
 export interface AdmissionService extends Admission {
   /** Describes the pools that this host coordinates. */
   describe(): Record<string, unknown>[];
+  /** Quarantined fingerprints, to be listed and released by operators. */
+  quarantine: Pick<Quarantine, "list" | "release">;
   /** Gives up the leases and stops all tasks. */
   stop(): Promise<void>;
 }
@@ -76,6 +83,16 @@
   const onWait = (pool: string, lane: Lane, waitMs: number) =>
     void waits.set(`${pool}/${lane}`, waitMs);
 
+  const quarantine = createQuarantine({
+    ...options,
+    onSuspects(fingerprints) {
+      for (const coordinator of coordinators.all()) {
+        for (const fingerprint of fingerprints) {
+          coordinator.scheduler.pool.suspects.add(fingerprint);
+        }
+      }
+    },
+  });
   let pools = listPools(configuration.document());
   const coordinators = createCoordinatorSet({
     membership,
@@ -86,9 +103,10 @@
         ...options,
         lease,
         address: self.peerAddress,
-        isQuarantined: () => false,
-        onConviction: () => {},
-        onSuspects: () => {},
+        isQuarantined: quarantine.isQuarantined,
+        onConviction: (fingerprint, server) =>
+          quarantine.convict(fingerprint, { pool: pool.name, server }),
+        onSuspects: quarantine.announceSuspects,
       }),
     onStart: (pool, coordinator) => {
       log.info({ pool: pool.name, fencing: coordinator.fencing }, "Coordinator started");
@@ -119,6 +137,7 @@
     pools: () => pools,
     waitMs: (pool, lane) => waits.get(`${pool}/${lane}`) ?? 0,
     onWait,
+    isQuarantined: quarantine.isQuarantined,
     owe: (pool) => reports.owed.set(pool, 4),
   });
 
@@ -152,12 +171,14 @@
 
   return {
     ...client,
+    quarantine,
     describe: () => [...coordinators.all()].map((coordinator) => coordinator.describe()),
     async stop() {
       metrics.gauge("admission.unconfirmed", book.size);
       await sendReports(reports).catch(() => {});
       await tasks.stop();
       await coordinators.stop();
+      await quarantine.stop();
     },
   };
 }
--- /dev/null
+++ b/packages/admission/create_quarantine.ts
@@ -0,0 +1,179 @@
+import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
+import { createTaskGroup, sleep } from "@jaypass/kernel";
+import type { Membership } from "@jaypass/membership";
+import type { TableClient } from "@jaypass/platform";
+import { z } from "zod";
+import { QUARANTINE_MS } from "./constants.ts";
+
+/** Table of the quarantine rows, keyed by fingerprint. */
+const TABLE = "quarantine";
+/** Topic of broadcasts, which reach the hosts before their next read of the table. */
+const TOPIC = "quarantine";
+/** Interval of reads of the table. */
+const READ_INTERVAL_MS = 30_000;
+/** Pause between two tries of a write that failed. */
+const WRITE_RETRY_MS = 2_000;
+/** Limit of one call to the table service. */
+const CALL_TIMEOUT_MS = 2_000;
+
+const noticeSchema = z.object({
+  kind: z.enum(["suspect", "convicted", "released"]),
+  fingerprints: z.array(z.string()),
+  remainingMs: z.number().optional(),
+});
+const rowSchema = z.object({ untilWallMs: z.number(), pool: z.string(), server: z.string() });
+
+/** What the quarantine needs. */
+export interface QuarantineOptions {
+  clock: Clock;
+  log: Logger;
+  metrics: Metrics;
+  membership: Pick<Membership, "broadcast" | "onBroadcast">;
+  table: TableClient;
+  /** Called with suspects of other pools. */
+  onSuspects: (fingerprints: string[]) => void;
+}
+
+/** A quarantined fingerprint, for operators. */
+export interface QuarantineEntry {
+  fingerprint: string;
+  remainingMs: Millis;
+}
+
+/** Fingerprints that no coordinator grants. */
+export interface Quarantine {
+  isQuarantined(fingerprint: string): boolean;
+  /** Quarantines a fingerprint for an hour in all pools. */
+  convict(fingerprint: string, origin: { pool: string; server: string }): void;
+  /** Tells the coordinators of other pools about suspects. */
+  announceSuspects(fingerprints: string[]): void;
+  list(): QuarantineEntry[];
+  /** Ends a quarantine by an operator's decision. @throws {Error} when the row cannot be deleted */
+  release(fingerprint: string): Promise<void>;
+  stop(): Promise<void>;
+}
+
+/**
+ * Creates the quarantine of a host, kept in the table service and spread by broadcasts.
+ *
+ * While the table service is down a conviction holds by the broadcast, and the row is written later.
+ *
+ * @param options table and membership
+ * @returns the quarantine, started
+ *
+ * @example
+ * const quarantine = createQuarantine({ clock, table, membership, ... });
+ * if (quarantine.isQuarantined(req.fingerprint)) ...
+ */
+export function createQuarantine(options: QuarantineOptions): Quarantine {
+  const { clock, log, membership, table } = options;
+  /** Monotonic end of each quarantine. */
+  const untilMs = new Map<string, Millis>();
+  /** Convictions whose row is not yet confirmed; a read of the table does not end them. */
+  const pending = new Set<string>();
+  const tasks = createTaskGroup({
+    onError: (task, err) => log.error({ task, err }, "Quarantine task failed"),
+  });
+
+  const isQuarantined = (fingerprint: string) => {
+    const until = untilMs.get(fingerprint);
+    if (until === undefined) return false;
+    if (until > clock.nowMs()) return true;
+    untilMs.delete(fingerprint);
+    return false;
+  };
+
+  const write = async (fingerprint: string, value: unknown, signal: AbortSignal) => {
+    const call = { timeoutMs: CALL_TIMEOUT_MS, signal };
+    while (!signal.aborted && isQuarantined(fingerprint)) {
+      const result = await table.commit(
+        { conditions: [], writes: [{ table: TABLE, key: fingerprint, value }] },
+        call,
+      );
+      // Writing the same row again is harmless, so an unknown outcome is simply repeated.
+      if (result.outcome === "done") break;
+      await sleep(WRITE_RETRY_MS, signal);
+    }
+    pending.delete(fingerprint);
+  };
+
+  const read = async (signal: AbortSignal) => {
+    const call = { timeoutMs: CALL_TIMEOUT_MS, signal };
+    const found = new Set<string>();
+    for (let after = "";;) {
+      const rows = await table.list<unknown>(TABLE, { ...call, after });
+      for (const { key, value } of rows) {
+        const row = rowSchema.safeParse(value);
+        if (!row.success) continue;
+        // An expiry of an hour tolerates the difference between wall clocks.
+        const remainingMs = Math.min(QUARANTINE_MS, row.data.untilWallMs - clock.wallMs());
+        found.add(key);
+        if (remainingMs > 0) untilMs.set(key, clock.nowMs() + remainingMs);
+        else {
+          await table.commit({
+            conditions: [],
+            writes: [{ table: TABLE, key, value: null }],
+          }, call);
+        }
+      }
+      const last = rows.at(-1);
+      if (last === undefined || rows.length < 1_000) break;
+      after = last.key;
+    }
+    for (const fingerprint of untilMs.keys()) {
+      if (!found.has(fingerprint) && !pending.has(fingerprint)) untilMs.delete(fingerprint);
+    }
+  };
+
+  tasks.run("read", async (signal) => {
+    while (!signal.aborted) {
+      await read(signal).catch((err) => {
+        if (!signal.aborted) log.debug({ err }, "Quarantine rows cannot be read");
+      });
+      await sleep(READ_INTERVAL_MS, signal);
+    }
+  });
+  membership.onBroadcast(TOPIC, (payload) => {
+    const notice = noticeSchema.safeParse(payload);
+    if (!notice.success) return;
+    const { kind, fingerprints, remainingMs = QUARANTINE_MS } = notice.data;
+    if (kind === "suspect") options.onSuspects(fingerprints);
+    for (const fingerprint of fingerprints) {
+      if (kind === "released") untilMs.delete(fingerprint);
+      if (kind === "convicted") untilMs.set(fingerprint, clock.nowMs() + remainingMs);
+    }
+  });
+
+  return {
+    isQuarantined,
+    convict(fingerprint, origin) {
+      if (isQuarantined(fingerprint)) return;
+      untilMs.set(fingerprint, clock.nowMs() + QUARANTINE_MS);
+      pending.add(fingerprint);
+      options.metrics.increment("admission.quarantined");
+      log.warn({ fingerprint, ...origin }, "Request quarantined after a second crash");
+      membership.broadcast(TOPIC, { kind: "convicted", fingerprints: [fingerprint] });
+      const value = { untilWallMs: clock.wallMs() + QUARANTINE_MS, ...origin };
+      tasks.run("write", (signal) => write(fingerprint, value, signal));
+    },
+    announceSuspects: (fingerprints) =>
+      membership.broadcast(TOPIC, { kind: "suspect", fingerprints }),
+    list: () =>
+      [...untilMs.keys()].filter(isQuarantined).map((fingerprint) => ({
+        fingerprint,
+        remainingMs: untilMs.get(fingerprint)! - clock.nowMs(),
+      })),
+    async release(fingerprint) {
+      const result = await table.commit(
+        { conditions: [], writes: [{ table: TABLE, key: fingerprint, value: null }] },
+        { timeoutMs: CALL_TIMEOUT_MS },
+      );
+      if (result.outcome !== "done") {
+        throw new Error(`Quarantine of "${fingerprint}" cannot be released: ${result.outcome}`);
+      }
+      untilMs.delete(fingerprint);
+      membership.broadcast(TOPIC, { kind: "released", fingerprints: [fingerprint] });
+    },
+    stop: () => tasks.stop(),
+  };
+}
--- a/packages/admission/create_scheduler.ts
+++ b/packages/admission/create_scheduler.ts
@@ -8,7 +8,7 @@
 import type { ObservedLoad } from "./_lib/observe_load.ts";
 import { createPoolState } from "./_lib/pool_state.ts";
 import type { PoolState, SchedulerOptions } from "./_lib/pool_state.ts";
-import { recordDeath } from "./_lib/record_death.ts";
+import { noteDeath } from "./_lib/record_death.ts";
 import { runRound } from "./_lib/run_round.ts";
 import { createServerState } from "./_lib/server_state.ts";
 import type { GrantRecord } from "./_lib/server_state.ts";
@@ -128,8 +128,10 @@
     refuseConnection(serverId) {
       const server = pool.servers.get(serverId);
       if (server === undefined) return;
-      if (server.reservations.size > 0) recordDeath(pool, server);
+      // While it stays down, one death is recorded.
+      if (server.isKnown && server.reservations.size > 0) noteDeath(pool, server);
       else turnCold(server, options.clock.nowMs());
+      server.isKnown = false;
     },
     run: () => runRound(pool),
     waitMs: (lane) => laneWaitMs(pool, lane, Infinity),
--- a/packages/admission/create_scheduler_test.ts
+++ b/packages/admission/create_scheduler_test.ts
@@ -14,6 +14,9 @@
   clock.advance(10);
   scheduler.observe("e0", { restartCount: 2, warm: true, ageMs: 0, models: {} });
   t.is(server.limit, 4);
+  t.is(acquire("early"), undefined);
+  scheduler.abandon("early");
+  server.isKnown = true;
   for (let n = 0; n < 4; n++) {
     acquire(`r${n}`);
     scheduler.end(grant(`r${n}`)!.grantId, { outcome: "done", firstTokenMs: 50, totalMs: 80 });
@@ -175,6 +178,7 @@
           running.delete(requestId);
           removeForeign(server, requestId);
         }
+        server.isKnown = true;
       };
       let restarts = 1;
       let requests = 0;
--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -8,6 +8,7 @@
 export * from "./constants.ts";
 export * from "./create_admission.ts";
 export * from "./create_coordinator.ts";
+export * from "./create_quarantine.ts";
 export * from "./create_scheduler.ts";
 export * from "./errors.ts";
 export * from "./messages.ts";
