Grant a workspace's concurrent requests from quota shards

Cause: WorkspaceConfig.maxConcurrent must hold over all hosts. Change: 32 quota shards with leases; hosts hold slots by absolute counts and numbered messages, ask for spare slots while half of the limit is free, and take slot and grant at the same time. Ruled out: slots that expire, because a running request would outlive its slot. Found by the test: the announcement of a new coordinator reached hosts before it answered and was not repeated, so half of the limit stayed unused; it is now repeated until every host has answered.

--- a/packages/admission/_lib/coordinator_directory.ts
+++ b/packages/admission/_lib/coordinator_directory.ts
@@ -1,11 +1,11 @@
 import type { Membership } from "@jaypass/membership";
-import type { PoolView } from "./list_pools.ts";
+import type { Coordinated } from "./coordinator_set.ts";
 import { rankCandidates } from "./rank_candidates.ts";
 
 /** Where the coordinator of each pool was last seen. */
 export interface CoordinatorDirectory {
   /** Addresses to ask, the last known coordinator first. */
-  addresses(pool: PoolView): string[];
+  addresses(pool: Coordinated): string[];
   learn(pool: string, address: string): void;
   /** Forgets an address that did not answer or is not the coordinator. */
   forget(pool: string, address: string): void;
--- a/packages/admission/_lib/coordinator_set.ts
+++ b/packages/admission/_lib/coordinator_set.ts
@@ -1,8 +1,5 @@
-import type { ConfigDocument } from "@jaypass/configuration";
 import type { Lease } from "@jaypass/leases";
 import type { HostView, Membership } from "@jaypass/membership";
-import type { Coordinator } from "../create_coordinator.ts";
-import type { PoolView } from "./list_pools.ts";
 import { rankCandidates } from "./rank_candidates.ts";
 
 /** Starts to watch a lease and to compete for it while `isCandidate` tells so. */
@@ -11,50 +8,57 @@
   options: { isCandidate: () => boolean; onChange: () => void },
 ) => Lease;
 
-/** What the set of coordinators needs. */
-export interface CoordinatorSetOptions {
+/** What is coordinated: a pool or a shard of quotas. */
+export interface Coordinated {
+  /** Name of the lease. */
+  name: string;
+  /** Data centre whose hosts are preferred. */
+  dataCentre?: string;
+}
+
+/** A coordinator under one holding of its lease. */
+export interface Holding {
+  /** Fencing number under which it was created; a later holding needs a new one. */
+  readonly fencing: number;
+  stop(): Promise<void>;
+}
+
+/** What the set needs. */
+export interface CoordinatorSetOptions<T extends Coordinated, C extends Holding> {
   membership: Membership;
   createLease: CreateLease;
   /** Asks for an update soon, after a lease changed. */
   onLeaseChange: () => void;
-  createCoordinator: (pool: PoolView, lease: Lease) => Coordinator;
-  /** Called when this host became the coordinator of a pool. */
-  onStart: (pool: PoolView, coordinator: Coordinator) => void;
+  /** Starts the coordinator of a lease that this host holds. */
+  start: (coordinated: T, lease: Lease) => C;
 }
 
 /** The leases that this host wants and the coordinators of those that it holds. */
-export interface CoordinatorSet {
-  /** Brings leases and coordinators in line with pools, hosts and lease modes. */
-  update(pools: readonly PoolView[], document: Readonly<ConfigDocument>): void;
-  configure(pools: readonly PoolView[], document: Readonly<ConfigDocument>): void;
-  find(pool: string): Coordinator | undefined;
-  /** The holder that this host's lease last saw. */
-  holder(pool: string): string | undefined;
-  all(): Iterable<Coordinator>;
+export interface CoordinatorSet<T extends Coordinated, C extends Holding> {
+  /** Brings leases and coordinators in line with what is to be coordinated, hosts and modes. */
+  update(all: readonly T[]): void;
+  find(name: string): C | undefined;
+  /** Address of the holder that this host's lease last saw. */
+  holder(name: string): string | undefined;
+  all(): Iterable<C>;
   stop(): Promise<void>;
 }
 
-/** Name of a pool's lease. */
-export function poolLeaseName(pool: string): string {
-  return `pools/${pool}`;
-}
-
 /** Creates a set without leases. */
-export function createCoordinatorSet(options: CoordinatorSetOptions): CoordinatorSet {
+export function createCoordinatorSet<T extends Coordinated, C extends Holding>(
+  options: CoordinatorSetOptions<T, C>,
+): CoordinatorSet<T, C> {
   const leases = new Map<string, Lease>();
-  const coordinators = new Map<string, Coordinator>();
+  const coordinators = new Map<string, C>();
   const stopping = new Set<Promise<void>>();
 
   const later = (promise: Promise<void>) => {
     const tracked = promise.catch(() => {}).finally(() => stopping.delete(tracked));
     stopping.add(tracked);
   };
-  const isCandidate = (pool: PoolView, self: HostView) =>
-    rankCandidates(pool.name, {
-      hosts: options.membership.hosts(),
-      dataCentre: pool.dataCentre,
-    }).some(({ id }) => id === self.id);
-
+  const isCandidate = ({ name, dataCentre }: T, self: HostView) =>
+    rankCandidates(name, { hosts: options.membership.hosts(), dataCentre })
+      .some(({ id }) => id === self.id);
   const dropCoordinator = (name: string) => {
     const coordinator = coordinators.get(name);
     if (coordinator === undefined) return;
@@ -69,39 +73,32 @@
   };
 
   return {
-    update(pools, document) {
+    update(all) {
       const self = options.membership.self();
-      const listed = new Set(pools.map(({ name }) => name));
+      const listed = new Set(all.map(({ name }) => name));
       for (const name of leases.keys()) if (!listed.has(name)) dropLease(name);
-      for (const pool of pools) {
-        let lease = leases.get(pool.name);
+      for (const coordinated of all) {
+        const { name } = coordinated;
+        let lease = leases.get(name);
         if (lease === undefined) {
-          if (!isCandidate(pool, self)) continue;
-          lease = options.createLease(poolLeaseName(pool.name), {
-            isCandidate: () => isCandidate(pool, options.membership.self()),
+          if (!isCandidate(coordinated, self)) continue;
+          lease = options.createLease(name, {
+            isCandidate: () => isCandidate(coordinated, options.membership.self()),
             onChange: options.onLeaseChange,
           });
-          leases.set(pool.name, lease);
-        }
-        const coordinator = coordinators.get(pool.name);
-        if (lease.mode() === "none" || coordinator?.fencing !== lease.fencing()) {
-          dropCoordinator(pool.name);
+          leases.set(name, lease);
         }
+        if (coordinators.get(name)?.fencing !== lease.fencing()) dropCoordinator(name);
         if (lease.mode() === "none") {
-          if (!isCandidate(pool, self)) dropLease(pool.name);
-        } else if (!coordinators.has(pool.name)) {
-          const created = options.createCoordinator(pool, lease);
-          coordinators.set(pool.name, created);
-          created.configure(pool, document);
-          options.onStart(pool, created);
+          dropCoordinator(name);
+          if (!isCandidate(coordinated, self)) dropLease(name);
+        } else if (!coordinators.has(name)) {
+          coordinators.set(name, options.start(coordinated, lease));
         }
       }
     },
-    configure(pools, document) {
-      for (const pool of pools) coordinators.get(pool.name)?.configure(pool, document);
-    },
-    find: (pool) => coordinators.get(pool),
-    holder: (pool) => leases.get(pool)?.holder()?.address,
+    find: (name) => coordinators.get(name),
+    holder: (name) => leases.get(name)?.holder()?.address,
     all: () => coordinators.values(),
     async stop() {
       for (const name of [...leases.keys()]) dropLease(name);
--- a/packages/admission/_lib/grant_client.ts
+++ b/packages/admission/_lib/grant_client.ts
@@ -7,20 +7,26 @@
 import { AdmissionRefusedError } from "../errors.ts";
 import { ACQUIRE, FIND, RELEASE } from "../messages.ts";
 import type { GrantOwner } from "../messages.ts";
-import { REFUSAL } from "../types.ts";
+import { GRANT_OUTCOME, REFUSAL } from "../types.ts";
 import type { AcquireRequest, Admission, Grant, Lane, Refusal } from "../types.ts";
 import { acquireFromPool } from "./acquire_from_pool.ts";
 import type { CoordinatorDirectory } from "./coordinator_directory.ts";
 import { tokensPerServer } from "./grant_book.ts";
-import type { GrantBook } from "./grant_book.ts";
+import type { GrantBook, HeldRecord } from "./grant_book.ts";
 import type { PoolView } from "./list_pools.ts";
 import { orderPools } from "./order_pools.ts";
+import type { QuotaClient } from "./quota_client.ts";
 
 /** Time beyond the coordinator's wait for which a call's answer is awaited. */
 const CALL_MARGIN_MS = 400;
 /** Limit of calls that do not wait. */
 const SHORT_CALL_TIMEOUT_MS = 1_000;
 
+/** Rounds in which the grant is asked for anew because the quota slot came late. */
+const MAX_SLOT_ROUNDS = 2;
+/** Least time that a returned grant leaves for its dispatch. */
+const MIN_DISPATCH_MS = 200;
+
 /** Refusals that hold in every pool. */
 const FINAL: readonly Refusal[] = [
   REFUSAL.QUARANTINED,
@@ -38,6 +44,7 @@
   owner: GrantOwner;
   dataCentre: string;
   book: GrantBook;
+  quota: Pick<QuotaClient, "tryTake" | "isTight" | "take" | "give">;
   directory: CoordinatorDirectory;
   tasks: TaskGroup;
   pools: () => readonly PoolView[];
@@ -50,7 +57,7 @@
 
 /** Creates the client side of admission, used by the router of the same host. */
 export function createGrantClient(options: GrantClientOptions): Admission {
-  const { book, clock, configuration, directory, owner, peers } = options;
+  const { book, clock, configuration, directory, owner, peers, quota } = options;
   let tries = 0;
 
   /** Pools of a model or service with a server in service. */
@@ -62,8 +69,11 @@
     );
   };
 
-  const acquire = async (req: AcquireRequest, signal: AbortSignal): Promise<Grant> => {
-    const startMs = clock.nowMs();
+  const acquireGrant = async (
+    req: AcquireRequest,
+    startMs: Millis,
+    signal: AbortSignal,
+  ): Promise<HeldRecord> => {
     const deadlineMs = startMs + Math.min(req.remainingMs, req.firstTokenRemainingMs);
     const lane = classifyLane(req.promptTokens);
     const pools = orderPools(req, openPools(req.serves), {
@@ -102,15 +112,16 @@
             }),
           onWait: (waitMs) => options.onWait(pool.name, lane, waitMs),
         });
-        book.add({
+        const record: HeldRecord = {
           grant,
           fingerprint: req.fingerprint,
           tokensPerServer: tokensPerServer(req, grant),
           dispatchByMs: sentMs + grant.dispatchWithinMs,
           deadlineMs: startMs + req.remainingMs,
           onEnd: () => {},
-        });
-        return grant;
+        };
+        book.add(record);
+        return record;
       } catch (err) {
         if (!(err instanceof AdmissionRefusedError) || FINAL.includes(err.reason)) throw err;
         options.metrics.increment("admission.pool_failed", { reason: err.reason });
@@ -122,6 +133,39 @@
       new AdmissionRefusedError(REFUSAL.NO_CAPACITY, `No pool of "${req.serves}" is in service`);
   };
 
+  /** Takes the quota slot and the grant at the same time, so that the slot costs no extra wait. */
+  const acquire = async (req: AcquireRequest, signal: AbortSignal): Promise<Grant> => {
+    const startMs = clock.nowMs();
+    const { workspace } = req;
+    const slot = quota.tryTake(workspace) ? Promise.resolve() : quota.take(workspace, signal);
+    // Near its limit a workspace waits for its slot first, so that no engine is held meanwhile.
+    if (quota.isTight(workspace)) await slot;
+    slot.catch(() => {});
+    try {
+      for (let round = 0; round < MAX_SLOT_ROUNDS; round++) {
+        const record = await acquireGrant(req, startMs, signal);
+        try {
+          await slot;
+        } catch (err) {
+          release(record.grant, { outcome: GRANT_OUTCOME.NOT_DISPATCHED });
+          throw err;
+        }
+        if (clock.nowMs() < record.dispatchByMs - MIN_DISPATCH_MS) {
+          record.onEnd = () => quota.give(workspace);
+          return record.grant;
+        }
+        release(record.grant, { outcome: GRANT_OUTCOME.NOT_DISPATCHED });
+      }
+      throw new AdmissionRefusedError(
+        REFUSAL.DEADLINE_PASSED,
+        "The dispatch window passed while the quota was awaited",
+      );
+    } catch (err) {
+      void slot.then(() => quota.give(workspace), () => {});
+      throw err;
+    }
+  };
+
   const release: Admission["release"] = (grant, result) => {
     const item = book.end(grant.grantId, result);
     if (item === undefined) return;
--- a/packages/admission/_lib/handle_admission_calls.ts
+++ b/packages/admission/_lib/handle_admission_calls.ts
@@ -1,15 +1,21 @@
 import type { PeerServer } from "@jaypass/peers";
-import { ACQUIRE, DESCRIBE, FIND, RELEASE, REPORT } from "../messages.ts";
+import { ACQUIRE, DESCRIBE, FIND, QUOTA, RELEASE, REPORT } from "../messages.ts";
 import { REFUSAL } from "../types.ts";
-import type { CoordinatorSet } from "./coordinator_set.ts";
+import type { Coordinator } from "../create_coordinator.ts";
+import type { QuotaCoordinator } from "../create_quota_coordinator.ts";
+import type { Coordinated, CoordinatorSet } from "./coordinator_set.ts";
 
 /**
  * Serves the admission calls of other hosts.
  *
  * @param server the peer server, not yet listening
- * @param coordinators coordinators of this host
+ * @param options coordinators of this host
  */
-export function handleAdmissionCalls(server: PeerServer, coordinators: CoordinatorSet): void {
+export function handleAdmissionCalls(server: PeerServer, options: {
+  pools: CoordinatorSet<Coordinated, Coordinator>;
+  quotas: CoordinatorSet<Coordinated, QuotaCoordinator>;
+}): void {
+  const { pools: coordinators, quotas } = options;
   server.handle(ACQUIRE, (message, { signal }) => {
     const coordinator = coordinators.find(message.pool);
     if (coordinator !== undefined) return coordinator.acquire(message, signal);
@@ -50,4 +56,10 @@
       pools: [...coordinators.all()].map((coordinator) => coordinator.describe())
         .filter((described) => pool === undefined || described.pool === pool),
     }));
+  server.handle(QUOTA, (message) => {
+    const reply = quotas.find(message.shard)?.handle(message);
+    return Promise.resolve(
+      reply ?? { isAccepted: false, holder: quotas.holder(message.shard), entries: [] },
+    );
+  });
 }
--- a/packages/admission/_lib/list_pools.ts
+++ b/packages/admission/_lib/list_pools.ts
@@ -36,3 +36,8 @@
     }));
   }).sort((a, b) => (a.name < b.name ? -1 : 1));
 }
+
+/** Name of a pool's lease. */
+export function poolLeaseName(pool: string): string {
+  return `pools/${pool}`;
+}
--- a/packages/admission/_testing/create_test_lease.ts
+++ b/packages/admission/_testing/create_test_lease.ts
@@ -6,6 +6,9 @@
   create(name: string, holder: LeaseHolder): Lease;
   /** Gives the row to a host; the earlier holder goes on with its retained share, or with nothing. */
   moveTo(name: string, host: string, earlier: "retained" | "none"): void;
+  /** Hosts that compete for a lease. */
+  candidates(name: string): string[];
+  holder(name: string): string | undefined;
 }
 
 interface TestRow {
@@ -35,15 +38,15 @@
       const row = rowOf(name);
       row.wanted.set(holder.host, holder);
       if (row.holder === undefined) take(row, holder);
-      const fencings = new Map<string, number>();
+      let held = 0;
       const isHolder = () => row.holder?.host === holder.host;
       const isRetained = () => row.retained?.host === holder.host;
       return {
         name,
         mode: () => isHolder() ? "held" : isRetained() ? "retained" : "none",
         fencing() {
-          if (isHolder()) fencings.set(name, row.fencing);
-          return isHolder() || isRetained() ? fencings.get(name) ?? 0 : 0;
+          if (isHolder()) held = row.fencing;
+          return isHolder() || isRetained() ? held : 0;
         },
         allow(limit) {
           if (isRetained()) return Math.floor(limit / 2);
@@ -64,6 +67,8 @@
         },
       };
     },
+    candidates: (name) => [...rowOf(name).wanted.keys()],
+    holder: (name) => rowOf(name).holder?.host,
     moveTo(name, host, earlier) {
       const row = rowOf(name);
       if (earlier === "retained") row.retained = row.holder;
--- a/packages/admission/constants.ts
+++ b/packages/admission/constants.ts
@@ -64,7 +64,7 @@
 /** Number of quota shards. */
 export const QUOTA_SHARDS = 32;
 /** Idle quota slots are returned after this time. */
-export const QUOTA_IDLE_MS = 1_000;
+export const QUOTA_IDLE_MS = 500;
 /** Quota slots asked for beyond the immediate need, so that a busy workspace rarely waits. */
 export const QUOTA_BATCH = 2;
 /**
--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -4,18 +4,22 @@
 import type { Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
 import type { TableClient } from "@jaypass/platform";
-import { REPORT_INTERVAL_MS } from "./constants.ts";
+import { QUOTA_SHARDS, REPORT_INTERVAL_MS } from "./constants.ts";
 import { createCoordinator } from "./create_coordinator.ts";
 import type { CoordinatorOptions } from "./create_coordinator.ts";
 import { createQuarantine } from "./create_quarantine.ts";
 import type { Quarantine } from "./create_quarantine.ts";
+import { createQuotaCoordinator } from "./create_quota_coordinator.ts";
 import { createCoordinatorDirectory } from "./_lib/coordinator_directory.ts";
 import { createCoordinatorSet } from "./_lib/coordinator_set.ts";
-import type { CreateLease } from "./_lib/coordinator_set.ts";
+import type { Coordinated, CreateLease } from "./_lib/coordinator_set.ts";
 import { createGrantBook } from "./_lib/grant_book.ts";
 import { createGrantClient } from "./_lib/grant_client.ts";
 import { handleAdmissionCalls } from "./_lib/handle_admission_calls.ts";
-import { listPools } from "./_lib/list_pools.ts";
+import { listPools, poolLeaseName } from "./_lib/list_pools.ts";
+import type { PoolView } from "./_lib/list_pools.ts";
+import { longestRequestMs } from "./_lib/longest_request.ts";
+import { createQuotaClient } from "./_lib/quota_client.ts";
 import { sendReports } from "./_lib/send_reports.ts";
 import type { ReportState } from "./_lib/send_reports.ts";
 import type { GrantOwner } from "./messages.ts";
@@ -27,6 +31,12 @@
 /** Topic on which a new coordinator asks the hosts for their grants. */
 const COORDINATOR_TOPIC = "admission.coordinator";
 
+const QUOTA_TARGETS = Array.from({ length: QUOTA_SHARDS }, (_, n) => ({ name: `quota/${n}` }));
+
+interface PoolTarget extends Coordinated {
+  view: PoolView;
+}
+
 /** What admission needs from the process. */
 export interface AdmissionOptions {
   clock: Clock;
@@ -94,25 +104,41 @@
     },
   });
   let pools = listPools(configuration.document());
+  const announce = (name: string) =>
+    membership.broadcast(COORDINATOR_TOPIC, { name, address: self.peerAddress });
   const coordinators = createCoordinatorSet({
     membership,
-    createLease: options.createLease,
+    createLease: (name, lease) => options.createLease(poolLeaseName(name), lease),
     onLeaseChange: () => queueMicrotask(update),
-    createCoordinator: (pool, lease) =>
-      createCoordinator(pool.name, {
+    start: ({ view }: PoolTarget, lease) => {
+      const created = createCoordinator(view.name, {
         ...options,
         lease,
         address: self.peerAddress,
         isQuarantined: quarantine.isQuarantined,
         onConviction: (fingerprint, server) =>
-          quarantine.convict(fingerprint, { pool: pool.name, server }),
+          quarantine.convict(fingerprint, { pool: view.name, server }),
         onSuspects: quarantine.announceSuspects,
-      }),
-    onStart: (pool, coordinator) => {
-      log.info({ pool: pool.name, fencing: coordinator.fencing }, "Coordinator started");
-      membership.broadcast(COORDINATOR_TOPIC, { pool: pool.name, address: self.peerAddress });
+        announce: () => announce(view.name),
+      });
+      created.configure(view, configuration.document());
+      log.info({ pool: view.name, fencing: created.fencing }, "Coordinator started");
+      return created;
     },
   });
+  const quotas = createCoordinatorSet({
+    membership,
+    createLease: options.createLease,
+    onLeaseChange: () => queueMicrotask(update),
+    start: ({ name }, lease) =>
+      createQuotaCoordinator({
+        ...options,
+        lease,
+        limitOf: (workspace) => configuration.document().workspaces[workspace]?.maxConcurrent ?? 0,
+        announce: () => announce(name),
+        longestRequestMs: () => longestRequestMs(configuration.document()),
+      }),
+  });
 
   const book = createGrantBook(clock);
   const directory = createCoordinatorDirectory(membership);
@@ -127,11 +153,13 @@
       peers.call(address, REPORT, report, { timeoutMs: REPORT_INTERVAL_MS, signal: tasks.signal }),
     onWait,
   };
+  const quota = createQuotaClient({ clock, metrics, owner, peers, directory, tasks });
   const client = createGrantClient({
     ...options,
     owner,
     dataCentre: self.dataCentre,
     book,
+    quota,
     directory,
     tasks,
     pools: () => pools,
@@ -141,20 +169,32 @@
     owe: (pool) => reports.owed.set(pool, 4),
   });
 
-  handleAdmissionCalls(options.server, coordinators);
+  handleAdmissionCalls(options.server, { pools: coordinators, quotas });
   configuration.onChange((document) => {
     pools = listPools(document);
-    coordinators.configure(pools, document);
+    for (const view of pools) {
+      coordinators.find(view.name)?.configure(view, document);
+    }
   });
   membership.onBroadcast(COORDINATOR_TOPIC, (payload) => {
-    const { pool, address } = payload as { pool?: unknown; address?: unknown };
-    if (typeof pool !== "string" || typeof address !== "string") return;
-    directory.learn(pool, address);
-    if (!book.pools().includes(pool)) return;
-    tasks.run("report to new coordinator", () => sendReports(reports, [pool]));
+    const { name, address } = payload as { name?: unknown; address?: unknown };
+    if (typeof name !== "string" || typeof address !== "string") return;
+    directory.learn(name, address);
+    if (name.startsWith("quota/")) quota.announce(name);
+    else if (book.pools().includes(name)) {
+      tasks.run("report to new coordinator", () => sendReports(reports, [name]));
+    }
   });
   const update = () => {
-    if (!tasks.signal.aborted) coordinators.update(pools, configuration.document());
+    if (tasks.signal.aborted) return;
+    coordinators.update(
+      pools.map((view) => ({
+        name: view.name,
+        dataCentre: view.dataCentre,
+        view,
+      })),
+    );
+    quotas.update(QUOTA_TARGETS);
   };
   tasks.run("leases", async (signal) => {
     while (!signal.aborted) {
@@ -177,7 +217,7 @@
       metrics.gauge("admission.unconfirmed", book.size);
       await sendReports(reports).catch(() => {});
       await tasks.stop();
-      await coordinators.stop();
+      await Promise.all([coordinators.stop(), quotas.stop()]);
       await quarantine.stop();
     },
   };
--- a/packages/admission/create_coordinator.ts
+++ b/packages/admission/create_coordinator.ts
@@ -17,6 +17,7 @@
 import { handleEnded, handleReport } from "./_lib/handle_report.ts";
 import type { Decision } from "./_lib/lanes.ts";
 import type { PoolView } from "./_lib/list_pools.ts";
+import { longestRequestMs } from "./_lib/longest_request.ts";
 import { pollServer } from "./_lib/poll_server.ts";
 import type { ServerProbe } from "./_lib/poll_server.ts";
 import type {
@@ -33,9 +34,6 @@
 
 /** Interval of scheduling rounds while requests wait. */
 const ROUND_INTERVAL_MS = 20;
-/** Longest life of a request when the configuration tells none. */
-const DEFAULT_LONGEST_REQUEST_MS = 900_000;
-
 /** What a coordinator needs. */
 export interface CoordinatorOptions {
   clock: Clock;
@@ -52,6 +50,8 @@
   isQuarantined: (fingerprint: string) => boolean;
   onConviction: (fingerprint: string, serverId: string) => void;
   onSuspects: (fingerprints: string[], serverId: string) => void;
+  /** Asks all hosts for the grants that they hold. */
+  announce: () => void;
   /** Time in which running work is collected before the first grant; 3 s by default. */
   rebuildMs?: Millis;
 }
@@ -96,7 +96,7 @@
   const tasks = createTaskGroup({
     onError: (task, err) => log.error({ pool: name, task, err }, "Coordinator task failed"),
   });
-  let longestRequestMs = DEFAULT_LONGEST_REQUEST_MS;
+  let longestMs: Millis = 0;
 
   const canGrant = () => {
     if (clock.nowMs() - startedMs < rebuildMs || lease.fencing() !== fencing) return false;
@@ -149,6 +149,13 @@
     });
   };
 
+  tasks.run("announce", async (signal) => {
+    // Twice, because a broadcast can be lost.
+    await sleep(0, signal);
+    options.announce();
+    await sleep(rebuildMs / 3, signal);
+    options.announce();
+  });
   tasks.run("rounds", async (signal) => {
     while (!signal.aborted) {
       await sleep(ROUND_INTERVAL_MS, signal);
@@ -172,7 +179,7 @@
         await pollServer(scheduler, serverId, {
           probe,
           signal,
-          longestRequestMs,
+          longestRequestMs: longestMs,
           completeFromMs: startedMs + Math.min(rebuildMs, GRANT_DISPATCH_WINDOW_MS),
           isOwned: (requestId) => findHeld(pool, requestId) !== undefined,
         });
@@ -184,12 +191,7 @@
     scheduler,
     fencing,
     configure(view, document) {
-      longestRequestMs = Math.max(
-        0,
-        ...Object.values(document.timeouts).flatMap(({ hours }) =>
-          hours.map(({ timeoutMs }) => timeoutMs)
-        ),
-      ) || DEFAULT_LONGEST_REQUEST_MS;
+      longestMs = longestRequestMs(document);
       const isIn = document.dataCentres[view.dataCentre]?.state !== "out";
       const urls = new Map(
         view.servers.map((server) => [server.id, server.url]),
--- /dev/null
+++ b/packages/admission/create_quota_coordinator.ts
@@ -0,0 +1,149 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import { createTaskGroup, sleep } from "@jaypass/kernel";
+import type { Lease } from "@jaypass/leases";
+import type { Membership } from "@jaypass/membership";
+import { GRANT_DISPATCH_WINDOW_MS, HOST_SILENCE_MS, REBUILD_MS } from "./constants.ts";
+import type { GrantOwner, QuotaMessage, QuotaReply } from "./messages.ts";
+
+/** Share of a limit above which idle slots are asked back. */
+const TIGHT_SHARE = 0.75;
+
+/** Share of a limit up to which slots are given ahead of need. */
+const SPARE_SHARE = 0.5;
+
+/** Announcements of a new coordinator while hosts have not answered, and their interval. */
+const MAX_ANNOUNCEMENTS = 10;
+const ANNOUNCE_INTERVAL_MS = 1_000;
+
+/** What a quota coordinator needs. */
+export interface QuotaCoordinatorOptions {
+  clock: Clock;
+  lease: Lease;
+  membership: Pick<Membership, "hosts" | "askIncarnation">;
+  /** Limit of a workspace, 0 when it is not known. */
+  limitOf: (workspace: string) => number;
+  /** Longest time for which a host that is not heard may use its slots. */
+  longestRequestMs: () => Millis;
+  /** Asks all hosts for their held slots. */
+  announce: () => void;
+  /** Time in which held slots are collected; 3 s by default. */
+  rebuildMs?: Millis;
+}
+
+/** Grants the concurrent requests of the workspaces of one shard. */
+export interface QuotaCoordinator {
+  readonly fencing: number;
+  /** Applies a host's held slots, then grants further ones. */
+  handle(message: QuotaMessage): QuotaReply;
+  /** Slots held of a workspace, over all hosts. */
+  used(workspace: string): number;
+  stop(): Promise<void>;
+}
+
+interface HostRecord {
+  owner: GrantOwner;
+  sequence: number;
+  seenMs: Millis;
+  held: Map<string, number>;
+}
+
+/**
+ * Creates the coordinator of a quota shard whose lease this process holds.
+ *
+ * A host's slots end only by its own word, by a newer process at its address, or when no request that
+ * it started can still run; expiry alone would let running requests exceed the limit.
+ *
+ * @param options lease, limits and hosts
+ * @returns the coordinator
+ *
+ * @example
+ * const quota = createQuotaCoordinator({ clock, lease, membership, limitOf, longestRequestMs });
+ */
+export function createQuotaCoordinator(options: QuotaCoordinatorOptions): QuotaCoordinator {
+  const { clock, lease, membership } = options;
+  const fencing = lease.fencing();
+  const startedMs = clock.nowMs();
+  const hosts = new Map<string, HostRecord>();
+  /** Hosts that may hold slots from before and have not answered yet. */
+  const unheard = new Set(
+    membership.hosts().filter(({ state }) => state !== "dead").map(({ id }) => id),
+  );
+  const tasks = createTaskGroup({ onError: () => {} });
+
+  const used = (workspace: string) => {
+    let sum = 0;
+    for (const { held } of hosts.values()) sum += held.get(workspace) ?? 0;
+    return sum;
+  };
+  const holds = () =>
+    lease.fencing() === fencing &&
+    (lease.mode() === "retained" ||
+      (lease.mode() === "held" && lease.validMs() > GRANT_DISPATCH_WINDOW_MS));
+  const allowance = (workspace: string) => {
+    const allowed = lease.allow(options.limitOf(workspace));
+    if (clock.nowMs() - startedMs > options.longestRequestMs()) unheard.clear();
+    // Slots of hosts that do not answer are unknown: half of the limit is kept for them.
+    return unheard.size > 0 ? Math.floor(allowed / 2) : allowed;
+  };
+
+  tasks.run("announce", async (signal) => {
+    // A broadcast can be lost; hosts that are gone are not asked for ever.
+    for (let n = 0; n < MAX_ANNOUNCEMENTS && unheard.size > 0; n++) {
+      await sleep(n === 0 ? 0 : ANNOUNCE_INTERVAL_MS, signal);
+      options.announce();
+    }
+  });
+  tasks.run("silent hosts", async (signal) => {
+    while (!signal.aborted) {
+      await sleep(HOST_SILENCE_MS / 3, signal);
+      for (const [id, record] of [...hosts]) {
+        const silentMs = clock.nowMs() - record.seenMs;
+        if (silentMs < HOST_SILENCE_MS || record.held.size === 0) continue;
+        const answer = await membership.askIncarnation(record.owner.address).catch(() => undefined);
+        const isReplaced = answer?.host === id && answer.incarnation > record.owner.incarnation;
+        if (isReplaced || silentMs > options.longestRequestMs()) hosts.delete(id);
+      }
+    }
+  });
+
+  return {
+    fencing,
+    used,
+    handle({ owner, sequence, entries }) {
+      const refused = { isAccepted: false, holder: lease.holder()?.address, entries: [] };
+      if (!holds()) return refused;
+      let record = hosts.get(owner.host);
+      if (record !== undefined) {
+        const { incarnation } = record.owner;
+        if (owner.incarnation < incarnation) return refused;
+        if (owner.incarnation === incarnation && sequence <= record.sequence) return refused;
+        if (owner.incarnation > incarnation) record = undefined;
+      }
+      record ??= { owner, sequence: 0, seenMs: 0, held: new Map() };
+      hosts.set(owner.host, record);
+      unheard.delete(owner.host);
+      record.sequence = sequence;
+      record.seenMs = clock.nowMs();
+      const isCollecting = clock.nowMs() - startedMs < (options.rebuildMs ?? REBUILD_MS);
+      for (const { workspace, held } of entries) {
+        if (held > 0) record.held.set(workspace, held);
+        else record.held.delete(workspace);
+      }
+      return {
+        isAccepted: true,
+        isCollecting,
+        entries: entries.map(({ workspace, held, want, spare }) => {
+          const allowed = allowance(workspace);
+          const free = isCollecting ? 0 : Math.max(0, allowed - used(workspace));
+          const needed = Math.min(want, free);
+          const most = Math.floor(allowed * SPARE_SHARE) - used(workspace) - needed;
+          const granted = needed + (isCollecting ? 0 : Math.max(0, Math.min(spare, most)));
+          if (granted > 0) record.held.set(workspace, held + granted);
+          const isTight = used(workspace) >= allowed * TIGHT_SHARE;
+          return { workspace, granted, isTight };
+        }),
+      };
+    },
+    stop: () => tasks.stop(),
+  };
+}
--- a/packages/admission/messages.ts
+++ b/packages/admission/messages.ts
@@ -148,3 +148,40 @@
   z.object({ pool: z.string().optional() }),
   z.object({ pools: z.array(z.record(z.string(), z.unknown())) }),
 );
+
+const quotaSchema = z.object({
+  shard: z.string(),
+  owner: ownerSchema,
+  /** Grows with each message of a host; older ones that arrive late are ignored. */
+  sequence: z.number(),
+  entries: z.array(z.object({
+    workspace: z.string(),
+    /** Slots that the host has now, in use or idle. */
+    held: z.number(),
+    /** Further slots for requests that wait. */
+    want: z.number(),
+    /** Further slots for requests to come, given only while most slots are free. */
+    spare: z.number(),
+  })),
+});
+
+const quotaReplySchema = z.object({
+  isAccepted: z.boolean(),
+  holder: z.string().optional(),
+  /** The coordinator still collects held slots; ask again soon. */
+  isCollecting: z.boolean().optional(),
+  entries: z.array(z.object({
+    workspace: z.string(),
+    granted: z.number(),
+    /** Nearly all slots are taken: idle ones should be returned at once. */
+    isTight: z.boolean(),
+  })),
+});
+
+/** A host's held and wanted slots of the workspaces of one shard. */
+export type QuotaMessage = z.infer<typeof quotaSchema>;
+/** The answer to a quota message. */
+export type QuotaReply = z.infer<typeof quotaReplySchema>;
+
+/** Tells held quota slots and asks for more. */
+export const QUOTA = method("Quota", quotaSchema, quotaReplySchema);
--- a/packages/admission/mod.ts
+++ b/packages/admission/mod.ts
@@ -9,6 +9,7 @@
 export * from "./create_admission.ts";
 export * from "./create_coordinator.ts";
 export * from "./create_quarantine.ts";
+export * from "./create_quota_coordinator.ts";
 export * from "./create_scheduler.ts";
 export * from "./errors.ts";
 export * from "./messages.ts";
