--- a/packages/admission/_lib/acquire_from_pool.ts
+++ b/packages/admission/_lib/acquire_from_pool.ts
@@ -77,6 +77,12 @@
         }
         options.onWait(reply.waitMs);
         if (reply.type === "granted") return { grant: reply.grant, sentMs };
+        const [newer] = directory.addresses(pool);
+        if (newer !== undefined && !asked.has(newer)) {
+          // A new coordinator has announced itself; an earlier one may have only its retained share.
+          addresses.unshift(newer);
+          break;
+        }
       }
     }
     if (round + 1 < MAX_ROUNDS) await sleep(ROUND_PAUSE_MS, signal);
--- a/packages/admission/_lib/estimate_wait.ts
+++ b/packages/admission/_lib/estimate_wait.ts
@@ -47,7 +47,11 @@
   const engines = lane === "long" ? Math.min(longEngines, servers.length) : servers.length;
   const backlogs = servers.map((server) => Math.max(0, server.freeAtMs[lane] - nowMs));
   const prefillWaitMs = Math.min(...backlogs) + aheadMs / engines;
-  const slots = servers.reduce((sum, server) => sum + Math.max(0, freeSlots(server, allow)), 0);
+  // A server whose work is not known yet counts as free: a guess must not refuse requests while a
+  // new coordinator collects.
+  const slotsOf = (server: ServerState) =>
+    server.isKnown ? Math.max(0, freeSlots(server, allow)) : allow(server.cfg.warmLimit);
+  const slots = servers.reduce((sum, server) => sum + slotsOf(server), 0);
   const limit = servers.reduce((sum, server) => sum + Math.max(0, allow(server.limit)), 0);
   const slotWaitMs = ahead < slots ? 0 : holdMs * (ahead + 1 - slots) / Math.max(1, limit);
   return Math.max(prefillWaitMs, slotWaitMs);
--- a/packages/admission/_testing/create_test_lease.ts
+++ b/packages/admission/_testing/create_test_lease.ts
@@ -6,6 +6,8 @@
   create(name: string, holder: LeaseHolder): Lease;
   /** Gives the row to a host; the earlier holder goes on with its retained share, or with nothing. */
   moveTo(name: string, host: string, earlier: "retained" | "none"): void;
+  /** The store stops answering: the holder goes on with its retained share. */
+  lapse(name: string): void;
   /** Hosts that compete for a lease. */
   candidates(name: string): string[];
   holder(name: string): string | undefined;
@@ -67,6 +69,11 @@
         },
       };
     },
+    lapse(name) {
+      const row = rowOf(name);
+      row.retained = row.holder;
+      row.holder = undefined;
+    },
     candidates: (name) => [...rowOf(name).wanted.keys()],
     holder: (name) => rowOf(name).holder?.host,
     moveTo(name, host, earlier) {
--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { Configuration } from "@jaypass/configuration";
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
 import { createTaskGroup, sleep } from "@jaypass/kernel";
@@ -89,6 +90,8 @@
   const tasks = createTaskGroup({
     onError: (task, err) => log.error({ task, err }, "Admission task failed"),
   });
+  // One listener per wait of each task; the default limit of 10 would log a warning.
+  setMaxListeners(0, tasks.signal);
   const waits = new Map<string, number>();
   const onWait = (pool: string, lane: Lane, waitMs: number) =>
     void waits.set(`${pool}/${lane}`, waitMs);
@@ -179,7 +182,7 @@
   membership.onBroadcast(COORDINATOR_TOPIC, (payload) => {
     const { name, address } = payload as { name?: unknown; address?: unknown };
     if (typeof name !== "string" || typeof address !== "string") return;
-    directory.learn(name, address);
+    directory.replace(name, address);
     if (name.startsWith("quota/")) quota.announce(name);
     else if (book.pools().includes(name)) {
       tasks.run("report to new coordinator", () => sendReports(reports, [name]));
--- a/packages/admission/create_coordinator.ts
+++ b/packages/admission/create_coordinator.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { ConfigDocument } from "@jaypass/configuration";
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import { createTaskGroup, sleep } from "@jaypass/kernel";
@@ -34,6 +35,9 @@
 
 /** Interval of scheduling rounds while requests wait. */
 const ROUND_INTERVAL_MS = 20;
+/** Interval of polls of a server that gets no grants because its running work is not known. */
+const UNKNOWN_POLL_INTERVAL_MS = 250;
+
 /** What a coordinator needs. */
 export interface CoordinatorOptions {
   clock: Clock;
@@ -96,6 +100,8 @@
   const tasks = createTaskGroup({
     onError: (task, err) => log.error({ pool: name, task, err }, "Coordinator task failed"),
   });
+  // One listener per wait of each task; the default limit of 10 would log a warning.
+  setMaxListeners(0, tasks.signal);
   let longestMs: Millis = 0;
 
   const canGrant = () => {
@@ -183,7 +189,9 @@
           completeFromMs: startedMs + Math.min(rebuildMs, GRANT_DISPATCH_WINDOW_MS),
           isOwned: (requestId) => findHeld(pool, requestId) !== undefined,
         });
-        await sleep(SERVER_POLL_INTERVAL_MS * (0.8 + 0.4 * options.random()), signal);
+        const isKnown = pool.servers.get(serverId)?.isKnown ?? true;
+        const intervalMs = isKnown ? SERVER_POLL_INTERVAL_MS : UNKNOWN_POLL_INTERVAL_MS;
+        await sleep(intervalMs * (0.8 + 0.4 * options.random()), signal);
       }
     });
 
