Add the life of a request, the HTTP front and the system test harness

Cause: nothing carries a request from a caller to an engine yet. Change: routing (attempts, resume at an offset, retry budgets, calls that run at most once through the ledger), entry (bounded bodies, chat completions in the published shape, addresses, redirect from a data centre that is out), and a harness that starts a system of separate processes. Ruled out: sending the status line before the first token, because a refusal would lose its status.

--- /dev/null
+++ b/packages/entry/constants.ts
@@ -0,0 +1,41 @@
+/**
+ * Constants of the entry host.
+ *
+ * @module
+ */
+import { REFUSAL } from "@jaypass/admission";
+import { FAILURE } from "@jaypass/routing";
+
+/** Reasons with which a request is refused before it reaches the router. */
+export const BAD_REQUEST = {
+  BODY_TOO_LARGE: "body_too_large",
+  BODY_TIMEOUT: "body_timeout",
+  BODY_TRUNCATED: "body_truncated",
+  MALFORMED: "malformed",
+  HOST_BUSY: "host_busy",
+  UNAUTHORIZED: "unauthorized",
+  NOT_FOUND: "not_found",
+  METHOD_NOT_ALLOWED: "method_not_allowed",
+  UNKNOWN_MODEL: "unknown_model",
+  UNKNOWN_CALLER_KIND: "unknown_caller_kind",
+  NOT_READY: "not_ready",
+} as const;
+
+/** HTTP status of each reason; a reason that is not listed is answered with 503. */
+export const STATUS_BY_REASON: Readonly<Record<string, number>> = {
+  [FAILURE.DEADLINE_PASSED]: 504,
+  [FAILURE.SERVICE_FAILED]: 502,
+  [FAILURE.ENGINE_FAILED]: 502,
+  [FAILURE.HOST_GONE]: 502,
+  [FAILURE.UNKNOWN_REQUEST]: 404,
+  [FAILURE.UNKNOWN_SERVICE]: 404,
+  [FAILURE.UNKNOWN_MODEL]: 404,
+  [FAILURE.IDEMPOTENCY_KEY_MISSING]: 400,
+  [REFUSAL.WORKSPACE_LIMIT]: 429,
+  [REFUSAL.QUARANTINED]: 422,
+  [REFUSAL.PROMPT_TOO_LARGE]: 413,
+  key_reused: 422,
+};
+
+/** Number of addresses in an address list. */
+export const ADDRESS_COUNT = 6;
--- /dev/null
+++ b/packages/entry/http/create_front.ts
@@ -0,0 +1,173 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { BAD_REQUEST } from "../constants.ts";
+import { BadRequestError } from "../errors.ts";
+import { createBodyBudget } from "./create_body_budget.ts";
+import { describeError } from "./describe_error.ts";
+import type { FrontContext } from "./front_context.ts";
+import { handleAddresses } from "./handle_addresses.ts";
+import { handleChatCompletion } from "./handle_chat_completion.ts";
+import { handlePlainService } from "./handle_plain_service.ts";
+import { handleRequestStatus } from "./handle_request_status.ts";
+import { redirectFromDataCentreOut } from "./redirect_from_data_centre_out.ts";
+import { sendJson } from "./send_json.ts";
+
+/** Handles requests under a path of its own; false means that the path is another one's. */
+export type MountedHandler = (req: IncomingMessage, res: ServerResponse) => Promise<boolean>;
+
+/** Options of {@linkcode createFront}. */
+export interface FrontOptions extends Omit<FrontContext, "budget"> {
+  /** Further handlers, asked first to last. */
+  mounted: readonly MountedHandler[];
+}
+
+/** The HTTP server for callers and operators. */
+export interface Front {
+  listen(): Promise<void>;
+  /** Stops accepting connections and awaits the end of running responses. */
+  stop(): Promise<void>;
+}
+
+/** Time for a request's header lines to arrive. */
+const HEADERS_TIMEOUT_MS = 10_000;
+
+/** Idle time after which a kept connection is closed. */
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
+
+/**
+ * Creates the HTTP server of an entry host.
+ *
+ * @param options the parts that its handlers use
+ * @returns the server, not yet listening
+ *
+ * @example
+ * const front = createFront({ settings, configuration, membership, router, mounted: [], ... });
+ * await front.listen();
+ */
+export function createFront(options: FrontOptions): Front {
+  const { settings, log, metrics } = options;
+  const context: FrontContext = {
+    ...options,
+    budget: createBodyBudget(settings.limits.maxHeldBytes),
+  };
+
+  const handle = async (req: IncomingMessage, res: ServerResponse) => {
+    const startMs = context.clock.nowMs();
+    try {
+      await route(req, res, context, options.mounted);
+    } catch (err) {
+      if (res.destroyed) {
+        metrics.increment("caller_disconnected");
+        return;
+      }
+      const { status, body } = describeError(err);
+      metrics.increment("refusal", { reason: body.error.reason });
+      if (status === 500) log.error({ err, path: req.url }, "Request failed unexpectedly");
+      else log.debug({ reason: body.error.reason, path: req.url }, "Request refused");
+      sendJson(res, body, { status, headers: refusalHeaders(req, body.error.retryAfterMs) });
+    } finally {
+      metrics.timing("request", context.clock.nowMs() - startMs);
+    }
+  };
+
+  const server = createServer({
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    requestTimeout: 0,
+  }, (req, res) => void handle(req, res));
+  server.maxConnections = settings.limits.maxConnections;
+
+  return {
+    listen: () => listen(server, settings.callerListen),
+    stop: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+      }),
+  };
+}
+
+async function route(
+  req: IncomingMessage,
+  res: ServerResponse,
+  context: FrontContext,
+  mounted: readonly MountedHandler[],
+) {
+  const url = new URL(req.url ?? "/", "http://host");
+  const [version, ...path] = url.pathname.split("/").filter((part) => part !== "").map(decode);
+  for (const handler of mounted) {
+    if (await handler(req, res)) return;
+  }
+  if (version !== "v1") throw notFound(url.pathname);
+  if (context.configuration.revision() === 0) throw notReady();
+  const query = url.searchParams;
+  const [resource, name, operation] = path;
+
+  if (resource === "addresses" && path.length === 1) {
+    checkMethod(req, "GET");
+    return handleAddresses(req, res, { ...context, query });
+  }
+  if (resource === "requests" && name && path.length === 2) {
+    checkMethod(req, "GET");
+    return await handleRequestStatus(req, res, { ...context, requestId: name, query });
+  }
+  const isChat = resource === "chat" && name === "completions" && path.length === 2;
+  const isService = resource === "services" && name && operation && path.length === 3;
+  if (!isChat && !isService) throw notFound(url.pathname);
+  checkMethod(req, "POST");
+  if (redirectFromDataCentreOut(req, res, context)) return;
+  if (isChat) return await handleChatCompletion(req, res, context);
+  await handlePlainService(req, res, { ...context, service: name!, operation: operation! });
+}
+
+function decode(part: string): string {
+  try {
+    return decodeURIComponent(part);
+  } catch (err) {
+    throw new BadRequestError("Path is not valid percent-encoding", {
+      status: 400,
+      reason: BAD_REQUEST.MALFORMED,
+      cause: err,
+    });
+  }
+}
+
+function checkMethod(req: IncomingMessage, method: string) {
+  if (req.method === method) return;
+  throw new BadRequestError(`Method is "${req.method}", expected "${method}"`, {
+    status: 405,
+    reason: BAD_REQUEST.METHOD_NOT_ALLOWED,
+  });
+}
+
+function notFound(path: string): BadRequestError {
+  return new BadRequestError(`Nothing is served at "${path}"`, {
+    status: 404,
+    reason: BAD_REQUEST.NOT_FOUND,
+  });
+}
+
+function notReady(): BadRequestError {
+  return new BadRequestError("Host has no configuration yet", {
+    status: 503,
+    reason: BAD_REQUEST.NOT_READY,
+  });
+}
+
+/** A body that was not read to its end makes the connection useless for another request. */
+function refusalHeaders(req: IncomingMessage, retryAfterMs?: number): Record<string, string> {
+  const headers: Record<string, string> = req.complete ? {} : { connection: "close" };
+  if (retryAfterMs !== undefined) headers["retry-after"] = String(Math.ceil(retryAfterMs / 1_000));
+  return headers;
+}
+
+function listen(server: Server, endpoint: string): Promise<void> {
+  const [host, port] = endpoint.split(":");
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(Number(port), host, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/packages/entry/http/create_front_test.ts
@@ -0,0 +1,188 @@
+import { createHash } from "node:crypto";
+import { connect } from "node:net";
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:http";
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import type { Configuration } from "@jaypass/configuration";
+import { createClock } from "@jaypass/kernel";
+import type { Logger, Metrics } from "@jaypass/kernel";
+import type { Membership } from "@jaypass/membership";
+import { RequestError } from "@jaypass/routing";
+import type { Answer, Router } from "@jaypass/routing";
+import { parseSettings } from "../settings.ts";
+import { createFront } from "./create_front.ts";
+
+const DOCUMENT = {
+  models: { "lore-1": { bytesPerToken: 4 } },
+  services: {},
+  backendServers: {},
+  workspaces: {
+    school: {
+      keyHash: createHash("sha256").update("key").digest("hex"),
+      maxConcurrent: 10,
+      models: ["lore-1"],
+      services: ["booking"],
+    },
+  },
+  dataCentres: { gent: { region: "be", state: "in", oneWayMs: {} } },
+  timeouts: {
+    default: {
+      timeZone: "Europe/Brussels",
+      hours: [{ fromHour: 0, toHour: 24, timeoutMs: 5_000, firstTokenMs: 1_000 }],
+    },
+  },
+};
+
+const log = { debug() {}, info() {}, warn() {}, error() {}, child: () => log } as Logger;
+
+/** A router whose answers have some tokens and then end or fail. */
+function fakeRouter(tokens: string[], failure?: RequestError): Partial<Router> {
+  return {
+    complete: (req) => ({ ...req, tokens, state: "running", promptTokens: 3 } as unknown as Answer),
+    async *follow(_id, { from }) {
+      for (const [index, text] of tokens.entries()) {
+        if (index >= from) yield await Promise.resolve({ index, text });
+      }
+      if (failure) throw failure;
+    },
+    callService: (req) =>
+      Promise.resolve({
+        status: 201,
+        contentType: "text/plain",
+        body: Buffer.from(`${req.operation} ${req.key}`),
+        replayed: false,
+      }),
+  };
+}
+
+async function startFront(t: ExecutionContext, router: Partial<Router>, limits = {}) {
+  const port = await new Promise<number>((resolve) => {
+    const probe = createServer().listen(0, "127.0.0.1", () => {
+      const { port } = probe.address() as AddressInfo;
+      probe.close(() => resolve(port));
+    });
+  });
+  const url = "http://127.0.0.1:7000";
+  const front = createFront({
+    settings: parseSettings({
+      host: "h1",
+      dataCentre: "gent",
+      callerListen: `127.0.0.1:${port}`,
+      peerListen: "127.0.0.1:1",
+      platform: { tables: url, objects: url, hostList: url, weights: url },
+      tls: "off",
+      owners: {},
+      limits,
+    }),
+    clock: createClock(),
+    configuration: { revision: () => 1, document: () => DOCUMENT } as unknown as Configuration,
+    membership: {
+      self: () => ({ id: "h1", dataCentre: "gent", callerUrl: `http://127.0.0.1:${port}` }),
+      hosts: () => [],
+    } as unknown as Membership,
+    router: router as Router,
+    mounted: [],
+    log,
+    metrics: { increment() {}, timing() {}, gauge() {} } as unknown as Metrics,
+  });
+  await front.listen();
+  t.teardown(() => front.stop());
+  return { port, base: `http://127.0.0.1:${port}` };
+}
+
+const CHAT = { model: "lore-1", messages: [{ role: "user", content: "Is there milk?" }] };
+
+async function post(base: string, body: unknown, headers: Record<string, string> = {}) {
+  const res = await fetch(`${base}/v1/chat/completions`, {
+    method: "POST",
+    headers: { authorization: "Bearer key", ...headers },
+    body: typeof body === "string" ? body : JSON.stringify(body),
+  });
+  const text = await res.text();
+  return { status: res.status, text: text.replaceAll(/h1~\w+~[\w-]+/g, "ID") };
+}
+
+function withoutTime(text: string): string {
+  return text.replaceAll(/"created":\d+/g, '"created":0');
+}
+
+test("an answer arrives whole, streamed and not streamed", async (t) => {
+  const { base } = await startFront(t, fakeRouter(["No", " milk"]));
+  const streamed = await post(base, { ...CHAT, stream: true });
+  const whole = await post(base, CHAT);
+  t.snapshot([withoutTime(streamed.text), withoutTime(whole.text)]);
+});
+
+test("a stream that fails ends with an error and without [DONE]", async (t) => {
+  const failure = new RequestError("Engine died", { reason: "engine_failed", ran: "ran" });
+  const { base } = await startFront(t, fakeRouter(["No"], failure));
+  const { text } = await post(base, { ...CHAT, stream: true });
+  t.snapshot(withoutTime(text));
+  t.false(text.includes("[DONE]"));
+});
+
+test("a refusal before the first token has its own status, reason and retry time", async (t) => {
+  const failure = new RequestError("Workspace has 10 requests running", {
+    reason: "workspace_limit",
+    ran: "not_run",
+    retryAfterMs: 1_500,
+  });
+  const { base } = await startFront(t, fakeRouter([], failure));
+  t.snapshot(await post(base, { ...CHAT, stream: true }));
+});
+
+test("bad input gets a clear error that says that nothing ran", async (t) => {
+  const { base } = await startFront(t, fakeRouter(["No"]), { maxBodyBytes: 2_048 });
+  t.snapshot([
+    await post(base, "{"),
+    await post(base, { ...CHAT, messages: [] }),
+    await post(base, { ...CHAT, max_tokens: "many" }),
+    await post(base, { ...CHAT, model: "other" }),
+    await post(base, CHAT, { authorization: "Bearer wrong" }),
+    await post(base, CHAT, { "x-timeout-ms": "soon" }),
+    await post(base, CHAT, { "x-caller-kind": "ghost" }),
+    await post(base, "x".repeat(4_096)),
+  ]);
+});
+
+test("a missing and a wrong key learn the same", async (t) => {
+  const { base } = await startFront(t, fakeRouter([]));
+  const wrong = await post(base, CHAT, { authorization: "Bearer wrong" });
+  const missing = await post(base, CHAT, { authorization: "" });
+  t.deepEqual(wrong, missing);
+});
+
+test("a body that trickles is refused within the body timeout", async (t) => {
+  const { port } = await startFront(t, fakeRouter([]), { bodyTimeoutMs: 200 });
+  const answer = await new Promise<string>((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => {
+      socket.write(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: h\r\nauthorization: Bearer key\r\n" +
+          "content-length: 100\r\n\r\n{",
+      );
+    });
+    let text = "";
+    socket.on("data", (chunk) => text += chunk).on("close", () => resolve(text));
+  });
+  t.regex(answer, /408 Request Timeout[^]*"reason":"body_timeout","ran":"not_run"/);
+});
+
+test("bodies of many callers together stay within the host's budget", async (t) => {
+  const { base } = await startFront(t, fakeRouter(["No"]), { maxHeldBytes: 1_024 });
+  const large = { ...CHAT, messages: [{ role: "user", content: "x".repeat(2_000) }] };
+  const refused = await post(base, large);
+  const served = await post(base, CHAT);
+  t.deepEqual([refused.status, JSON.parse(refused.text).error.reason], [503, "host_busy"]);
+  t.is(served.status, 200);
+});
+
+test("a call to a service passes its key on and returns the service's answer", async (t) => {
+  const { base } = await startFront(t, fakeRouter([]));
+  const res = await fetch(`${base}/v1/services/booking/book`, {
+    method: "POST",
+    headers: { authorization: "Bearer key", "idempotency-key": "spot-7" },
+    body: "{}",
+  });
+  t.deepEqual([res.status, await res.text()], [201, "book spot-7"]);
+});
--- /dev/null
+++ b/packages/entry/http/create_request_deadline.ts
@@ -0,0 +1,58 @@
+import type { IncomingMessage } from "node:http";
+import { resolveTimeout } from "@jaypass/configuration";
+import { createDeadline } from "@jaypass/kernel";
+import type { Deadline, Millis } from "@jaypass/kernel";
+import { BAD_REQUEST } from "../constants.ts";
+import { BadRequestError } from "../errors.ts";
+import type { FrontContext } from "./front_context.ts";
+
+/** Caller kind of requests without the `x-caller-kind` header. */
+const DEFAULT_CALLER_KIND = "default";
+
+/** The deadline of a request and the time until its first token is due. */
+export interface RequestDeadline {
+  deadline: Deadline;
+  firstTokenMs: Millis;
+}
+
+/**
+ * Creates the deadline of a request from its headers and the table of timeouts.
+ *
+ * @param req request with the optional headers `x-caller-kind` and `x-timeout-ms`
+ * @param context configuration and clock
+ * @returns the earlier of the caller's and the table's deadline
+ * @throws {BadRequestError} for an unknown caller kind or a timeout that is not a positive number
+ *
+ * @example
+ * const { deadline, firstTokenMs } = createRequestDeadline(req, context);
+ */
+export function createRequestDeadline(
+  req: IncomingMessage,
+  context: Pick<FrontContext, "configuration" | "clock">,
+): RequestDeadline {
+  const kind = String(req.headers["x-caller-kind"] ?? DEFAULT_CALLER_KIND);
+  const document = context.configuration.document();
+  if (!Object.hasOwn(document.timeouts, kind)) {
+    throw new BadRequestError(`Caller kind "${kind}" is not configured`, {
+      status: 400,
+      reason: BAD_REQUEST.UNKNOWN_CALLER_KIND,
+    });
+  }
+  const configured = resolveTimeout(document, kind, context.clock.wallMs());
+  const timeoutMs = Math.min(configured.timeoutMs, readTimeout(req));
+  return {
+    deadline: createDeadline(timeoutMs, { clock: context.clock }),
+    firstTokenMs: Math.min(configured.firstTokenMs, timeoutMs),
+  };
+}
+
+function readTimeout(req: IncomingMessage): Millis {
+  const header = req.headers["x-timeout-ms"];
+  if (header === undefined) return Infinity;
+  const timeoutMs = Number(header);
+  if (Number.isFinite(timeoutMs) && timeoutMs > 0) return timeoutMs;
+  throw new BadRequestError(`Header "x-timeout-ms" is "${header}", expected milliseconds above 0`, {
+    status: 400,
+    reason: BAD_REQUEST.MALFORMED,
+  });
+}
--- /dev/null
+++ b/packages/entry/http/front_context.ts
@@ -0,0 +1,18 @@
+import type { Configuration } from "@jaypass/configuration";
+import type { Clock, Logger, Metrics } from "@jaypass/kernel";
+import type { Membership } from "@jaypass/membership";
+import type { Router } from "@jaypass/routing";
+import type { Settings } from "../settings.ts";
+import type { BodyBudget } from "./create_body_budget.ts";
+
+/** What the HTTP handlers share. */
+export interface FrontContext {
+  settings: Settings;
+  clock: Clock;
+  configuration: Configuration;
+  membership: Membership;
+  router: Router;
+  budget: BodyBudget;
+  log: Logger;
+  metrics: Metrics;
+}
--- /dev/null
+++ b/packages/entry/http/handle_chat_completion.ts
@@ -0,0 +1,70 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createRequestId } from "@jaypass/routing";
+import { BAD_REQUEST } from "../constants.ts";
+import { BadRequestError } from "../errors.ts";
+import { authenticateCaller } from "./authenticate_caller.ts";
+import { createRequestDeadline } from "./create_request_deadline.ts";
+import type { FrontContext } from "./front_context.ts";
+import { listenForClose } from "./listen_for_close.ts";
+import { parseChatRequest } from "./parse_chat_request.ts";
+import { readBody } from "./read_body.ts";
+import { sendAnswer } from "./send_answer.ts";
+
+/**
+ * Handles `POST /v1/chat/completions`.
+ *
+ * @param req the caller's request
+ * @param res its response
+ * @param context the front's parts
+ * @throws {BadRequestError | RequestError} when nothing was sent yet
+ */
+export async function handleChatCompletion(
+  req: IncomingMessage,
+  res: ServerResponse,
+  context: FrontContext,
+): Promise<void> {
+  const { configuration, membership, router, settings, budget } = context;
+  const caller = authenticateCaller(req, configuration.document());
+  const { deadline, firstTokenMs } = createRequestDeadline(req, context);
+  let body;
+  try {
+    body = await readBody(req, {
+      maxBytes: settings.limits.maxBodyBytes,
+      timeoutMs: settings.limits.bodyTimeoutMs,
+      budget,
+    });
+    const chat = parseChatRequest(body.bytes);
+    const isKnown = Object.hasOwn(configuration.document().models, chat.model) &&
+      caller.config.models.includes(chat.model);
+    if (!isKnown) throw unknownModel(chat.model);
+
+    const requestId = createRequestId(membership.self().id, caller.workspace);
+    const answer = router.complete({
+      requestId,
+      workspace: caller.workspace,
+      model: chat.model,
+      prompt: chat.prompt,
+      maxTokens: chat.maxTokens,
+      deadline,
+      firstTokenMs,
+    });
+    const tokens = router.follow(requestId, {
+      workspace: caller.workspace,
+      from: 0,
+      signal: listenForClose(res),
+    });
+    const { model, stream, includeUsage } = chat;
+    await sendAnswer(res, { requestId, model, tokens, stream, includeUsage, answer }, context);
+  } finally {
+    body?.release();
+    deadline.clear();
+  }
+}
+
+/** The same error for a missing model and for one that the workspace may not use. */
+function unknownModel(model: string): BadRequestError {
+  return new BadRequestError(`Workspace has no model "${model}"`, {
+    status: 404,
+    reason: BAD_REQUEST.UNKNOWN_MODEL,
+  });
+}
--- /dev/null
+++ b/packages/entry/http/handle_request_status.ts
@@ -0,0 +1,35 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { BAD_REQUEST } from "../constants.ts";
+import { BadRequestError } from "../errors.ts";
+import { authenticateCaller } from "./authenticate_caller.ts";
+import type { FrontContext } from "./front_context.ts";
+import { listenForClose } from "./listen_for_close.ts";
+import { sendAnswer } from "./send_answer.ts";
+
+/**
+ * Handles `GET /v1/requests/{id}?from=OFFSET`: the rest of an answer, from any host.
+ *
+ * @param req the caller's request; `accept: application/json` asks for the whole instead of a stream
+ * @param res its response
+ * @param context the front's parts, the request id and the query
+ * @throws {BadRequestError | RequestError} when nothing was sent yet
+ */
+export async function handleRequestStatus(
+  req: IncomingMessage,
+  res: ServerResponse,
+  context: FrontContext & { requestId: string; query: URLSearchParams },
+): Promise<void> {
+  const { requestId, query, configuration, router } = context;
+  const caller = authenticateCaller(req, configuration.document());
+  const from = Number(query.get("from") ?? 0);
+  if (!Number.isInteger(from) || from < 0) {
+    throw new BadRequestError(`Query "from" is "${query.get("from")}", expected a token offset`, {
+      status: 400,
+      reason: BAD_REQUEST.MALFORMED,
+    });
+  }
+  const signal = listenForClose(res);
+  const tokens = router.follow(requestId, { workspace: caller.workspace, from, signal });
+  const stream = !(req.headers.accept ?? "").includes("application/json");
+  await sendAnswer(res, { requestId, model: "", tokens, stream, includeUsage: false }, context);
+}
--- /dev/null
+++ b/packages/entry/http/write_with_backpressure.ts
@@ -0,0 +1,39 @@
+import type { ServerResponse } from "node:http";
+import { AbortedError } from "@jaypass/kernel";
+
+/**
+ * Writes to a response and waits while the caller does not read.
+ *
+ * @param res the response
+ * @param text what to write
+ * @param stallTimeoutMs milliseconds after which a caller that does not read is disconnected, so
+ *     that it cannot hold the request's memory
+ * @throws {AbortedError} when the caller is gone or has stopped reading
+ *
+ * @example
+ * await writeWithBackpressure(res, encoder.token(0, "Hello"), 15_000);
+ */
+export async function writeWithBackpressure(
+  res: ServerResponse,
+  text: string,
+  stallTimeoutMs: number,
+): Promise<void> {
+  if (res.destroyed) throw new AbortedError("Caller is gone");
+  if (res.write(text)) return;
+  const isDrained = await new Promise<boolean>((resolve) => {
+    const settle = (drained: boolean) => {
+      clearTimeout(timer);
+      res.off("drain", onDrain);
+      res.off("close", onClose);
+      resolve(drained);
+    };
+    const onDrain = () => settle(true);
+    const onClose = () => settle(false);
+    const timer = setTimeout(() => settle(false), stallTimeoutMs);
+    res.on("drain", onDrain);
+    res.on("close", onClose);
+  });
+  if (isDrained) return;
+  res.destroy();
+  throw new AbortedError("Caller stopped reading");
+}
--- /dev/null
+++ b/packages/routing/_lib/classify_attempt_error.ts
@@ -0,0 +1,39 @@
+import { GRANT_OUTCOME } from "@jaypass/admission";
+import type { GrantOutcome } from "@jaypass/admission";
+import { ENGINE_ERROR, EngineError } from "@jaypass/engines";
+import { RETRY } from "../types.ts";
+import type { RetryReason } from "../types.ts";
+
+/** What a failed attempt means for its grant and for a repeat. */
+export interface AttemptFailure {
+  outcome: GrantOutcome;
+  retry: RetryReason;
+  /** The engine may still run the request, so that its stream can be resumed there. */
+  isResumable: boolean;
+}
+
+const FAILURES: Record<string, AttemptFailure> = {
+  [ENGINE_ERROR.REFUSED]: failure(GRANT_OUTCOME.SERVER_REFUSED, RETRY.SERVER_REFUSED),
+  [ENGINE_ERROR.OVERLOADED]: failure(GRANT_OUTCOME.SERVER_REFUSED, RETRY.SERVER_REFUSED),
+  [ENGINE_ERROR.STALE_FENCING]: failure(GRANT_OUTCOME.SERVER_REFUSED, RETRY.SERVER_REFUSED),
+  [ENGINE_ERROR.DIED]: failure(GRANT_OUTCOME.SERVER_DIED, RETRY.SERVER_DIED),
+  [ENGINE_ERROR.SILENT]: failure(GRANT_OUTCOME.CONNECTION_LOST, RETRY.CONNECTION_LOST, true),
+  [ENGINE_ERROR.CUT]: failure(GRANT_OUTCOME.CONNECTION_LOST, RETRY.CONNECTION_LOST, true),
+  [ENGINE_ERROR.CROSSED]: failure(GRANT_OUTCOME.CONNECTION_LOST, RETRY.ANSWER_INVALID, true),
+  [ENGINE_ERROR.PROTOCOL]: failure(GRANT_OUTCOME.CONNECTION_LOST, RETRY.ANSWER_INVALID, true),
+};
+
+function failure(outcome: GrantOutcome, retry: RetryReason, isResumable = false): AttemptFailure {
+  return { outcome, retry, isResumable };
+}
+
+/**
+ * Tells what an error of an engine client means.
+ *
+ * @param err anything that an attempt threw
+ * @returns the meaning; an error of unknown kind counts as a lost connection
+ */
+export function classifyAttemptError(err: unknown): AttemptFailure {
+  const known = err instanceof EngineError ? FAILURES[err.code] : undefined;
+  return known ?? failure(GRANT_OUTCOME.CONNECTION_LOST, RETRY.CONNECTION_LOST);
+}
--- /dev/null
+++ b/packages/routing/_lib/follow_remote.ts
@@ -0,0 +1,108 @@
+import { RAN } from "@jaypass/idempotency";
+import { PeerError } from "@jaypass/peers";
+import { ENGINE_IDLE_TIMEOUT_MS, RESUME_GRACE_MS } from "../constants.ts";
+import { RequestError } from "../errors.ts";
+import { parseRequestId } from "../parse_request_id.ts";
+import { RESUME_METHOD } from "../peer_methods.ts";
+import { FAILURE } from "../types.ts";
+import type { AnswerToken, FollowOptions } from "../types.ts";
+import type { RouterContext } from "./router_context.ts";
+
+/** Longest time for which an answer is followed at another host. */
+const FOLLOW_TIMEOUT_MS = 600_000;
+
+/**
+ * Streams the rest of an answer that another host accepted.
+ *
+ * The accepting host is asked first. When it does not answer, the coordinator that granted the
+ * request names the engine, whose stream is resumed from there.
+ *
+ * @param requestId id that names its host
+ * @param options workspace, offset and the caller's signal
+ * @param context the router's parts
+ * @throws {RequestError} when the answer failed or nobody knows it
+ */
+export async function* followRemote(
+  requestId: string,
+  options: FollowOptions,
+  context: RouterContext,
+): AsyncGenerator<AnswerToken> {
+  const parsed = parseRequestId(requestId);
+  if (!parsed?.isOf(options.workspace)) throw unknownRequest(requestId);
+  let from = options.from;
+  const host = context.membership.find(parsed.host);
+  if (host && host.id !== context.membership.self().id) {
+    try {
+      for await (const token of followAtHost(host.peerAddress, requestId, options, context)) {
+        from = token.index + 1;
+        yield token;
+      }
+      return;
+    } catch (err) {
+      if (!(err instanceof PeerError) || options.signal.aborted) throw err;
+      context.log.info({ requestId, host: host.id, err }, "Accepting host does not answer");
+    }
+  }
+  yield* followAtEngine(requestId, { ...options, from }, context);
+}
+
+async function* followAtHost(
+  address: string,
+  requestId: string,
+  options: FollowOptions,
+  context: RouterContext,
+): AsyncGenerator<AnswerToken> {
+  const { workspace, from, signal } = options;
+  const messages = context.peers.stream(address, RESUME_METHOD, { requestId, workspace, from }, {
+    timeoutMs: FOLLOW_TIMEOUT_MS,
+    signal,
+  });
+  for await (const message of messages) {
+    const index = message.index ?? 0;
+    for (const [i, text] of (message.texts ?? []).entries()) yield { index: index + i, text };
+    if (message.end?.reason) {
+      throw new RequestError(message.end.message ?? "Request failed", {
+        reason: message.end.reason,
+        ran: message.end.ran ?? RAN.UNKNOWN,
+        retryAfterMs: message.end.retryAfterMs,
+      });
+    }
+  }
+}
+
+async function* followAtEngine(
+  requestId: string,
+  options: FollowOptions,
+  context: RouterContext,
+): AsyncGenerator<AnswerToken> {
+  const grant = await context.admission.find(requestId, options.signal);
+  if (grant === undefined) throw unknownRequest(requestId);
+  context.decisions.add(requestId, "adopted", { server: grant.servers[0]!.id });
+  const engine = context.engineFor(grant.servers[0]!.url);
+  try {
+    const events = engine.resume(grant.requestId, options.from, {
+      timeoutMs: FOLLOW_TIMEOUT_MS,
+      idleTimeoutMs: ENGINE_IDLE_TIMEOUT_MS + RESUME_GRACE_MS,
+      signal: options.signal,
+    });
+    for await (const event of events) {
+      if (event.type === "token") yield { index: event.index, text: event.text };
+    }
+    context.admission.release(grant, { outcome: "done" });
+  } catch (err) {
+    context.admission.release(grant, { outcome: "cancelled" });
+    throw new RequestError("The engine no longer holds the answer", {
+      reason: FAILURE.HOST_GONE,
+      ran: RAN.RAN,
+      cause: err,
+    });
+  }
+}
+
+/** The same error for a made-up id and for another workspace's id, so that neither learns more. */
+export function unknownRequest(requestId: string): RequestError {
+  return new RequestError(`Request "${requestId}" is not known`, {
+    reason: FAILURE.UNKNOWN_REQUEST,
+    ran: RAN.UNKNOWN,
+  });
+}
--- /dev/null
+++ b/packages/routing/create_router.ts
@@ -0,0 +1,125 @@
+import { createTaskGroup } from "@jaypass/kernel";
+import type { PeerServer } from "@jaypass/peers";
+import { callPlainService } from "./_lib/call_plain_service.ts";
+import { followRemote, unknownRequest } from "./_lib/follow_remote.ts";
+import { runCompletion } from "./_lib/run_completion.ts";
+import type { RouterContext } from "./_lib/router_context.ts";
+import { serveResume } from "./_lib/serve_resume.ts";
+import { RESUME_GRACE_MS } from "./constants.ts";
+import { createAnswerStore } from "./create_answer_store.ts";
+import type { AnswerEntry } from "./create_answer_store.ts";
+import { createDecisionLog } from "./create_decision_log.ts";
+import { createRetryBudget } from "./create_retry_budget.ts";
+import { EXPLAIN_METHOD, RESUME_METHOD } from "./peer_methods.ts";
+import type { FollowOptions, ModelRequest, Router } from "./types.ts";
+
+/** Options of {@linkcode createRouter}. */
+export interface RouterOptions
+  extends Omit<RouterContext, "answers" | "decisions" | "retryBudget"> {
+  server: PeerServer;
+}
+
+/**
+ * Creates the router, which runs each request from admission to the last token.
+ *
+ * @param options the services that it uses
+ * @returns the router, with its peer methods registered
+ *
+ * @example
+ * const router = createRouter({ clock, admission, configuration, ... });
+ * const answer = router.complete(req);
+ */
+export function createRouter(options: RouterOptions): Router {
+  const context: RouterContext = {
+    ...options,
+    answers: createAnswerStore(),
+    decisions: createDecisionLog(options.clock),
+    retryBudget: createRetryBudget(),
+  };
+  const { answers, decisions } = context;
+  const tasks = createTaskGroup({
+    onError: (name, err) => context.log.error({ name, err }, "Request task failed"),
+  });
+  let running = 0;
+  const idleWaiters = new Set<() => void>();
+
+  const track = async <T>(work: () => Promise<T>): Promise<T> => {
+    running++;
+    try {
+      return await work();
+    } finally {
+      running--;
+      if (running === 0) { for (const resume of [...idleWaiters]) resume(); }
+    }
+  };
+
+  const complete = (req: ModelRequest) => {
+    const { bytesPerToken } = context.configuration.document().models[req.model]!;
+    const entry = answers.create({
+      requestId: req.requestId,
+      workspace: req.workspace,
+      model: req.model,
+      promptTokens: Math.ceil(Buffer.byteLength(req.prompt) / bytesPerToken),
+    });
+    context.retryBudget.earn(req.workspace);
+    const gone = abortWithoutFollowers(entry);
+    const signal = AbortSignal.any([req.deadline.signal, gone.signal]);
+    tasks.run(req.requestId, () =>
+      track(async () => {
+        try {
+          await runCompletion(req, entry, { ...context, signal });
+        } finally {
+          gone.clear();
+          req.deadline.clear();
+        }
+      }));
+    return entry.answer;
+  };
+
+  const follow = (requestId: string, followOptions: FollowOptions) => {
+    const entry = answers.find(requestId);
+    if (entry === undefined) return followRemote(requestId, followOptions, context);
+    if (entry.answer.workspace !== followOptions.workspace) throw unknownRequest(requestId);
+    return entry.follow(followOptions.from, followOptions.signal);
+  };
+
+  options.server.handleStream(RESUME_METHOD, (req, call) => serveResume(answers, req, call));
+  options.server.handle(
+    EXPLAIN_METHOD,
+    (req) => Promise.resolve({ decisions: decisions.find(req.requestId) ?? [] }),
+  );
+
+  return {
+    complete,
+    callService: (req) => {
+      context.retryBudget.earn(req.workspace);
+      return track(() => callPlainService(req, context));
+    },
+    follow,
+    explain: (requestId) => decisions.find(requestId),
+    running: () => running,
+    drain: async () => {
+      while (running > 0) {
+        await new Promise<void>((resolve) => {
+          const resume = () => {
+            idleWaiters.delete(resume);
+            resolve();
+          };
+          idleWaiters.add(resume);
+        });
+      }
+    },
+  };
+}
+
+/** Aborts a request that nobody has followed for a while, so that its engine memory is freed. */
+function abortWithoutFollowers(entry: AnswerEntry): { signal: AbortSignal; clear: () => void } {
+  const controller = new AbortController();
+  const abort = () => controller.abort(new Error("Caller is gone"));
+  let timer = setTimeout(abort, RESUME_GRACE_MS);
+  entry.onFollowers((followers) => {
+    clearTimeout(timer);
+    if (followers === 0) timer = setTimeout(abort, RESUME_GRACE_MS);
+  });
+  return { signal: controller.signal, clear: () => clearTimeout(timer) };
+}
--- /dev/null
+++ b/packages/system_tests/_lib/spawn_program.ts
@@ -0,0 +1,84 @@
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { fileURLToPath } from "node:url";
+
+/** A running program of the workspace. */
+export interface Program {
+  name: string;
+  pid: number;
+  /** Sends a signal, for example `SIGKILL`, `SIGSTOP` or `SIGCONT`. */
+  signal(signal: NodeJS.Signals): void;
+  /** Resolves with the exit code, or the signal's name, when the process has ended. */
+  exited: Promise<number | string>;
+  /** Reports whether the process still runs. */
+  isRunning(): boolean;
+  /** The last lines that it wrote to standard error. */
+  tail(): string;
+}
+
+/** Bytes of standard error kept of each program. */
+const TAIL_BYTES = 64 * 1024;
+
+/** Time for a program to print its ready line. */
+const READY_TIMEOUT_MS = 30_000;
+
+/**
+ * Starts a bundled program and waits for its ready line `{"port":N}`.
+ *
+ * @param name name in `scripts/programs.json`
+ * @param args command line arguments
+ * @returns the program and the port that it printed
+ * @throws when it ends or stays silent before the ready line
+ */
+export async function spawnProgram(
+  name: string,
+  args: string[],
+): Promise<{ program: Program; port: number }> {
+  const file = fileURLToPath(new URL(`../../../dist/${name}.js`, import.meta.url));
+  const child = spawn(process.execPath, ["--enable-source-maps", file, ...args], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  let stderr = "";
+  child.stderr.on("data", (chunk: Buffer) => {
+    stderr = (stderr + chunk.toString()).slice(-TAIL_BYTES);
+  });
+  const program = describeProgram(name, child, () => stderr);
+  const port = await readReadyLine(child, program);
+  return { program, port };
+}
+
+function describeProgram(name: string, child: ChildProcess, tail: () => string): Program {
+  const exited = new Promise<number | string>((resolve) => {
+    child.once("exit", (code, signal) => resolve(code ?? signal ?? "unknown"));
+  });
+  return {
+    name,
+    pid: child.pid!,
+    signal: (signal) => void child.kill(signal),
+    exited,
+    isRunning: () => child.exitCode === null && child.signalCode === null,
+    tail,
+  };
+}
+
+function readReadyLine(child: ChildProcess, program: Program): Promise<number> {
+  return new Promise((resolve, reject) => {
+    let stdout = "";
+    const fail = (why: string) => {
+      child.kill("SIGKILL");
+      reject(new Error(`Program "${program.name}" ${why}: ${program.tail()}`));
+    };
+    const timer = setTimeout(() => fail("printed no ready line"), READY_TIMEOUT_MS);
+    child.once("exit", () => {
+      clearTimeout(timer);
+      fail("ended before its ready line");
+    });
+    child.stdout!.on("data", (chunk: Buffer) => {
+      stdout += chunk.toString();
+      const line = /^\{.*"port":\s*(\d+).*\}$/m.exec(stdout);
+      if (line === null) return;
+      clearTimeout(timer);
+      resolve(Number(line[1]));
+    });
+  });
+}
--- /dev/null
+++ b/packages/system_tests/create_caller.ts
@@ -0,0 +1,193 @@
+import { Agent, request } from "undici";
+import { keyOf, TEST_MODEL, TEST_SERVICE } from "./build_document.ts";
+
+/** How a request ended, as its caller sees it. */
+export interface CallerOutcome {
+  status: number;
+  /** Tokens of a whole answer, or those received before a failure. */
+  tokens: string[];
+  /** Set only for a whole answer. */
+  isWhole: boolean;
+  requestId?: string;
+  error?: { reason: string; ran: string; message: string };
+  firstTokenMs?: number;
+  totalMs: number;
+  body?: string;
+  replayed?: boolean;
+}
+
+/** A caller of the system. */
+export interface Caller {
+  complete(url: string, prompt: string, options?: CompleteOptions): Promise<CallerOutcome>;
+  /** Fetches the rest of an answer. */
+  resume(url: string, requestId: string, from: number): Promise<CallerOutcome>;
+  /** Calls an operation of the plain service. */
+  call(url: string, operation: string, options: CallOptions): Promise<CallerOutcome>;
+  addresses(url: string): Promise<{ url: string; dataCentre: string }[]>;
+  close(): Promise<void>;
+}
+
+/** Options of a completion. */
+export interface CompleteOptions {
+  maxTokens?: number;
+  timeoutMs?: number;
+  kind?: string;
+  signal?: AbortSignal;
+  onToken?: (count: number) => void;
+}
+
+/** Options of a call to the plain service. */
+export interface CallOptions {
+  key?: string;
+  body?: string;
+  timeoutMs?: number;
+}
+
+/**
+ * Creates a caller of one workspace.
+ *
+ * @param workspace id of the workspace
+ * @returns a caller that never retries by itself, so that tests see each answer
+ */
+export function createCaller(workspace: string): Caller {
+  const dispatcher = new Agent({ connections: 256, headersTimeout: 0, bodyTimeout: 0 });
+  const headersOf = (options: { timeoutMs?: number; kind?: string; key?: string }) => ({
+    "content-type": "application/json",
+    authorization: `Bearer ${keyOf(workspace)}`,
+    ...(options.timeoutMs === undefined ? {} : { "x-timeout-ms": String(options.timeoutMs) }),
+    ...(options.kind === undefined ? {} : { "x-caller-kind": options.kind }),
+    ...(options.key === undefined ? {} : { "idempotency-key": options.key }),
+  });
+
+  const complete = async (url: string, prompt: string, options: CompleteOptions = {}) => {
+    const startMs = performance.now();
+    const res = await request(`${url}/v1/chat/completions`, {
+      method: "POST",
+      headers: headersOf(options),
+      body: JSON.stringify({
+        model: TEST_MODEL,
+        messages: [{ role: "user", content: prompt }],
+        max_tokens: options.maxTokens ?? 8,
+        stream: true,
+      }),
+      dispatcher,
+      signal: options.signal,
+    }).catch((err: Error) => err);
+    if (res instanceof Error) return brokenOutcome(res, startMs);
+    return await readStream(res, startMs, options.onToken);
+  };
+
+  const resume = async (url: string, requestId: string, from: number) => {
+    const startMs = performance.now();
+    const res = await request(`${url}/v1/requests/${requestId}?from=${from}`, {
+      headers: headersOf({}),
+      dispatcher,
+    }).catch((err: Error) => err);
+    if (res instanceof Error) return brokenOutcome(res, startMs);
+    return await readStream(res, startMs);
+  };
+
+  const call = async (url: string, operation: string, options: CallOptions) => {
+    const startMs = performance.now();
+    try {
+      const res = await request(`${url}/v1/services/${TEST_SERVICE}/${operation}`, {
+        method: "POST",
+        headers: headersOf(options),
+        body: options.body ?? "{}",
+        dispatcher,
+      });
+      const body = await res.body.text();
+      return {
+        status: res.statusCode,
+        tokens: [],
+        isWhole: res.statusCode < 300,
+        error: parseError(body),
+        body,
+        replayed: res.headers["x-replayed"] === "true",
+        totalMs: performance.now() - startMs,
+      };
+    } catch (err) {
+      return brokenOutcome(err as Error, startMs);
+    }
+  };
+
+  const addresses = async (url: string) => {
+    const res = await request(`${url}/v1/addresses`, { headers: headersOf({}), dispatcher });
+    const body = await res.body.json() as { addresses: { url: string; dataCentre: string }[] };
+    return body.addresses;
+  };
+
+  return { complete, resume, call, addresses, close: () => dispatcher.close() };
+}
+
+function brokenOutcome(err: Error, startMs: number): CallerOutcome {
+  return {
+    status: 0,
+    tokens: [],
+    isWhole: false,
+    error: { reason: "connection_broken", ran: "unknown", message: err.message },
+    totalMs: performance.now() - startMs,
+  };
+}
+
+type Response = Awaited<ReturnType<typeof request>>;
+
+async function readStream(
+  res: Response,
+  startMs: number,
+  onToken?: (count: number) => void,
+): Promise<CallerOutcome> {
+  const outcome: CallerOutcome = {
+    status: res.statusCode,
+    tokens: [],
+    isWhole: false,
+    requestId: res.headers["x-request-id"] as string | undefined,
+    totalMs: 0,
+  };
+  try {
+    if (res.statusCode !== 200) {
+      outcome.error = parseError(await res.body.text());
+    } else {
+      await readEvents(res, outcome, () => {
+        outcome.firstTokenMs ??= performance.now() - startMs;
+        onToken?.(outcome.tokens.length);
+      });
+    }
+  } catch (err) {
+    const message = (err as Error).message;
+    outcome.error = { reason: "connection_broken", ran: "unknown", message };
+  }
+  outcome.totalMs = performance.now() - startMs;
+  return outcome;
+}
+
+async function readEvents(res: Response, outcome: CallerOutcome, onToken: () => void) {
+  let buffered = "";
+  for await (const chunk of res.body) {
+    buffered += String(chunk);
+    const events = buffered.split("\n\n");
+    buffered = events.pop()!;
+    for (const event of events) {
+      const data = /^data: (.*)$/m.exec(event)?.[1] ?? "";
+      if (event.startsWith("event: error")) outcome.error = parseError(data);
+      else if (data === "[DONE]") outcome.isWhole = true;
+      else readChunk(data, outcome, onToken);
+    }
+  }
+}
+
+function readChunk(data: string, outcome: CallerOutcome, onToken: () => void) {
+  const chunk = JSON.parse(data) as { choices: { delta: { content?: string } }[] };
+  const text = chunk.choices[0]?.delta.content;
+  if (text === undefined) return;
+  outcome.tokens.push(text);
+  onToken();
+}
+
+function parseError(text: string): CallerOutcome["error"] {
+  try {
+    return (JSON.parse(text) as { error?: CallerOutcome["error"] }).error;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/system_tests/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Starts whole systems of separate processes for tests, the demo and load runs.
+ *
+ * @module
+ */
+
+export * from "./build_document.ts";
+export * from "./create_caller.ts";
+export * from "./start_system.ts";
--- /dev/null
+++ b/packages/system_tests/start_system.ts
@@ -0,0 +1,282 @@
+import { createHash } from "node:crypto";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { sleep } from "@jaypass/kernel";
+import { request } from "undici";
+import { buildDocument, TEST_MODEL, TEST_SERVICE } from "./build_document.ts";
+import type { TestModelSpeed, TestServer } from "./build_document.ts";
+import { findFreePorts } from "./_lib/find_free_ports.ts";
+import { spawnProgram } from "./_lib/spawn_program.ts";
+import type { Program } from "./_lib/spawn_program.ts";
+
+/** Token of the operators of the tests, who may change every section. */
+export const OPERATOR_TOKEN = "operator-token";
+
+/** Options of {@linkcode startSystem}; every part has a small default. */
+export interface SystemOptions {
+  hosts?: number;
+  engines?: number;
+  services?: number;
+  dataCentres?: string[];
+  workspaces?: string[];
+  speed?: TestModelSpeed;
+  timeoutMs?: number;
+  oneWayMs?: number;
+  /** Limits and memory of every engine. */
+  engine?: { memoryTokens?: number; coldLimit?: number; warmLimit?: number; coldMs?: number };
+  /** Options passed on to the stand-ins. */
+  engineOptions?: Record<string, unknown>;
+  serviceOptions?: Record<string, unknown>;
+  platformOptions?: Record<string, unknown>;
+  /** Changes the document before it is applied. */
+  editDocument?: (document: Record<string, Record<string, unknown>>) => void;
+}
+
+/** A host process of the system. */
+export interface SystemHost {
+  id: string;
+  dataCentre: string;
+  url: string;
+  settingsFile: string;
+  program: Program;
+}
+
+/** A stand-in process with its test interface. */
+export interface SystemStandIn extends TestServer {
+  program: Program;
+}
+
+/** A running system of separate processes. */
+export interface System {
+  hosts: SystemHost[];
+  engines: SystemStandIn[];
+  services: SystemStandIn[];
+  platform: { url: string; program: Program };
+  document: Record<string, Record<string, unknown>>;
+  /** Starts a host again after it has ended, with the same settings. */
+  restartHost(host: SystemHost): Promise<void>;
+  /** Sets faults of a stand-in. */
+  setFaults(url: string, faults: unknown): Promise<void>;
+  /** Reads the test log of a stand-in. */
+  log<T>(url: string): Promise<T>;
+  /** Waits until every running host can serve. */
+  ready(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+const DEFAULT_SPEED: TestModelSpeed = { prefillTokensPerSecond: 400_000, msPerOutputToken: 2 };
+
+/** Time for all hosts to apply the first document and to hold every pool's lease. */
+const READY_TIMEOUT_MS = 60_000;
+
+/**
+ * Starts a platform stand-in, engines, plain services and entry hosts, each in a process of its own.
+ *
+ * @param options numbers and options of the parts
+ * @returns the system, ready to serve
+ *
+ * @example
+ * const system = await startSystem({ hosts: 3, engines: 2, services: 1 });
+ * t.teardown(() => system.stop());
+ */
+export async function startSystem(options: SystemOptions = {}): Promise<System> {
+  const dataCentres = options.dataCentres ?? ["gent"];
+  const folder = mkdtempSync(join(tmpdir(), "jaypass-"));
+  const programs: Program[] = [];
+  const start = async (name: string, args: string[]) => {
+    const started = await spawnProgram(name, args);
+    programs.push(started.program);
+    return started;
+  };
+  const stop = async () => {
+    for (const program of programs) program.signal("SIGKILL");
+    await Promise.all(programs.map((program) => program.exited));
+    rmSync(folder, { recursive: true, force: true });
+  };
+
+  try {
+    const platform = await start("platform_stand_in", [
+      JSON.stringify({ port: 0, ...options.platformOptions }),
+    ]);
+    const platformUrl = `http://127.0.0.1:${platform.port}`;
+    const [engines, services] = await Promise.all([
+      startServers("engine", options, dataCentres, start),
+      startServers("service", options, dataCentres, start),
+    ]);
+    const document = buildDocument({
+      servers: [...engines, ...services].map(({ program: _program, ...server }) => server),
+      dataCentres,
+      workspaces: options.workspaces ?? ["school", "scouts"],
+      speed: options.speed ?? DEFAULT_SPEED,
+      timeoutMs: options.timeoutMs ?? 30_000,
+      oneWayMs: options.oneWayMs ?? 0.5,
+    });
+    options.editDocument?.(document);
+    const hosts = await startHosts(options.hosts ?? 3, { dataCentres, folder, platformUrl, start });
+    await applyDocument(hosts[0]!.url, document);
+
+    const system: System = {
+      hosts,
+      engines,
+      services,
+      platform: { url: platformUrl, program: platform.program },
+      document,
+      restartHost: async (host) => {
+        host.program = (await start("jaypassd", ["--settings", host.settingsFile])).program;
+      },
+      setFaults: (url, faults) => postJson(`${url}/test/faults`, faults),
+      log: (url) => getJson(`${url}/test/log`),
+      ready: () => waitUntilReady(hosts, document),
+      stop,
+    };
+    await system.ready();
+    return system;
+  } catch (err) {
+    await stop();
+    throw err;
+  }
+}
+
+type Start = (name: string, args: string[]) => Promise<{ program: Program; port: number }>;
+
+function startServers(
+  kind: "engine" | "service",
+  options: SystemOptions,
+  dataCentres: readonly string[],
+  start: Start,
+): Promise<SystemStandIn[]> {
+  const isEngine = kind === "engine";
+  const count = isEngine ? options.engines ?? 2 : options.services ?? 1;
+  const { memoryTokens = 600_000, coldLimit = 4, warmLimit = 16, coldMs = 2_000 } =
+    options.engine ?? {};
+  const startOne = async (_: unknown, i: number): Promise<SystemStandIn> => {
+    const id = `${kind}-${i}`;
+    const common = { port: 0, id, coldLimit, coldMs };
+    const args = isEngine
+      ? {
+        ...common,
+        models: { [TEST_MODEL]: "1" },
+        memoryTokens,
+        warmLimit,
+        ...(options.speed ?? DEFAULT_SPEED),
+        ...options.engineOptions,
+      }
+      : { ...common, ...options.serviceOptions };
+    const { program, port } = await start(`${kind}_stand_in`, [JSON.stringify(args)]);
+    return {
+      id,
+      kind,
+      serves: isEngine ? TEST_MODEL : TEST_SERVICE,
+      dataCentre: dataCentres[i % dataCentres.length]!,
+      url: `http://127.0.0.1:${port}`,
+      warmLimit,
+      coldLimit,
+      memoryTokens: isEngine ? memoryTokens : 0,
+      program,
+    };
+  };
+  return Promise.all(Array.from({ length: count }, startOne));
+}
+
+interface HostsContext {
+  dataCentres: readonly string[];
+  folder: string;
+  platformUrl: string;
+  start: Start;
+}
+
+async function startHosts(count: number, context: HostsContext): Promise<SystemHost[]> {
+  const { dataCentres, folder, platformUrl, start } = context;
+  const ports = await findFreePorts(count * 2);
+  const startOne = async (_: unknown, i: number): Promise<SystemHost> => {
+    const id = `host-${i}`;
+    const dataCentre = dataCentres[i % dataCentres.length]!;
+    const settings = {
+      host: id,
+      dataCentre,
+      callerListen: `127.0.0.1:${ports[2 * i]}`,
+      peerListen: `127.0.0.1:${ports[2 * i + 1]}`,
+      platform: {
+        tables: platformUrl,
+        objects: platformUrl,
+        hostList: platformUrl,
+        weights: platformUrl,
+      },
+      tls: "off",
+      owners: {
+        operators: {
+          tokenHash: createHash("sha256").update(OPERATOR_TOKEN).digest("hex"),
+          sections: [
+            "models",
+            "services",
+            "backendServers",
+            "workspaces",
+            "dataCentres",
+            "timeouts",
+          ],
+        },
+      },
+      log: { level: "warn" },
+    };
+    const settingsFile = join(folder, `${id}.json`);
+    writeFileSync(settingsFile, JSON.stringify(settings));
+    const { program } = await start("jaypassd", ["--settings", settingsFile]);
+    return {
+      id,
+      dataCentre,
+      url: `http://${settings.callerListen}`,
+      settingsFile,
+      program,
+    };
+  };
+  return await Promise.all(Array.from({ length: count }, startOne));
+}
+
+async function applyDocument(url: string, document: Record<string, Record<string, unknown>>) {
+  const changes = Object.entries(document).map(([section, entries]) => ({ section, entries }));
+  await postJson(`${url}/admin/v1/config/apply`, {
+    baseRevision: 0,
+    changes,
+    why: "First document of a test",
+  });
+}
+
+async function waitUntilReady(
+  hosts: readonly SystemHost[],
+  document: Record<string, Record<string, unknown>>,
+) {
+  const wanted = Object.keys(document.backendServers!).length;
+  const endMs = performance.now() + READY_TIMEOUT_MS;
+  for (const host of hosts.filter((candidate) => candidate.program.isRunning())) {
+    while (true) {
+      const engines = await getJson<{ engines: unknown[] }>(`${host.url}/admin/v1/engines`)
+        .catch(() => ({ engines: [] }));
+      if (engines.engines.length >= wanted) break;
+      if (performance.now() > endMs) {
+        throw new Error(
+          `Host "${host.id}" sees ${engines.engines.length} of ${wanted} servers after ` +
+            `${READY_TIMEOUT_MS} ms: ${host.program.tail()}`,
+        );
+      }
+      await sleep(200);
+    }
+  }
+}
+
+async function postJson(url: string, body: unknown): Promise<void> {
+  const res = await request(url, {
+    method: "POST",
+    headers: { "content-type": "application/json", authorization: `Bearer ${OPERATOR_TOKEN}` },
+    body: JSON.stringify(body),
+  });
+  const text = await res.body.text();
+  if (res.statusCode >= 300) throw new Error(`POST ${url} answered ${res.statusCode}: ${text}`);
+}
+
+async function getJson<T>(url: string): Promise<T> {
+  const res = await request(url, { headers: { authorization: `Bearer ${OPERATOR_TOKEN}` } });
+  const body = await res.body.json();
+  if (res.statusCode >= 300) throw new Error(`GET ${url} answered ${res.statusCode}`);
+  return body as T;
+}
