Add the schema of the configuration document and its pools

Partitions are assigned once, when a server is added, and kept in the entry. Splitting by hash was ruled out: at the 17th server it moves half of the servers to another coordinator while hosts still differ in their revision.

--- a/packages/configuration/mod.ts
+++ b/packages/configuration/mod.ts
@@ -4,4 +4,9 @@
  * @module
  */
 
+export * from "./constants.ts";
+export * from "./errors.ts";
+export * from "./list_pools.ts";
+export * from "./parse_document.ts";
+export * from "./resolve_timeout.ts";
 export * from "./types.ts";
--- a/packages/configuration/types.ts
+++ b/packages/configuration/types.ts
@@ -47,6 +47,11 @@
   /** Whether it refuses orders with an old fencing number. */
   fencing: "checked" | "ignored";
   state: "in" | "leaving";
+  /**
+   * Partition of its pool, from 0. The administration assigns it when the server is added and keeps
+   * it, so that no server moves to another coordinator when others are added.
+   */
+  partition?: number;
 }
 
 /** A customer of the platform. */
@@ -126,3 +131,38 @@
   /** Resolves when a first document is known. */
   ready(signal: AbortSignal): Promise<void>;
 }
+
+/** A pool or, with more than 16 servers, a partition of it (design, section 4.1). */
+export interface PoolConfig {
+  /** `serves@dataCentre` for partition 0, `serves@dataCentre#n` for the others. */
+  id: string;
+  kind: "engine" | "service";
+  serves: string;
+  dataCentre: string;
+  partition: number;
+  /** Names of its backend servers, sorted. */
+  servers: string[];
+}
+
+/** A bearer token of a section owner, as the settings give it. */
+export interface AdministrationToken {
+  /** Name that the history shows as `who`. */
+  owner: string;
+  /** SHA-256 of the token, in hex. */
+  hash: string;
+  /** Sections that the owner may change; every owner may read all. */
+  sections: readonly SectionName[];
+}
+
+/** A configuration that the administration of the same host can advance. */
+export interface ManagedConfiguration extends Configuration {
+  /** Id of the last applied change, empty before the first. */
+  changeId(): string;
+  /**
+   * Catches up from the store, and from peers when the store fails, until a revision is in force.
+   *
+   * @throws {ConfigurationError} when the revision is not reached before the signal aborts
+   */
+  catchUp(revision: number, signal: AbortSignal): Promise<void>;
+  stop(): Promise<void>;
+}
