Keep the configuration document up to date on every host

Reading the document on each change was ruled out, because reads would grow with change rate times document size.

Each change names the id of the change before it, so that a store that lost accepted changes is detected instead of applied.

--- /dev/null
+++ b/packages/configuration/_lib/apply_changes.ts
@@ -0,0 +1,22 @@
+import type { ConfigDocument, SectionChange } from "../types.ts";
+
+/**
+ * Returns a document with entries set or removed; unchanged sections are shared with the old one.
+ *
+ * @param document the document before
+ * @param changes entries by section; `null` removes an entry
+ */
+export function applyChanges(
+  document: Readonly<ConfigDocument>,
+  changes: readonly SectionChange[],
+): ConfigDocument {
+  const next: Record<string, Record<string, unknown>> = { ...document };
+  for (const { section, entries } of changes) {
+    const merged = { ...next[section], ...entries };
+    for (const [name, entry] of Object.entries(entries)) {
+      if (entry === null) delete merged[name];
+    }
+    next[section] = merged;
+  }
+  return next as unknown as ConfigDocument;
+}
--- /dev/null
+++ b/packages/configuration/_lib/empty_document.ts
@@ -0,0 +1,13 @@
+import type { ConfigDocument } from "../types.ts";
+
+/** Creates the document of revision 0. */
+export function emptyDocument(): ConfigDocument {
+  return {
+    models: {},
+    services: {},
+    backendServers: {},
+    workspaces: {},
+    dataCentres: {},
+    timeouts: {},
+  };
+}
--- a/packages/configuration/mod.ts
+++ b/packages/configuration/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./constants.ts";
+export * from "./create_configuration.ts";
 export * from "./errors.ts";
 export * from "./list_pools.ts";
 export * from "./parse_document.ts";
--- a/packages/configuration/types.ts
+++ b/packages/configuration/types.ts
@@ -154,15 +154,43 @@
   sections: readonly SectionName[];
 }
 
+/** What the head row tells besides the revision, carried by each change as well. */
+export interface ConfigHead {
+  revision: number;
+  /** Revision of the newest stored snapshot; 0 stands for the empty document. */
+  snapshotRevision: number;
+  /** Object that holds it, empty for revision 0. */
+  snapshotName: string;
+  /** Oldest change that is still stored. */
+  oldestRevision: number;
+}
+
+/** A change as it is stored and passed between hosts. */
+export interface StoredChange extends ConfigChange, ConfigHead {
+  /** Change id of the revision before; a mismatch shows a store that lost accepted changes. */
+  previousId: string;
+}
+
+/** A whole document with the position that it stands for. */
+export interface ConfigSnapshot extends ConfigHead {
+  changeId: string;
+  document: ConfigDocument;
+}
+
 /** A configuration that the administration of the same host can advance. */
 export interface ManagedConfiguration extends Configuration {
-  /** Id of the last applied change, empty before the first. */
-  changeId(): string;
+  /** Revision, change id and document in force. */
+  snapshot(): Readonly<ConfigSnapshot>;
+  /** Changes after a revision, or `undefined` when this host no longer keeps all of them. */
+  changesAfter(revision: number): StoredChange[] | undefined;
+  /** Applies a change that was just stored; returns false unless it is the next one. */
+  ingest(change: StoredChange): boolean;
   /**
-   * Catches up from the store, and from peers when the store fails, until a revision is in force.
+   * Catches up from the store, or from peers when the store fails, until a revision is in force.
    *
-   * @throws {ConfigurationError} when the revision is not reached before the signal aborts
+   * @throws {ConfigurationError} when the signal aborts first
    */
   catchUp(revision: number, signal: AbortSignal): Promise<void>;
+  /** Ends the background tasks and awaits them. */
   stop(): Promise<void>;
 }
