Add the engine stand-in and the hash of prefix blocks

Cause: every other package needs an engine to talk to, and none may be installed. Change: a stand-in with continuous batching, prefix cache with eviction, memory held until the end or a cancellation, cold limit with crash, late cache events and load reports, orders with fencing, KV parts over several engines, deterministic answers, faults and a log. Ruled out: a timer for lagged load reports, because it would keep idle engines busy; a report is looked up in recent states instead.

--- /dev/null
+++ b/packages/stand_ins/_lib/plan_step.ts
@@ -0,0 +1,33 @@
+import type { EngineSettings } from "../engine_types.ts";
+import type { EngineJob } from "./engine_job.ts";
+
+/** What one step of the engine computes. */
+export interface StepPlan {
+  prefill: [EngineJob, number][];
+  /** Duration on a warm engine at time scale 1; 0 when there is nothing to do. */
+  durationMs: number;
+}
+
+/** Plans a step: one prefill chunk by priority, and one token for each request in decoding. */
+export function planStep(running: readonly EngineJob[], settings: EngineSettings): StepPlan {
+  let budget = settings.prefillChunkTokens;
+  const prefill: [EngineJob, number][] = [];
+  const inPrefill = running
+    .filter((job) => job.computedTokens < job.prefillTo)
+    .sort((a, b) => a.priority - b.priority || a.order - b.order);
+  for (const job of inPrefill) {
+    if (budget === 0) break;
+    const tokens = Math.min(budget, job.prefillTo - job.computedTokens);
+    prefill.push([job, tokens]);
+    budget -= tokens;
+  }
+  const decoding =
+    running.filter((job) =>
+      !job.isPart && job.computedTokens >= job.prefillTo && !(job.isStuck && job.tokens.length > 0)
+    ).length;
+  const decodeMs = decoding === 0
+    ? 0
+    : settings.msPerOutputToken * (1 + settings.batchGrowth * (decoding - 1));
+  const chunkTokens = settings.prefillChunkTokens - budget;
+  return { prefill, durationMs: decodeMs + chunkTokens / settings.prefillTokensPerSecond * 1_000 };
+}
--- /dev/null
+++ b/packages/stand_ins/expected_tokens.ts
@@ -0,0 +1,19 @@
+import { hashPrompt, tokenAt } from "./_lib/token_at.ts";
+
+/**
+ * Computes the answer that every engine stand-in gives to a prompt.
+ *
+ * The answer depends only on the prompt, so that a test can verify a whole answer even when several
+ * engines produced it.
+ *
+ * @param prompt text of the prompt
+ * @param count number of tokens
+ * @returns texts of the tokens
+ *
+ * @example
+ * t.deepEqual(received, expectedTokens(prompt, 20));
+ */
+export function expectedTokens(prompt: string, count: number): string[] {
+  const digest = hashPrompt(prompt);
+  return Array.from({ length: count }, (_, index) => tokenAt(digest, index));
+}
--- /dev/null
+++ b/packages/stand_ins/mod.ts
@@ -0,0 +1,9 @@
+/**
+ * Stand-ins for the systems outside jaypass.
+ *
+ * @module
+ */
+
+export * from "./create_engine_stand_in.ts";
+export * from "./engine_types.ts";
+export * from "./expected_tokens.ts";
