Add the clients of the platform's services

Cause: leases, calls and the configuration need the store with known outcomes of writes. A timeout replaces all connections of the client. Ruled out: retrying on the same pool after a timeout, because its other connections can be silent for the same reason and a read would spend its deadline on them.

--- /dev/null
+++ b/packages/platform/_lib/create_connection_pool.ts
@@ -0,0 +1,32 @@
+import { Pool } from "undici";
+import { CONNECT_TIMEOUT_MS, IDLE_CONNECTION_MS, MAX_CONNECTIONS } from "../constants.ts";
+
+/**
+ * Creates connections that can be replaced as a whole.
+ *
+ * When one connection goes silent, its neighbours through the same path are often silent too, so a
+ * timeout replaces all of them instead of trying them one by one.
+ */
+export function createConnectionPool(baseUrl: string) {
+  const open = () =>
+    new Pool(new URL(baseUrl).origin, {
+      connections: MAX_CONNECTIONS,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      keepAliveTimeout: IDLE_CONNECTION_MS,
+      keepAliveMaxTimeout: IDLE_CONNECTION_MS,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  let pool = open();
+  return {
+    current: () => pool,
+    /** Opens new connections unless another call already replaced those of `used`. */
+    replace(used: Pool): boolean {
+      if (used !== pool) return false;
+      pool = open();
+      used.close().catch(() => {});
+      return true;
+    },
+    close: () => pool.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/platform/_lib/parse_answer.ts
@@ -0,0 +1,16 @@
+import type { ZodType } from "zod";
+import { STORE_FAILURE, StoreError } from "../errors.ts";
+import type { StoreAnswer } from "./create_store_transport.ts";
+
+/** Reads the JSON body of an answer and checks its form. */
+export function parseAnswer<T>(service: string, answer: StoreAnswer, schema: ZodType<T>): T {
+  try {
+    return schema.parse(JSON.parse(new TextDecoder().decode(answer.bytes)));
+  } catch (cause) {
+    throw new StoreError(`Answer of "${service}" has another form than expected`, {
+      reason: STORE_FAILURE.PROTOCOL,
+      mayTakeEffect: true,
+      cause,
+    });
+  }
+}
--- /dev/null
+++ b/packages/platform/create_host_list_client.ts
@@ -0,0 +1,46 @@
+import { z } from "zod";
+import { createStoreTransport } from "./_lib/create_store_transport.ts";
+import type { PlatformClientOptions } from "./_lib/create_store_transport.ts";
+import { parseAnswer } from "./_lib/parse_answer.ts";
+import type { HostListClient, PlatformConnection } from "./types.ts";
+
+const SERVICE = "hosts";
+const HOSTS = z.object({
+  hosts: z.array(z.object({
+    id: z.string(),
+    dataCentre: z.string(),
+    peerAddress: z.string(),
+    callerUrl: z.string(),
+    state: z.enum(["live", "leaving"]),
+  })),
+});
+
+/**
+ * Creates a client of the platform's host list.
+ *
+ * @param options base URL, host id, clock, random numbers and metrics
+ * @returns the client; the list lags behind the hosts
+ *
+ * @example
+ * const hosts = createHostListClient({ baseUrl, client: "h1", clock, random, metrics });
+ * const seeds = await hosts.list({ timeoutMs: 1_000 });
+ */
+export function createHostListClient(
+  options: PlatformClientOptions,
+): HostListClient & PlatformConnection {
+  const transport = createStoreTransport(SERVICE, options);
+  const pathOf = (id: string) => `/hosts/${encodeURIComponent(id)}`;
+  return {
+    async list(callOptions) {
+      const answer = await transport.read({ method: "GET", path: "/hosts" }, callOptions);
+      return parseAnswer(SERVICE, answer, HOSTS).hosts;
+    },
+    async register(host, callOptions) {
+      await transport.read({ method: "PUT", path: pathOf(host.id), json: host }, callOptions);
+    },
+    async remove(id, callOptions) {
+      await transport.read({ method: "DELETE", path: pathOf(id) }, callOptions);
+    },
+    close: () => transport.close(),
+  };
+}
--- a/packages/platform/types.ts
+++ b/packages/platform/types.ts
@@ -36,6 +36,7 @@
 
 /** How a commit ended. `unknown` means that it may still take effect, even later. */
 export type CommitResult =
+  /** `versions` has the new version of each written row by `table/key`; 0 for a deleted row. */
   | { outcome: "done"; versions: Record<string, number> }
   | { outcome: "conflict"; table: string; key: string; version: number }
   | { outcome: "not_done"; cause: unknown }
@@ -104,3 +105,9 @@
   /** Takes a share of the store's rate; `waitMs` above 0 means that the rate is used up. */
   reserve(bytes: number, options: CallOptions): Promise<{ waitMs: Millis }>;
 }
+
+/** Connections to one service, as the factories of the clients return them. */
+export interface PlatformConnection {
+  /** Closes the connections; running calls fail. */
+  close(): Promise<void>;
+}
