Add leases with retained shares

Cause: each pool needs one coordinator at a time, and its limits must hold while hosts are paused, cut off or wrong about each other. One renewer per process renews all held leases in one transaction and reads all others in one request. Ruled out: taking over a holding from a read that names this process, because the read may be from the past and the share already given back; a holding starts with a confirmed commit only.

--- /dev/null
+++ b/packages/leases/create_lease_renewer_test.ts
@@ -0,0 +1,58 @@
+import test from "ava";
+import { createClock, createMetrics, sleep } from "@jaypass/kernel";
+import type { Logger } from "@jaypass/kernel";
+import { createTableClient } from "@jaypass/platform";
+import { createPlatformStandIn } from "@jaypass/stand_ins";
+import { createLease, createLeaseRenewer, LEASE_TIMING } from "./mod.ts";
+
+const log = { info() {}, warn() {}, error() {}, debug() {} } as unknown as Logger;
+// Deadlines of calls and takeovers stay long, so that a slow machine changes nothing.
+const timing = { ...LEASE_TIMING, renewMs: 100, watchMs: 50, retryMs: 50, storeTimeoutMs: 20_000 };
+
+async function until(isDone: () => boolean): Promise<void> {
+  while (!isDone()) await sleep(10);
+}
+
+test("forty leases are renewed in one request, and a second host takes over only what is released", async (t) => {
+  const platform = await createPlatformStandIn();
+  const common = {
+    clock: createClock(),
+    random: Math.random,
+    log,
+    metrics: createMetrics({ tags: {} }),
+  };
+  const open = (host: string) => {
+    const table = createTableClient({ ...common, baseUrl: platform.url, client: host });
+    const self = { host, incarnation: "1", address: host };
+    const renewer = createLeaseRenewer({ ...common, table, self, timing });
+    const leases = Array.from({ length: 40 }, (_, index) =>
+      createLease({
+        ...{ ...common, name: `pool/m${index}@gent`, table, self, renewer },
+        isCandidate: () => true,
+        askHolder: () => Promise.resolve("unknown"),
+        onChange: () => {},
+      }));
+    const close = async () => {
+      await renewer.stop();
+      await table.close();
+    };
+    return { leases, close };
+  };
+  const first = open("h1");
+  await until(() => first.leases.every((lease) => lease.mode() === "held"));
+  const second = open("h2");
+  await until(() => second.leases.every((lease) => lease.holder()?.host === "h1"));
+  platform.resetCounts();
+  await until(() => platform.counts().writes >= 5);
+  const { writes, rowsWritten } = platform.counts();
+  // Guards against a renewal per lease, which would exceed the store's budget at full scale.
+  t.is(rowsWritten, writes * 40);
+  t.true(second.leases.every((lease) => lease.mode() === "none"));
+
+  await Promise.all(first.leases.slice(0, 20).map((lease) => lease.release()));
+  await until(() => second.leases.slice(0, 20).every((lease) => lease.mode() === "held"));
+  t.true(second.leases.slice(0, 20).every((lease) => lease.retained().length === 0));
+  t.true(first.leases.slice(20).every((lease) => lease.allow(8) > 0));
+  await Promise.all([first.close(), second.close()]);
+  await platform.stop();
+});
--- a/packages/leases/types.ts
+++ b/packages/leases/types.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Millis } from "@jaypass/kernel";
 
 /** The modes in which a process may use a lease. */
 export const LEASE_MODE = {
@@ -43,6 +44,58 @@
   validMs(): number;
   /** The holder that the row last named, which may be this process. */
   holder(): LeaseHolder | undefined;
+  /** Earlier holders whose retained shares are set aside, oldest first. */
+  retained(): readonly LeaseHolder[];
   /** Gives the lease up and awaits the store's confirmation within a bound. */
   release(): Promise<void>;
+  /**
+   * Handles `Leases.Relinquish`: drops a holding that is older than the asking holder's.
+   *
+   * After the answer `released` this process never uses such a holding again.
+   */
+  relinquish(request: RelinquishRequest): RelinquishAnswer;
+  /** Ends the holding and the participation without a write; the own renewer is stopped. */
+  stop(): Promise<void>;
+}
+
+/** What the present holder asks an earlier one. */
+export interface RelinquishRequest {
+  name: string;
+  /** The earlier holder that is asked; another process at its address answers for itself only. */
+  holder: Pick<LeaseHolder, "host" | "incarnation">;
+  /** Fencing number of the asking holder; holdings below it are to be dropped. */
+  fencing: number;
+}
+
+/** Answers that prove that an earlier holder stopped, and the one that proves nothing. */
+export type RelinquishAnswer = "released" | "newer_incarnation" | "unknown";
+
+/** Asks an earlier holder to drop its share; resolves to `unknown` when it cannot be reached. */
+export type AskHolder = (
+  holder: LeaseHolder,
+  request: RelinquishRequest,
+  signal: AbortSignal,
+) => Promise<RelinquishAnswer>;
+
+/** Value of a lease row. */
+export interface LeaseRow {
+  /** Absent after a release. */
+  holder?: LeaseHolder | undefined;
+  fencing: number;
+  /** Earlier holders that may still use a retained share, oldest first. */
+  retained: LeaseHolder[];
+}
+
+/** Times of the lease protocol in milliseconds; see the constants for their reasons. */
+export interface LeaseTiming {
+  validMs: Millis;
+  takeoverMs: Millis;
+  renewMs: Millis;
+  retryMs: Millis;
+  watchMs: Millis;
+  askMs: Millis;
+  dispatchWindowMs: Millis;
+  retainedMaxMs: Millis;
+  reclaimMarginMs: Millis;
+  storeTimeoutMs: Millis;
 }
