--- a/packages/configuration/_lib/commit_change.ts
+++ b/packages/configuration/_lib/commit_change.ts
@@ -1,5 +1,5 @@
 import { sleep } from "@jaypass/kernel";
-import type { Metrics } from "@jaypass/kernel";
+import type { Metrics, RandomSource } from "@jaypass/kernel";
 import type { Row, TableClient, Transaction } from "@jaypass/platform";
 import { CONFIG_TABLE, HEAD_KEY, STORE_READ_TIMEOUT_MS } from "../constants.ts";
 import type { ConfigHead, StoredChange } from "../types.ts";
@@ -21,6 +21,7 @@
 export interface CommitChangeOptions {
   table: TableClient;
   metrics: Metrics;
+  random: RandomSource;
   /** Ends the attempts to settle the outcome. */
   signal: AbortSignal;
   /** Change rows to delete in the same transaction. */
@@ -30,9 +31,12 @@
 /** Limit of one commit. */
 const COMMIT_TIMEOUT_MS = 2_000;
 
-/** Pause between attempts. */
+/** Mean pause between attempts. */
 const RETRY_INTERVAL_MS = 100;
 
+/** Refused attempts after which the store counts as down, when nothing can have been stored. */
+const MAX_REFUSED_ATTEMPTS = 5;
+
 function transactionOf(change: StoredChange, deleted: readonly number[]): Transaction {
   const { revision, snapshotRevision, snapshotName, oldestRevision } = change;
   const head: ConfigHead = { revision, snapshotRevision, snapshotName, oldestRevision };
@@ -66,9 +70,10 @@
   change: StoredChange,
   options: CommitChangeOptions,
 ): Promise<ChangeOutcome> {
-  const { table, metrics, signal } = options;
+  const { table, metrics, random, signal } = options;
   const transaction = transactionOf(change, options.deletedRevisions ?? []);
   let isInDoubt = false;
+  let refused = 0;
   let cause: unknown;
 
   const readOwnRow = async (): Promise<Row<StoredChange> | undefined> => {
@@ -97,9 +102,11 @@
     } else {
       cause = result.cause;
       if (result.outcome === "unknown") isInDoubt = true;
+      else refused++;
       metrics.increment("configuration.commit_retries", { outcome: result.outcome });
     }
-    await sleep(RETRY_INTERVAL_MS, signal).catch(() => {});
+    if (!isInDoubt && refused >= MAX_REFUSED_ATTEMPTS) break;
+    await sleep(RETRY_INTERVAL_MS * (0.5 + random()), signal).catch(() => {});
   }
   return { outcome: isInDoubt ? "unknown" : "not_done", cause };
 }
--- a/packages/configuration/_lib/store_first_document.ts
+++ b/packages/configuration/_lib/store_first_document.ts
@@ -68,7 +68,7 @@
     whenMs: clock.wallMs(),
   };
   const limit = AbortSignal.any([signal, AbortSignal.timeout(SETTLE_TIMEOUT_MS)]);
-  const result = await commitChange(change, { table, metrics, signal: limit });
+  const result = await commitChange(change, { table, metrics, random, signal: limit });
   log.info({ outcome: result.outcome }, "Initial configuration document offered");
   if (result.outcome === "done") holder.load(snapshot);
   // After an unknown outcome the change may still take effect and then needs its snapshot.
--- a/packages/configuration/create_configuration_test.ts
+++ b/packages/configuration/create_configuration_test.ts
@@ -1,7 +1,6 @@
 import test from "ava";
 import { commitChange } from "./_lib/commit_change.ts";
 import { exampleDocument, exampleWorkspace } from "./_testing/example_document.ts";
-import { createMetrics } from "@jaypass/kernel";
 import { createTestHosts, type TestHost } from "./_testing/create_test_hosts.ts";
 import type { StoredChange } from "./mod.ts";
 
@@ -23,7 +22,8 @@
   };
   const result = await commitChange(change, {
     table: host.table,
-    metrics: createMetrics({ tags: {} }),
+    metrics: host.metrics,
+    random: Math.random,
     signal: AbortSignal.timeout(5_000),
   });
   if (result.outcome !== "done") throw new Error(result.outcome);
