Add calls between hosts over gRPC

Cause: the packages for membership, leases, admission and configuration call other hosts. Change: @grpc/grpc-js with hand-made methods, MessagePack bodies checked by zod at the receiver, mutual TLS without server names, one kept connection per address, typed refusals and errors that say whether the handler may have run. A failed channel is closed and made anew by the next call. Ruled out: the library's back-off, because a host that answers again would wait for it; its status codes as proof of not_run, because UNAVAILABLE also follows a sent request; plain channel close while connecting, because the library then keeps the socket of an unfinished handshake for ever. Conclusion: the other packages can define and call peer methods.

--- /dev/null
+++ b/packages/peers/create_peer_pool.ts
@@ -0,0 +1,202 @@
+import type { CallOptions, ServiceError } from "@grpc/grpc-js";
+import { AbortedError, type Clock, createDeadline, type Metrics } from "@jaypass/kernel";
+import { overheadOf } from "./_lib/overhead.ts";
+import { type Connection, createConnection } from "./_lib/create_connection.ts";
+import { createTraffic } from "./_lib/create_traffic.ts";
+import { decodeMessage, encodeMessage, passBytes } from "./_lib/codec.ts";
+import { fromStatus } from "./_lib/trailers.ts";
+import { PEER_FAILURE, PeerError, PeerRefusal } from "./errors.ts";
+import type { PeerCallOptions, PeerMethod, PeerPool, PeerTls } from "./types.ts";
+import type { Millis } from "@jaypass/kernel";
+
+/** Options of {@linkcode createPeerPool}. */
+export interface PeerPoolOptions {
+  tls: PeerTls;
+  clock: Clock;
+  metrics: Metrics;
+  /** Time without calls after which a connection is closed; 30 s by default. */
+  idleCloseMs?: Millis;
+}
+
+/** Longest delay that a timer of the platform can hold; longer deadlines are left out. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+/** Waits for a promise or for the abort of a signal, whichever is first. */
+function untilAborted(promise: Promise<void>, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const onAbort = () => reject(new AbortedError("Wait aborted", { cause: signal.reason }));
+    if (signal.aborted) onAbort();
+    signal.addEventListener("abort", onAbort, { once: true });
+    promise.then(resolve, reject).finally(() => signal.removeEventListener("abort", onAbort));
+  });
+}
+
+/**
+ * Creates the pool of connections to other hosts: one per address, made on first use.
+ *
+ * A call is sent at most once. The library repeats a request only where the receiver proved that it
+ * did not process it.
+ *
+ * @param options keys, clock and metrics
+ * @returns the pool
+ *
+ * @example
+ * const pool = createPeerPool({ tls, clock, metrics });
+ * const res = await pool.call("10.0.0.5:7400", probe, {}, { timeoutMs: 900 });
+ */
+export function createPeerPool(options: PeerPoolOptions): PeerPool {
+  const { clock, metrics } = options;
+  const traffic = createTraffic();
+  const overhead = overheadOf(options.tls);
+  const connections = new Map<string, Connection>();
+  const closing = new AbortController();
+
+  const connectionTo = (address: string): Connection => {
+    let found = connections.get(address);
+    if (found === undefined) {
+      const created = createConnection(address, {
+        tls: options.tls,
+        idleCloseMs: options.idleCloseMs,
+        onClosed: () => {
+          if (connections.get(address) === created) connections.delete(address);
+        },
+      });
+      connections.set(address, found = created);
+    }
+    return found;
+  };
+
+  const count = <E extends PeerError | PeerRefusal>(err: E, path: string): E => {
+    if (err instanceof PeerError) {
+      metrics.increment("peer_call_failed", { path, reason: err.reason, ran: err.ran });
+    }
+    return err;
+  };
+
+  /** Opens a connection and a deadline; nothing has been sent when this fails. */
+  const open = async (address: string, path: string, callOptions: PeerCallOptions) => {
+    const notRun = (reason: PeerError["reason"], cause?: unknown) =>
+      count(
+        new PeerError(`"${path}" was not sent to "${address}"`, { ran: "not_run", reason, cause }),
+        path,
+      );
+    if (closing.signal.aborted) throw notRun(PEER_FAILURE.POOL_CLOSED);
+    if (callOptions.signal?.aborted) throw notRun(PEER_FAILURE.CANCELLED);
+    if (callOptions.timeoutMs <= 0) throw notRun(PEER_FAILURE.TIMEOUT);
+    const signals = callOptions.signal ? [callOptions.signal, closing.signal] : [closing.signal];
+    const deadline = createDeadline(Math.min(callOptions.timeoutMs, MAX_TIMER_MS), {
+      clock,
+      parent: AbortSignal.any(signals),
+    });
+    const connection = connectionTo(address);
+    const endUse = connection.use();
+    const end = () => {
+      deadline.clear();
+      endUse();
+    };
+    try {
+      await untilAborted(connection.ready(), deadline.signal);
+    } catch (err) {
+      end();
+      if (!(err instanceof AbortedError)) throw notRun(PEER_FAILURE.CONNECT_FAILED, err);
+      if (closing.signal.aborted) throw notRun(PEER_FAILURE.POOL_CLOSED, err);
+      if (callOptions.signal?.aborted) throw notRun(PEER_FAILURE.CANCELLED, err);
+      throw notRun(PEER_FAILURE.TIMEOUT, err);
+    }
+    const grpcOptions: CallOptions = callOptions.timeoutMs > MAX_TIMER_MS
+      ? {}
+      : { deadline: Date.now() + deadline.remainingMs() };
+    return { client: connection.client, deadline, grpcOptions, end };
+  };
+
+  const readResponse = <Req, Res>(method: PeerMethod<Req, Res>, body: Buffer): Res => {
+    traffic.received(method.path, body.length + overhead.messageBytes);
+    try {
+      return decodeMessage(method.res, body);
+    } catch (err) {
+      throw new PeerError(`Response of "${method.path}" does not fit the schema`, {
+        ran: "unknown",
+        reason: PEER_FAILURE.BAD_RESPONSE,
+        cause: err,
+      });
+    }
+  };
+
+  const countRequest = (path: string, body: Buffer) => {
+    traffic.sent(path, body.length + overhead.requestBytes);
+    traffic.received(path, overhead.responseBytes);
+  };
+
+  return {
+    async call(address, method, req, callOptions) {
+      const { client, deadline, grpcOptions, end } = await open(address, method.path, callOptions);
+      const body = encodeMessage(req);
+      let cancel = () => {};
+      try {
+        const res = await new Promise<Buffer>((resolve, reject) => {
+          const call = client.makeUnaryRequest<Buffer, Buffer>(
+            method.path,
+            passBytes,
+            passBytes,
+            body,
+            grpcOptions,
+            (err, value) => err ? reject(fromStatus(err, method.path)) : resolve(value!),
+          );
+          cancel = () => call.cancel();
+          countRequest(method.path, body);
+          deadline.signal.addEventListener("abort", cancel, { once: true });
+        });
+        return readResponse(method, res);
+      } catch (err) {
+        throw count(toCallerError(err, deadline.isExpired()), method.path);
+      } finally {
+        deadline.signal.removeEventListener("abort", cancel);
+        end();
+      }
+    },
+
+    async *stream(address, method, req, callOptions) {
+      const { client, deadline, grpcOptions, end } = await open(address, method.path, callOptions);
+      const body = encodeMessage(req);
+      const call = client.makeServerStreamRequest<Buffer, Buffer>(
+        method.path,
+        passBytes,
+        passBytes,
+        body,
+        grpcOptions,
+      );
+      // An error after the reader has left must not end the process.
+      call.on("error", () => {});
+      const cancel = () => call.cancel();
+      deadline.signal.addEventListener("abort", cancel, { once: true });
+      countRequest(method.path, body);
+      try {
+        for await (const message of call) yield readResponse(method, message as Buffer);
+      } catch (err) {
+        const known = err instanceof PeerError ? err : fromStatus(err as ServiceError, method.path);
+        throw count(toCallerError(known, deadline.isExpired()), method.path);
+      } finally {
+        deadline.signal.removeEventListener("abort", cancel);
+        call.cancel();
+        end();
+      }
+    },
+
+    traffic: traffic.totals,
+
+    close() {
+      closing.abort(new Error("Pool closed"));
+      for (const connection of [...connections.values()]) connection.close();
+      return Promise.resolve();
+    },
+  };
+}
+
+/** The own deadline cancels a call a moment before or after the library reports its end. */
+function toCallerError(err: unknown, isExpired: boolean): PeerError | PeerRefusal {
+  if (err instanceof PeerError && err.reason === PEER_FAILURE.CANCELLED && isExpired) {
+    const { message, ran, cause } = err;
+    return new PeerError(message, { ran, reason: PEER_FAILURE.TIMEOUT, cause });
+  }
+  return err as PeerError | PeerRefusal;
+}
--- a/packages/peers/types.ts
+++ b/packages/peers/types.ts
@@ -6,6 +6,19 @@
 import type { Millis } from "@jaypass/kernel";
 import type { ZodType } from "zod";
 
+/** Keys of a host in PEM. Every host has its own certificate of the same CA. */
+export interface PeerKeys {
+  ca: string;
+  cert: string;
+  key: string;
+}
+
+/** Mutual authentication between hosts, or `"off"`. */
+export type PeerTls = "off" | PeerKeys;
+
+/** Bytes by gRPC service name, bodies plus the measured overhead of a call. */
+export type PeerTraffic = Record<string, { sentBytes: number; receivedBytes: number }>;
+
 /** A method of a peer service with the schemas of its messages. */
 export interface PeerMethod<Req, Res> {
   /** gRPC path, for example `/jaypass.Admission/Acquire`. */
@@ -36,6 +49,8 @@
   ): void;
   /** Starts to accept connections and returns the bound `ip:port`. */
   listen(): Promise<string>;
+  /** Bytes of calls from other hosts so far. */
+  traffic(): PeerTraffic;
   /** Ends running calls within the grace time, then closes. */
   stop(graceMs: Millis): Promise<void>;
 }
@@ -48,7 +63,10 @@
 
 /** Calls other hosts over kept connections; idle and silent ones are closed. */
 export interface PeerPool {
-  /** @throws {PeerError} whose `ran` says whether the handler may have run */
+  /**
+   * @throws {PeerError} whose `ran` says whether the handler may have run
+   * @throws {PeerRefusal} when the handler refused
+   */
   call<Req, Res>(
     address: string,
     method: PeerMethod<Req, Res>,
@@ -61,7 +79,7 @@
     req: Req,
     options: PeerCallOptions,
   ): AsyncIterable<Res>;
-  /** Bytes sent and received so far, by gRPC service name. */
-  traffic(): Record<string, { sentBytes: number; receivedBytes: number }>;
+  /** Bytes of calls to other hosts so far. */
+  traffic(): PeerTraffic;
   close(): Promise<void>;
 }
