Add the plain-service stand-in

Cause: bookings and dispatches need a server whose side effects a test can count. Conclusion: the at-most-once rules can be tested against it.

--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -5,5 +5,7 @@
  */
 
 export * from "./create_engine_stand_in.ts";
+export * from "./create_service_stand_in.ts";
 export * from "./engine_types.ts";
 export * from "./expected_tokens.ts";
+export * from "./service_types.ts";
