--- /dev/null
+++ b/packages/engines/errors.ts
@@ -0,0 +1,30 @@
+import type { EngineErrorCode, EngineRan } from "./types.ts";
+
+/** Fields of an {@linkcode EngineError}. */
+export interface EngineErrorOptions {
+  code: EngineErrorCode;
+  ran: EngineRan;
+  /** The server's own name of a refusal, for example `too_large`. */
+  reason?: string;
+  cause?: unknown;
+}
+
+/**
+ * A call to an engine or a plain service failed.
+ *
+ * `ran` is `not_run` only when no byte of the request was written, or when the server refused it and
+ * named its request id.
+ */
+export class EngineError extends Error {
+  override name = "EngineError";
+  readonly code: EngineErrorCode;
+  readonly ran: EngineRan;
+  readonly reason: string | undefined;
+
+  constructor(message: string, options: EngineErrorOptions) {
+    super(message, { cause: options.cause });
+    this.code = options.code;
+    this.ran = options.ran;
+    this.reason = options.reason;
+  }
+}
