Wire the services of an entry host and test the router over scripted engines

Cause: the packages exist side by side and no process joins them. Change: jaypassd as a kernel of named services, operators' endpoints, router tests.

--- a/packages/entry/http/create_request_deadline.ts
+++ b/packages/entry/http/create_request_deadline.ts
@@ -21,7 +21,7 @@
  * @param req request with the optional headers `x-caller-kind` and `x-timeout-ms`
  * @param context configuration and clock
  * @returns the earlier of the caller's and the table's deadline
- * @throws {BadRequestError} for an unknown caller kind or a timeout that is not a positive number
+ * @throws {BadRequestError} without a timeout for the caller kind or a timeout that is not a positive number
  *
  * @example
  * const { deadline, firstTokenMs } = createRequestDeadline(req, context);
@@ -32,13 +32,13 @@
 ): RequestDeadline {
   const kind = String(req.headers["x-caller-kind"] ?? DEFAULT_CALLER_KIND);
   const document = context.configuration.document();
-  if (!Object.hasOwn(document.timeouts, kind)) {
-    throw new BadRequestError(`Caller kind "${kind}" is not configured`, {
+  const configured = resolveTimeout(document, kind, context.clock.wallMs());
+  if (configured === undefined) {
+    throw new BadRequestError(`Caller kind "${kind}" is not configured and there is no default`, {
       status: 400,
       reason: BAD_REQUEST.UNKNOWN_CALLER_KIND,
     });
   }
-  const configured = resolveTimeout(document, kind, context.clock.wallMs());
   const timeoutMs = Math.min(configured.timeoutMs, readTimeout(req));
   return {
     deadline: createDeadline(timeoutMs, { clock: context.clock }),
--- a/packages/entry/operator/operator_context.ts
+++ b/packages/entry/operator/operator_context.ts
@@ -1,26 +1,21 @@
 import type { AdmissionService } from "@jaypass/admission";
-import type { Configuration } from "@jaypass/configuration";
+import type { AdministrationToken, Configuration } from "@jaypass/configuration";
 import type { CallLedger } from "@jaypass/idempotency";
-import type { Clock, Metrics } from "@jaypass/kernel";
 import type { Membership } from "@jaypass/membership";
-import type { PeerPool } from "@jaypass/peers";
+import type { PeerPool, PeerServer } from "@jaypass/peers";
 import type { TableClient } from "@jaypass/platform";
 import type { Router } from "@jaypass/routing";
-import type { Settings } from "../settings.ts";
+import type { ProcessContext } from "../process_context.ts";
 
 /** What the operators' handlers share. */
-export interface OperatorContext {
-  settings: Settings;
-  incarnation: string;
-  clock: Clock;
+export interface OperatorContext extends ProcessContext {
   configuration: Configuration;
   membership: Membership;
   peers: PeerPool;
+  server: PeerServer;
   tables: TableClient;
   admission: AdmissionService;
   ledger: CallLedger;
   router: Router;
-  metrics: Metrics;
-  /** Reports whether the host is stopping. */
-  isDraining: () => boolean;
+  tokens: readonly AdministrationToken[];
 }
--- /dev/null
+++ b/packages/entry/run_host.ts
@@ -0,0 +1,38 @@
+import { createHost } from "./create_host.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { SERVICE } from "./service_names.ts";
+
+/**
+ * Runs an entry host until a signal asks it to stop, then drains it.
+ *
+ * A ready line `{"host","port"}` is printed to standard output when callers can connect. The first
+ * SIGTERM or SIGINT starts the drain; a second one ends the process at once.
+ *
+ * @param context settings and the process's clock, random source, log and metrics
+ */
+export async function runHost(context: Omit<ProcessContext, "isDraining">): Promise<void> {
+  const { settings, log } = context;
+  let isDraining = false;
+  const kernel = createHost({ ...context, isDraining: () => isDraining });
+  await kernel.start();
+  console.log(JSON.stringify({
+    host: settings.host,
+    port: Number(settings.callerListen.split(":")[1]),
+  }));
+
+  const signal = await waitForSignal();
+  isDraining = true;
+  log.info({ signal }, "Draining");
+  void waitForSignal().then(() => process.exit(1));
+  await kernel.lookup(SERVICE.DRAIN).run();
+  await kernel.stop();
+  await context.metrics.close();
+  log.info({}, "Stopped");
+  process.exit(0);
+}
+
+function waitForSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const signal of ["SIGTERM", "SIGINT"] as const) process.once(signal, resolve);
+  });
+}
--- a/packages/entry/service_names.ts
+++ b/packages/entry/service_names.ts
@@ -1,5 +1,5 @@
-import type { Admission } from "@jaypass/admission";
-import type { Configuration } from "@jaypass/configuration";
+import type { AdmissionService } from "@jaypass/admission";
+import type { ManagedConfiguration } from "@jaypass/configuration";
 import type { EngineClient, ServiceClient } from "@jaypass/engines";
 import type { CallLedger } from "@jaypass/idempotency";
 import { serviceName } from "@jaypass/kernel";
@@ -7,6 +7,7 @@
 import type { PeerPool, PeerServer } from "@jaypass/peers";
 import type { HostListClient, ObjectClient, TableClient } from "@jaypass/platform";
 import type { Router } from "@jaypass/routing";
+import type { LeaseFactory } from "./services/define_lease_service.ts";
 import type { Front } from "./http/create_front.ts";
 
 /** Clients of engines and plain services, one for each address. */
@@ -24,9 +25,10 @@
   PEER_POOL: serviceName<PeerPool>("peers.pool"),
   PEER_LISTENER: serviceName<string>("peers.listener"),
   MEMBERSHIP: serviceName<Membership>("membership"),
-  CONFIGURATION: serviceName<Configuration>("configuration"),
+  CONFIGURATION: serviceName<ManagedConfiguration>("configuration"),
+  LEASES: serviceName<LeaseFactory>("leases"),
   BACKENDS: serviceName<BackendClients>("engines.clients"),
-  ADMISSION: serviceName<Admission>("admission"),
+  ADMISSION: serviceName<AdmissionService>("admission"),
   LEDGER: serviceName<CallLedger>("idempotency.ledger"),
   ROUTER: serviceName<Router>("routing"),
   FRONT: serviceName<Front>("entry.front"),
--- /dev/null
+++ b/packages/entry/services/define_ledger_service.ts
@@ -0,0 +1,49 @@
+import { createCallLedger } from "@jaypass/idempotency";
+import type { AskHost } from "@jaypass/idempotency";
+import type { AnyServiceDefinition } from "@jaypass/kernel";
+import type { PeerPool } from "@jaypass/peers";
+import { CALL_STATUS_METHOD } from "../peer_methods.ts";
+import type { ProcessContext } from "../process_context.ts";
+import { SERVICE } from "../service_names.ts";
+
+/** Time for the owner of an attempt to answer. */
+const STATUS_TIMEOUT_MS = 1_000;
+
+/**
+ * Defines the records of calls that may run at most once.
+ *
+ * @param context settings and the process's clock, log and metrics
+ * @returns a definition for the kernel
+ */
+export function defineLedgerService(context: ProcessContext): AnyServiceDefinition {
+  return {
+    name: SERVICE.LEDGER,
+    needs: [SERVICE.TABLES, SERVICE.OBJECTS, SERVICE.PEER_POOL, SERVICE.PEER_SERVER],
+    start: (lookup) => {
+      const { host, peerListen } = context.settings;
+      const ledger = createCallLedger({
+        ...context,
+        table: lookup(SERVICE.TABLES),
+        objects: lookup(SERVICE.OBJECTS),
+        self: { host, incarnation: context.incarnation, address: peerListen },
+        askHost: createAskHost(lookup(SERVICE.PEER_POOL)),
+      });
+      lookup(SERVICE.PEER_SERVER).handle(
+        CALL_STATUS_METHOD,
+        (query) => Promise.resolve({ answer: ledger.answerStatus(query) }),
+      );
+      return { service: ledger, stop: () => ledger.stop() };
+    },
+  };
+}
+
+function createAskHost(peers: PeerPool): AskHost {
+  return async (query, signal) => {
+    try {
+      const options = { timeoutMs: STATUS_TIMEOUT_MS, signal };
+      return (await peers.call(query.owner.address, CALL_STATUS_METHOD, query, options)).answer;
+    } catch {
+      return "unreachable";
+    }
+  };
+}
--- a/packages/routing/_lib/run_completion.ts
+++ b/packages/routing/_lib/run_completion.ts
@@ -30,12 +30,18 @@
 ): Promise<void> {
   const { signal } = context;
   const startMs = context.clock.nowMs();
+  context.decisions.add(req.requestId, "accepted", {
+    workspace: req.workspace,
+    model: req.model,
+    timeoutMs: Math.round(req.deadline.remainingMs()),
+  });
   const admissionReq = describeForAdmission(req, context);
   const exclude: string[] = [];
   let wasDispatched = false;
 
   const failWith = (err: unknown, reason: string) => {
     const ran = wasDispatched ? RAN.RAN : RAN.NOT_RUN;
+    context.decisions.add(req.requestId, "failed", { reason, ran });
     entry.fail(toRequestError(err, { reason, ran }));
   };
 
@@ -63,6 +69,7 @@
     });
     try {
       await runAttempt({ req, entry, grant, attemptId, signal }, context);
+      context.decisions.add(req.requestId, "done", { tokens: entry.answer.tokens.length });
       return entry.finish();
     } catch (err) {
       wasDispatched ||= !(err instanceof AdmissionRefusedError);
--- a/packages/routing/create_router.ts
+++ b/packages/routing/create_router.ts
@@ -1,4 +1,5 @@
 import { createTaskGroup } from "@jaypass/kernel";
+import type { Millis } from "@jaypass/kernel";
 import type { PeerServer } from "@jaypass/peers";
 import { callPlainService } from "./_lib/call_plain_service.ts";
 import { followRemote, unknownRequest } from "./_lib/follow_remote.ts";
@@ -17,6 +18,8 @@
 export interface RouterOptions
   extends Omit<RouterContext, "answers" | "decisions" | "retryBudget"> {
   server: PeerServer;
+  /** Time for which a request goes on without its caller; 5 s by default. */
+  resumeGraceMs?: Millis;
 }
 
 /**
@@ -62,7 +65,7 @@
       promptTokens: Math.ceil(Buffer.byteLength(req.prompt) / bytesPerToken),
     });
     context.retryBudget.earn(req.workspace);
-    const gone = abortWithoutFollowers(entry);
+    const gone = abortWithoutFollowers(entry, options.resumeGraceMs ?? RESUME_GRACE_MS);
     const signal = AbortSignal.any([req.deadline.signal, gone.signal]);
     tasks.run(req.requestId, () =>
       track(async () => {
@@ -113,13 +116,16 @@
 }
 
 /** Aborts a request that nobody has followed for a while, so that its engine memory is freed. */
-function abortWithoutFollowers(entry: AnswerEntry): { signal: AbortSignal; clear: () => void } {
+function abortWithoutFollowers(
+  entry: AnswerEntry,
+  graceMs: Millis,
+): { signal: AbortSignal; clear: () => void } {
   const controller = new AbortController();
   const abort = () => controller.abort(new Error("Caller is gone"));
-  let timer = setTimeout(abort, RESUME_GRACE_MS);
+  let timer = setTimeout(abort, graceMs);
   entry.onFollowers((followers) => {
     clearTimeout(timer);
-    if (followers === 0) timer = setTimeout(abort, RESUME_GRACE_MS);
+    if (followers === 0) timer = setTimeout(abort, graceMs);
   });
   return { signal: controller.signal, clear: () => clearTimeout(timer) };
 }
