Refuse an unknown caller kind instead of returning no timeout

Callers of resolveTimeout would otherwise handle a missing value that the entry host already refuses with 400. A fallback kind inside the function was ruled out, because it would hide a misspelled caller kind. Also tests that an empty store takes its first document by apply.

Tests of resolve_timeout and create_administration pass.

--- a/packages/configuration/create_administration_test.ts
+++ b/packages/configuration/create_administration_test.ts
@@ -233,3 +233,22 @@
   const answer = await admin!.post(`${PATH}/data-centres/gent/state`, request, "operations");
   t.like(answer.body, { revision: 1, isUnchanged: true });
 });
+
+test("the first document can be applied to an empty store, by one of two operators", async (t) => {
+  const system = createTestHosts(2);
+  t.teardown(system.stop);
+  const admins = await Promise.all(system.hosts.map(createTestAdministration));
+  t.teardown(() => Promise.all(admins.map((admin) => admin.close())));
+  t.is((await admins[0]!.get(PATH)).body.error.reason, "not_ready");
+  const changes = Object.entries(exampleDocument())
+    .map(([section, entries]) => ({ section, entries }));
+  const request = { changes, why: "First document", baseRevision: 0 };
+  const answers = await Promise.all(
+    admins.map((admin) => admin.post(`${PATH}/apply`, request)),
+  );
+  t.deepEqual(answers.map(({ status }) => status).sort(), [200, 409]);
+  const ready = AbortSignal.timeout(8_000);
+  for (const { configuration } of system.hosts) await configuration.ready(ready);
+  t.is(system.hosts[1]!.configuration.document().backendServers["gent-1"]?.partition, 0);
+  t.deepEqual(system.violations, []);
+});
--- a/packages/configuration/resolve_timeout.ts
+++ b/packages/configuration/resolve_timeout.ts
@@ -1,5 +1,6 @@
 import { DateTime } from "luxon";
 import type { Millis } from "@jaypass/kernel";
+import { ConfigurationError } from "./errors.ts";
 import type { ConfigDocument, HourTimeout } from "./types.ts";
 
 function isInSpan(hour: number, { fromHour, toHour }: HourTimeout): boolean {
@@ -13,21 +14,25 @@
  * twice; when they go forward, the skipped hour does not occur.
  *
  * @param document a checked document
- * @param callerKind kind of the caller; the kind `default` stands in for an unknown one
+ * @param callerKind kind of the caller
  * @param wallMs wall time in milliseconds since the Unix epoch
- * @returns the timeout, or `undefined` when neither the kind nor `default` exists
+ * @returns the timeout
+ * @throws {ConfigurationError} when the kind is not in the document
  *
  * @example
- * const timeout = resolveTimeout(configuration.document(), "parent", clock.wallMs());
+ * const { timeoutMs } = resolveTimeout(configuration.document(), "parent", clock.wallMs());
  */
 export function resolveTimeout(
   document: Readonly<ConfigDocument>,
   callerKind: string,
   wallMs: Millis,
-): HourTimeout | undefined {
-  const kind = Object.hasOwn(document.timeouts, callerKind) ? callerKind : "default";
-  const table = Object.hasOwn(document.timeouts, kind) ? document.timeouts[kind] : undefined;
-  if (table === undefined) return undefined;
-  const { hour } = DateTime.fromMillis(wallMs, { zone: table.timeZone });
-  return table.hours.find((span) => isInSpan(hour, span));
+): HourTimeout {
+  const isKnown = Object.hasOwn(document.timeouts, callerKind);
+  const table = isKnown ? document.timeouts[callerKind] : undefined;
+  const { hour } = DateTime.fromMillis(wallMs, { zone: table?.timeZone });
+  const span = table?.hours.find((candidate) => isInSpan(hour, candidate));
+  if (span === undefined) {
+    throw new ConfigurationError(`No timeout for caller kind "${callerKind}"`);
+  }
+  return span;
 }
