Add the jaypass command line

Files from "config get" keep their revision; only the entries that differ from that revision are sent, because sending a whole section would conflict with every concurrent change in it.

The JSON shapes of the operator endpoints are types in configuration/operator_api.ts.

--- /dev/null
+++ b/packages/cli/_lib/describe_change.ts
@@ -0,0 +1,17 @@
+import type { ConfigChange } from "@jaypass/configuration";
+
+/** Names listed for each section; the rest is counted. */
+const MAX_NAMES = 8;
+
+/** Formats a change for people: revision, time, owner, reason and entries. */
+export function describeChange(change: ConfigChange): string {
+  const { revision, whenMs, who, why, changes } = change;
+  const entries = changes.map(({ section, entries }) => {
+    const names = Object.entries(entries)
+      .map(([name, entry]) => (entry === null ? `${name} (removed)` : name));
+    const rest = names.length > MAX_NAMES ? ` and ${names.length - MAX_NAMES} more` : "";
+    return `    ${section}: ${names.slice(0, MAX_NAMES).join(", ")}${rest}`;
+  });
+  const when = new Date(whenMs).toISOString();
+  return [`  revision ${revision}  ${when}  ${who}  ${why}`, ...entries].join("\n");
+}
--- /dev/null
+++ b/packages/cli/_lib/format_table.ts
@@ -0,0 +1,16 @@
+/**
+ * Formats rows as columns of equal width.
+ *
+ * @param header names of the columns
+ * @param rows values; `null` is shown as `-`
+ */
+export function formatTable(
+  header: readonly string[],
+  rows: readonly (readonly (string | number | null)[])[],
+): string {
+  const lines = [header, ...rows].map((row) => row.map((value) => String(value ?? "-")));
+  const widths = header.map((_, column) => Math.max(...lines.map((line) => line[column]!.length)));
+  return lines
+    .map((line) => line.map((text, column) => text.padEnd(widths[column]!)).join("  ").trimEnd())
+    .join("\n");
+}
--- /dev/null
+++ b/packages/cli/_lib/wait_for_revision.ts
@@ -0,0 +1,42 @@
+import type { HostsResponse } from "@jaypass/configuration";
+import { sleep } from "@jaypass/kernel";
+import { EXIT_CODE } from "../constants.ts";
+import { CliError } from "../errors.ts";
+import type { CommandContext } from "../types.ts";
+
+/** Longest wait; an accepted change is in force everywhere within 8 s. */
+const WAIT_TIMEOUT_MS = 15_000;
+
+/** Pause between questions, each of which makes the asked host ask all others. */
+const WAIT_INTERVAL_MS = 500;
+
+/**
+ * Waits until every live host has a revision, and reports progress.
+ *
+ * @param revision the revision
+ * @param context client and output
+ * @throws {CliError} `WAIT_TIMEOUT`, naming the hosts that are behind or silent
+ */
+export async function waitForRevision(revision: number, context: CommandContext): Promise<void> {
+  const { client, io } = context;
+  const endMs = performance.now() + WAIT_TIMEOUT_MS;
+  let shown = "";
+  for (;;) {
+    const { hosts } = await client.get<HostsResponse>("/admin/v1/hosts");
+    const live = hosts.filter(({ state }) => state !== "dead");
+    const behind = live.filter((host) => (host.revision ?? 0) < revision);
+    const progress = `${
+      live.length - behind.length
+    } of ${live.length} hosts at revision ${revision}`;
+    if (progress !== shown) io.writeError(progress);
+    shown = progress;
+    if (behind.length === 0) return;
+    if (performance.now() > endMs) {
+      const names = behind.map((host) => `${host.host} (${host.revision ?? "no answer"})`);
+      throw new CliError(`${progress} after ${WAIT_TIMEOUT_MS} ms; behind: ${names.join(", ")}`, {
+        exitCode: EXIT_CODE.WAIT_TIMEOUT,
+      });
+    }
+    await sleep(WAIT_INTERVAL_MS);
+  }
+}
--- a/packages/configuration/_lib/administration_routes.ts
+++ b/packages/configuration/_lib/administration_routes.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { AdministrationOptions } from "../create_administration.ts";
-import { CHANGE_MAX_BYTES } from "../constants.ts";
+import { CHANGE_MAX_BYTES, STORE_READ_TIMEOUT_MS } from "../constants.ts";
 import type { ApplyResponse, ChangeEnvelope } from "../operator_api.ts";
 import type { AdministrationToken, SectionChange, SectionName } from "../types.ts";
 import { AdministrationError } from "./administration_error.ts";
@@ -47,6 +47,27 @@
   throw new AdministrationError("not_ready", "This host has no configuration document yet");
 }
 
+/** Returns the current document, or that of the revision in the query. */
+async function documentOf(context: RouteContext) {
+  const { revision, document } = currentOf(context);
+  const wanted = numberOf(context.query, "revision", revision);
+  if (wanted === revision) return { revision, document };
+  if (wanted > revision) {
+    // The revision may be known to a host that is ahead of this one.
+    await context.configuration.catchUp(
+      wanted,
+      AbortSignal.any([
+        context.signal,
+        AbortSignal.timeout(STORE_READ_TIMEOUT_MS),
+      ]),
+    ).catch((err) => {
+      const message = `Revision ${wanted} is not known here`;
+      throw new AdministrationError("not_found", message, { cause: err });
+    });
+  }
+  return { revision: wanted, document: await readDocumentAt(wanted, context) };
+}
+
 function bodyLimits({ signal }: RouteContext) {
   return { maxBytes: CHANGE_MAX_BYTES, signal };
 }
@@ -94,22 +115,19 @@
 
 /** Routes by method and path; `*` stands for one name. */
 const ROUTES: Record<string, Route> = {
-  "GET ": (context) => {
-    const { revision, document } = currentOf(context);
-    return Promise.resolve({ revision, document });
-  },
+  "GET ": documentOf,
   "GET /revision": ({ configuration }) => {
     const { revision, changeId } = configuration.snapshot();
     return Promise.resolve({ revision, changeId });
   },
-  "GET /sections/*": (context, name) => {
+  "GET /sections/*": async (context, name) => {
     const section = sectionNames.find((known) => known === name);
     if (section === undefined) {
       const known = sectionNames.join(", ");
       throw new AdministrationError("not_found", `No section "${name}"; there are ${known}`);
     }
-    const { revision, document } = currentOf(context);
-    return Promise.resolve({ revision, section, entries: document[section] });
+    const { revision, document } = await documentOf(context);
+    return { revision, section, entries: document[section] };
   },
   "GET /history": (context) => {
     const limit = Math.min(HISTORY_MAX_PAGE, numberOf(context.query, "limit", HISTORY_PAGE));
--- a/packages/configuration/operator_api.ts
+++ b/packages/configuration/operator_api.ts
@@ -46,7 +46,7 @@
   };
 }
 
-/** `GET /admin/v1/config`. */
+/** `GET /admin/v1/config`, with `?revision=REVISION` an earlier content. */
 export interface ConfigResponse {
   revision: number;
   document: ConfigDocument;
@@ -58,7 +58,7 @@
   changeId: string;
 }
 
-/** `GET /admin/v1/config/sections/SECTION`. */
+/** `GET /admin/v1/config/sections/SECTION`, with `?revision=REVISION` an earlier content. */
 export interface SectionResponse {
   revision: number;
   section: SectionName;
