--- a/packages/configuration/parse_document_test.ts
+++ b/packages/configuration/parse_document_test.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from "node:fs";
 import test from "ava";
 import { exampleDocument, exampleEngine } from "./_testing/example_document.ts";
 import { ConfigurationError, parseDocument } from "./mod.ts";
@@ -90,3 +91,9 @@
     firstTokenLater: issuesAfter((d) => d.timeouts.parent.hours[0].firstTokenMs = 40_000),
   });
 });
+
+test("the example of the documentation is valid", (t) => {
+  const page = readFileSync(new URL("../../docs/configuration.md", import.meta.url), "utf8");
+  const example = /```json\n([\s\S]*?)```/.exec(page)?.[1];
+  t.notThrows(() => parseDocument(JSON.parse(example ?? "")));
+});
