Add the load tool with uncoordinated baselines

Cause: the three measures need the same load for jaypass and for rules without coordination. Change: bench load plans Poisson arrivals with log-normal prompt lengths (1 in 50 above 100,000 tokens), workspaces and shared prefixes from a seed, sends them at their intended times, verifies each answer and writes JSON, Markdown and an SVG plot; round robin, least connections and two choices as 18 independent hosts; schedules where a data centre leaves or dies. Ruled out: latency from the actual send, which hides a stalled sender.

--- /dev/null
+++ b/packages/bench/_lib/make_schedule.ts
@@ -0,0 +1,48 @@
+import type { Profile } from "../profiles.ts";
+import type { ScheduledEvent } from "../run_load.ts";
+import type { Fleet } from "./start_fleet.ts";
+import type { Target } from "./target.ts";
+
+/** Named schedules of faults. */
+export const SCHEDULES = ["none", "data_centre_leaves", "data_centre_dies"] as const;
+
+/** What a schedule acts on. */
+export interface ScheduleContext {
+  profile: Profile;
+  fleet: Fleet;
+  target: Target;
+  durationMs: number;
+}
+
+/**
+ * Plans the events of a named schedule, all on the last data centre of the profile.
+ *
+ * `data_centre_leaves`: taken out at 25% of the run, its engines restart at 45%, put back at 50%.
+ * `data_centre_dies`: its engines are killed at 25% and start again, cold, at 50%.
+ */
+export function makeSchedule(name: string, context: ScheduleContext): ScheduledEvent[] {
+  const { profile, fleet, target, durationMs } = context;
+  const dataCentre = profile.dataCentres.at(-1) ?? "";
+  const engines = fleet.engines.filter((engine) => engine.dataCentre === dataCentre);
+  const kill = async () => void await Promise.all(engines.map(fleet.kill));
+  const revive = async () => void await Promise.all(engines.map(fleet.revive));
+  const at = (share: number, what: string, run: () => Promise<void>): ScheduledEvent => ({
+    atMs: share * durationMs,
+    name: `${dataCentre} ${what}`,
+    run,
+  });
+  if (name === "data_centre_leaves") {
+    return [
+      at(0.25, "taken out", () => target.setDataCentre(dataCentre, "out")),
+      at(0.45, "restarted", async () => {
+        await kill();
+        await revive();
+      }),
+      at(0.5, "put back", () => target.setDataCentre(dataCentre, "in")),
+    ];
+  }
+  if (name === "data_centre_dies") {
+    return [at(0.25, "killed", kill), at(0.5, "started again", revive)];
+  }
+  return [];
+}
--- /dev/null
+++ b/packages/bench/run_load.ts
@@ -0,0 +1,131 @@
+import { expectedTokens } from "@jaypass/stand_ins";
+import { monitorEventLoopDelay } from "node:perf_hooks";
+import { buildPrompt } from "./_lib/build_prompt.ts";
+import type { Target } from "./_lib/target.ts";
+import type { Arrival, PromptClass } from "./make_workload.ts";
+
+/** Modelled time that callers wait for a whole answer, by prompt class. */
+const TIMEOUT_MS: Record<PromptClass, number> = { short: 30_000, medium: 60_000, long: 300_000 };
+
+/** Something that happens to the fleet during a run. */
+export interface ScheduledEvent {
+  /** Modelled time from the start of the run. */
+  atMs: number;
+  name: string;
+  run: () => Promise<void>;
+}
+
+/** How one request went. Times are modelled ones. */
+export interface Sample {
+  promptClass: PromptClass;
+  /** Intended start. */
+  atMs: number;
+  outcome: "ok" | "wrong" | "failed";
+  reason?: string;
+  /** From the intended start, so that a stalled sender does not hide latency. */
+  firstTokenMs?: number;
+  totalMs: number;
+  tokens: number;
+}
+
+/** Samples of a run and how well the load tool itself kept up. */
+export interface LoadResult {
+  samples: Sample[];
+  /** Real delay of the tool's event loop, 99th percentile. */
+  toolDelayP99Ms: number;
+  events: { name: string; atMs: number }[];
+}
+
+/** Options of {@linkcode runLoad}. */
+export interface LoadOptions {
+  timeScale: number;
+  bytesPerToken: number;
+  events?: readonly ScheduledEvent[];
+}
+
+/**
+ * Sends planned requests at their intended times, whatever happens to earlier ones, and verifies
+ * each whole answer.
+ *
+ * @param target what receives the load
+ * @param arrivals planned requests in the order of their start
+ * @param options time scale and scheduled events
+ * @returns one sample for each request
+ *
+ * @example
+ * const result = await runLoad(target, makeWorkload(profile, { seed: 1, durationMs: 60_000 }), {
+ *   timeScale: 4,
+ *   bytesPerToken: 4,
+ * });
+ */
+export async function runLoad(
+  target: Target,
+  arrivals: readonly Arrival[],
+  options: LoadOptions,
+): Promise<LoadResult> {
+  const { timeScale } = options;
+  const delay = monitorEventLoopDelay({ resolution: 5 });
+  delay.enable();
+  const startMs = performance.now() + 100;
+  const modelledMs = () => (performance.now() - startMs) * timeScale;
+  const waitUntil = async (atMs: number) => {
+    const waitMs = startMs + atMs / timeScale - performance.now();
+    if (waitMs > 0) await new Promise((resolve) => setTimeout(resolve, waitMs));
+  };
+
+  const sendOne = async (arrival: Arrival): Promise<Sample> => {
+    const { promptClass, atMs } = arrival;
+    const prompt = buildPrompt(arrival, options.bytesPerToken);
+    const leftMs = (atMs + TIMEOUT_MS[promptClass] - modelledMs()) / timeScale;
+    const tokens: string[] = [];
+    let firstTokenMs: number | undefined;
+    const onToken = (text: string) => {
+      firstTokenMs ??= modelledMs() - atMs;
+      tokens.push(text);
+    };
+    const finish = (outcome: Sample["outcome"], reason?: string): Sample => ({
+      promptClass,
+      atMs,
+      outcome,
+      ...(reason !== undefined && { reason }),
+      ...(firstTokenMs !== undefined && { firstTokenMs }),
+      totalMs: modelledMs() - atMs,
+      tokens: tokens.length,
+    });
+    const timeoutMs = Math.max(1, leftMs);
+    try {
+      await target.send(arrival, prompt, {
+        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+        timeoutMs,
+        onToken,
+      });
+    } catch (err) {
+      return finish("failed", reasonOf(err));
+    }
+    const expected = expectedTokens(prompt, arrival.maxTokens);
+    const isRight = tokens.length === expected.length &&
+      tokens.every((text, index) => text === expected[index]);
+    return finish(isRight ? "ok" : "wrong");
+  };
+
+  const events: LoadResult["events"] = [];
+  const eventsDone = (options.events ?? []).map(async (event) => {
+    await waitUntil(event.atMs);
+    events.push({ name: event.name, atMs: event.atMs });
+    await event.run();
+  });
+  const pending: Promise<Sample>[] = [];
+  for (const arrival of arrivals) {
+    await waitUntil(arrival.atMs);
+    pending.push(sendOne(arrival));
+  }
+  const samples = await Promise.all(pending);
+  await Promise.all(eventsDone);
+  delay.disable();
+  return { samples, toolDelayP99Ms: delay.percentile(99) / 1e6, events };
+}
+
+function reasonOf(err: unknown): string {
+  const { code, reason, message } = err as { code?: string; reason?: string; message?: string };
+  return reason ?? code ?? message ?? "unknown";
+}
--- a/packages/stand_ins/_lib/create_engine_core.ts
+++ b/packages/stand_ins/_lib/create_engine_core.ts
@@ -44,7 +44,7 @@
   const nowMs = () => performance.timeOrigin + performance.now();
   const models: Record<string, string> = { ...settings.models };
   let role = settings.role;
-  let restartCount = 0;
+  let restartCount = settings.restartCount;
   let coldUntilMs = nowMs() + settings.coldMs / scale;
   let isColdHidden = false;
   let highestOrderFencing = 0;
--- a/packages/stand_ins/_lib/create_service_core.ts
+++ b/packages/stand_ins/_lib/create_service_core.ts
@@ -35,7 +35,7 @@
 ) {
   const scale = settings.timeScale;
   const nowMs = () => performance.timeOrigin + performance.now();
-  let restartCount = 0;
+  let restartCount = settings.restartCount;
   let coldUntilMs = nowMs() + settings.coldMs / scale;
   let isColdHidden = false;
   const running = new Set<ServiceCall>();
--- a/packages/stand_ins/engine_types.ts
+++ b/packages/stand_ins/engine_types.ts
@@ -14,6 +14,8 @@
   /** Models that it serves at the start, with their versions. */
   models: z.record(z.string(), z.string()).default({ default: "1" }),
   role: z.string().default("mixed"),
+  /** First restart counter; a program that is started again gets a higher one. */
+  restartCount: z.number().int().min(0).default(0),
   /** Memory for KV cache in tokens. */
   memoryTokens: z.number().positive().default(600_000),
   /** Most concurrent requests while cold; one more crashes the engine. */
--- a/packages/stand_ins/service_types.ts
+++ b/packages/stand_ins/service_types.ts
@@ -18,6 +18,8 @@
     dispatch: { hasEffect: true },
     lookup: { hasEffect: false },
   }),
+  /** First restart counter; a program that is started again gets a higher one. */
+  restartCount: z.number().int().min(0).default(0),
   /** Time from the start of a call until its effect. */
   serviceMs: z.number().min(0).default(20),
   /** Most concurrent calls while cold; one more crashes the server. */
