Return the tokens of a whole answer from load targets

Cause: jaypass passes a prompt on with a role in front of it, so its engines see another text than the load tool sent. Change: a target names the text that its engines get, and returns the tokens instead of passing each. Conclusion: answers through jaypass can be verified in the same way.

--- a/packages/bench/create_policy_target.ts
+++ b/packages/bench/create_policy_target.ts
@@ -99,6 +99,7 @@
 
   return {
     name: policy,
+    enginePrompt: (prompt) => prompt,
     async send(arrival, prompt, sendOptions) {
       const host = hosts[uniformInt(random, 0, hosts.length - 1)] as Host;
       const tried = new Set<number>();
@@ -123,9 +124,9 @@
           for await (const event of events) {
             if (event.type !== "token") continue;
             generated.push(event.text);
-            sendOptions.onToken(event.text);
+            sendOptions.onToken();
           }
-          return;
+          return generated;
         } catch (err) {
           failure = err;
           host.avoidUntilMs[index] = clock.nowMs() + AVOID_MS / timeScale;
--- a/packages/bench/run_load.ts
+++ b/packages/bench/run_load.ts
@@ -77,11 +77,11 @@
     const { promptClass, atMs } = arrival;
     const prompt = buildPrompt(arrival, options.bytesPerToken);
     const leftMs = (atMs + TIMEOUT_MS[promptClass] - modelledMs()) / timeScale;
-    const tokens: string[] = [];
     let firstTokenMs: number | undefined;
-    const onToken = (text: string) => {
+    let received = 0;
+    const onToken = () => {
       firstTokenMs ??= modelledMs() - atMs;
-      tokens.push(text);
+      received += 1;
     };
     const finish = (outcome: Sample["outcome"], reason?: string): Sample => ({
       promptClass,
@@ -90,11 +90,12 @@
       ...(reason !== undefined && { reason }),
       ...(firstTokenMs !== undefined && { firstTokenMs }),
       totalMs: modelledMs() - atMs,
-      tokens: tokens.length,
+      tokens: received,
     });
     const timeoutMs = Math.max(1, leftMs);
+    let tokens: string[];
     try {
-      await target.send(arrival, prompt, {
+      tokens = await target.send(arrival, prompt, {
         signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
         timeoutMs,
         onToken,
@@ -102,7 +103,7 @@
     } catch (err) {
       return finish("failed", reasonOf(err));
     }
-    const expected = expectedTokens(prompt, arrival.maxTokens);
+    const expected = expectedTokens(target.enginePrompt(prompt), arrival.maxTokens);
     const isRight = tokens.length === expected.length &&
       tokens.every((text, index) => text === expected[index]);
     return finish(isRight ? "ok" : "wrong");
--- a/packages/bench/run_load_test.ts
+++ b/packages/bench/run_load_test.ts
@@ -10,6 +10,7 @@
 function fakeTarget(send: Target["send"]): Target {
   return {
     name: "fake",
+    enginePrompt: (prompt) => prompt,
     send,
     setDataCentre: () => Promise.resolve(),
     stop: () => Promise.resolve(),
@@ -44,8 +45,8 @@
       const endMs = performance.now() + 300;
       while (performance.now() < endMs);
     }
-    for (const text of expectedTokens(prompt, arrival.maxTokens)) onToken(text);
-    return Promise.resolve();
+    onToken();
+    return Promise.resolve(expectedTokens(prompt, arrival.maxTokens));
   });
   const arrival = {
     workspace: 0,
@@ -67,7 +68,9 @@
     if (arrival.requestId === "short") tokens.pop();
     if (arrival.requestId === "wrong") tokens[0] = "x";
     tokens.forEach(onToken);
-    return arrival.requestId === "failed" ? Promise.reject(new Error("cut")) : Promise.resolve();
+    return arrival.requestId === "failed"
+      ? Promise.reject(new Error("cut"))
+      : Promise.resolve(tokens);
   });
   const arrival = { atMs: 0, workspace: 0, promptClass: "short", promptTokens: 1_000 } as const;
   const arrivals = ["short", "wrong", "failed", "right"].map((requestId) => (
