Add the membership of hosts

Cause: admission, leases and configuration need a view of the hosts that costs little at 340 hosts. The wait function is an option, so that the tests run on virtual time. Ruled out: a host that hears nobody marking all others dead, because its opinions would flood the fleet after the cut; taking over tombstones from peers, because their lifetime would never end.

--- /dev/null
+++ b/packages/membership/_lib/create_waker.ts
@@ -0,0 +1,44 @@
+import { AbortedError, type Millis } from "@jaypass/kernel";
+
+/** Waits for a time, as the kernel's `sleep` does. */
+export type Sleep = (durationMs: Millis, signal?: AbortSignal) => Promise<void>;
+
+/** A wait that can be ended early. */
+export interface Waker {
+  /** Ends the current wait, or the next one at once. */
+  wake(): void;
+  /** Waits; reports whether it was woken. Throws when the signal aborts. */
+  wait(durationMs: Millis, signal: AbortSignal): Promise<boolean>;
+}
+
+/** Creates a waker. */
+export function createWaker(sleep: Sleep): Waker {
+  let isWoken = false;
+  let current: AbortController | undefined;
+  return {
+    wake() {
+      isWoken = true;
+      current?.abort();
+    },
+    async wait(durationMs, signal) {
+      if (!isWoken) {
+        const controller = current = new AbortController();
+        const abort = () => controller.abort();
+        signal.addEventListener("abort", abort, { once: true });
+        if (signal.aborted) abort();
+        try {
+          await sleep(durationMs, controller.signal);
+        } catch (err) {
+          if (!(err instanceof AbortedError)) throw err;
+        } finally {
+          signal.removeEventListener("abort", abort);
+          current = undefined;
+        }
+      }
+      if (signal.aborted) throw new AbortedError("Wait aborted", { cause: signal.reason });
+      const woken = isWoken;
+      isWoken = false;
+      return woken;
+    },
+  };
+}
--- a/packages/membership/mod.ts
+++ b/packages/membership/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
+export * from "./constants.ts";
+export * from "./create_incarnation.ts";
+export * from "./create_membership.ts";
 export * from "./types.ts";
--- a/packages/peers/create_peer_pool.ts
+++ b/packages/peers/create_peer_pool.ts
@@ -49,7 +49,8 @@
   const traffic = createTraffic();
   const overhead = overheadOf(options.tls);
   const connections = new Map<string, Connection>();
-  const closing = new AbortController();
+  const running = new Set<AbortController>();
+  let closed = false;
 
   const connectionTo = (address: string): Connection => {
     let found = connections.get(address);
@@ -80,30 +81,38 @@
         new PeerError(`"${path}" was not sent to "${address}"`, { ran: "not_run", reason, cause }),
         path,
       );
-    if (closing.signal.aborted) throw notRun(PEER_FAILURE.POOL_CLOSED);
-    if (callOptions.signal?.aborted) throw notRun(PEER_FAILURE.CANCELLED);
-    if (callOptions.timeoutMs <= 0) throw notRun(PEER_FAILURE.TIMEOUT);
-    const signals = callOptions.signal ? [callOptions.signal, closing.signal] : [closing.signal];
-    const deadline = createDeadline(Math.min(callOptions.timeoutMs, MAX_TIMER_MS), {
+    const { signal, timeoutMs } = callOptions;
+    if (closed) throw notRun(PEER_FAILURE.POOL_CLOSED);
+    if (signal?.aborted) throw notRun(PEER_FAILURE.CANCELLED);
+    if (timeoutMs <= 0) throw notRun(PEER_FAILURE.TIMEOUT);
+    // AbortSignal.any would keep an entry in a long-lived signal for each call.
+    const parent = new AbortController();
+    const abort = () => parent.abort(signal?.reason);
+    signal?.addEventListener("abort", abort, { once: true });
+    running.add(parent);
+    const deadline = createDeadline(Math.min(timeoutMs, MAX_TIMER_MS), {
       clock,
-      parent: AbortSignal.any(signals),
+      parent: parent.signal,
     });
     const connection = connectionTo(address);
     const endUse = connection.use();
     const end = () => {
       deadline.clear();
+      running.delete(parent);
+      signal?.removeEventListener("abort", abort);
       endUse();
     };
     try {
       await untilAborted(connection.ready(), deadline.signal);
+      if (deadline.signal.aborted) throw new AbortedError("Call ended before it was sent");
     } catch (err) {
       end();
       if (!(err instanceof AbortedError)) throw notRun(PEER_FAILURE.CONNECT_FAILED, err);
-      if (closing.signal.aborted) throw notRun(PEER_FAILURE.POOL_CLOSED, err);
-      if (callOptions.signal?.aborted) throw notRun(PEER_FAILURE.CANCELLED, err);
+      if (closed) throw notRun(PEER_FAILURE.POOL_CLOSED, err);
+      if (signal?.aborted) throw notRun(PEER_FAILURE.CANCELLED, err);
       throw notRun(PEER_FAILURE.TIMEOUT, err);
     }
-    const grpcOptions: CallOptions = callOptions.timeoutMs > MAX_TIMER_MS
+    const grpcOptions: CallOptions = timeoutMs > MAX_TIMER_MS
       ? {}
       : { deadline: Date.now() + deadline.remainingMs() };
     return { client: connection.client, deadline, grpcOptions, end };
@@ -185,7 +194,8 @@
     traffic: traffic.totals,
 
     close() {
-      closing.abort(new Error("Pool closed"));
+      closed = true;
+      for (const parent of running) parent.abort(new Error("Pool closed"));
       for (const connection of [...connections.values()]) connection.close();
       return Promise.resolve();
     },
