Join the packages to a running entry host and demo

Cause: programs are bundled, so a path relative to the source file does not find them. Change: the harness finds dist from the workspace's root; it waits until every host sees all hosts and every server has a coordinator; a wrong tls setting says what is expected.

--- a/packages/admission/_testing/create_test_lease.ts
+++ b/packages/admission/_testing/create_test_lease.ts
@@ -52,6 +52,9 @@
         },
         validMs: () => isHolder() ? 9_000 : 0,
         holder: () => row.holder,
+        retained: () => row.retained === undefined ? [] : [row.retained],
+        relinquish: () => "unknown",
+        stop: () => Promise.resolve(),
         release() {
           row.wanted.delete(holder.host);
           if (isRetained()) row.retained = undefined;
--- a/packages/admission/_testing/create_test_system.ts
+++ b/packages/admission/_testing/create_test_system.ts
@@ -127,6 +127,7 @@
       handle: (method, handler) => void own.set(method.path, handler as AnyHandler),
       handleStream: () => {},
       listen: () => Promise.resolve(view.peerAddress),
+      traffic: () => ({}),
       stop: () => Promise.resolve(),
     };
     const call = async <Req, Res>(
--- a/packages/configuration/_testing/create_fake_network.ts
+++ b/packages/configuration/_testing/create_fake_network.ts
@@ -114,6 +114,7 @@
         handle: (method, handler) => void self.handlers.set(method.path, handler),
         handleStream: (method, handler) => void self.handlers.set(method.path, handler),
         listen: () => Promise.resolve(id),
+        traffic: () => ({}),
         stop: () => Promise.resolve(),
       },
       membership: {
--- a/packages/entry/http/create_request_deadline.ts
+++ b/packages/entry/http/create_request_deadline.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
-import { resolveTimeout } from "@jaypass/configuration";
+import { ConfigurationError, resolveTimeout } from "@jaypass/configuration";
+import type { HourTimeout } from "@jaypass/configuration";
 import { createDeadline } from "@jaypass/kernel";
 import type { Deadline, Millis } from "@jaypass/kernel";
 import { BAD_REQUEST } from "../constants.ts";
@@ -31,14 +32,7 @@
   context: Pick<FrontContext, "configuration" | "clock">,
 ): RequestDeadline {
   const kind = String(req.headers["x-caller-kind"] ?? DEFAULT_CALLER_KIND);
-  const document = context.configuration.document();
-  const configured = resolveTimeout(document, kind, context.clock.wallMs());
-  if (configured === undefined) {
-    throw new BadRequestError(`Caller kind "${kind}" is not configured and there is no default`, {
-      status: 400,
-      reason: BAD_REQUEST.UNKNOWN_CALLER_KIND,
-    });
-  }
+  const configured = resolveConfigured(kind, context);
   const timeoutMs = Math.min(configured.timeoutMs, readTimeout(req));
   return {
     deadline: createDeadline(timeoutMs, { clock: context.clock }),
@@ -46,6 +40,22 @@
   };
 }
 
+function resolveConfigured(
+  kind: string,
+  { configuration, clock }: Pick<FrontContext, "configuration" | "clock">,
+): HourTimeout {
+  try {
+    return resolveTimeout(configuration.document(), kind, clock.wallMs());
+  } catch (err) {
+    if (!(err instanceof ConfigurationError)) throw err;
+    throw new BadRequestError(err.message, {
+      status: 400,
+      reason: BAD_REQUEST.UNKNOWN_CALLER_KIND,
+      cause: err,
+    });
+  }
+}
+
 function readTimeout(req: IncomingMessage): Millis {
   const header = req.headers["x-timeout-ms"];
   if (header === undefined) return Infinity;
--- a/packages/entry/main.ts
+++ b/packages/entry/main.ts
@@ -1,6 +1,6 @@
-import { randomBytes } from "node:crypto";
 import { command, flag, option, run, string } from "cmd-ts";
 import { createClock, createLogger, createMetrics } from "@jaypass/kernel";
+import { createIncarnation } from "@jaypass/membership";
 import { createHost } from "./create_host.ts";
 import { SettingsError } from "./errors.ts";
 import { runHost } from "./run_host.ts";
@@ -20,11 +20,11 @@
     try {
       const settings = readSettings(file);
       const { host, dataCentre } = settings;
+      const clock = createClock();
       const context = {
         settings,
-        // Starts with the wall time, so that a later process of the same host sorts after.
-        incarnation: `${Date.now()}-${randomBytes(4).toString("hex")}`,
-        clock: createClock(),
+        incarnation: createIncarnation({ clock, random: Math.random }),
+        clock,
         random: Math.random,
         log: createLogger("jaypassd", { level: settings.log.level, fields: { host, dataCentre } }),
         metrics: createMetrics({ statsd: settings.statsd, tags: { host, dataCentre } }),
--- a/packages/entry/run_host.ts
+++ b/packages/entry/run_host.ts
@@ -24,7 +24,6 @@
   isDraining = true;
   log.info({ signal }, "Draining");
   void waitForSignal().then(() => process.exit(1));
-  await kernel.lookup(SERVICE.DRAIN).run();
   await kernel.stop();
   await context.metrics.close();
   log.info({}, "Stopped");
--- a/packages/entry/services/define_ledger_service.ts
+++ b/packages/entry/services/define_ledger_service.ts
@@ -1,6 +1,8 @@
 import { createCallLedger } from "@jaypass/idempotency";
-import type { AskHost } from "@jaypass/idempotency";
+import type { AskHost, CallOwner } from "@jaypass/idempotency";
 import type { AnyServiceDefinition } from "@jaypass/kernel";
+import { HOST_STATE } from "@jaypass/membership";
+import type { Membership } from "@jaypass/membership";
 import type { PeerPool } from "@jaypass/peers";
 import { CALL_STATUS_METHOD } from "../peer_methods.ts";
 import type { ProcessContext } from "../process_context.ts";
@@ -18,7 +20,13 @@
 export function defineLedgerService(context: ProcessContext): AnyServiceDefinition {
   return {
     name: SERVICE.LEDGER,
-    needs: [SERVICE.TABLES, SERVICE.OBJECTS, SERVICE.PEER_POOL, SERVICE.PEER_SERVER],
+    needs: [
+      SERVICE.TABLES,
+      SERVICE.OBJECTS,
+      SERVICE.PEER_POOL,
+      SERVICE.PEER_SERVER,
+      SERVICE.MEMBERSHIP,
+    ],
     start: (lookup) => {
       const { host, peerListen } = context.settings;
       const ledger = createCallLedger({
@@ -27,6 +35,7 @@
         objects: lookup(SERVICE.OBJECTS),
         self: { host, incarnation: context.incarnation, address: peerListen },
         askHost: createAskHost(lookup(SERVICE.PEER_POOL)),
+        isHostGone: createGoneCheck(lookup(SERVICE.MEMBERSHIP)),
       });
       lookup(SERVICE.PEER_SERVER).handle(
         CALL_STATUS_METHOD,
@@ -37,6 +46,15 @@
   };
 }
 
+/** A wrong opinion is harmless: the call is then reported as unknown and not run again. */
+function createGoneCheck(membership: Membership): (owner: CallOwner) => boolean {
+  return (owner) => {
+    const host = membership.find(owner.host);
+    if (host === undefined) return false;
+    return host.state === HOST_STATE.DEAD || host.incarnation > owner.incarnation;
+  };
+}
+
 function createAskHost(peers: PeerPool): AskHost {
   return async (query, signal) => {
     try {
--- a/packages/entry/services/define_peer_services.ts
+++ b/packages/entry/services/define_peer_services.ts
@@ -49,7 +49,6 @@
             dataCentre: settings.dataCentre,
             peerAddress: settings.peerListen,
             callerUrl: `http://${settings.callerListen}`,
-            state: "alive",
           },
           hostList: lookup(SERVICE.HOST_LIST),
           peers: lookup(SERVICE.PEER_POOL),
--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -19,7 +19,7 @@
   tls: z.union([
     z.literal("off"),
     z.strictObject({ caFile: z.string(), certFile: z.string(), keyFile: z.string() }),
-  ]),
+  ], { error: 'expected "off" or the file names "caFile", "certFile" and "keyFile"' }),
   /** Operators' tokens by owner: SHA-256 in hex and the sections that the owner may change. */
   owners: z.record(
     z.string(),
--- a/packages/system_tests/_lib/spawn_program.ts
+++ b/packages/system_tests/_lib/spawn_program.ts
@@ -1,6 +1,7 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { fileURLToPath } from "node:url";
+import { join } from "node:path";
+import { findDistFolder } from "./find_dist_folder.ts";
 
 /** A running program of the workspace. */
 export interface Program {
@@ -34,7 +35,7 @@
   name: string,
   args: string[],
 ): Promise<{ program: Program; port: number }> {
-  const file = fileURLToPath(new URL(`../../../dist/${name}.js`, import.meta.url));
+  const file = join(findDistFolder(), `${name}.js`);
   const child = spawn(process.execPath, ["--enable-source-maps", file, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
   });
--- a/packages/system_tests/start_system.ts
+++ b/packages/system_tests/start_system.ts
@@ -2,6 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import type { EnginesResponse, HostsResponse } from "@jaypass/configuration";
 import { sleep } from "@jaypass/kernel";
 import { request } from "undici";
 import { buildDocument, TEST_MODEL, TEST_SERVICE } from "./build_document.ts";
@@ -70,6 +71,9 @@
 /** Time for all hosts to apply the first document and to hold every pool's lease. */
 const READY_TIMEOUT_MS = 60_000;
 
+/** Pause between questions whether a host is ready. */
+const READY_POLL_MS = 100;
+
 /**
  * Starts a platform stand-in, engines, plain services and entry hosts, each in a process of its own.
  *
@@ -246,24 +250,35 @@
   hosts: readonly SystemHost[],
   document: Record<string, Record<string, unknown>>,
 ) {
-  const wanted = Object.keys(document.backendServers!).length;
   const endMs = performance.now() + READY_TIMEOUT_MS;
-  for (const host of hosts.filter((candidate) => candidate.program.isRunning())) {
-    while (true) {
-      const engines = await getJson<{ engines: unknown[] }>(`${host.url}/admin/v1/engines`)
-        .catch(() => ({ engines: [] }));
-      if (engines.engines.length >= wanted) break;
+  const running = hosts.filter((candidate) => candidate.program.isRunning());
+  const servers = Object.keys(document.backendServers!).length;
+  for (const host of running) {
+    let missing = "no answer";
+    while (missing !== "") {
       if (performance.now() > endMs) {
-        throw new Error(
-          `Host "${host.id}" sees ${engines.engines.length} of ${wanted} servers after ` +
-            `${READY_TIMEOUT_MS} ms: ${host.program.tail()}`,
-        );
+        throw new Error(`Host "${host.id}" is not ready (${missing}): ${host.program.tail()}`);
       }
-      await sleep(200);
+      await sleep(READY_POLL_MS);
+      missing = await findMissing(host, { servers, hosts: running.length })
+        .catch((err: Error) => err.message);
     }
   }
 }
 
+/** Tells what a host still lacks before it can serve; empty when it lacks nothing. */
+async function findMissing(
+  host: SystemHost,
+  wanted: { servers: number; hosts: number },
+): Promise<string> {
+  const { engines } = await getJson<EnginesResponse>(`${host.url}/admin/v1/engines`);
+  const usable = engines.filter(({ state }) => state !== "unknown" && state !== "down").length;
+  if (usable < wanted.servers) return `${usable} of ${wanted.servers} servers`;
+  const { hosts } = await getJson<HostsResponse>(`${host.url}/admin/v1/hosts`);
+  const alive = hosts.filter(({ state }) => state === "alive").length;
+  return alive < wanted.hosts ? `${alive} of ${wanted.hosts} hosts` : "";
+}
+
 async function postJson(url: string, body: unknown): Promise<void> {
   const res = await request(url, {
     method: "POST",
