Add the ledger of calls that run at most once

Cause: bookings and dispatches must run at most once while answers are lost, writes come late and hosts pause or die. Change: records with compare-and-swap through started, sending, done and not_run; each swap is tried again until its outcome is known; settlement in the background; fence and lookup; an index of sending records for operators; results above 64 KB as objects; batched clean-up after 24 h. Ruled out: deciding a swap with an unknown outcome by a read alone, because the write may still come and the read may be from the past; the same compare-and-swap is repeated instead.

--- /dev/null
+++ b/packages/idempotency/_lib/create_result_store.ts
@@ -0,0 +1,36 @@
+import type { ObjectClient } from "@jaypass/platform";
+import { MAX_INLINE_RESULT_BYTES } from "../constants.ts";
+import type { CallResult, LedgerTiming, StoredResult } from "../types.ts";
+
+/** Creates the storage of results, in the record or in the object store. */
+export function createResultStore(
+  options: { objects: ObjectClient; timing: LedgerTiming },
+) {
+  const { objects, timing } = options;
+  const callOptions = { timeoutMs: timing.storeWaitMs };
+  return {
+    /** Stores a result; throws when the object store does not take a large one. */
+    async save(name: string, { status, contentType, body }: CallResult): Promise<StoredResult> {
+      if (body.length <= MAX_INLINE_RESULT_BYTES) {
+        return { status, contentType, bodyBase64: Buffer.from(body).toString("base64") };
+      }
+      const object = `calls/${name}`;
+      await objects.put(object, body, callOptions);
+      return { status, contentType, object };
+    },
+    async load({ status, contentType, bodyBase64, object }: StoredResult): Promise<CallResult> {
+      if (object === undefined) {
+        return { status, contentType, body: Buffer.from(bodyBase64 ?? "", "base64") };
+      }
+      const body = await objects.get(object, callOptions);
+      if (body === undefined) throw new Error(`Object "${object}" is missing`);
+      return { status, contentType, body };
+    },
+    async remove({ object }: StoredResult): Promise<void> {
+      if (object !== undefined) await objects.delete(object, callOptions);
+    },
+  };
+}
+
+/** Storage of results. */
+export type ResultStore = ReturnType<typeof createResultStore>;
--- /dev/null
+++ b/packages/idempotency/_lib/ledger_context.ts
@@ -0,0 +1,34 @@
+import type { Clock, Logger, Metrics, Millis, RandomSource, TaskGroup } from "@jaypass/kernel";
+import type { TableClient } from "@jaypass/platform";
+import type { AskHost, CallOwner, LedgerTiming } from "../types.ts";
+import type { ActiveAttempts } from "./create_active_attempts.ts";
+import type { RecordStore } from "./create_record_store.ts";
+import type { ResultStore } from "./create_result_store.ts";
+
+/** What the parts of a ledger share. */
+export interface LedgerContext {
+  table: TableClient;
+  records: RecordStore;
+  results: ResultStore;
+  self: CallOwner;
+  clock: Clock;
+  random: RandomSource;
+  askHost: AskHost;
+  isHostGone: (owner: CallOwner) => boolean;
+  metrics: Metrics;
+  log: Logger;
+  timing: LedgerTiming;
+  /** Background settlements and clean-up. */
+  tasks: TaskGroup;
+  /** Attempts of this process that may still send or write. */
+  active: ActiveAttempts;
+  newAttempt(): string;
+}
+
+/** Time limits of one call. */
+export interface CallLimits {
+  /** Monotonic time of the caller's deadline. */
+  endMs: Millis;
+  /** Aborted at the deadline or when the caller goes away. */
+  signal: AbortSignal;
+}
--- /dev/null
+++ b/packages/idempotency/errors.ts
@@ -0,0 +1,43 @@
+/**
+ * Errors of the call ledger.
+ *
+ * @module
+ */
+import type { Millis } from "@jaypass/kernel";
+import type { Ran } from "./types.ts";
+
+/** Reasons that the ledger itself gives; errors of `prepare` and `send` keep their own. */
+export const CALL_REASON = {
+  /** The key was used with another operation or body. */
+  KEY_REUSED: "key_reused",
+  /** The record could not be written. */
+  STORE_UNAVAILABLE: "store_unavailable",
+  /** Another attempt under the key had not ended at the deadline. */
+  IN_PROGRESS: "in_progress",
+  /** The deadline passed. */
+  DEADLINE_EXCEEDED: "deadline_exceeded",
+  /** The call was sent and nobody can tell whether it ran. */
+  OUTCOME_UNKNOWN: "outcome_unknown",
+  /** The call was not sent because of an error. */
+  NOT_SENT: "not_sent",
+  /** An operator tried to settle a call whose outcome is not unknown. */
+  NOT_UNKNOWN: "not_unknown",
+} as const;
+
+/** A call was refused or its outcome is unknown. */
+export class CallError extends Error {
+  override name = "CallError";
+  /** A value of {@linkcode CALL_REASON} or the reason of the error in `cause`. */
+  readonly reason: string;
+  /** Whether the attempt ran. */
+  readonly ran: Ran;
+  /** Milliseconds after which a repeat may succeed. */
+  readonly retryAfterMs: Millis | undefined;
+
+  constructor(reason: string, options: { ran: Ran; retryAfterMs?: Millis; cause?: unknown }) {
+    super(`Call refused with "${reason}" and "${options.ran}"`, { cause: options.cause });
+    this.reason = reason;
+    this.ran = options.ran;
+    this.retryAfterMs = options.retryAfterMs;
+  }
+}
--- a/packages/idempotency/types.ts
+++ b/packages/idempotency/types.ts
@@ -63,9 +63,76 @@
     call: { workspace: string; service: string; key: string },
     decision: "done" | "not_run",
   ): Promise<void>;
+  /** Answers `Calls.Status` of another host about an attempt of this process. */
+  answerStatus(request: AttemptQuery): OwnerAnswer;
+  /** Awaits the running attempts and ends the background work. */
   stop(): Promise<void>;
 }
 
+/** The process that runs an attempt. */
+export interface CallOwner {
+  host: string;
+  /** Distinguishes processes that run on the same host one after another. */
+  incarnation: string;
+  /** Peer address, `ip:port`. */
+  address: string;
+}
+
+/** Question about an attempt, asked at its owner's address. */
+export interface AttemptQuery {
+  /** The process that is asked; another process at its address answers for itself only. */
+  owner: CallOwner;
+  /** Key of the record. */
+  record: string;
+  attempt: string;
+}
+
+/**
+ * What the owner of an attempt says of it.
+ *
+ * `finished` means that the attempt sends nothing any more and its last write has been tried;
+ * `newer_incarnation` that the owner is gone; `unreachable` proves nothing.
+ */
+export type OwnerAnswer = "in_progress" | "finished" | "newer_incarnation" | "unreachable";
+
+/** Asks the owner of an attempt; resolves to `unreachable` without an answer. */
+export type AskHost = (query: AttemptQuery, signal: AbortSignal) => Promise<OwnerAnswer>;
+
+/** Value of a record in the table service. */
+export interface CallRecord {
+  state: "started" | "sending" | "done" | "not_run";
+  attempt: string;
+  owner: CallOwner;
+  /** Grows by one with each attempt and each raised fence. */
+  fencing: number;
+  bodyHash: string;
+  operation: string;
+  requestId: string;
+  result?: StoredResult | undefined;
+  /** Wall time in milliseconds at which the record became `done`. */
+  doneWallMs?: number | undefined;
+}
+
+/** A result as the record holds it: in base64, or by the name of an object. */
+export interface StoredResult {
+  status: number;
+  contentType: string;
+  bodyBase64?: string | undefined;
+  object?: string | undefined;
+}
+
+/** Times of the ledger in milliseconds; see the constants for their reasons. */
+export interface LedgerTiming {
+  storeTimeoutMs: Millis;
+  storeWaitMs: Millis;
+  pollMs: Millis;
+  maxPollMs: Millis;
+  startedPatienceMs: Millis;
+  sendGraceMs: Millis;
+  settleRetryMs: Millis;
+  cleanUpMs: Millis;
+}
+
 /** What is known of a key. */
 export interface CallStatus {
   workspace: string;
