--- a/packages/membership/_lib/virtual_network.ts
+++ b/packages/membership/_lib/virtual_network.ts
@@ -144,7 +144,7 @@
 
   return {
     clock,
-    random,
+    sleep,
     state,
     hosts: (): VirtualHost[] => [...processes.values()].filter(({ isRunning }) => isRunning),
     /** Drops messages between hosts, by sender and receiver. */
--- a/packages/membership/create_membership.ts
+++ b/packages/membership/create_membership.ts
@@ -181,8 +181,8 @@
       if (gapMs > TICK_MS + PAUSE_MS) {
         metrics.increment("membership_pause");
         log.warn({ gapMs: Math.round(gapMs) }, "This process was paused");
+        // A suspect could not be seen to refute during the pause.
         for (const entry of view.entries()) {
-          entry.heardMs = nowMs;
           if (entry.record.state === HOST_STATE.SUSPECT) entry.sinceMs += gapMs;
         }
       }
--- a/packages/membership/create_membership_test.ts
+++ b/packages/membership/create_membership_test.ts
@@ -89,6 +89,24 @@
   t.true(total(hosts, "membership_state_change") - before <= 18 + 2);
 });
 
+test("a host that slept through the refutation of a suspect does not declare it dead", async (t) => {
+  const { network, hosts } = await startAll(18);
+  const [sleeper, suspect] = [hosts[5]!, hosts[8]!];
+  network.block((a, b) => (a === "h8") !== (b === "h8"));
+  while (sleeper.membership.find("h8")?.state !== "suspect") await network.run(100);
+  network.pause(sleeper, true);
+  network.block(() => false);
+  await network.run(30_000);
+  t.is(suspect.membership.find("h8")?.state, "alive");
+  network.pause(sleeper, false);
+  for (let step = 0; step < 100; step++) {
+    await network.run(1);
+    t.not(sleeper.membership.find("h8")?.state, "dead");
+  }
+  await network.run(10_000);
+  t.true(allSeeAllAlive(network));
+});
+
 test("silence between two hosts in one direction is no reason for suspicion", async (t) => {
   const { network, hosts } = await startAll(18);
   for (const [from, to] of [["h2", "h3"], ["h3", "h9"], ["h9", "h2"], ["h4", "h2"]]) {
@@ -150,6 +168,20 @@
   t.true(allSeeAllAlive(network));
 });
 
+test("a host that no list names any more is found again at its remembered address", async (t) => {
+  const { network, hosts } = await startAll(6);
+  const stopped = hosts[4]!.membership.stop();
+  await network.run(5_000);
+  await stopped;
+  network.kill(hosts[4]!);
+  // Longer than the slowest interval between two readings of the list.
+  await network.run(400_000);
+  network.state.isListDown = true;
+  network.start("h4");
+  await network.run(60_000);
+  t.true(allSeeAllAlive(network));
+});
+
 test("two halves that part serve on, and see each other again when they meet", async (t) => {
   const { network } = await startAll(24);
   const half = (id: string) => Number(id.slice(1)) % 2;
