--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -3,16 +3,23 @@
 import { createTaskGroup, sleep } from "@jaypass/kernel";
 import type { Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
-import { REPORT_INTERVAL_MS } from "./constants.ts";
+import type { TableClient } from "@jaypass/platform";
+import { QUOTA_SHARDS, REPORT_INTERVAL_MS } from "./constants.ts";
 import { createCoordinator } from "./create_coordinator.ts";
 import type { CoordinatorOptions } from "./create_coordinator.ts";
+import { createQuarantine } from "./create_quarantine.ts";
+import type { Quarantine } from "./create_quarantine.ts";
+import { createQuotaCoordinator } from "./create_quota_coordinator.ts";
 import { createCoordinatorDirectory } from "./_lib/coordinator_directory.ts";
 import { createCoordinatorSet } from "./_lib/coordinator_set.ts";
-import type { CreateLease } from "./_lib/coordinator_set.ts";
+import type { Coordinated, CreateLease } from "./_lib/coordinator_set.ts";
 import { createGrantBook } from "./_lib/grant_book.ts";
 import { createGrantClient } from "./_lib/grant_client.ts";
 import { handleAdmissionCalls } from "./_lib/handle_admission_calls.ts";
-import { listPools } from "./_lib/list_pools.ts";
+import { listPools, poolLeaseName } from "./_lib/list_pools.ts";
+import type { PoolView } from "./_lib/list_pools.ts";
+import { longestRequestMs } from "./_lib/longest_request.ts";
+import { createQuotaClient } from "./_lib/quota_client.ts";
 import { sendReports } from "./_lib/send_reports.ts";
 import type { ReportState } from "./_lib/send_reports.ts";
 import type { GrantOwner } from "./messages.ts";
@@ -24,6 +31,12 @@
 /** Topic on which a new coordinator asks the hosts for their grants. */
 const COORDINATOR_TOPIC = "admission.coordinator";
 
+const QUOTA_TARGETS = Array.from({ length: QUOTA_SHARDS }, (_, n) => ({ name: `quota/${n}` }));
+
+interface PoolTarget extends Coordinated {
+  view: PoolView;
+}
+
 /** What admission needs from the process. */
 export interface AdmissionOptions {
   clock: Clock;
@@ -34,6 +47,8 @@
   membership: Membership;
   peers: PeerPool;
   server: PeerServer;
+  /** Table service, for quarantine rows. */
+  table: TableClient;
   /** Starts to compete for a lease. */
   createLease: CreateLease;
   /** Opens the client by which a coordinator watches a server. */
@@ -46,6 +61,8 @@
 export interface AdmissionService extends Admission {
   /** Describes the pools that this host coordinates. */
   describe(): Record<string, unknown>[];
+  /** Quarantined fingerprints, to be listed and released by operators. */
+  quarantine: Pick<Quarantine, "list" | "release">;
   /** Gives up the leases and stops all tasks. */
   stop(): Promise<void>;
 }
@@ -76,25 +93,52 @@
   const onWait = (pool: string, lane: Lane, waitMs: number) =>
     void waits.set(`${pool}/${lane}`, waitMs);
 
+  const quarantine = createQuarantine({
+    ...options,
+    onSuspects(fingerprints) {
+      for (const coordinator of coordinators.all()) {
+        for (const fingerprint of fingerprints) {
+          coordinator.scheduler.pool.suspects.add(fingerprint);
+        }
+      }
+    },
+  });
   let pools = listPools(configuration.document());
+  const announce = (name: string) =>
+    membership.broadcast(COORDINATOR_TOPIC, { name, address: self.peerAddress });
   const coordinators = createCoordinatorSet({
     membership,
-    createLease: options.createLease,
+    createLease: (name, lease) => options.createLease(poolLeaseName(name), lease),
     onLeaseChange: () => queueMicrotask(update),
-    createCoordinator: (pool, lease) =>
-      createCoordinator(pool.name, {
+    start: ({ view }: PoolTarget, lease) => {
+      const created = createCoordinator(view.name, {
         ...options,
         lease,
         address: self.peerAddress,
-        isQuarantined: () => false,
-        onConviction: () => {},
-        onSuspects: () => {},
-      }),
-    onStart: (pool, coordinator) => {
-      log.info({ pool: pool.name, fencing: coordinator.fencing }, "Coordinator started");
-      membership.broadcast(COORDINATOR_TOPIC, { pool: pool.name, address: self.peerAddress });
+        isQuarantined: quarantine.isQuarantined,
+        onConviction: (fingerprint, server) =>
+          quarantine.convict(fingerprint, { pool: view.name, server }),
+        onSuspects: quarantine.announceSuspects,
+        announce: () => announce(view.name),
+      });
+      created.configure(view, configuration.document());
+      log.info({ pool: view.name, fencing: created.fencing }, "Coordinator started");
+      return created;
     },
   });
+  const quotas = createCoordinatorSet({
+    membership,
+    createLease: options.createLease,
+    onLeaseChange: () => queueMicrotask(update),
+    start: ({ name }, lease) =>
+      createQuotaCoordinator({
+        ...options,
+        lease,
+        limitOf: (workspace) => configuration.document().workspaces[workspace]?.maxConcurrent ?? 0,
+        announce: () => announce(name),
+        longestRequestMs: () => longestRequestMs(configuration.document()),
+      }),
+  });
 
   const book = createGrantBook(clock);
   const directory = createCoordinatorDirectory(membership);
@@ -109,33 +153,48 @@
       peers.call(address, REPORT, report, { timeoutMs: REPORT_INTERVAL_MS, signal: tasks.signal }),
     onWait,
   };
+  const quota = createQuotaClient({ clock, metrics, owner, peers, directory, tasks });
   const client = createGrantClient({
     ...options,
     owner,
     dataCentre: self.dataCentre,
     book,
+    quota,
     directory,
     tasks,
     pools: () => pools,
     waitMs: (pool, lane) => waits.get(`${pool}/${lane}`) ?? 0,
     onWait,
+    isQuarantined: quarantine.isQuarantined,
     owe: (pool) => reports.owed.set(pool, 4),
   });
 
-  handleAdmissionCalls(options.server, coordinators);
+  handleAdmissionCalls(options.server, { pools: coordinators, quotas });
   configuration.onChange((document) => {
     pools = listPools(document);
-    coordinators.configure(pools, document);
+    for (const view of pools) {
+      coordinators.find(view.name)?.configure(view, document);
+    }
   });
   membership.onBroadcast(COORDINATOR_TOPIC, (payload) => {
-    const { pool, address } = payload as { pool?: unknown; address?: unknown };
-    if (typeof pool !== "string" || typeof address !== "string") return;
-    directory.learn(pool, address);
-    if (!book.pools().includes(pool)) return;
-    tasks.run("report to new coordinator", () => sendReports(reports, [pool]));
+    const { name, address } = payload as { name?: unknown; address?: unknown };
+    if (typeof name !== "string" || typeof address !== "string") return;
+    directory.learn(name, address);
+    if (name.startsWith("quota/")) quota.announce(name);
+    else if (book.pools().includes(name)) {
+      tasks.run("report to new coordinator", () => sendReports(reports, [name]));
+    }
   });
   const update = () => {
-    if (!tasks.signal.aborted) coordinators.update(pools, configuration.document());
+    if (tasks.signal.aborted) return;
+    coordinators.update(
+      pools.map((view) => ({
+        name: view.name,
+        dataCentre: view.dataCentre,
+        view,
+      })),
+    );
+    quotas.update(QUOTA_TARGETS);
   };
   tasks.run("leases", async (signal) => {
     while (!signal.aborted) {
@@ -152,12 +211,14 @@
 
   return {
     ...client,
+    quarantine,
     describe: () => [...coordinators.all()].map((coordinator) => coordinator.describe()),
     async stop() {
       metrics.gauge("admission.unconfirmed", book.size);
       await sendReports(reports).catch(() => {});
       await tasks.stop();
-      await coordinators.stop();
+      await Promise.all([coordinators.stop(), quotas.stop()]);
+      await quarantine.stop();
     },
   };
 }
