--- a/packages/admission/_lib/quota_client.ts
+++ b/packages/admission/_lib/quota_client.ts
@@ -64,6 +64,8 @@
   const shards = new Map<string, Map<string, WorkspaceSlots>>();
   const flushing = new Map<string, Promise<boolean>>();
   const confirmedMs = new Map<string, Millis>();
+  /** When a shard last said that it still collects the slots held under an earlier coordinator. */
+  const collectingMs = new Map<string, Millis>();
   let sequence = 0;
 
   const slotsOf = (workspace: string) => {
@@ -116,6 +118,7 @@
       }
       directory.learn(shard, address);
       confirmedMs.set(shard, clock.nowMs());
+      if (reply.isCollecting) collectingMs.set(shard, clock.nowMs());
       for (const { workspace, granted, isTight } of reply.entries) {
         const slots = slotsOf(workspace);
         slots.idle += granted;
@@ -171,7 +174,8 @@
       while (!tryTake(workspace)) {
         const slots = slotsOf(workspace);
         signal.throwIfAborted();
-        if (clock.nowMs() - startMs > MAX_WAIT_MS) {
+        const waitedFromMs = Math.max(startMs, collectingMs.get(shard) ?? 0);
+        if (clock.nowMs() - waitedFromMs > MAX_WAIT_MS) {
           const [reason, message] = isReached
             ? [REFUSAL.WORKSPACE_LIMIT, `Workspace "${workspace}" is at its limit`] as const
             : [REFUSAL.COORDINATOR_UNREACHABLE, `Quota shard "${shard}" does not answer`] as const;
--- a/packages/entry/http/create_front_test.ts
+++ b/packages/entry/http/create_front_test.ts
@@ -7,7 +7,7 @@
 import type { Configuration } from "@jaypass/configuration";
 import { createClock } from "@jaypass/kernel";
 import type { Logger, Metrics } from "@jaypass/kernel";
-import type { Membership } from "@jaypass/membership";
+import type { Drain, Membership } from "@jaypass/membership";
 import { RequestError } from "@jaypass/routing";
 import type { Answer, Router } from "@jaypass/routing";
 import { parseSettings } from "../settings.ts";
@@ -82,6 +82,7 @@
       hosts: () => [],
     } as unknown as Membership,
     router: router as Router,
+    drain: { track: () => () => {}, isDraining: () => false } as unknown as Drain,
     mounted: [],
     log,
     metrics: { increment() {}, timing() {}, gauge() {} } as unknown as Metrics,
--- a/packages/entry/http/front_context.ts
+++ b/packages/entry/http/front_context.ts
@@ -1,6 +1,6 @@
 import type { Configuration } from "@jaypass/configuration";
 import type { Clock, Logger, Metrics } from "@jaypass/kernel";
-import type { Membership } from "@jaypass/membership";
+import type { Drain, Membership } from "@jaypass/membership";
 import type { Router } from "@jaypass/routing";
 import type { Settings } from "../settings.ts";
 import type { BodyBudget } from "./create_body_budget.ts";
@@ -12,6 +12,7 @@
   configuration: Configuration;
   membership: Membership;
   router: Router;
+  drain: Drain;
   budget: BodyBudget;
   log: Logger;
   metrics: Metrics;
--- a/packages/entry/http/handle_chat_completion.ts
+++ b/packages/entry/http/handle_chat_completion.ts
@@ -26,6 +26,7 @@
   const { configuration, membership, router, settings, budget } = context;
   const caller = authenticateCaller(req, configuration.document());
   const { deadline, firstTokenMs } = createRequestDeadline(req, context);
+  const endTracking = context.drain.track(deadline.remainingMs());
   let body;
   try {
     body = await readBody(req, {
@@ -58,6 +59,7 @@
   } finally {
     body?.release();
     deadline.clear();
+    endTracking();
   }
 }
 
--- a/packages/entry/http/handle_plain_service.ts
+++ b/packages/entry/http/handle_plain_service.ts
@@ -31,6 +31,7 @@
     });
   }
   const { deadline } = createRequestDeadline(req, context);
+  const endTracking = context.drain.track(deadline.remainingMs());
   let body;
   try {
     body = await readBody(req, {
@@ -60,6 +61,7 @@
   } finally {
     body?.release();
     deadline.clear();
+    endTracking();
   }
 }
 
--- a/packages/entry/http/handle_request_status.ts
+++ b/packages/entry/http/handle_request_status.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { FOLLOW_TIMEOUT_MS } from "@jaypass/routing";
 import { BAD_REQUEST } from "../constants.ts";
 import { BadRequestError } from "../errors.ts";
 import { authenticateCaller } from "./authenticate_caller.ts";
@@ -31,5 +32,10 @@
   const signal = listenForClose(res);
   const tokens = router.follow(requestId, { workspace: caller.workspace, from, signal });
   const stream = !(req.headers.accept ?? "").includes("application/json");
-  await sendAnswer(res, { requestId, model: "", tokens, stream, includeUsage: false }, context);
+  const endTracking = context.drain.track(FOLLOW_TIMEOUT_MS);
+  try {
+    await sendAnswer(res, { requestId, model: "", tokens, stream, includeUsage: false }, context);
+  } finally {
+    endTracking();
+  }
 }
--- a/packages/entry/main.ts
+++ b/packages/entry/main.ts
@@ -30,7 +30,7 @@
         metrics: createMetrics({ statsd: settings.statsd, tags: { host, dataCentre } }),
       };
       if (checkSettings) {
-        createHost({ ...context, isDraining: () => false });
+        createHost(context);
         console.log(`Settings of host "${host}" are valid`);
         return;
       }
--- a/packages/entry/operator/create_operator_handler.ts
+++ b/packages/entry/operator/create_operator_handler.ts
@@ -83,6 +83,8 @@
     "GET calls/unknown": ({ query }) => listUnknownCalls(context, query),
     "POST calls/settle": (call) => settleCall(context, call),
     "POST leases/confirm-dead": (call) => confirmDead(context, call),
+    "GET quarantine": () => Promise.resolve({ entries: context.admission.quarantine.list() }),
+    "DELETE quarantine/*": ({ path, owner }) => releaseQuarantine(context, path[1]!, owner),
     "GET requests/*/explanation": ({ path }) => explain(context, path[1]!),
   };
 
@@ -96,7 +98,7 @@
       }
       const path = url.pathname.slice(PREFIX.length).split("/");
       const route = routes[`${req.method} ${path.join("/")}`] ??
-        routes[`${req.method} ${path[0]}/*/${path[2]}`];
+        routes[`${req.method} ${[path[0], "*", ...path.slice(2)].join("/")}`];
       if (route === undefined) throw notFound(`Nothing is served at "${url.pathname}"`);
       const body = await route({ req, path, query: url.searchParams, owner });
       if (body === undefined) res.writeHead(204).end();
@@ -141,7 +143,7 @@
     incarnation: self.incarnation,
     dataCentre: self.dataCentre,
     revision: context.configuration.revision(),
-    state: context.isDraining() ? "draining" : isReady ? "serving" : "starting",
+    state: context.drain.isDraining() ? "draining" : isReady ? "serving" : "starting",
     uptimeMs: Math.round(context.clock.nowMs() - startMs),
     counters: context.metrics.counters(),
   };
@@ -202,6 +204,11 @@
   return { leases };
 }
 
+async function releaseQuarantine(context: OperatorContext, fingerprint: string, owner: string) {
+  await context.admission.quarantine.release(fingerprint);
+  context.log.info({ fingerprint, owner }, "Operator released a quarantined request");
+}
+
 async function explain(context: OperatorContext, requestId: string) {
   const explanation = await explainRequest(decodeURIComponent(requestId), context);
   if (explanation === undefined) throw notFound(`Request "${requestId}" is not known`);
--- a/packages/entry/operator/operator_context.ts
+++ b/packages/entry/operator/operator_context.ts
@@ -1,7 +1,7 @@
 import type { AdmissionService } from "@jaypass/admission";
 import type { AdministrationToken, Configuration } from "@jaypass/configuration";
 import type { CallLedger } from "@jaypass/idempotency";
-import type { Membership } from "@jaypass/membership";
+import type { Drain, Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
 import type { TableClient } from "@jaypass/platform";
 import type { Router } from "@jaypass/routing";
@@ -17,5 +17,6 @@
   admission: AdmissionService;
   ledger: CallLedger;
   router: Router;
+  drain: Drain;
   tokens: readonly AdministrationToken[];
 }
--- a/packages/entry/process_context.ts
+++ b/packages/entry/process_context.ts
@@ -10,6 +10,4 @@
   random: RandomSource;
   log: Logger;
   metrics: Metrics;
-  /** Reports whether the host is stopping. */
-  isDraining: () => boolean;
 }
--- a/packages/entry/run_host.ts
+++ b/packages/entry/run_host.ts
@@ -10,10 +10,9 @@
  *
  * @param context settings and the process's clock, random source, log and metrics
  */
-export async function runHost(context: Omit<ProcessContext, "isDraining">): Promise<void> {
+export async function runHost(context: ProcessContext): Promise<void> {
   const { settings, log } = context;
-  let isDraining = false;
-  const kernel = createHost({ ...context, isDraining: () => isDraining });
+  const kernel = createHost(context);
   await kernel.start();
   console.log(JSON.stringify({
     host: settings.host,
@@ -21,9 +20,9 @@
   }));
 
   const signal = await waitForSignal();
-  isDraining = true;
   log.info({ signal }, "Draining");
   void waitForSignal().then(() => process.exit(1));
+  await kernel.lookup(SERVICE.DRAIN).drain();
   await kernel.stop();
   await context.metrics.close();
   log.info({}, "Stopped");
--- a/packages/entry/service_names.ts
+++ b/packages/entry/service_names.ts
@@ -3,7 +3,7 @@
 import type { EngineClient, ServiceClient } from "@jaypass/engines";
 import type { CallLedger } from "@jaypass/idempotency";
 import { serviceName } from "@jaypass/kernel";
-import type { Membership } from "@jaypass/membership";
+import type { Drain, Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
 import type { HostListClient, ObjectClient, TableClient } from "@jaypass/platform";
 import type { Router } from "@jaypass/routing";
@@ -31,5 +31,6 @@
   ADMISSION: serviceName<AdmissionService>("admission"),
   LEDGER: serviceName<CallLedger>("idempotency.ledger"),
   ROUTER: serviceName<Router>("routing"),
+  DRAIN: serviceName<Drain>("membership.drain"),
   FRONT: serviceName<Front>("entry.front"),
 } as const;
--- a/packages/entry/services/define_admission_service.ts
+++ b/packages/entry/services/define_admission_service.ts
@@ -29,6 +29,7 @@
         membership: lookup(SERVICE.MEMBERSHIP),
         peers: lookup(SERVICE.PEER_POOL),
         server: lookup(SERVICE.PEER_SERVER),
+        table: lookup(SERVICE.TABLES),
         createLease: leases.create,
         createProbe: (server) =>
           server.kind === "engine"
--- a/packages/entry/services/define_front_services.ts
+++ b/packages/entry/services/define_front_services.ts
@@ -33,6 +33,7 @@
         SERVICE.ROUTER,
         SERVICE.CONFIGURATION,
         SERVICE.MEMBERSHIP,
+        SERVICE.DRAIN,
         SERVICE.ADMISSION,
         SERVICE.LEDGER,
         SERVICE.TABLES,
@@ -47,6 +48,7 @@
           configuration,
           membership: lookup(SERVICE.MEMBERSHIP),
           router: lookup(SERVICE.ROUTER),
+          drain: lookup(SERVICE.DRAIN),
         };
         const administration = createAdministration({
           ...context,
--- a/packages/entry/services/define_peer_services.ts
+++ b/packages/entry/services/define_peer_services.ts
@@ -1,5 +1,5 @@
 import type { AnyServiceDefinition } from "@jaypass/kernel";
-import { createMembership } from "@jaypass/membership";
+import { createDrain, createMembership } from "@jaypass/membership";
 import { createPeerPool, createPeerServer } from "@jaypass/peers";
 import type { ProcessContext } from "../process_context.ts";
 import { readTls } from "../read_tls.ts";
@@ -9,7 +9,7 @@
 const PEER_STOP_GRACE_MS = 1_000;
 
 /**
- * Defines the connections to other hosts and the view of them.
+ * Defines the connections to other hosts, the view of them and the drain.
  *
  * The peer server starts to listen as a service of its own, which is started after every service
  * that registers a handler.
@@ -58,5 +58,12 @@
         return { service: membership, stop: () => membership.stop() };
       },
     },
+    {
+      name: SERVICE.DRAIN,
+      needs: [SERVICE.MEMBERSHIP],
+      start: (lookup) => ({
+        service: createDrain({ ...context, membership: lookup(SERVICE.MEMBERSHIP) }),
+      }),
+    },
   ];
 }
--- a/packages/routing/_lib/follow_remote.ts
+++ b/packages/routing/_lib/follow_remote.ts
@@ -1,6 +1,6 @@
 import { RAN } from "@jaypass/idempotency";
 import { PeerError } from "@jaypass/peers";
-import { ENGINE_IDLE_TIMEOUT_MS, RESUME_GRACE_MS } from "../constants.ts";
+import { ENGINE_IDLE_TIMEOUT_MS, FOLLOW_TIMEOUT_MS, RESUME_GRACE_MS } from "../constants.ts";
 import { RequestError } from "../errors.ts";
 import { parseRequestId } from "../parse_request_id.ts";
 import { RESUME_METHOD } from "../peer_methods.ts";
@@ -8,9 +8,6 @@
 import type { AnswerToken, FollowOptions } from "../types.ts";
 import type { RouterContext } from "./router_context.ts";
 
-/** Longest time for which an answer is followed at another host. */
-const FOLLOW_TIMEOUT_MS = 600_000;
-
 /**
  * Streams the rest of an answer that another host accepted.
  *
--- a/packages/routing/constants.ts
+++ b/packages/routing/constants.ts
@@ -25,6 +25,9 @@
 /** Retries that a host has in reserve for all workspaces together. */
 export const RETRY_BUDGET_SYSTEM_RESERVE = 50;
 
+/** Longest time for which an answer is followed from another host or engine. */
+export const FOLLOW_TIMEOUT_MS = 600_000;
+
 /** Most attempts of one request. */
 export const MAX_ATTEMPTS = 4;
 
