Find the rest of an answer on the engines when host and coordinator died together

Cause: a test that kills one process at a time showed a caller whose host was also the coordinator: the request was 'not known' although its engine still ran it. The coordinator looks a request up by the id of an attempt, and for 15 s after its death there is none to ask. Ruled out: asking every engine, whose number grows with the system; a request id now tells its model. Change: look-up by request; without a coordinator the lists of the model's engines are read. A draining host closes kept connections, since callers stayed on them and the stop never ended. Still failing: during a graceful stop of a coordinator 3 requests were refused with coordinator_unreachable. Conclusion: the wait for a new coordinator is next.

--- a/packages/entry/http/create_front.ts
+++ b/packages/entry/http/create_front.ts
@@ -53,6 +53,8 @@
 
   const handle = async (req: IncomingMessage, res: ServerResponse) => {
     const startMs = context.clock.nowMs();
+    // A kept connection would bring new requests to a host that is leaving.
+    if (context.drain.isDraining()) res.shouldKeepAlive = false;
     try {
       await route(req, res, context, options.mounted);
     } catch (err) {
--- a/packages/entry/http/handle_chat_completion.ts
+++ b/packages/entry/http/handle_chat_completion.ts
@@ -39,7 +39,10 @@
       caller.config.models.includes(chat.model);
     if (!isKnown) throw unknownModel(chat.model);
 
-    const requestId = createRequestId(membership.self().id, caller.workspace);
+    const requestId = createRequestId(membership.self().id, {
+      workspace: caller.workspace,
+      serves: chat.model,
+    });
     const answer = router.complete({
       requestId,
       workspace: caller.workspace,
--- a/packages/entry/http/handle_plain_service.ts
+++ b/packages/entry/http/handle_plain_service.ts
@@ -39,7 +39,10 @@
       timeoutMs: settings.limits.bodyTimeoutMs,
       budget,
     });
-    const requestId = createRequestId(membership.self().id, caller.workspace);
+    const requestId = createRequestId(membership.self().id, {
+      workspace: caller.workspace,
+      serves: service,
+    });
     const result = await router.callService({
       requestId,
       workspace: caller.workspace,
--- a/packages/kernel/create_deadline.ts
+++ b/packages/kernel/create_deadline.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { Clock, Deadline, Millis } from "./types.ts";
 
 /** Options of {@linkcode createDeadline}. */
@@ -26,6 +27,8 @@
   const { clock, parent } = options;
   const endMs = clock.nowMs() + timeoutMs;
   const controller = new AbortController();
+  // Every call made for the request listens to its deadline.
+  setMaxListeners(0, controller.signal);
   const timer = setTimeout(() => controller.abort(new Error("Deadline passed")), timeoutMs);
   const onParentAbort = () => controller.abort(parent?.reason);
   if (parent?.aborted) onParentAbort();
--- a/packages/kernel/create_task_group.ts
+++ b/packages/kernel/create_task_group.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import type { TaskGroup } from "./types.ts";
 
 /** Options of {@linkcode createTaskGroup}. */
@@ -19,6 +20,8 @@
  */
 export function createTaskGroup(options: TaskGroupOptions): TaskGroup {
   const controller = new AbortController();
+  // A group has any number of tasks and each may listen, so Node's warning of a leak is misplaced.
+  setMaxListeners(0, controller.signal);
   const running = new Set<Promise<void>>();
   const runOne = async (name: string, task: (signal: AbortSignal) => Promise<void>) => {
     try {
--- /dev/null
+++ b/packages/routing/_lib/find_running.ts
@@ -0,0 +1,69 @@
+import type { GrantOutcome } from "@jaypass/admission";
+import type { EngineClient } from "@jaypass/engines";
+import type { Millis } from "@jaypass/kernel";
+import { ENGINE_CALL_TIMEOUT_MS, FOLLOW_TIMEOUT_MS } from "../constants.ts";
+import { parseRequestId } from "../parse_request_id.ts";
+import type { RouterContext } from "./router_context.ts";
+
+/** An attempt that an engine still runs, or ran a short time ago, for a host that is gone. */
+export interface RunningAttempt {
+  engine: EngineClient;
+  attemptId: string;
+  /** Longest time for which its stream is followed. */
+  remainingMs: Millis;
+  /** Ends its grant, when it has one. */
+  end(outcome: GrantOutcome): void;
+}
+
+/**
+ * Finds the engine that runs a request of a host that is gone.
+ *
+ * The coordinators are asked first. While a pool has none, because it died together with the host,
+ * the lists of the model's engines are read; their number does not grow with the hosts.
+ *
+ * @param requestId id of the request, without the number of the attempt
+ * @param signal aborted when the caller is gone
+ * @param context the router's parts
+ * @returns the attempt, or `undefined` when no engine has it
+ */
+export async function findRunning(
+  requestId: string,
+  signal: AbortSignal,
+  context: RouterContext,
+): Promise<RunningAttempt | undefined> {
+  const grant = await context.admission.find(requestId, signal);
+  if (grant !== undefined) {
+    return {
+      engine: context.engineFor(grant.servers[0]!.url),
+      attemptId: grant.requestId,
+      remainingMs: FOLLOW_TIMEOUT_MS,
+      end: (outcome) => context.admission.release(grant, { outcome }),
+    };
+  }
+  const engines = listEngines(requestId, context);
+  const found = await Promise.all(engines.map(async (engine) => {
+    try {
+      const active = await engine.active({ timeoutMs: ENGINE_CALL_TIMEOUT_MS, signal });
+      const ids = active.map((request) => request.requestId);
+      // The latest attempt has every token of the earlier ones.
+      return {
+        engine,
+        attemptId: ids.filter((id) => id.startsWith(`${requestId}.`)).sort().at(-1),
+      };
+    } catch {
+      return { engine, attemptId: undefined };
+    }
+  }));
+  for (const { engine, attemptId } of found) {
+    if (attemptId === undefined) continue;
+    return { engine, attemptId, remainingMs: FOLLOW_TIMEOUT_MS, end: () => {} };
+  }
+  return undefined;
+}
+
+function listEngines(requestId: string, context: RouterContext): EngineClient[] {
+  const parsed = parseRequestId(requestId);
+  return Object.values(context.configuration.document().backendServers)
+    .filter((server) => server.kind === "engine" && parsed?.isFor(server.serves))
+    .map((server) => context.engineFor(server.url));
+}
--- a/packages/routing/_lib/follow_remote.ts
+++ b/packages/routing/_lib/follow_remote.ts
@@ -1,11 +1,18 @@
+import { GRANT_OUTCOME } from "@jaypass/admission";
 import { RAN } from "@jaypass/idempotency";
 import { PeerError } from "@jaypass/peers";
-import { ENGINE_IDLE_TIMEOUT_MS, FOLLOW_TIMEOUT_MS, RESUME_GRACE_MS } from "../constants.ts";
+import {
+  ENGINE_CALL_TIMEOUT_MS,
+  ENGINE_IDLE_TIMEOUT_MS,
+  FOLLOW_TIMEOUT_MS,
+  RESUME_GRACE_MS,
+} from "../constants.ts";
 import { RequestError } from "../errors.ts";
 import { parseRequestId } from "../parse_request_id.ts";
 import { RESUME_METHOD } from "../peer_methods.ts";
 import { FAILURE } from "../types.ts";
 import type { AnswerToken, FollowOptions } from "../types.ts";
+import { findRunning } from "./find_running.ts";
 import type { RouterContext } from "./router_context.ts";
 
 /**
@@ -72,22 +79,23 @@
   options: FollowOptions,
   context: RouterContext,
 ): AsyncGenerator<AnswerToken> {
-  const grant = await context.admission.find(requestId, options.signal);
-  if (grant === undefined) throw unknownRequest(requestId);
-  context.decisions.add(requestId, "adopted", { server: grant.servers[0]!.id });
-  const engine = context.engineFor(grant.servers[0]!.url);
+  const running = await findRunning(requestId, options.signal, context);
+  if (running === undefined) throw unknownRequest(requestId);
+  context.decisions.add(requestId, "adopted", { engine: running.engine.url });
   try {
-    const events = engine.resume(grant.requestId, options.from, {
-      timeoutMs: FOLLOW_TIMEOUT_MS,
+    const events = running.engine.resume(running.attemptId, options.from, {
+      timeoutMs: running.remainingMs,
       idleTimeoutMs: ENGINE_IDLE_TIMEOUT_MS + RESUME_GRACE_MS,
       signal: options.signal,
     });
     for await (const event of events) {
       if (event.type === "token") yield { index: event.index, text: event.text };
     }
-    context.admission.release(grant, { outcome: "done" });
+    running.end(GRANT_OUTCOME.DONE);
   } catch (err) {
-    context.admission.release(grant, { outcome: "cancelled" });
+    running.end(GRANT_OUTCOME.CANCELLED);
+    await running.engine.cancel(running.attemptId, { timeoutMs: ENGINE_CALL_TIMEOUT_MS })
+      .catch(() => context.metrics.increment("engine.cancel_failed"));
     throw new RequestError("The engine no longer holds the answer", {
       reason: FAILURE.HOST_GONE,
       ran: RAN.RAN,
--- a/packages/routing/parse_request_id.ts
+++ b/packages/routing/parse_request_id.ts
@@ -1,4 +1,4 @@
-import { hashWorkspace } from "./_lib/hash_workspace.ts";
+import { hashName } from "./_lib/hash_name.ts";
 
 /** The parts of a request id that a host needs. */
 export interface ParsedRequestId {
@@ -6,19 +6,25 @@
   host: string;
   /** Reports whether the request belongs to a workspace. */
   isOf(workspace: string): boolean;
+  /** Reports whether the request is for a model or plain service. */
+  isFor(serves: string): boolean;
 }
 
 /**
- * Reads the host and the workspace hash from a request id.
+ * Reads the host and the hashes from a request id.
  *
  * @param requestId as returned by `createRequestId`, possibly made up by a caller
  * @returns the parts, or `undefined` when the id has another form
  *
  * @example
- * parseRequestId("h1~5f0c9a1b~Zk3")?.host; // "h1"
+ * parseRequestId("h1~5f0c9a1b~91ab03cd~Zk3")?.host; // "h1"
  */
 export function parseRequestId(requestId: string): ParsedRequestId | undefined {
-  const [host, hash, random, ...rest] = requestId.split("~");
-  if (!host || !hash || !random || rest.length > 0) return undefined;
-  return { host, isOf: (workspace) => hashWorkspace(workspace) === hash };
+  const [host, workspaceHash, servesHash, random, ...rest] = requestId.split("~");
+  if (!host || !workspaceHash || !servesHash || !random || rest.length > 0) return undefined;
+  return {
+    host,
+    isOf: (workspace) => hashName(workspace) === workspaceHash,
+    isFor: (serves) => hashName(serves) === servesHash,
+  };
 }
--- a/packages/system_tests/mod.ts
+++ b/packages/system_tests/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./answer_checks.ts";
 export * from "./build_document.ts";
 export * from "./create_caller.ts";
 export * from "./start_system.ts";
--- a/packages/system_tests/start_system.ts
+++ b/packages/system_tests/start_system.ts
@@ -59,6 +59,8 @@
   restartHost(host: SystemHost): Promise<void>;
   /** Sets faults of a stand-in. */
   setFaults(url: string, faults: unknown): Promise<void>;
+  /** Sends an operator's request to a host and returns its answer. */
+  administer(url: string, path: string, body: unknown): Promise<unknown>;
   /** Reads the test log of a stand-in. */
   log<T>(url: string): Promise<T>;
   /** Waits until every running host can serve. */
@@ -129,7 +131,8 @@
       restartHost: async (host) => {
         host.program = (await start("jaypassd", ["--settings", host.settingsFile])).program;
       },
-      setFaults: (url, faults) => postJson(`${url}/test/faults`, faults),
+      setFaults: async (url, faults) => void await postJson(`${url}/test/faults`, faults),
+      administer: (url, path, body) => postJson(`${url}/admin/v1/${path}`, body),
       log: (url) => getJson(`${url}/test/log`),
       ready: () => waitUntilReady(hosts, document),
       stop,
@@ -279,7 +282,7 @@
   return alive < wanted.hosts ? `${alive} of ${wanted.hosts} hosts` : "";
 }
 
-async function postJson(url: string, body: unknown): Promise<void> {
+async function postJson(url: string, body: unknown): Promise<unknown> {
   const res = await request(url, {
     method: "POST",
     headers: { "content-type": "application/json", authorization: `Bearer ${OPERATOR_TOKEN}` },
@@ -287,6 +290,7 @@
   });
   const text = await res.body.text();
   if (res.statusCode >= 300) throw new Error(`POST ${url} answered ${res.statusCode}: ${text}`);
+  return text === "" ? undefined : JSON.parse(text);
 }
 
 async function getJson<T>(url: string): Promise<T> {
