--- a/packages/membership/create_membership_test.ts
+++ b/packages/membership/create_membership_test.ts
@@ -89,6 +89,16 @@
   t.true(total(hosts, "membership_state_change") - before <= 18 + 2);
 });
 
+test("of two hosts, a paused one learns its own death from the other and is alive again", async (t) => {
+  const { network, hosts } = await startAll(2);
+  network.pause(hosts[1]!, true);
+  await network.run(30_000);
+  t.is(hosts[0]!.membership.find("h1")?.state, "dead");
+  network.pause(hosts[1]!, false);
+  await network.run(10_000);
+  t.true(allSeeAllAlive(network));
+});
+
 test("a host that slept through the refutation of a suspect does not declare it dead", async (t) => {
   const { network, hosts } = await startAll(18);
   const [sleeper, suspect] = [hosts[5]!, hosts[8]!];
