Report an unknown outcome when a repeat is refused after a silent host

The Spin model of configuration changes found it: a host may refuse a repeat while the attempt of the silent host still takes effect. The command then reported a refusal of a change that is stored later. Only a conflict that names the winner is final, because the later revision also stops the earlier attempt. A test covers the refusal after silence.

--- a/packages/cli/create_operator_client.ts
+++ b/packages/cli/create_operator_client.ts
@@ -83,9 +83,8 @@
         if (res.statusCode < 300) return text;
         refusal = toCliError(res.statusCode, text);
         if (refusal.exitCode === EXIT_CODE.UNKNOWN) isInDoubt = true;
-        if (res.statusCode !== 503) throw refusal;
+        if (res.statusCode !== 503) break;
       } catch (err) {
-        if (err instanceof CliError) throw err;
         silence = err;
         const { code } = err as { code?: string };
         if (isChange && code !== "ECONNREFUSED" && code !== "UND_ERR_CONNECT_TIMEOUT") {
@@ -94,8 +93,13 @@
         onSilent?.(address, err);
       }
     }
-    if (isInDoubt && refusal?.exitCode !== EXIT_CODE.UNKNOWN) {
-      throw new CliError("No host confirmed the request; its outcome is unknown", {
+    // Another host may refuse while the first host's attempt still takes effect. Only a conflict
+    // is final: the later revision that it names also stops the first attempt.
+    const winner = (refusal?.body as AdministrationErrorBody | undefined)?.error.change;
+    const isFinal = refusal?.exitCode === EXIT_CODE.CONFLICT && winner !== undefined;
+    if (isInDoubt && !isFinal && refusal?.exitCode !== EXIT_CODE.UNKNOWN) {
+      const last = refusal === undefined ? "" : `; the last host answered: ${refusal.message}`;
+      throw new CliError(`No host confirmed the request; its outcome is unknown${last}`, {
         exitCode: EXIT_CODE.UNKNOWN,
         cause: silence,
       });
--- a/packages/cli/run_cli_test.ts
+++ b/packages/cli/run_cli_test.ts
@@ -167,6 +167,12 @@
   });
   t.regex(result.errors, /No answer from http:\/\/127\.0\.0\.1:1/);
 
+  // Another host's refusal does not tell how the silent host's attempt ends.
+  const refusing = await startCanned(t, {
+    [route]: () => ({ status: 422, body: { error: { reason: "not_valid", message: "No" } } }),
+  });
+  t.is((await run(args, { address: [silent.url, refusing.url] })).code, EXIT_CODE.UNKNOWN);
+
   // Without another host the change may have been stored.
   t.is((await run(args, { address: [silent.url, SILENT] })).code, EXIT_CODE.UNKNOWN);
   t.is((await run(["status"], { address: [SILENT] })).code, EXIT_CODE.UNREACHABLE);
--- a/packages/configuration/_lib/store_request.ts
+++ b/packages/configuration/_lib/store_request.ts
@@ -150,9 +150,13 @@
           `Store is at revision ${result.revision}, but revision ${current.revision} is in force`,
         );
       case "not_done":
-        throw new AdministrationError("store_unavailable", "Store does not answer; not changed", {
-          cause: result.cause,
-        });
+        throw new AdministrationError(
+          "store_unavailable",
+          "Store does not answer; this attempt changed nothing",
+          {
+            cause: result.cause,
+          },
+        );
       case "unknown":
         throw new AdministrationError(
           "outcome_unknown",
--- a/packages/configuration/create_administration.ts
+++ b/packages/configuration/create_administration.ts
@@ -35,9 +35,13 @@
     return new AdministrationError("internal", "Request failed in this host", { cause: err });
   }
   // Only reads and waits throw; commits report their outcome, so nothing was changed.
-  return new AdministrationError("store_unavailable", "Store does not answer; not changed", {
-    cause: err,
-  });
+  return new AdministrationError(
+    "store_unavailable",
+    "Store does not answer; this attempt changed nothing",
+    {
+      cause: err,
+    },
+  );
 }
 
 function send(res: ServerResponse, status: number, body: unknown): void {
--- a/packages/configuration/operator_api.ts
+++ b/packages/configuration/operator_api.ts
@@ -20,7 +20,7 @@
   NOT_VALID: "not_valid",
   /** This host has no document yet. */
   NOT_READY: "not_ready",
-  /** Nothing was changed. */
+  /** This attempt changed nothing; an earlier one with the same change id may have. */
   STORE_UNAVAILABLE: "store_unavailable",
   /** The store shows a lower revision than the one in force. */
   STORE_BEHIND: "store_behind",
