Check that an unknown swap is ended as not run

Cause: a trial variant without the background settlement passed the test of the late swap. Change: the test waits until the record itself says not_run; the stand-in allows many waiting requests without a listener warning.

--- a/packages/idempotency/create_call_ledger_test.ts
+++ b/packages/idempotency/create_call_ledger_test.ts
@@ -148,6 +148,11 @@
   t.deepEqual(refused, { reason: "store_unavailable", ran: "not_run" });
   t.is(world.service.count("k"), 0);
   world.platform.setFaults({}, { clients: ["h1"] });
+  // Without the settlement the late swap would leave the record in `sending` for good.
+  const endMs = Date.now() + 30_000;
+  const stateOf = async () => (await second.status("w", "s", "k")).state;
+  while (await stateOf() !== "not_run" && Date.now() < endMs) await sleep(20);
+  t.is(await stateOf(), "not_run");
   await world.run(second, world.callOf("k"));
   t.deepEqual(world.service.requests("k"), ["r2"]);
 });
--- a/packages/stand_ins/create_platform_stand_in.ts
+++ b/packages/stand_ins/create_platform_stand_in.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from "node:events";
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -68,6 +69,8 @@
     clock,
   );
   const stopped = new AbortController();
+  // Each delayed request waits on this signal.
+  setMaxListeners(0, stopped.signal);
 
   const commit = (transaction: StoredTransaction): Answer => {
     const result = tables.commit(transaction);
