--- /dev/null
+++ b/packages/stand_ins/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Stand-ins for the systems outside jaypass.
+ *
+ * @module
+ */
+
+export * from "./create_engine_stand_in.ts";
+export * from "./create_platform_stand_in.ts";
+export * from "./create_service_stand_in.ts";
+export * from "./engine_types.ts";
+export * from "./expected_tokens.ts";
+export * from "./platform_types.ts";
+export * from "./service_types.ts";
