Ask again for a grant while a pool is taken over

Cause: with one pool a request was refused after 100 ms when its coordinator changed, although its deadline was 20 s away; seen as a flaky takeover test. Change: pools that do not answer are asked again with growing pauses, at most 24 tries, before the deadline.

--- a/packages/admission/_lib/grant_client.ts
+++ b/packages/admission/_lib/grant_client.ts
@@ -1,5 +1,6 @@
 import type { Configuration } from "@jaypass/configuration";
 import type { Clock, Metrics, Millis, TaskGroup } from "@jaypass/kernel";
+import { sleep } from "@jaypass/kernel";
 import type { Membership } from "@jaypass/membership";
 import type { PeerPool } from "@jaypass/peers";
 import { classifyLane } from "../classify_lane.ts";
@@ -22,6 +23,10 @@
 /** Limit of calls that do not wait. */
 const SHORT_CALL_TIMEOUT_MS = 1_000;
 
+/** Tries in all pools together, and pauses between passes over pools that do not answer. */
+const MAX_TRIES = 24;
+const FIRST_PAUSE_MS = 200;
+const MAX_PAUSE_MS = 2_000;
 /** Rounds in which the grant is asked for anew because the quota slot came late. */
 const MAX_SLOT_ROUNDS = 2;
 /** Least time that a returned grant leaves for its dispatch. */
@@ -76,14 +81,27 @@
   ): Promise<HeldRecord> => {
     const deadlineMs = startMs + Math.min(req.remainingMs, req.firstTokenRemainingMs);
     const lane = classifyLane(req.promptTokens);
-    const pools = orderPools(req, openPools(req.serves), {
-      document: configuration.document(),
-      dataCentre: options.dataCentre,
-      lane,
-      waitMs: options.waitMs,
-    }).slice(0, MAX_POOL_TRIES);
+    const orderedPools = () =>
+      orderPools(req, openPools(req.serves), {
+        document: configuration.document(),
+        dataCentre: options.dataCentre,
+        lane,
+        waitMs: options.waitMs,
+      }).slice(0, MAX_POOL_TRIES);
     let refusal: AdmissionRefusedError | undefined;
-    for (const pool of pools) {
+    let pauseMs = FIRST_PAUSE_MS;
+    const queue = orderedPools();
+    for (let tried = 0; tried < MAX_TRIES; tried++) {
+      if (queue.length === 0) {
+        // While a pool is taken over nobody answers for it; other refusals are final.
+        const isUnreachable = refusal?.reason === REFUSAL.COORDINATOR_UNREACHABLE;
+        if (!isUnreachable || clock.nowMs() + pauseMs >= deadlineMs) break;
+        await sleep(pauseMs, signal);
+        pauseMs = Math.min(2 * pauseMs, MAX_PAUSE_MS);
+        queue.push(...orderedPools());
+      }
+      const pool = queue.shift();
+      if (pool === undefined) break;
       const acquireId = `${owner.host}/${owner.incarnation}/${tries++}`;
       options.owe(pool.name);
       try {
@@ -125,8 +143,10 @@
       } catch (err) {
         if (!(err instanceof AdmissionRefusedError) || FINAL.includes(err.reason)) throw err;
         options.metrics.increment("admission.pool_failed", { reason: err.reason });
-        // Among refusals, the one of the best pool tells most.
-        refusal ??= err;
+        // A coordinator's reason tells more than one that did not answer, and the first one most.
+        if (refusal === undefined || refusal.reason === REFUSAL.COORDINATOR_UNREACHABLE) {
+          refusal = err;
+        }
       }
     }
     throw refusal ??
