--- a/packages/admission/_lib/poll_server.ts
+++ b/packages/admission/_lib/poll_server.ts
@@ -75,6 +75,13 @@
         pool.options.metrics.increment("admission.reconciled", { pool: pool.name });
       }));
     }
+    const events = await probe.cacheEvents?.(server.cacheEventSeq, call).catch(() => []) ?? [];
+    for (const { seq, kind, block } of events) {
+      // Events may be missing; the index only steers the choice of a server.
+      server.cacheEventSeq = Math.max(server.cacheEventSeq, seq);
+      if (kind === "evicted") pool.prefixes.evict(serverId, block);
+      else pool.prefixes.add(serverId, [block]);
+    }
     if (askedMs >= options.completeFromMs) server.isKnown = true;
   } catch (err) {
     if (signal.aborted) return;
--- a/packages/admission/_lib/prefix_index.ts
+++ b/packages/admission/_lib/prefix_index.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from "lru-cache";
-import { PREFIX_BLOCK_TOKENS, PREFIX_BLOCKS_PER_SERVER } from "../constants.ts";
+import { PREFIX_BLOCK_TOKENS } from "@jaypass/engines";
+import { PREFIX_BLOCKS_PER_SERVER } from "../constants.ts";
 
 /** Which server probably caches which prefix blocks. */
 export interface PrefixIndex {
@@ -26,6 +27,7 @@
   };
   return {
     add(serverId, blocks) {
+      if (blocks.length === 0) return;
       const cache = cacheOf(serverId);
       for (const block of blocks) cache.set(block, true);
     },
--- a/packages/admission/_lib/record_death.ts
+++ b/packages/admission/_lib/record_death.ts
@@ -39,6 +39,7 @@
   turnCold(server, nowMs);
   server.isKnown = false;
   pool.prefixes.clear(server.id);
+  server.cacheEventSeq = 0;
   server.freeAtMs = { short: 0, medium: 0, long: 0 };
   server.longUntilMs = 0;
   metrics.increment("admission.server_died", { pool: pool.name, server: server.id });
--- a/packages/admission/_lib/server_state.ts
+++ b/packages/admission/_lib/server_state.ts
@@ -55,6 +55,8 @@
   longUntilMs: Millis;
   /** When that prefill ends with exactly its share of the engine's time. */
   longFairMs: Millis;
+  /** Last cache event that was applied. */
+  cacheEventSeq: number;
   /** Measured over expected time to first token, as a decaying average. */
   slowness: number;
 }
@@ -116,6 +118,7 @@
     freeAtMs: { short: 0, medium: 0, long: 0 },
     longUntilMs: 0,
     longFairMs: 0,
+    cacheEventSeq: 0,
     slowness: 1,
   };
 }
--- a/packages/admission/constants.ts
+++ b/packages/admission/constants.ts
@@ -34,8 +34,6 @@
 export const SHORT_MAX_TOKENS = 8_192;
 /** Most uncached prompt tokens in the lane `medium`. */
 export const MEDIUM_MAX_TOKENS = 100_000;
-/** Tokens per block of `prefixBlocks`. */
-export const PREFIX_BLOCK_TOKENS = 512;
 /** Prefix blocks remembered per server. */
 export const PREFIX_BLOCKS_PER_SERVER = 20_000;
 /**
