--- a/packages/admission/_lib/admit_waiting.ts
+++ b/packages/admission/_lib/admit_waiting.ts
@@ -97,14 +97,14 @@
   const usable = servers.filter(({ id }) => !req.exclude.includes(id));
   if (usable.length === 0) return refuse(REFUSAL.NO_CAPACITY, "Every server has failed it");
   if (servers[0]!.cfg.kind === "engine") {
-    const options = { servers, claimsOn: () => 0 };
+    const options = { servers, isBusy: () => false };
     if (declareSet(req, { ...options, allow: (limit) => limit }) === undefined) {
       return refuse(REFUSAL.PROMPT_TOO_LARGE, `${req.promptTokens} tokens exceed the pool`);
     }
     const set = declareSet(req, {
       servers,
       allow: pool.options.allow,
-      claimsOn: (id) => pool.claims.filter((claim) => claim.claim!.includes(id)).length,
+      isBusy: () => false,
     });
     if (set === undefined) {
       return refuse(REFUSAL.NO_CAPACITY, "The retained share cannot hold the prompt", 10_000);
--- a/packages/admission/_lib/declare_set.ts
+++ b/packages/admission/_lib/declare_set.ts
@@ -15,24 +15,25 @@
 /**
  * Declares the engines for a prompt: one when it fits into one, else as few as hold it together.
  *
- * Engines that no other set claims come first, then those with more free memory, then by id, so that
- * the declaration is deterministic.
+ * Engines that are not busy come first, then those with more free memory, then by id, so that the
+ * declaration is deterministic.
  *
  * @param req the request
- * @param options open servers, allowance, and how many sets already claim a server
+ * @param options open servers, allowance, and which servers are busy
  * @returns the set, or nothing when the pool cannot hold the prompt
  */
 export function declareSet(req: AcquireRequest, options: {
   servers: readonly ServerState[];
   allow: Allow;
-  claimsOn: (serverId: string) => number;
+  /** Whether a server should be taken only when others do not suffice. */
+  isBusy: (server: ServerState) => boolean;
 }): DeclaredSet | undefined {
   const need = req.promptTokens + req.maxTokens;
   const capacity = (server: ServerState) => Math.max(0, options.allow(server.cfg.memoryTokens));
   const usable = options.servers
     .filter((server) => server.isOpen && !req.exclude.includes(server.id))
     .sort((a, b) =>
-      options.claimsOn(a.id) - options.claimsOn(b.id) ||
+      Number(options.isBusy(a)) - Number(options.isBusy(b)) ||
       (capacity(b) - b.ownTokens - b.foreignTokens) -
         (capacity(a) - a.ownTokens - a.foreignTokens) ||
       (a.id < b.id ? -1 : 1)
--- a/packages/admission/_lib/pool_state.ts
+++ b/packages/admission/_lib/pool_state.ts
@@ -51,6 +51,8 @@
   prefillTokensPerSecond: number;
   /** Decaying average of the time for which grants are held. */
   holdMs: Millis;
+  /** When late and abandoned requests were last looked for. */
+  sweptMs: Millis;
   /** Number of the next grant. */
   sequence: number;
 }
@@ -71,6 +73,7 @@
     suspects: createSuspects(options.clock),
     prefillTokensPerSecond: Infinity,
     holdMs: 1_000,
+    sweptMs: -Infinity,
     sequence: 0,
   };
 }
--- a/packages/admission/_lib/prefix_index.ts
+++ b/packages/admission/_lib/prefix_index.ts
@@ -36,9 +36,16 @@
     cachedTokens(serverId, blocks) {
       const cache = byServer.get(serverId);
       if (cache === undefined) return 0;
-      let count = 0;
-      while (count < blocks.length && cache.has(blocks[count]!)) count += 1;
-      return count * PREFIX_BLOCK_TOKENS;
+      // Each hash covers all blocks before it, so the longest cached one is found by bisection. Where
+      // an earlier block was evicted the estimate is too high,.
+      let low = 0;
+      let high = blocks.length;
+      while (low < high) {
+        const middle = (low + high + 1) >> 1;
+        if (cache.has(blocks[middle - 1]!)) low = middle;
+        else high = middle - 1;
+      }
+      return low * PREFIX_BLOCK_TOKENS;
     },
   };
 }
--- a/packages/admission/_lib/run_round.ts
+++ b/packages/admission/_lib/run_round.ts
@@ -28,7 +28,12 @@
   return Math.ceil(need / (entry.claim?.length ?? 1));
 }
 
+/** Interval of sweeps, which cost time in proportion to the waiting requests. */
+const SWEEP_INTERVAL_MS = 20;
+
 function sweep(pool: PoolState, nowMs: number): void {
+  if (nowMs - pool.sweptMs < SWEEP_INTERVAL_MS) return;
+  pool.sweptMs = nowMs;
   for (const entry of [...pool.lanes.all()]) {
     if (entry.settle === undefined) {
       if (nowMs - entry.seenMs > ABANDONED_AFTER_MS) dropWaiting(pool, entry);
@@ -48,24 +53,38 @@
   }
 }
 
-/** Grants declared sets in their order; a set waits for every earlier set on each of its engines. */
+/** Whether any server has a free slot; without one the scan of the lanes is skipped. */
+function hasRoom(pool: PoolState, nowMs: number): boolean {
+  for (const server of pool.servers.values()) {
+    if (isUsable(server, nowMs) && freeSlots(server, pool.options.allow) >= 1) return true;
+  }
+  return false;
+}
+
+/**
+ * Grants sets in the order of their arrival, all engines of a set or none.
+ *
+ * Each round declares the sets anew, from the engines that no earlier set claims, those with the most
+ * free memory first. Sets fixed at their arrival wait for busy engines while others are free
+ * (docs/measurements/admission.md).
+ */
 function grantClaims(pool: PoolState, nowMs: number): Map<string, WaitingRequest> {
   const { allow } = pool.options;
   const claimed = new Map<string, WaitingRequest>();
   for (const entry of [...pool.claims]) {
-    const declared = entry.claim!;
-    let servers = declared.map((id) => pool.servers.get(id));
-    if (servers.some((server) => server === undefined || !server.isOpen)) {
-      const set = declareSet(entry.req, {
-        servers: openServers(pool),
-        allow,
-        claimsOn: (id) => claimed.has(id) ? 1 : 0,
-      });
-      if (set === undefined) continue;
-      entry.claim = set.servers;
-      servers = set.servers.map((id) => pool.servers.get(id));
+    const set = declareSet(entry.req, {
+      servers: openServers(pool).filter(({ id }) => !claimed.has(id)),
+      allow,
+      isBusy: (server) => entry.lane === "long" && server.longUntilMs > nowMs,
+    });
+    if (set === undefined) {
+      // Later sets must not take engines from one that waits for more of them. One that no free
+      // engine could help, for example under a retained share, does not stop them.
+      if (claimed.size > 0) break;
+      continue;
     }
-    const ready = servers as ServerState[];
+    entry.claim = set.servers;
+    const ready = set.servers.map((id) => pool.servers.get(id)!);
     const need = claimTokens(entry);
     const isReady = entry.settle !== undefined &&
       ready.every((server) =>
@@ -126,7 +145,7 @@
     const set = declareSet(head.req, {
       servers: openServers(pool),
       allow: pool.options.allow,
-      claimsOn: (id) => pool.claims.filter((claim) => claim.claim!.includes(id)).length,
+      isBusy: () => false,
     });
     if (set === undefined) continue;
     head.claim = set.servers;
@@ -146,8 +165,10 @@
   if (pool.lanes.size === 0 || !options.canGrant()) return;
   claimForOverdue(pool, nowMs);
   const claimed = grantClaims(pool, nowMs);
+  const longMost = longEngines(pool);
   for (const lane of LANES) {
     for (const entry of pool.lanes.of(lane).slice(0, SCAN_LIMIT)) {
+      if (!hasRoom(pool, nowMs)) return;
       if (entry.settle === undefined || (entry.claim?.length ?? 1) > 1) continue;
       const longServers = new Set<string>();
       if (lane === "long") {
@@ -157,7 +178,7 @@
           }
         }
       }
-      const round = { claimed, longServers, longMost: longEngines(pool) };
+      const round = { claimed, longServers, longMost };
       const choice = chooseServer(entry, {
         servers: pool.servers.values(),
         allow: options.allow,
