--- a/packages/stand_ins/_lib/create_engine_core.ts
+++ b/packages/stand_ins/_lib/create_engine_core.ts
@@ -348,7 +348,8 @@
       releaseParts(requestId);
     },
     active: () =>
-      allJobs().map((job) => ({
+      // A finished request holds no memory; it is only kept so that its events can be resumed.
+      allJobs().filter((job) => job.state !== "finished").map((job) => ({
         requestId: job.requestId,
         tokens: heldTokens(job, PREFIX_BLOCK_TOKENS),
         fencing: job.record.fencing,
