Send load through jaypass and measure the latency and rate of a host

Cause: the baselines need jaypass beside them in the same run. Change: the load tool starts a whole system as a target, with callers that cache addresses; 'latency' compares pairs of requests with and without a host; 'throughput' fills one host's core from several driver processes and reads its processor time. Ruled out: closed-loop load for latency, except for the rate of one host, where a full core is the aim. Conclusion: all measures of the design can be run with one tool.

--- /dev/null
+++ b/packages/bench/_lib/start_jaypass_fleet.ts
@@ -0,0 +1,69 @@
+import { startSystem, type System, TEST_MODEL } from "@jaypass/system_tests";
+import type { EngineLog } from "@jaypass/stand_ins";
+import type { Profile } from "../profiles.ts";
+import type { Fleet } from "./start_fleet.ts";
+import { type RunningProgram, startProgram } from "./start_program.ts";
+
+/** Restart counters of engines that the load tool starts again. */
+const FIRST_REVIVED_RESTART_COUNT = 1_000_000;
+
+/** Starts a whole system of a profile and waits until its engines are warm. */
+export async function startJaypassFleet(
+  profile: Profile,
+  timeScale: number,
+): Promise<{ system: System; fleet: Fleet; workspaces: string[] }> {
+  const workspaces = profile.workspaceShares.map((_, index) => `w${index}`);
+  const speed = {
+    prefillTokensPerSecond: profile.prefillTokensPerSecond * timeScale,
+    msPerOutputToken: profile.msPerOutputToken / timeScale,
+  };
+  const engine = {
+    memoryTokens: profile.memoryTokens,
+    coldLimit: profile.coldLimit,
+    warmLimit: profile.warmLimit,
+    coldMs: profile.coldMs / timeScale,
+  };
+  // The speed is scaled in the document too, so the stand-ins run at time scale 1.
+  const engineOptions = {
+    restartMs: 5_000 / timeScale,
+    loadLagMs: 500 / timeScale,
+    cacheEventLagMs: 500 / timeScale,
+  };
+  const system = await startSystem({
+    hosts: profile.hosts,
+    engines: profile.engines,
+    services: profile.serviceServers,
+    dataCentres: [...profile.dataCentres],
+    workspaces,
+    speed,
+    timeoutMs: 400_000,
+    oneWayMs: profile.oneWayMs,
+    engine,
+    engineOptions,
+  });
+  await new Promise((resolve) => setTimeout(resolve, engine.coldMs + 2_000));
+  const revived = new Map<string, RunningProgram>();
+  let restartCount = FIRST_REVIVED_RESTART_COUNT;
+  const fleet: Fleet = {
+    engines: system.engines,
+    log: (one) => system.log<EngineLog>(one.url).catch(() => undefined),
+    async kill(one) {
+      await revived.get(one.id)?.stop();
+      const original = system.engines.find(({ id }) => id === one.id);
+      original?.program.signal("SIGKILL");
+      await original?.program.exited;
+    },
+    async revive(one) {
+      restartCount += 1_000;
+      const port = Number(new URL(one.url).port);
+      const models = { [TEST_MODEL]: "1" };
+      const settings = { port, id: one.id, models, ...speed, ...engine, ...engineOptions };
+      revived.set(one.id, await startProgram("engine_stand_in", { ...settings, restartCount }));
+    },
+    async stop() {
+      await Promise.all([...revived.values()].map((program) => program.stop()));
+      await system.stop();
+    },
+  };
+  return { system, fleet, workspaces };
+}
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -1,54 +1,62 @@
-import { command, number, oneOf, option, run, string, subcommands } from "cmd-ts";
-import { createPolicyTarget, POLICIES, type Policy } from "./create_policy_target.ts";
+import { command, number, oneOf, option, positional, run, string, subcommands } from "cmd-ts";
 import { makeSchedule, SCHEDULES } from "./_lib/make_schedule.ts";
-import { startFleet } from "./_lib/start_fleet.ts";
+import { type Fleet, startFleet } from "./_lib/start_fleet.ts";
+import { startJaypassFleet } from "./_lib/start_jaypass_fleet.ts";
+import type { Target } from "./_lib/target.ts";
+import { createJaypassTarget } from "./create_jaypass_target.ts";
+import { createPolicyTarget, POLICIES, type Policy } from "./create_policy_target.ts";
+import { drive, type DriveOptions } from "./drive.ts";
 import { makeWorkload } from "./make_workload.ts";
-import { PROFILES } from "./profiles.ts";
+import { measureLatency } from "./measure_latency.ts";
+import { measureThroughput } from "./measure_throughput.ts";
+import { type Profile, PROFILES } from "./profiles.ts";
 import { runLoad } from "./run_load.ts";
 import { summarise } from "./summarise.ts";
 import { type ReportRun, writeReport } from "./write_report.ts";
 
-const seedOption = option({ type: number, long: "seed", defaultValue: () => 1 });
+const numberOption = (long: string, value: number) =>
+  option({ type: number, long, defaultValue: () => value });
+const stringOption = (long: string, value: string) =>
+  option({ type: string, long, defaultValue: () => value });
 
 const load = command({
   name: "load",
   description: "Runs the same load against each target, each time on a fresh fleet of stand-ins",
   args: {
-    profile: option({ type: oneOf(["nachtwacht", "vigie"]), long: "profile" }),
-    targets: option({ type: string, long: "targets", defaultValue: () => POLICIES.join(",") }),
-    mixes: option({ type: string, long: "mixes", defaultValue: () => "without,with" }),
+    profile: option({ type: oneOf<string>(Object.keys(PROFILES)), long: "profile" }),
+    targets: stringOption("targets", [...POLICIES, "jaypass"].join(",")),
+    mixes: stringOption("mixes", "without,with"),
     schedule: option({
       type: oneOf<string>(SCHEDULES),
       long: "schedule",
       defaultValue: () => "none",
     }),
-    seconds: option({ type: number, long: "seconds", defaultValue: () => 120 }),
-    rate: option({ type: number, long: "rate", defaultValue: () => 0 }),
-    scale: option({ type: number, long: "scale", defaultValue: () => 4 }),
-    seed: seedOption,
-    out: option({ type: string, long: "out", defaultValue: () => "results" }),
-    name: option({ type: string, long: "name", defaultValue: () => "load" }),
+    seconds: numberOption("seconds", 120),
+    rate: numberOption("rate", 0),
+    scale: numberOption("scale", 4),
+    seed: numberOption("seed", 1),
+    out: stringOption("out", "results"),
+    name: stringOption("name", "load"),
   },
   handler: async (args) => {
-    const profile = PROFILES[args.profile as keyof typeof PROFILES];
+    const profile: Profile = PROFILES[args.profile as keyof typeof PROFILES];
     const durationMs = args.seconds * 1_000;
     const timeScale = args.scale;
+    const { seed, schedule } = args;
     const ratePerSecond = args.rate || profile.ratePerSecond;
+    const { bytesPerToken } = profile;
     const runs: ReportRun[] = [];
     for (const mix of args.mixes.split(",")) {
       const isWithoutLong = mix === "without";
-      const workload = { seed: args.seed, durationMs, ratePerSecond, isWithoutLong };
-      const arrivals = makeWorkload(profile, workload);
+      const arrivals = makeWorkload(profile, { seed, durationMs, ratePerSecond, isWithoutLong });
       for (const name of args.targets.split(",")) {
-        const fleet = await startFleet(profile, timeScale);
-        const { engines } = fleet;
-        const settings = { profile, engines, timeScale, seed: args.seed };
-        const target = createPolicyTarget(name as Policy, settings);
+        const { fleet, target } = await startTarget(name, profile, { timeScale, seed });
         try {
-          const events = makeSchedule(args.schedule, { profile, fleet, target, durationMs });
-          const { bytesPerToken } = profile;
+          const events = makeSchedule(schedule, { profile, fleet, target, durationMs });
           const result = await runLoad(target, arrivals, { timeScale, bytesPerToken, events });
-          const logs = (await Promise.all(engines.map(fleet.log))).flatMap((log) => log ?? []);
+          const logs = (await Promise.all(fleet.engines.map(fleet.log))).flatMap((log) =>
+            log ?? []
+          );
           runs.push({
             target: name,
             mix: `${mix} long`,
@@ -67,9 +75,9 @@
       }
     }
     const markdown = await writeReport({
-      title: `${args.profile}: ${args.schedule === "none" ? "steady load" : args.schedule}`,
+      title: `${args.profile}: ${schedule === "none" ? "steady load" : schedule}`,
       command: `npm run bench -- ${process.argv.slice(2).join(" ")}`,
-      seed: args.seed,
+      seed,
       settings: { "time scale": timeScale, "requests/s": ratePerSecond, engines: profile.engines },
       runs,
     }, { directory: args.out, name: args.name });
@@ -77,4 +85,58 @@
   },
 });
 
-await run(subcommands({ name: "bench", cmds: { load } }), process.argv.slice(2));
+async function startTarget(
+  name: string,
+  profile: Profile,
+  options: { timeScale: number; seed: number },
+): Promise<{ fleet: Fleet; target: Target }> {
+  if (name === "jaypass") {
+    const { system, fleet, workspaces } = await startJaypassFleet(profile, options.timeScale);
+    return { fleet, target: createJaypassTarget(system, { workspaces, seed: options.seed }) };
+  }
+  const fleet = await startFleet(profile, options.timeScale);
+  const { engines } = fleet;
+  return { fleet, target: createPolicyTarget(name as Policy, { profile, engines, ...options }) };
+}
+
+const latency = command({
+  name: "latency",
+  description: "Measures what an entry host adds to the time to first token on an idle system",
+  args: { rounds: numberOption("rounds", 2_000) },
+  handler: async ({ rounds }) => print(await measureLatency(rounds)),
+});
+
+const throughput = command({
+  name: "throughput",
+  description: "Measures the requests per second of one entry host with a full core",
+  args: {
+    seconds: numberOption("seconds", 10),
+    concurrency: numberOption("concurrency", 32),
+    tokens: numberOption("tokens", 16),
+    "prompt-tokens": numberOption("prompt-tokens", 1_000),
+    engines: numberOption("engines", 6),
+  },
+  handler: async (args) => {
+    const { seconds, concurrency, engines } = args;
+    const size = { maxTokens: args.tokens, promptTokens: args["prompt-tokens"] };
+    const options = { seconds, concurrency, engines, ...size, workspace: "school" };
+    print(await measureThroughput(process.argv[1] ?? "", options));
+  },
+});
+
+const driver = command({
+  name: "drive",
+  description: "Loads one host; started by throughput",
+  args: { options: positional({ type: string, displayName: "json" }) },
+  handler: async ({ options }) => {
+    const { url, ...rest } = JSON.parse(options) as DriveOptions & { url: string };
+    print(await drive(url, rest));
+  },
+});
+
+function print(result: object): void {
+  process.stdout.write(JSON.stringify(result, null, 2) + "\n");
+}
+
+const cmds = { load, latency, throughput, drive: driver };
+await run(subcommands({ name: "bench", cmds }), process.argv.slice(2));
