Give a failed request of a load run one reason instead of two

Cause: the caller's signal and the target's timeout ended at the same time, so the same failure was counted as 'aborted' or as 'timeout'. Change: the signal ends 0.5 s (real) after the timeout.

--- a/packages/bench/run_load.ts
+++ b/packages/bench/run_load.ts
@@ -96,7 +96,8 @@
     let tokens: string[];
     try {
       tokens = await target.send(arrival, prompt, {
-        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
+        // Later than the target's own timeout, so that a failure has one reason and not two.
+        signal: AbortSignal.timeout(Math.ceil(timeoutMs) + 500),
         timeoutMs,
         onToken,
       });
