Write the load report after each run

Cause: a host that failed to start ended a run of 'bench load' and lost the figures of the targets that were already done. Measured: the failed run had finished 2 of 6 targets and left no file. Conclusion: partial runs keep their figures.

--- a/packages/bench/create_jaypass_target.ts
+++ b/packages/bench/create_jaypass_target.ts
@@ -97,15 +97,9 @@
         authorization: `Bearer ${OPERATOR_TOKEN}`,
       };
       const base = system.hosts[0]?.url;
-      const head = await request(`${base}/admin/v1/config`, { headers });
-      const { revision } = await head.body.json() as { revision: number };
-      const entry = system.document.dataCentres?.[dataCentre] as object;
-      const body = JSON.stringify({
-        baseRevision: revision,
-        changes: [{ section: "dataCentres", entries: { [dataCentre]: { ...entry, state } } }],
-        why: "Load run",
-      });
-      const res = await request(`${base}/admin/v1/config/apply`, { method: "POST", headers, body });
+      const path = `/admin/v1/config/data-centres/${encodeURIComponent(dataCentre)}/state`;
+      const body = JSON.stringify({ state, why: "Load run" });
+      const res = await request(`${base}${path}`, { method: "POST", headers, body });
       const text = await res.body.text();
       if (res.statusCode >= 300) throw new Error(`Change answered "${res.statusCode}": ${text}`);
     },
--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -34,18 +34,34 @@
     seconds: numberOption("seconds", 120),
     rate: numberOption("rate", 0),
     scale: numberOption("scale", 4),
+    hosts: numberOption("hosts", 0),
     seed: numberOption("seed", 1),
     out: stringOption("out", "results"),
     name: stringOption("name", "load"),
   },
   handler: async (args) => {
-    const profile: Profile = PROFILES[args.profile as keyof typeof PROFILES];
+    const known: Profile = PROFILES[args.profile as keyof typeof PROFILES];
+    const profile = { ...known, hosts: args.hosts || known.hosts };
     const durationMs = args.seconds * 1_000;
     const timeScale = args.scale;
     const { seed, schedule } = args;
     const ratePerSecond = args.rate || profile.ratePerSecond;
     const { bytesPerToken } = profile;
     const runs: ReportRun[] = [];
+    // Written after each run, so that a run that fails later does not take the others with it.
+    const report = () =>
+      writeReport({
+        title: `${args.profile}: ${schedule === "none" ? "steady load" : schedule}`,
+        command: `npm run bench -- ${process.argv.slice(2).join(" ")}`,
+        seed,
+        settings: {
+          "time scale": timeScale,
+          "requests/s": ratePerSecond,
+          engines: profile.engines,
+          hosts: profile.hosts,
+        },
+        runs,
+      }, { directory: args.out, name: args.name });
     for (const mix of args.mixes.split(",")) {
       const isWithoutLong = mix === "without";
       const arrivals = makeWorkload(profile, { seed, durationMs, ratePerSecond, isWithoutLong });
@@ -71,17 +87,11 @@
           await target.stop();
           await fleet.stop();
         }
+        await report();
         process.stderr.write(`${name}, ${mix} long prompts: done\n`);
       }
     }
-    const markdown = await writeReport({
-      title: `${args.profile}: ${schedule === "none" ? "steady load" : schedule}`,
-      command: `npm run bench -- ${process.argv.slice(2).join(" ")}`,
-      seed,
-      settings: { "time scale": timeScale, "requests/s": ratePerSecond, engines: profile.engines },
-      runs,
-    }, { directory: args.out, name: args.name });
-    process.stdout.write(markdown);
+    process.stdout.write(await report());
   },
 });
 
