Limit pushes while changes follow each other

Cause: 340 hosts that started at once did not find each other within 120 s. Each learnt record was pushed on after 20 ms, heartbeats timed out under the load, and the suspicions were pushed as well. Change: the wait before a push doubles up to 400 ms while pushes follow each other; a single change still leaves after 20 ms. Ruled out: no push during a start, because a host cannot tell a start from a restart of a third. Conclusion: the cost of a storm is bounded by the rate of pushes and not by the number of changes.

--- a/packages/membership/_lib/create_links.ts
+++ b/packages/membership/_lib/create_links.ts
@@ -2,6 +2,7 @@
   HEARTBEAT_MS,
   HEARTBEAT_RETRY_MS,
   HEARTBEAT_TIMEOUT_MS,
+  PUSH_DELAY_MAX_MS,
   PUSH_DELAY_MS,
   SUSPECT_AFTER_MS,
 } from "../constants.ts";
@@ -49,6 +50,8 @@
   controller: AbortController;
   isForced: boolean;
   startMs: number;
+  pushDelayMs: number;
+  pushedMs: number;
 }
 
 /** Creates the set of kept connections, empty at first. */
@@ -88,6 +91,12 @@
     return HEARTBEAT_RETRY_MS;
   };
 
+  const pushDelayOf = (link: Link) => {
+    const isBusy = clock.nowMs() - link.pushedMs < HEARTBEAT_MS;
+    link.pushDelayMs = isBusy ? Math.min(2 * link.pushDelayMs, PUSH_DELAY_MAX_MS) : PUSH_DELAY_MS;
+    return link.pushDelayMs;
+  };
+
   const runLink = async (link: Link) => {
     const { signal } = link.controller;
     try {
@@ -96,8 +105,11 @@
         const dueMs = clock.nowMs() + waitMs;
         // A push to a peer that knows everything already would only answer its own push.
         while (waitMs > 0 && await link.waker.wait(waitMs, signal)) {
-          await sleep(PUSH_DELAY_MS, signal);
-          if (link.isForced || exchange.hasNews(link.state, link.id)) break;
+          await sleep(pushDelayOf(link), signal);
+          if (link.isForced || exchange.hasNews(link.state, link.id)) {
+            link.pushedMs = clock.nowMs();
+            break;
+          }
           waitMs = dueMs - clock.nowMs();
         }
         link.isForced = false;
@@ -115,6 +127,8 @@
       controller: new AbortController(),
       isForced: false,
       startMs: clock.nowMs(),
+      pushDelayMs: PUSH_DELAY_MS,
+      pushedMs: -Infinity,
     };
     links.set(id, link);
     options.run(`heartbeat ${id}`, () => runLink(link));
--- a/packages/membership/constants.ts
+++ b/packages/membership/constants.ts
@@ -28,6 +28,12 @@
 /** Wait before a change is pushed, so that changes that arrive together share a message. */
 export const PUSH_DELAY_MS = 20;
 
+/**
+ * Longest such wait, reached by doubling while pushes follow each other. Without it, 340 hosts that
+ * started at once sent so many pushes that heartbeats timed out, whose suspicions were pushed again.
+ */
+export const PUSH_DELAY_MAX_MS = 400;
+
 /** Time between checks of suspects, tombstones and the choice of peers. */
 export const TICK_MS = 1_000;
 
--- a/packages/membership/create_membership_test.ts
+++ b/packages/membership/create_membership_test.ts
@@ -67,6 +67,23 @@
   );
 });
 
+test("a long row of changes is sent in few messages, and none is lost", async (t) => {
+  const { network, hosts } = await startAll(60);
+  const before = network.state.messages;
+  const received = new Set<string>();
+  hosts.forEach(({ id, membership }) =>
+    membership.onBroadcast("load", (payload) => received.add(`${id} ${payload}`))
+  );
+  for (let n = 0; n < 100; n++) {
+    hosts[n % 60]!.membership.broadcast("load", n);
+    await network.run(100);
+  }
+  // 10 s, 4 links: a heartbeat and at most a push per 400 ms on each, with some at the start.
+  t.true(network.state.messages - before <= 60 * 4 * (5 + 25 + 10));
+  await network.run(5_000);
+  t.is(received.size, 59 * 100);
+});
+
 test("a host that stops says so, without suspicion", async (t) => {
   const { network, hosts } = await startAll(6);
   const stopped = hosts[0]!.membership.stop();
