Add the test of two faults at a time with ten seeds

Change: kills, pauses, crashes, silent connections, spoilt answers, store outages, lost and late writes and racing operators, two at a time, under mixed load; afterwards the logs of the stand-ins are checked. Ruled out: two kills of the same host at once, which started it twice and failed by itself.

--- /dev/null
+++ b/packages/system_tests/combined_faults_test.ts
@@ -0,0 +1,248 @@
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { sleep } from "@jaypass/kernel";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { countEffects, findFault, readEngineLogs } from "./answer_checks.ts";
+import { createCaller } from "./create_caller.ts";
+import type { CallerOutcome } from "./create_caller.ts";
+import { startSystem } from "./start_system.ts";
+import type { System } from "./start_system.ts";
+
+/** Seeds that run in CI. */
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+
+/** Time under load and faults. */
+const RUN_MS = 9_000;
+
+/** Deadline of every request. */
+const TIMEOUT_MS = 6_000;
+
+/** Time beyond a deadline within which its answer has reached the caller, on a busy machine. */
+const ANSWER_MARGIN_MS = 3_000;
+
+const TOKENS = 24;
+const COLD_LIMIT = 4;
+
+type Pick = (bound: number) => number;
+
+/** Faults, each with the function that ends it. */
+const FAULTS: Record<string, (system: System, pick: Pick) => Promise<() => Promise<void>>> = {
+  killHost: async (system, pick) => {
+    const host = system.hosts[pick(system.hosts.length)]!;
+    host.program.signal("SIGKILL");
+    await host.program.exited;
+    return () => system.restartHost(host);
+  },
+  pauseHost: (system, pick) => {
+    const { program } = system.hosts[pick(system.hosts.length)]!;
+    program.signal("SIGSTOP");
+    return Promise.resolve(() => Promise.resolve(program.signal("SIGCONT")));
+  },
+  crashEngine: async (system, pick) => {
+    await system.setFaults(system.engines[pick(system.engines.length)]!.url, { crash: true });
+    return () => Promise.resolve();
+  },
+  silenceEngine: async (system, pick) => {
+    const { url } = system.engines[pick(system.engines.length)]!;
+    await system.setFaults(url, { silence: "open" });
+    return () => system.setFaults(url, { silence: "none" });
+  },
+  spoilAnswers: async (system, pick) => {
+    const { url } = system.engines[pick(system.engines.length)]!;
+    await system.setFaults(url, { crossNext: 2, cutNext: 2, gapNext: 2, duplicateNext: 2 });
+    return () => Promise.resolve();
+  },
+  loseServiceAnswers: async (system) => {
+    await system.setFaults(system.services[0]!.url, { loseAnswerNext: 2, crossNext: 1 });
+    return () => Promise.resolve();
+  },
+  stopStore: async (system, pick) => {
+    const outage = (["silent", "refuse", "reset"] as const)[pick(3)];
+    const clients = pick(2) === 0 ? {} : { clients: [system.hosts[0]!.id] };
+    await system.setFaults(system.platform.url, { ...clients, faults: { outage } });
+    return () => system.setFaults(system.platform.url, { reset: true });
+  },
+  loseStoreAnswers: async (system) => {
+    const faults = {
+      loseAnswers: { probability: 0.3 },
+      lateWrites: { probability: 0.2, delayMs: 1_500 },
+    };
+    await system.setFaults(system.platform.url, { faults });
+    return () => system.setFaults(system.platform.url, { reset: true });
+  },
+  raceOperators: async (system, pick) => {
+    const name = `dc-${pick(2)}`;
+    const change = (host: number, state: string) =>
+      system.administer(system.hosts[host]!.url, `config/data-centres/${name}/state`, {
+        state,
+        why: "Race",
+      }).catch(() => {});
+    const bounded = (work: Promise<unknown>[]) => Promise.race([Promise.all(work), sleep(2_000)]);
+    await bounded([change(0, "out"), change(1, "out"), change(2, "in")]);
+    return async () => void await bounded([change(1, "in"), change(2, "in")]);
+  },
+};
+
+interface Seen {
+  fault?: string;
+  lateMs: number;
+  key?: string;
+  outcome: CallerOutcome;
+}
+
+for (const seed of SEEDS) {
+  test.serial(`two faults at a time break no rule (seed ${seed})`, (t) => runSeed(t, seed));
+}
+
+async function runSeed(t: ExecutionContext, seed: number) {
+  const generator = xoroshiro128plus(seed);
+  const pick: Pick = (bound) => uniformInt(generator, 0, bound - 1);
+  const system = await startSystem({
+    hosts: 4,
+    engines: 4,
+    services: 1,
+    dataCentres: ["dc-0", "dc-1"],
+    engine: { coldLimit: COLD_LIMIT, warmLimit: 12, coldMs: 1_500 },
+    speed: { prefillTokensPerSecond: 400_000, msPerOutputToken: 4 },
+  });
+  try {
+    const revisions = watchRevisions(system);
+    const seen = await runLoad(system, () => injectFaults(system, pick));
+    const wentBack = await revisions.stop();
+    await checkOutcome(t, system, { seen, wentBack });
+  } finally {
+    await system.stop();
+  }
+}
+
+/** Ends two faults and starts two others, again and again until the time is up. */
+async function injectFaults(system: System, pick: Pick) {
+  const endMs = performance.now() + RUN_MS;
+  while (performance.now() < endMs) {
+    const names = Object.keys(FAULTS);
+    const first = names[pick(names.length)]!;
+    const others = names.filter((name) => name !== first);
+    const second = others[pick(others.length)]!;
+    const ends: (() => Promise<void>)[] = [];
+    for (const name of [first, second]) ends.push(await FAULTS[name]!(system, pick));
+    await sleep(800 + pick(1_500));
+    for (const end of ends) await end();
+    await sleep(pick(600));
+  }
+}
+
+/** Runs short and long prompts and bookings from several callers while `faults` runs. */
+async function runLoad(system: System, faults: () => Promise<void>): Promise<Seen[]> {
+  const caller = createCaller("school");
+  const seen: Seen[] = [];
+  let isStopped = false;
+  const note = (outcome: CallerOutcome, more: Partial<Seen>) =>
+    seen.push({ outcome, lateMs: outcome.totalMs - TIMEOUT_MS, ...more });
+  const complete = async (n: number) => {
+    for (let i = 0; !isStopped; i++) {
+      const content = `question ${n}.${i} `.repeat(i % 5 === 0 ? 4_000 : 20);
+      const url = system.hosts[(n + i) % system.hosts.length]!.url;
+      const options = { maxTokens: TOKENS, timeoutMs: TIMEOUT_MS };
+      const outcome = await Promise.race([caller.complete(url, content, options), silent()]);
+      note(outcome, { fault: findFault(outcome, content, TOKENS) });
+      await sleep(30);
+    }
+  };
+  const book = async (n: number) => {
+    for (let i = 0; !isStopped; i++) {
+      const key = `spot ${n}.${i}`;
+      const urls = [i, i + 1].map((k) => system.hosts[(n + k) % system.hosts.length]!.url);
+      await Promise.all(urls.map(async (url) => {
+        const call = caller.call(url, "book", { key, timeoutMs: TIMEOUT_MS });
+        note(await Promise.race([call, silent()]), { key });
+      }));
+      await sleep(50);
+    }
+  };
+  const workers = [...[0, 1, 2, 3, 4, 5].map(complete), ...[0, 1].map(book)];
+  await faults();
+  isStopped = true;
+  await Promise.all(workers);
+  await caller.close().catch(() => {});
+  return seen;
+}
+
+/** What a caller of a paused host sees: nothing, until it gives up on the connection. */
+async function silent(): Promise<CallerOutcome> {
+  const waitMs = TIMEOUT_MS + ANSWER_MARGIN_MS;
+  await sleep(waitMs);
+  const error = { reason: "connection_broken", ran: "unknown", message: "Host is silent" };
+  return { status: 0, tokens: [], isWhole: false, error, totalMs: TIMEOUT_MS };
+}
+
+/** Notes every host whose configuration revision went down within one process. */
+function watchRevisions(system: System) {
+  const controller = new AbortController();
+  const highest = new Map<string, number>();
+  const wentBack: string[] = [];
+  const watch = async () => {
+    while (!controller.signal.aborted) {
+      for (const host of system.hosts) {
+        const status = await system.status(host).catch(() => undefined);
+        if (status === undefined) continue;
+        const process = `${host.id}/${status.incarnation}`;
+        const before = highest.get(process) ?? 0;
+        if (status.revision < before) {
+          wentBack.push(`${process}: ${before} then ${status.revision}`);
+        }
+        highest.set(process, status.revision);
+      }
+      await sleep(200);
+    }
+  };
+  const done = watch();
+  return {
+    stop: async () => {
+      controller.abort();
+      await done;
+      return wentBack;
+    },
+  };
+}
+
+async function checkOutcome(
+  t: ExecutionContext,
+  system: System,
+  { seen, wentBack }: { seen: Seen[]; wentBack: string[] },
+) {
+  t.deepEqual(seen.flatMap(({ fault, outcome }) => fault ? [{ fault, outcome }] : []), []);
+  t.deepEqual(seen.filter(({ lateMs }) => lateMs > ANSWER_MARGIN_MS), []);
+  t.deepEqual(wentBack, []);
+
+  const effects = await countEffects(system);
+  const twice = [...effects].filter(([, runs]) => runs > 1);
+  t.deepEqual(twice, []);
+  for (const { key, outcome } of seen) {
+    if (key === undefined || !outcome.isWhole) continue;
+    t.is(effects.get(`school/${key}`), 1, `"${key}" was confirmed and did not run`);
+  }
+  const calls = seen.filter(({ key }) => key !== undefined);
+  for (const { key } of calls) {
+    const outcomes = calls.filter((call) => call.key === key).map(({ outcome }) => outcome);
+    const isNeverRun = outcomes.every(({ error }) => error?.ran === "not_run");
+    if (isNeverRun) t.is(effects.get(`school/${key}`) ?? 0, 0, `"${key}" was "not_run" and ran`);
+  }
+
+  const logs = await waitForFreeMemory(system);
+  t.deepEqual(logs.map(({ heldTokens }) => heldTokens), logs.map(() => 0));
+  const overLimit = logs.filter(({ highestWhileCold }) => highestWhileCold > COLD_LIMIT);
+  t.deepEqual(overLimit.map(({ id }) => id), []);
+  const whole = seen.filter(({ outcome }) => outcome.isWhole).length;
+  t.log(`${whole} of ${seen.length} requests got a whole answer`);
+}
+
+/** Memory of requests whose host died is freed at their deadline, or when the host is back. */
+async function waitForFreeMemory(system: System) {
+  const endMs = performance.now() + TIMEOUT_MS + 15_000;
+  while (true) {
+    const logs = await readEngineLogs(system);
+    if (logs.every(({ heldTokens }) => heldTokens === 0) || performance.now() > endMs) return logs;
+    await sleep(500);
+  }
+}
--- a/packages/system_tests/create_caller.ts
+++ b/packages/system_tests/create_caller.ts
@@ -128,7 +128,7 @@
     return body.addresses;
   };
 
-  return { complete, resume, call, addresses, close: () => dispatcher.close() };
+  return { complete, resume, call, addresses, close: () => dispatcher.destroy() };
 }
 
 function brokenOutcome(err: Error, startMs: number): CallerOutcome {
--- a/packages/system_tests/start_system.ts
+++ b/packages/system_tests/start_system.ts
@@ -2,7 +2,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import type { EnginesResponse, HostsResponse } from "@jaypass/configuration";
+import type { EnginesResponse, HostsResponse, StatusResponse } from "@jaypass/configuration";
 import { sleep } from "@jaypass/kernel";
 import { request } from "undici";
 import { buildDocument, TEST_MODEL, TEST_SERVICE } from "./build_document.ts";
@@ -63,6 +63,8 @@
   administer(url: string, path: string, body: unknown): Promise<unknown>;
   /** Reads the test log of a stand-in. */
   log<T>(url: string): Promise<T>;
+  /** Reads the state of a host. */
+  status(host: SystemHost): Promise<StatusResponse>;
   /** Waits until every running host can serve. */
   ready(): Promise<void>;
   stop(): Promise<void>;
@@ -134,6 +136,7 @@
       setFaults: async (url, faults) => void await postJson(`${url}/test/faults`, faults),
       administer: (url, path, body) => postJson(`${url}/admin/v1/${path}`, body),
       log: (url) => getJson(`${url}/test/log`),
+      status: (host) => getJson(`${host.url}/admin/v1/status`),
       ready: () => waitUntilReady(hosts, document),
       stop,
     };
