Collect running work before an ended share is used

Change: createLease takes collectWork, which is awaited after a share has left the row and before allow() grows. Leases without it behave as before. Ruled out: carrying the list of running work in the answer to Leases.Relinquish, because a holder that is dead or expired gives no answer. Conclusion: pool coordinators must pass collectWork.

--- a/packages/leases/_lib/create_lease_rounds.ts
+++ b/packages/leases/_lib/create_lease_rounds.ts
@@ -11,6 +11,8 @@
   name: string;
   state: LeaseState;
   askHolder: AskHolder;
+  /** Collects the running work of holders whose shares have ended. */
+  collectWork: (signal: AbortSignal) => Promise<void>;
   /** Tells the owner about a change of mode, holder or shares since the last call. */
   reportChange(): void;
 }
@@ -130,6 +132,27 @@
       }
     },
 
+    /**
+     * Uses the shares that have left the rows.
+     *
+     * An earlier holder's work may still run after its share has ended, and work that it started
+     * after this holder's takeover is not known here, so it is collected first.
+     */
+    async reclaim(signal: AbortSignal): Promise<void> {
+      await Promise.all([...members.values()].map(async (member) => {
+        const holding = member.state.holding();
+        if (holding === undefined || !member.state.isReclaimDue()) return;
+        const { retained } = holding.row;
+        try {
+          await member.collectWork(signal);
+          member.state.reclaimed(holding, retained);
+        } catch {
+          metrics.increment("leases.retry", { reason: "collect_work" });
+        }
+      }));
+      reportChanges();
+    },
+
     /** Asks the earlier holders of the held leases to drop their shares. */
     async ask(signal: AbortSignal): Promise<void> {
       const questions = [...members.values()].flatMap((member) => {
--- a/packages/leases/_lib/create_lease_state.ts
+++ b/packages/leases/_lib/create_lease_state.ts
@@ -9,6 +9,8 @@
 export interface Holding {
   row: LeaseRow;
   version: number;
+  /** Earlier holders whose shares are not used, which may have left the row already. */
+  setAside: readonly LeaseHolder[];
   validUntilMs: Millis;
   /** Version that a read must have reached after a conflict; 0 when no read is needed. */
   readFromVersion: number;
@@ -57,7 +59,7 @@
     allow(limit: number): number {
       const mode = this.mode();
       if (holding === undefined || mode === LEASE_MODE.NONE) return 0;
-      const allowance = computeAllowance(limit, holding.row.retained.length);
+      const allowance = computeAllowance(limit, holding.setAside.length);
       return mode === LEASE_MODE.HELD ? allowance.held : allowance.retained;
     },
     validMs: () =>
@@ -131,6 +133,7 @@
       holding = {
         row: write.row,
         version,
+        setAside: write.row.retained,
         validUntilMs: sentMs + timing.validMs,
         readFromVersion: 0,
         reclaimAtMs: new Map(write.row.retained.map((holder) => [holderKey(holder), reclaimMs])),
@@ -147,6 +150,13 @@
       const knownMs = of.reclaimAtMs.get(holderKey(holder)) ?? Infinity;
       of.reclaimAtMs.set(holderKey(holder), Math.min(knownMs, atMs));
     },
+    /** Reports whether shares have left the row that are not used yet. */
+    isReclaimDue: () =>
+      holding !== undefined && holding.setAside.length > holding.row.retained.length,
+    /** Uses the shares that had left the row before the running work was collected. */
+    reclaimed(of: Holding, retainedBefore: readonly LeaseHolder[]): void {
+      if (of === holding) holding.setAside = retainedBefore;
+    },
     /** Ends the own holding at once; returns what a release has to write. */
     drop(): Holding | undefined {
       const dropped = holding;
--- a/packages/leases/create_lease.ts
+++ b/packages/leases/create_lease.ts
@@ -21,6 +21,11 @@
   isCandidate: () => boolean;
   /** Sends `Leases.Relinquish` to an earlier holder. */
   askHolder: AskHolder;
+  /**
+   * Collects the running work on the pool's engines; awaited before the share of an earlier holder
+   * is used, because work that it granted may still run. Without it the share is used at once.
+   */
+  collectWork?: (signal: AbortSignal) => Promise<void>;
   /** Called after a change of mode, holder or shares; read the lease for the new state. */
   onChange: (lease: Lease) => void;
   log: Logger;
@@ -54,7 +59,7 @@
     allow: (limit) => state.allow(limit),
     validMs: () => state.validMs(),
     holder: () => state.holder(),
-    retained: () => state.holding()?.row.retained ?? [],
+    retained: () => state.holding()?.setAside ?? [],
     async release() {
       const dropped = state.drop();
       reportChange();
@@ -81,7 +86,8 @@
     log.info({ lease: name, ...fields }, "Lease changed");
     onChange(lease);
   };
-  const member = { name, state, askHolder, reportChange };
+  const collectWork = options.collectWork ?? (() => Promise.resolve());
+  const member = { name, state, askHolder, collectWork, reportChange };
   renewer.add(member);
   return lease;
 }
--- a/packages/leases/create_lease_renewer.ts
+++ b/packages/leases/create_lease_renewer.ts
@@ -79,6 +79,10 @@
     await rounds.ask(AbortSignal.any([signal, AbortSignal.timeout(timing.askMs)]));
     return timing.askMs;
   });
+  repeat("reclaim", async (signal) => {
+    await rounds.reclaim(signal);
+    return timing.retryMs;
+  });
 
   return {
     self,
--- a/packages/leases/create_lease_test.ts
+++ b/packages/leases/create_lease_test.ts
@@ -37,6 +37,7 @@
     // Clocks differ in speed by up to 0.2%.
     const clock = { nowMs: () => nowMs * (1 + (index - 1) * 0.001), wallMs: () => 0 };
     const process = { self, incarnation, fault: "none" as Fault, cut: false, deaf: false };
+    const work = { isCollectable: true };
     const readMany = () => {
       if (process.cut) return Promise.reject(failure(false));
       const row = process.fault === "stale" ? history.at(-3) : history.at(-1);
@@ -74,6 +75,7 @@
       ...{ name: NAME, table, self, clock, random: () => 0.5, log, metrics, askHolder },
       isCandidate: () => true,
       onChange: () => {},
+      collectWork: () => work.isCollectable ? Promise.resolve() : Promise.reject(failure(false)),
       renewer: {
         ...{ self, clock, table, timing: LEASE_TIMING, remove: () => {} },
         add: (member) => void members.set(member.name, member),
@@ -83,16 +85,17 @@
     });
     const busy = new Set<string>();
     // Each kind of round runs once at a time, as the loops of the renewer do.
+    const signal = new AbortController().signal;
     const run = async (kind: "renew" | "watch" | "ask" | "release", fault: Fault = "none") => {
       process.fault = fault;
       if (busy.has(kind)) return;
       busy.add(kind);
-      const signal = new AbortController().signal;
       const round = kind === "release" ? lease.release() : rounds[kind](signal);
       Promise.resolve(round).catch(() => {}).finally(() => busy.delete(kind));
       await flush();
+      await rounds.reclaim(signal);
     };
-    return Object.assign(process, { lease, table, run });
+    return Object.assign(process, { lease, table, work, run });
   };
 
   const processes = Array.from({ length: count }, (_, index) => createProcess(index, 1));
@@ -159,6 +162,19 @@
   t.is(second!.lease.allow(4), 4);
 });
 
+test("a share is not used before the work that it admitted is known", async (t) => {
+  const world = createWorld(2);
+  const [first, second] = world.processes;
+  await first!.run("watch");
+  await world.takeOver(1);
+  second!.work.isCollectable = false;
+  await world.reclaim(1);
+  t.deepEqual([first!.lease.allow(4), second!.lease.allow(4)], [0, 2]);
+  second!.work.isCollectable = true;
+  await second!.run("renew");
+  t.is(second!.lease.allow(4), 4);
+});
+
 test("lost answers of a takeover and of a renewal neither lose nor double the lease", async (t) => {
   const world = createWorld(2);
   const [first, second] = world.processes;
