End the participation when a lease is released

Cause: the coordinators release a lease and create one of the same name later. Change: release() removes the lease from the renewer before its write, and later answers of the store are ignored for it. Ruled out: replacing an existing lease silently, because a doubled name would end the first one. Conclusion: a released lease never acts again.

--- a/packages/leases/_lib/create_lease_state.ts
+++ b/packages/leases/_lib/create_lease_state.ts
@@ -39,7 +39,6 @@
   let seen: { row: LeaseRow | undefined; version: number; sinceMs: Millis } | undefined;
   /** Holdings below this fencing number were given up towards another host. */
   let relinquishedBelow = 0;
-  let candidateFromMs = -Infinity;
 
   const see = (row: LeaseRow | undefined, version: number) => {
     seen = { row, version, sinceMs: clock.nowMs() };
@@ -112,9 +111,7 @@
     /** The takeover that this process may try now. */
     takeover(): LeaseWrite | undefined {
       const nowMs = clock.nowMs();
-      if (holding || seen === undefined || nowMs < candidateFromMs || !isCandidate()) {
-        return undefined;
-      }
+      if (holding || seen === undefined || !isCandidate()) return undefined;
       const { row, version, sinceMs } = seen;
       // The version of a row that has not been read yet is known from a conflict only.
       if (version !== 0 && row === undefined) return undefined;
@@ -157,12 +154,15 @@
     reclaimed(of: Holding, retainedBefore: readonly LeaseHolder[]): void {
       if (of === holding) holding.setAside = retainedBefore;
     },
-    /** Ends the own holding at once; returns what a release has to write. */
-    drop(): Holding | undefined {
-      const dropped = holding;
-      holding = undefined;
-      candidateFromMs = clock.nowMs() + timing.takeoverMs;
-      return dropped;
+    /**
+     * Ends the own holding for good and returns what a release has to write.
+     *
+     * A takeover whose answer is still on its way does not bring it back.
+     */
+    end(): Holding | undefined {
+      const ended = holding;
+      this.relinquishBelow(Infinity);
+      return ended;
     },
     /** Drops a holding below a fencing number; later answers of the store cannot bring it back. */
     relinquishBelow(fencing: number): void {
--- a/packages/leases/create_lease.ts
+++ b/packages/leases/create_lease.ts
@@ -63,17 +63,17 @@
     refresh: () => void (member.isReadWanted = true),
     retained: () => state.holding()?.setAside ?? [],
     async release() {
-      const dropped = state.drop();
+      const ended = state.end();
+      renewer.remove(member);
       reportChange();
-      if (dropped === undefined) return;
-      const isConfirmed = await releaseRow(dropped, { name, table, self, timing });
+      if (ended === undefined) return;
+      const isConfirmed = await releaseRow(ended, { name, table, self, timing });
       metrics.increment("leases.release", { outcome: isConfirmed ? "done" : "unknown" });
     },
     relinquish: (request) => answerRelinquish(request, { self, member }),
     async stop() {
-      // A takeover whose answer is still on its way must not bring the holding back.
-      state.relinquishBelow(Infinity);
-      renewer.remove(name);
+      state.end();
+      renewer.remove(member);
       if (options.renewer === undefined) await renewer.stop();
     },
   };
--- a/packages/leases/create_lease_renewer.ts
+++ b/packages/leases/create_lease_renewer.ts
@@ -30,7 +30,7 @@
   readonly timing: LeaseTiming;
   /** Adds a lease; used by {@linkcode createLease}. */
   add(member: LeaseMember): void;
-  remove(name: string): void;
+  remove(member: LeaseMember): void;
   /** Handles `Leases.Relinquish` for all leases of the process, known or stopped. */
   relinquish(request: RelinquishRequest): RelinquishAnswer;
   /** Ends the rounds without a release. */
@@ -93,7 +93,9 @@
       if (members.has(member.name)) throw new LeaseError(`Lease "${member.name}" exists already`);
       members.set(member.name, member);
     },
-    remove: (name) => void members.delete(name),
+    remove(member) {
+      if (members.get(member.name) === member) members.delete(member.name);
+    },
     relinquish: (request) => answerRelinquish(request, { self, member: members.get(request.name) }),
     stop: () => tasks.stop(),
   };
--- a/packages/leases/types.ts
+++ b/packages/leases/types.ts
@@ -48,7 +48,11 @@
   refresh(): void;
   /** Earlier holders whose retained shares are set aside, oldest first. */
   retained(): readonly LeaseHolder[];
-  /** Gives the lease up and awaits the store's confirmation within a bound. */
+  /**
+   * Gives the lease up, ends the participation and awaits the store's confirmation within a bound.
+   *
+   * A lease of the same name may be created again at once.
+   */
   release(): Promise<void>;
   /**
    * Handles `Leases.Relinquish`: drops a holding that is older than the asking holder's.
