--- a/packages/admission/_testing/create_test_lease.ts
+++ b/packages/admission/_testing/create_test_lease.ts
@@ -57,6 +57,7 @@
         },
         validMs: () => isHolder() ? 9_000 : 0,
         holder: () => row.holder,
+        refresh: () => {},
         retained: () => row.retained === undefined ? [] : [row.retained],
         relinquish: () => "unknown",
         stop: () => Promise.resolve(),
--- a/packages/leases/_lib/create_lease_state.ts
+++ b/packages/leases/_lib/create_lease_state.ts
@@ -9,6 +9,8 @@
 export interface Holding {
   row: LeaseRow;
   version: number;
+  /** Earlier holders whose shares are not used, which may have left the row already. */
+  setAside: readonly LeaseHolder[];
   validUntilMs: Millis;
   /** Version that a read must have reached after a conflict; 0 when no read is needed. */
   readFromVersion: number;
@@ -37,7 +39,6 @@
   let seen: { row: LeaseRow | undefined; version: number; sinceMs: Millis } | undefined;
   /** Holdings below this fencing number were given up towards another host. */
   let relinquishedBelow = 0;
-  let candidateFromMs = -Infinity;
 
   const see = (row: LeaseRow | undefined, version: number) => {
     seen = { row, version, sinceMs: clock.nowMs() };
@@ -57,7 +58,7 @@
     allow(limit: number): number {
       const mode = this.mode();
       if (holding === undefined || mode === LEASE_MODE.NONE) return 0;
-      const allowance = computeAllowance(limit, holding.row.retained.length);
+      const allowance = computeAllowance(limit, holding.setAside.length);
       return mode === LEASE_MODE.HELD ? allowance.held : allowance.retained;
     },
     validMs: () =>
@@ -110,9 +111,7 @@
     /** The takeover that this process may try now. */
     takeover(): LeaseWrite | undefined {
       const nowMs = clock.nowMs();
-      if (holding || seen === undefined || nowMs < candidateFromMs || !isCandidate()) {
-        return undefined;
-      }
+      if (holding || seen === undefined || !isCandidate()) return undefined;
       const { row, version, sinceMs } = seen;
       // The version of a row that has not been read yet is known from a conflict only.
       if (version !== 0 && row === undefined) return undefined;
@@ -131,6 +130,7 @@
       holding = {
         row: write.row,
         version,
+        setAside: write.row.retained,
         validUntilMs: sentMs + timing.validMs,
         readFromVersion: 0,
         reclaimAtMs: new Map(write.row.retained.map((holder) => [holderKey(holder), reclaimMs])),
@@ -147,12 +147,22 @@
       const knownMs = of.reclaimAtMs.get(holderKey(holder)) ?? Infinity;
       of.reclaimAtMs.set(holderKey(holder), Math.min(knownMs, atMs));
     },
-    /** Ends the own holding at once; returns what a release has to write. */
-    drop(): Holding | undefined {
-      const dropped = holding;
-      holding = undefined;
-      candidateFromMs = clock.nowMs() + timing.takeoverMs;
-      return dropped;
+    /** Reports whether shares have left the row that are not used yet. */
+    isReclaimDue: () =>
+      holding !== undefined && holding.setAside.length > holding.row.retained.length,
+    /** Uses the shares that had left the row before the running work was collected. */
+    reclaimed(of: Holding, retainedBefore: readonly LeaseHolder[]): void {
+      if (of === holding) holding.setAside = retainedBefore;
+    },
+    /**
+     * Ends the own holding for good and returns what a release has to write.
+     *
+     * A takeover whose answer is still on its way does not bring it back.
+     */
+    end(): Holding | undefined {
+      const ended = holding;
+      this.relinquishBelow(Infinity);
+      return ended;
     },
     /** Drops a holding below a fencing number; later answers of the store cannot bring it back. */
     relinquishBelow(fencing: number): void {
--- a/packages/leases/create_lease.ts
+++ b/packages/leases/create_lease.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
 import type { TableClient } from "@jaypass/platform";
 import { answerRelinquish } from "./_lib/answer_relinquish.ts";
+import type { LeaseMember } from "./_lib/create_lease_rounds.ts";
 import { createLeaseState } from "./_lib/create_lease_state.ts";
 import { releaseRow } from "./_lib/release_row.ts";
 import { createLeaseRenewer } from "./create_lease_renewer.ts";
@@ -21,6 +22,11 @@
   isCandidate: () => boolean;
   /** Sends `Leases.Relinquish` to an earlier holder. */
   askHolder: AskHolder;
+  /**
+   * Collects the running work on the pool's engines; awaited before the share of an earlier holder
+   * is used, because work that it granted may still run. Without it the share is used at once.
+   */
+  collectWork?: (signal: AbortSignal) => Promise<void>;
   /** Called after a change of mode, holder or shares; read the lease for the new state. */
   onChange: (lease: Lease) => void;
   log: Logger;
@@ -54,19 +60,20 @@
     allow: (limit) => state.allow(limit),
     validMs: () => state.validMs(),
     holder: () => state.holder(),
-    retained: () => state.holding()?.row.retained ?? [],
+    refresh: () => void (member.isReadWanted = true),
+    retained: () => state.holding()?.setAside ?? [],
     async release() {
-      const dropped = state.drop();
+      const ended = state.end();
+      renewer.remove(member);
       reportChange();
-      if (dropped === undefined) return;
-      const isConfirmed = await releaseRow(dropped, { name, table, self, timing });
+      if (ended === undefined) return;
+      const isConfirmed = await releaseRow(ended, { name, table, self, timing });
       metrics.increment("leases.release", { outcome: isConfirmed ? "done" : "unknown" });
     },
     relinquish: (request) => answerRelinquish(request, { self, member }),
     async stop() {
-      // A takeover whose answer is still on its way must not bring the holding back.
-      state.relinquishBelow(Infinity);
-      renewer.remove(name);
+      state.end();
+      renewer.remove(member);
       if (options.renewer === undefined) await renewer.stop();
     },
   };
@@ -81,7 +88,11 @@
     log.info({ lease: name, ...fields }, "Lease changed");
     onChange(lease);
   };
-  const member = { name, state, askHolder, reportChange };
+  const collectWork = options.collectWork ?? (() => Promise.resolve());
+  const member: LeaseMember = {
+    ...{ name, state, askHolder, collectWork, isCandidate, reportChange },
+    isReadWanted: false,
+  };
   renewer.add(member);
   return lease;
 }
