--- a/spec/run_configuration.sh
+++ b/spec/run_configuration.sh
@@ -10,7 +10,7 @@
 # Prints "errors states assertion" of one run.
 check() {
   spin -a "$@" "$model" > spin.log 2>&1 || { cat spin.log >&2; exit 1; }
-  gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=2048 -o pan pan.c
+  gcc -O1 -w -DSAFETY -DCOLLAPSE -DMEMLIM=2048 -o pan pan.c
   ./pan -m200000 > pan.log 2>&1 || true
   if grep -q "max search depth too small\|out of memory\|memory limit" pan.log; then
     echo "Search is not complete: $*" >&2
