--- a/packages/admission/_lib/admit_waiting.ts
+++ b/packages/admission/_lib/admit_waiting.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "@jaypass/kernel";
 import { classifyLane } from "../classify_lane.ts";
-import { MAX_WAITING } from "../constants.ts";
+import { DEADLINE_MARGIN, MAX_WAITING } from "../constants.ts";
 import { LANE, REFUSAL } from "../types.ts";
 import type { AcquireRequest, Lane } from "../types.ts";
 import { declareSet } from "./declare_set.ts";
@@ -97,14 +97,14 @@
   const usable = servers.filter(({ id }) => !req.exclude.includes(id));
   if (usable.length === 0) return refuse(REFUSAL.NO_CAPACITY, "Every server has failed it");
   if (servers[0]!.cfg.kind === "engine") {
-    const options = { servers, claimsOn: () => 0 };
+    const options = { servers, isBusy: () => false };
     if (declareSet(req, { ...options, allow: (limit) => limit }) === undefined) {
       return refuse(REFUSAL.PROMPT_TOO_LARGE, `${req.promptTokens} tokens exceed the pool`);
     }
     const set = declareSet(req, {
       servers,
       allow: pool.options.allow,
-      claimsOn: (id) => pool.claims.filter((claim) => claim.claim!.includes(id)).length,
+      isBusy: () => false,
     });
     if (set === undefined) {
       return refuse(REFUSAL.NO_CAPACITY, "The retained share cannot hold the prompt", 10_000);
@@ -116,10 +116,12 @@
   }
   pool.mix.add(entry.lane, entry.prefillMs);
   const waitMs = laneWaitMs(pool, entry.lane, entry.firstTokenDeadlineMs);
-  if (nowMs + waitMs + entry.prefillMs > Math.min(entry.firstTokenDeadlineMs, entry.deadlineMs)) {
+  const stretch = entry.lane === LANE.LONG ? pool.mix.longStretch(servers.length) : 1;
+  const firstTokenMs = waitMs + entry.prefillMs * stretch;
+  if (firstTokenMs > (entry.firstTokenDeadlineMs - nowMs) * DEADLINE_MARGIN) {
     return refuse(
       REFUSAL.DEADLINE_UNREACHABLE,
-      `Estimated first token after ${Math.round(waitMs + entry.prefillMs)} ms`,
+      `Estimated first token after ${Math.round(firstTokenMs)} ms`,
       waitMs,
     );
   }
--- a/packages/admission/_lib/prefix_index.ts
+++ b/packages/admission/_lib/prefix_index.ts
@@ -1,5 +1,6 @@
 import { LRUCache } from "lru-cache";
-import { PREFIX_BLOCK_TOKENS, PREFIX_BLOCKS_PER_SERVER } from "../constants.ts";
+import { PREFIX_BLOCK_TOKENS } from "@jaypass/engines";
+import { PREFIX_BLOCKS_PER_SERVER } from "../constants.ts";
 
 /** Which server probably caches which prefix blocks. */
 export interface PrefixIndex {
@@ -26,6 +27,7 @@
   };
   return {
     add(serverId, blocks) {
+      if (blocks.length === 0) return;
       const cache = cacheOf(serverId);
       for (const block of blocks) cache.set(block, true);
     },
@@ -34,9 +36,16 @@
     cachedTokens(serverId, blocks) {
       const cache = byServer.get(serverId);
       if (cache === undefined) return 0;
-      let count = 0;
-      while (count < blocks.length && cache.has(blocks[count]!)) count += 1;
-      return count * PREFIX_BLOCK_TOKENS;
+      // Each hash covers all blocks before it, so the longest cached one is found by bisection. Where
+      // an earlier block was evicted the estimate is too high,.
+      let low = 0;
+      let high = blocks.length;
+      while (low < high) {
+        const middle = (low + high + 1) >> 1;
+        if (cache.has(blocks[middle - 1]!)) low = middle;
+        else high = middle - 1;
+      }
+      return low * PREFIX_BLOCK_TOKENS;
     },
   };
 }
