--- a/packages/admission/accounting_test.ts
+++ b/packages/admission/accounting_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { expireGrants } from "./_lib/expire_grants.ts";
+import { findHeld } from "./_lib/find_held.ts";
 import { handleReport } from "./_lib/handle_report.ts";
 import { reconcileServer } from "./_lib/reconcile_server.ts";
 import { createTestScheduler } from "./_testing/create_test_scheduler.ts";
@@ -126,3 +127,12 @@
   scheduler.run();
   t.is(test.grant("b")!.servers.length, 2);
 });
+
+test("a request is found by its id and by the id of its attempt, and by no longer or shorter one", (t) => {
+  const { scheduler, acquire } = createTestScheduler({ e0: testServer() });
+  acquire("r1.0");
+  const found = ["r1", "r1.0", "r", "r1.00"].map((id) =>
+    findHeld(scheduler.pool, id) !== undefined
+  );
+  t.deepEqual(found, [true, true, false, false]);
+});
