Start a new coordinator earlier when every host has reported

Cause: the system test of a graceful stop lost 3 requests to 'deadline_passed' while the pool changed hands. Change: collection ends when every host that is not dead has reported and the dispatch window of the predecessor has ended, at the latest after 3 s; hosts answer the announcement also without grants; pools that do not answer are asked again every 500 ms instead of every 2 s, at most 48 tries. Safe because engines are listed again after that window before they get grants.

--- a/packages/admission/_lib/grant_client.ts
+++ b/packages/admission/_lib/grant_client.ts
@@ -24,9 +24,9 @@
 const SHORT_CALL_TIMEOUT_MS = 1_000;
 
 /** Tries in all pools together, and pauses between passes over pools that do not answer. */
-const MAX_TRIES = 24;
+const MAX_TRIES = 48;
 const FIRST_PAUSE_MS = 200;
-const MAX_PAUSE_MS = 2_000;
+const MAX_PAUSE_MS = 500;
 /** Rounds in which the grant is asked for anew because the quota slot came late. */
 const MAX_SLOT_ROUNDS = 2;
 /** Least time that a returned grant leaves for its dispatch. */
--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -184,9 +184,8 @@
     if (typeof name !== "string" || typeof address !== "string") return;
     directory.replace(name, address);
     if (name.startsWith("quota/")) quota.announce(name);
-    else if (book.pools().includes(name)) {
-      tasks.run("report to new coordinator", () => sendReports(reports, [name]));
-    }
+    // Also without grants, so that the coordinator need not wait for this host.
+    else tasks.run("report to new coordinator", () => sendReports(reports, [name]));
   });
   const update = () => {
     if (tasks.signal.aborted) return;
--- a/packages/admission/create_coordinator.ts
+++ b/packages/admission/create_coordinator.ts
@@ -48,7 +48,7 @@
   address: string;
   /** Lease of the pool, held when the coordinator is created. */
   lease: Lease;
-  membership: Pick<Membership, "askIncarnation">;
+  membership: Pick<Membership, "askIncarnation" | "hosts">;
   /** Opens the client of a server. */
   createProbe: (server: PoolView["servers"][number]) => ServerProbe;
   isQuarantined: (fingerprint: string) => boolean;
@@ -79,7 +79,8 @@
 /**
  * Creates the coordinator of a pool whose lease this process holds.
  *
- * It grants nothing until it has collected the running work from hosts and engines.
+ * It grants nothing until it has collected the running work from hosts and engines, which ends after
+ * 3 s, or earlier when every host has reported and the dispatch windows of its predecessor have ended.
  *
  * @param name pool name
  * @param options lease, clients and notices
@@ -104,8 +105,17 @@
   setMaxListeners(0, tasks.signal);
   let longestMs: Millis = 0;
 
+  /** Hosts that may hold grants of an earlier coordinator and have not reported yet. */
+  const unheard = new Set(
+    options.membership.hosts().filter(({ state }) => state !== "dead").map(({ id }) => id),
+  );
+  /** Whether running work has been collected: at the latest after the whole time for it. */
+  const isCollected = () => {
+    const ageMs = clock.nowMs() - startedMs;
+    return ageMs >= rebuildMs || (unheard.size === 0 && ageMs >= GRANT_DISPATCH_WINDOW_MS);
+  };
   const canGrant = () => {
-    if (clock.nowMs() - startedMs < rebuildMs || lease.fencing() !== fencing) return false;
+    if (!isCollected() || lease.fencing() !== fencing) return false;
     const mode = lease.mode();
     return mode === "retained" || (mode === "held" && lease.validMs() > GRANT_DISPATCH_WINDOW_MS);
   };
@@ -228,6 +238,7 @@
         return { pool: name, isAccepted: false, holder: lease.holder()?.address };
       }
       seenMs.set(owner.host, clock.nowMs());
+      unheard.delete(owner.host);
       handleReport(pool, owner, part, epoch);
       scheduler.run();
       const waits = Object.values(LANE).map((
