Balance engines by running requests and keep delays out of the account of their work

Found: late first tokens were taken for slow engines, which then stood idle; engines with a slow first token were avoided, which overloaded the others. Change: only a server faster than configured changes the account of its work; the choice weighs each running request with 15 ms (1 ms before) and no longer the learned speed.

--- a/packages/admission/_lib/choose_server.ts
+++ b/packages/admission/_lib/choose_server.ts
@@ -8,8 +8,11 @@
 
 /** Delay that a long prefill on the same engine causes to others between two of its chunks. */
 const LONG_INTERFERENCE_MS = 40;
-/** Delay per running request, which shares the batch. */
-const BATCH_INTERFERENCE_MS = 1;
+/**
+ * Delay per running request, which shares the batch. It also evens out engines that are slower than
+ * configured, on which requests gather.
+ */
+const BATCH_INTERFERENCE_MS = 15;
 
 /** What the choice is made from. */
 export interface ChoiceOptions {
@@ -56,8 +59,7 @@
     );
     const prefillMs = server.cfg.kind === "service"
       ? 0
-      : (entry.req.promptTokens - cachedTokens) / prefillTokensPerSecond * 1_000 *
-        server.slowness;
+      : (entry.req.promptTokens - cachedTokens) / prefillTokensPerSecond * 1_000;
     const firstTokenMs = backlogMs + prefillMs +
       (entry.lane !== "long" && server.longUntilMs > nowMs ? LONG_INTERFERENCE_MS : 0) +
       server.reservations.size * (options.isSuspect ? 1_000 : BATCH_INTERFERENCE_MS);
--- a/packages/admission/_lib/commit_grant.ts
+++ b/packages/admission/_lib/commit_grant.ts
@@ -67,7 +67,9 @@
       fingerprint: req.fingerprint,
     });
     pool.prefixes.add(server.id, req.prefixBlocks);
-    const workMs = decision.prefillMs / decision.servers.length;
+    // A slow first token may be a delay and not a lack of speed. Taking it for the latter would leave
+    // the server idle, so only a server that is faster than configured changes this account.
+    const workMs = decision.prefillMs * Math.min(1, server.slowness) / decision.servers.length;
     // Beside a long prefill that falls behind, other work is spread out until it has its share.
     const hasLong = entry.lane !== "long" && server.longUntilMs > nowMs;
     const isBehind = hasLong && server.longUntilMs > server.longFairMs;
@@ -88,7 +90,7 @@
     acquireId: entry.acquireId,
     grantedMs: nowMs,
     deadlineMs: entry.deadlineMs,
-    expectedFirstTokenMs: decision.firstTokenMs,
+    expectedFirstTokenMs: decision.firstTokenMs * decision.servers[0]!.slowness,
     prefillMs: decision.prefillMs,
     tokensPerServer: decision.tokensPerServer,
     isMeasure,
--- a/packages/admission/_lib/end_grant.ts
+++ b/packages/admission/_lib/end_grant.ts
@@ -42,7 +42,8 @@
   if (result.outcome === GRANT_OUTCOME.NOT_DISPATCHED) {
     if (record.grant.lane === "long") first.longUntilMs = 0;
     for (const lane of LANES.slice(LANES.indexOf(record.grant.lane))) {
-      first.freeAtMs[lane] -= record.prefillMs / record.grant.servers.length;
+      first.freeAtMs[lane] -= record.prefillMs * Math.min(1, first.slowness) /
+        record.grant.servers.length;
     }
   }
   if (result.outcome !== GRANT_OUTCOME.DONE) return;
