Learn an engine's speed from its prefill alone

Change: the first token of a request that had the engine to itself is compared with its prefill only.

--- a/packages/admission/_lib/end_grant.ts
+++ b/packages/admission/_lib/end_grant.ts
@@ -25,7 +25,7 @@
   const isSlow = firstTokenMs > expectedMs * SLOW_FACTOR &&
     firstTokenMs - expectedMs > SLOW_EXCESS_MS;
   if (!isSlow && record.isMeasure && record.prefillMs >= MEASURABLE_PREFILL_MS) {
-    const target = Math.min(4, Math.max(0.25, server.slowness * firstTokenMs / expectedMs));
+    const target = Math.min(4, Math.max(0.25, firstTokenMs / record.prefillMs));
     server.slowness += WEIGHT * (target - server.slowness);
   }
   return isSlow;
