--- a/packages/admission/_lib/end_grant.ts
+++ b/packages/admission/_lib/end_grant.ts
@@ -25,7 +25,7 @@
   const isSlow = firstTokenMs > expectedMs * SLOW_FACTOR &&
     firstTokenMs - expectedMs > SLOW_EXCESS_MS;
   if (!isSlow && record.isMeasure && record.prefillMs >= MEASURABLE_PREFILL_MS) {
-    const target = Math.min(4, Math.max(0.25, server.slowness * firstTokenMs / expectedMs));
+    const target = Math.min(4, Math.max(0.25, firstTokenMs / record.prefillMs));
     server.slowness += WEIGHT * (target - server.slowness);
   }
   return isSlow;
@@ -42,7 +42,8 @@
   if (result.outcome === GRANT_OUTCOME.NOT_DISPATCHED) {
     if (record.grant.lane === "long") first.longUntilMs = 0;
     for (const lane of LANES.slice(LANES.indexOf(record.grant.lane))) {
-      first.freeAtMs[lane] -= record.prefillMs / record.grant.servers.length;
+      first.freeAtMs[lane] -= record.prefillMs * Math.min(1, first.slowness) /
+        record.grant.servers.length;
     }
   }
   if (result.outcome !== GRANT_OUTCOME.DONE) return;
