--- a/packages/bench/_lib/control_worker.ts
+++ b/packages/bench/_lib/control_worker.ts
@@ -5,6 +5,7 @@
  */
 import { type ControlHost, startControlHost } from "./start_control_host.ts";
 import { createIpc, type IpcPort } from "./create_ipc.ts";
+import { monitorEventLoopDelay } from "node:perf_hooks";
 import type { HostListClient, ListedHost } from "@jaypass/platform";
 import type { PeerTls } from "@jaypass/peers";
 import type { Socket } from "node:net";
@@ -31,6 +32,8 @@
   heapBytes: number;
   rssBytes: number;
   falseDeaths: number;
+  /** Longest time for which the process did not get to run a timer. */
+  maxStallMs: number;
 }
 
 /** A condition on the view of each host of the worker. */
@@ -45,6 +48,8 @@
 }
 
 const POLL_MS = 50;
+const loopDelay = monitorEventLoopDelay({ resolution: 20 });
+loopDelay.enable();
 const hosts = new Map<string, ControlHost>();
 let settings: WorkerSettings;
 let random = () => 0;
@@ -114,6 +119,7 @@
       (sum, counter) => sum + (counter["membership_state_change{to=dead}"] ?? 0),
       0,
     ),
+    maxStallMs: loopDelay.max / 1e6,
   };
 }
 
--- a/packages/bench/_lib/run_control.ts
+++ b/packages/bench/_lib/run_control.ts
@@ -2,6 +2,7 @@
 import { fork } from "node:child_process";
 import type { ListedHost } from "@jaypass/platform";
 import type { PeerTls } from "@jaypass/peers";
+import { loadavg } from "node:os";
 import { sleep } from "@jaypass/kernel";
 import type { WatchCondition, WorkerSettings, WorkerTotals } from "./control_worker.ts";
 
@@ -48,6 +49,9 @@
   restartS: string;
   restart: PhaseCost | undefined;
   falseDeaths: number;
+  /** Longest stall of a process until the kill, and load of the machine at the end of the run. */
+  maxStallMs: number;
+  load: number;
 }
 
 /** A host list whose readers see what was written some time ago. */
@@ -154,7 +158,7 @@
     const victim = ids[count >> 1]!;
     await ownerOf(victim).call("kill", { ids: [victim] });
     const killedMs = Date.now();
-    const falseBefore = sum((await sample()).totals, "falseDeaths");
+    const { totals: beforeDeath } = await sample();
     const deadS = summarise(await watch({ dead: victim }, 60_000), killedMs, 1_000);
 
     const third = ids.filter((id, n) => n % 3 === 0 && id !== victim);
@@ -181,9 +185,11 @@
       deadS,
       restartS: summarise(known, restartedMs, 1_000),
       restart: cost(restartStart, restartEnd),
-      falseDeaths: falseBefore,
+      falseDeaths: sum(beforeDeath, "falseDeaths"),
+      maxStallMs: Math.max(...beforeDeath.map(({ maxStallMs }) => maxStallMs)),
+      load: loadavg()[0]!,
     };
   } finally {
-    for (const { child } of workers) child.disconnect();
+    for (const { child } of workers) child.kill();
   }
 }
--- a/packages/bench/control_cost.ts
+++ b/packages/bench/control_cost.ts
@@ -38,6 +38,8 @@
   ["restart list reads/s", (r) => r.restart?.listReadsPerS.toFixed(2) ?? ""],
   ["heap growth/host KB", (r) => Math.round(r.heapGrowthPerHostBytes / 1_024)],
   ["false deaths", (r) => r.falseDeaths],
+  ["longest stall ms", (r) => Math.round(r.maxStallMs)],
+  ["load", (r) => r.load.toFixed(1)],
 ];
 
 const cli = command({
--- a/packages/membership/create_membership_test.ts
+++ b/packages/membership/create_membership_test.ts
@@ -134,6 +134,19 @@
   t.true(allSeeAllAlive(network));
 });
 
+test("hosts that are starved of processor time mark nobody dead", async (t) => {
+  const { network, hosts } = await startAll(18);
+  // Each host runs for 100 ms in every 2 s, at its own phase.
+  for (let step = 0; step < 600; step++) {
+    hosts.forEach((host, n) => network.pause(host, (step + n * 7) % 20 !== 0));
+    await network.run(100);
+    t.is(hosts.filter(({ id }) => seenAs(network, id, "dead") > 0).length, 0);
+  }
+  hosts.forEach((host) => network.pause(host, false));
+  await network.run(10_000);
+  t.true(allSeeAllAlive(network));
+});
+
 test("silence between two hosts in one direction is no reason for suspicion", async (t) => {
   const { network, hosts } = await startAll(18);
   for (const [from, to] of [["h2", "h3"], ["h3", "h9"], ["h9", "h2"], ["h4", "h2"]]) {
