--- a/packages/configuration/types.ts
+++ b/packages/configuration/types.ts
@@ -47,6 +47,11 @@
   /** Whether it refuses orders with an old fencing number. */
   fencing: "checked" | "ignored";
   state: "in" | "leaving";
+  /**
+   * Partition of its pool, from 0. The administration assigns it when the server is added and keeps
+   * it, so that no server moves to another coordinator when others are added.
+   */
+  partition?: number;
 }
 
 /** A customer of the platform. */
@@ -126,3 +131,66 @@
   /** Resolves when a first document is known. */
   ready(signal: AbortSignal): Promise<void>;
 }
+
+/** A pool or, with more than 16 servers, a partition of it (design, section 4.1). */
+export interface PoolConfig {
+  /** `serves@dataCentre` for partition 0, `serves@dataCentre#n` for the others. */
+  id: string;
+  kind: "engine" | "service";
+  serves: string;
+  dataCentre: string;
+  partition: number;
+  /** Names of its backend servers, sorted. */
+  servers: string[];
+}
+
+/** A bearer token of a section owner, as the settings give it. */
+export interface AdministrationToken {
+  /** Name that the history shows as `who`. */
+  owner: string;
+  /** SHA-256 of the token, in hex. */
+  hash: string;
+  /** Sections that the owner may change; every owner may read all. */
+  sections: readonly SectionName[];
+}
+
+/** What the head row tells besides the revision, carried by each change as well. */
+export interface ConfigHead {
+  revision: number;
+  /** Revision of the newest stored snapshot; 0 stands for the empty document. */
+  snapshotRevision: number;
+  /** Object that holds it, empty for revision 0. */
+  snapshotName: string;
+  /** Oldest change that is still stored. */
+  oldestRevision: number;
+}
+
+/** A change as it is stored and passed between hosts. */
+export interface StoredChange extends ConfigChange, ConfigHead {
+  /** Change id of the revision before; a mismatch shows a store that lost accepted changes. */
+  previousId: string;
+}
+
+/** A whole document with the position that it stands for. */
+export interface ConfigSnapshot extends ConfigHead {
+  changeId: string;
+  document: ConfigDocument;
+}
+
+/** A configuration that the administration of the same host can advance. */
+export interface ManagedConfiguration extends Configuration {
+  /** Revision, change id and document in force. */
+  snapshot(): Readonly<ConfigSnapshot>;
+  /** Changes after a revision, or `undefined` when this host no longer keeps all of them. */
+  changesAfter(revision: number): StoredChange[] | undefined;
+  /** Applies a change that was just stored; returns false unless it is the next one. */
+  ingest(change: StoredChange): boolean;
+  /**
+   * Catches up from the store, or from peers when the store fails, until a revision is in force.
+   *
+   * @throws {ConfigurationError} when the signal aborts first
+   */
+  catchUp(revision: number, signal: AbortSignal): Promise<void>;
+  /** Ends the background tasks and awaits them. */
+  stop(): Promise<void>;
+}
