--- a/packages/stand_ins/_lib/create_engine_core.ts
+++ b/packages/stand_ins/_lib/create_engine_core.ts
@@ -1,6 +1,8 @@
-import { hashPrefixBlocks, PREFIX_BLOCK_TOKENS } from "@jaypass/engines";
+import { PREFIX_BLOCK_TOKENS } from "@jaypass/engines";
 import type { EngineFaultState, EngineLog, EngineSettings } from "../engine_types.ts";
 import { createCacheEventLog } from "./create_cache_event_log.ts";
+import { createEngineLog } from "./create_engine_log.ts";
+import { type CoreRequest, createJob } from "./create_job.ts";
 import { createLoadHistory } from "./create_load_history.ts";
 import { createPrefixCache } from "./create_prefix_cache.ts";
 import { type EngineJob, heldTokens, type WireEvent } from "./engine_job.ts";
@@ -19,18 +21,6 @@
   ran: boolean;
 }
 
-/** A request as the core takes it. */
-export interface CoreRequest {
-  requestId: string;
-  model: string;
-  prompt: string;
-  generated: string[];
-  maxTokens: number;
-  priority: number;
-  fencing: number;
-  part?: { fromToken: number; toToken: number };
-}
-
 /** The scheduler, memory and answers of an engine stand-in, without its HTTP side. */
 export type EngineCore = ReturnType<typeof createEngineCore>;
 
@@ -72,24 +62,7 @@
     });
   noteLoad();
 
-  const log: EngineLog = {
-    id: settings.id,
-    restartCount: 0,
-    cold: true,
-    accepted: [],
-    acceptedTotal: 0,
-    refused: {},
-    highestWhileCold: 0,
-    highestConcurrency: 0,
-    running: 0,
-    waiting: 0,
-    heldTokens: 0,
-    usedTokens: 0,
-    highestUsedTokens: 0,
-    crashes: [],
-    orders: [],
-    generatedTokens: 0,
-  };
+  const log = createEngineLog(settings.id);
 
   const allJobs = () => [...jobs.values(), ...[...parts.values()].flat()];
   const emit = (job: EngineJob, event: WireEvent) => {
@@ -251,58 +224,24 @@
     if (!isCold() && concurrency > settings.warmLimit + settings.queueLimit) {
       return refuse("overloaded");
     }
-    const digest = hashPrompt(req.prompt);
-    const promptTokens = countTokens(req.prompt);
     const known = coverage.get(req.requestId);
-    const covered = known?.digest === digest ? known.coversTo : 0;
-    const fromToken = req.part?.fromToken ?? Math.min(covered, promptTokens - 1);
-    const toToken = Math.min(req.part?.toToken ?? promptTokens, promptTokens);
-    if (fromToken > covered) return refuse("missing_kv");
-    const firstBlock = Math.floor(fromToken / PREFIX_BLOCK_TOKENS);
-    const blocks = hashPrefixBlocks(req.prompt, settings.bytesPerToken)
-      .slice(firstBlock, Math.floor(toToken / PREFIX_BLOCK_TOKENS));
-    const restTokens = toToken - (firstBlock + blocks.length) * PREFIX_BLOCK_TOKENS;
-    const privateTokens = restTokens + (req.part ? 0 : req.maxTokens);
-    if (blocks.length * PREFIX_BLOCK_TOKENS + privateTokens > settings.memoryTokens) {
-      return refuse("too_large");
-    }
+    const covered = known?.digest === hashPrompt(req.prompt) ? known.coversTo : 0;
+    if ((req.part?.fromToken ?? 0) > covered) return refuse("missing_kv");
     const cold = isCold();
-    const isStuck = (faults.stuckNext ?? 0) > 0 && !req.part;
-    if (isStuck) faults.stuckNext = (faults.stuckNext ?? 0) - 1;
-    const job: EngineJob = {
-      requestId: req.requestId,
-      record: {
-        requestId: req.requestId,
-        fencing: req.fencing,
-        priority: req.priority,
-        kind: req.part ? "prefill" : "complete",
-        promptTokens,
-        cachedTokens: 0,
-        foreignTokens: req.generated.some((text, index) => text !== tokenAt(digest, index)),
-        life: restartCount,
-        cold,
-        acceptedMs: nowMs(),
-      },
-      priority: req.priority,
+    const job = createJob(req, {
+      settings,
+      coveredTokens: covered,
+      life: restartCount,
+      cold,
       order: order++,
-      digest,
-      isPoison: faults.poisonMarker !== undefined && req.prompt.includes(faults.poisonMarker),
-      blocks,
-      privateTokens,
-      firstBlock,
-      cachedTokens: 0,
-      computedTokens: fromToken,
-      prefillTo: toToken,
-      isPart: req.part !== undefined,
-      isStuck,
-      firstIndex: req.generated.length,
-      maxTokens: req.maxTokens,
-      tokens: [],
-      state: "waiting",
-      endedAtMs: 0,
-      listeners: new Set(),
-      onEnd: [],
-    };
+      acceptedMs: nowMs(),
+    });
+    if (job.blocks.length * PREFIX_BLOCK_TOKENS + job.privateTokens > settings.memoryTokens) {
+      return refuse("too_large");
+    }
+    job.isPoison = faults.poisonMarker !== undefined && req.prompt.includes(faults.poisonMarker);
+    job.isStuck = (faults.stuckNext ?? 0) > 0 && !req.part;
+    if (job.isStuck) faults.stuckNext = (faults.stuckNext ?? 0) - 1;
     log.acceptedTotal += 1;
     log.accepted.push(job.record);
     if (log.accepted.length > settings.logLimit) log.accepted.shift();
@@ -325,8 +264,6 @@
     return job;
   };
 
-  const countTokens = (prompt: string) =>
-    Math.max(1, Math.ceil(Buffer.byteLength(prompt) / settings.bytesPerToken));
   const forgetFinished = () => {
     const limitMs = nowMs() - settings.retainFinishedMs / scale;
     for (const [id, job] of jobs) {
--- a/packages/stand_ins/_lib/engine_routes.ts
+++ b/packages/stand_ins/_lib/engine_routes.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { z } from "zod";
 import type { EngineFaultState, EngineSettings } from "../engine_types.ts";
-import type { CoreRefusal, CoreRequest, EngineCore } from "./create_engine_core.ts";
+import type { CoreRefusal, EngineCore } from "./create_engine_core.ts";
+import type { CoreRequest } from "./create_job.ts";
 import type { EngineJob } from "./engine_job.ts";
 import { readBody, sendJson } from "./http_helpers.ts";
 import { writeStream } from "./write_stream.ts";
