--- a/packages/kernel/create_kernel.ts
+++ b/packages/kernel/create_kernel.ts
@@ -44,8 +44,9 @@
     return lookup(name);
   };
 
-  const stop = async () => {
+  const stop = async (onService?: (id: string) => void) => {
     for (const [id, entry] of [...started].reverse()) {
+      onService?.(id);
       await entry.stop?.();
       started.delete(id);
     }
--- a/packages/kernel/types.ts
+++ b/packages/kernel/types.ts
@@ -51,8 +51,8 @@
 export interface Kernel {
   /** Starts every service; on a failure stops those already started, then throws. */
   start(): Promise<void>;
-  /** Stops the services in reverse order and awaits each. */
-  stop(): Promise<void>;
+  /** Stops the services in reverse order and awaits each; `onService` is told which is next. */
+  stop(onService?: (id: string) => void): Promise<void>;
   /** Finds a started service. */
   lookup: ServiceLookup;
 }
