--- a/packages/entry/http/handle_chat_completion.ts
+++ b/packages/entry/http/handle_chat_completion.ts
@@ -7,7 +7,7 @@
 import type { FrontContext } from "./front_context.ts";
 import { listenForClose } from "./listen_for_close.ts";
 import { parseChatRequest } from "./parse_chat_request.ts";
-import { readBody } from "./read_body.ts";
+import { readCallerBody } from "./read_caller_body.ts";
 import { sendAnswer } from "./send_answer.ts";
 
 /**
@@ -23,17 +23,13 @@
   res: ServerResponse,
   context: FrontContext,
 ): Promise<void> {
-  const { configuration, membership, router, settings, budget } = context;
+  const { configuration, membership, router } = context;
   const caller = authenticateCaller(req, configuration.document());
   const { deadline, firstTokenMs } = createRequestDeadline(req, context);
   const endTracking = context.drain.track(deadline.remainingMs());
   let body;
   try {
-    body = await readBody(req, {
-      maxBytes: settings.limits.maxBodyBytes,
-      timeoutMs: settings.limits.bodyTimeoutMs,
-      budget,
-    });
+    body = await readCallerBody(req, context);
     const chat = parseChatRequest(body.bytes);
     const isKnown = Object.hasOwn(configuration.document().models, chat.model) &&
       caller.config.models.includes(chat.model);
--- a/packages/entry/http/handle_plain_service.ts
+++ b/packages/entry/http/handle_plain_service.ts
@@ -4,7 +4,7 @@
 import { authenticateCaller } from "./authenticate_caller.ts";
 import { createRequestDeadline } from "./create_request_deadline.ts";
 import type { FrontContext } from "./front_context.ts";
-import { readBody } from "./read_body.ts";
+import { readCallerBody } from "./read_caller_body.ts";
 
 /**
  * Handles `POST /v1/services/{service}/{operation}`.
@@ -22,7 +22,7 @@
   res: ServerResponse,
   context: FrontContext & { service: string; operation: string },
 ): Promise<void> {
-  const { configuration, membership, router, settings, budget, service, operation } = context;
+  const { configuration, membership, router, service, operation } = context;
   const caller = authenticateCaller(req, configuration.document());
   if (!caller.config.services.includes(service)) {
     throw new RequestError(`Workspace has no service "${service}"`, {
@@ -34,11 +34,7 @@
   const endTracking = context.drain.track(deadline.remainingMs());
   let body;
   try {
-    body = await readBody(req, {
-      maxBytes: settings.limits.maxBodyBytes,
-      timeoutMs: settings.limits.bodyTimeoutMs,
-      budget,
-    });
+    body = await readCallerBody(req, context);
     const requestId = createRequestId(membership.self().id, {
       workspace: caller.workspace,
       serves: service,
--- a/packages/entry/operator/list_engines.ts
+++ b/packages/entry/operator/list_engines.ts
@@ -1,3 +1,4 @@
+import { listPools } from "@jaypass/configuration";
 import type { BackendServerConfig, EngineSummary } from "@jaypass/configuration";
 import { z } from "zod";
 import { askHosts } from "./ask_hosts.ts";
@@ -37,13 +38,15 @@
     }))
   );
   const servers = Object.entries(context.configuration.document().backendServers);
-  return servers.map(([name, cfg]) => summarize(name, cfg, pools));
+  const configured = listPools(context.configuration.document());
+  const poolOf = (name: string) => configured.find((pool) => pool.servers.includes(name))?.id ?? "";
+  return servers.map(([name, cfg]) => summarize(name, cfg, { pools, poolOf }));
 }
 
 function summarize(
   name: string,
   cfg: BackendServerConfig,
-  pools: readonly DescribedPool[],
+  { pools, poolOf }: { pools: readonly DescribedPool[]; poolOf: (name: string) => string },
 ): EngineSummary {
   for (const pool of pools) {
     const server = pool.servers.find(({ id }) => id === name);
@@ -63,7 +66,7 @@
   }
   return {
     name,
-    pool: `${cfg.serves}@${cfg.dataCentre}`,
+    pool: poolOf(name),
     serves: cfg.serves,
     dataCentre: cfg.dataCentre,
     state: "unknown",
--- a/packages/system_tests/start_system.ts
+++ b/packages/system_tests/start_system.ts
@@ -75,6 +75,9 @@
 /** Time for all hosts to apply the first document and to hold every pool's lease. */
 const READY_TIMEOUT_MS = 60_000;
 
+/** Time for a stand-in to be back after a crash. */
+const STAND_IN_TIMEOUT_MS = 10_000;
+
 /** Pause between questions whether a host is ready. */
 const READY_POLL_MS = 100;
 
@@ -133,9 +136,10 @@
       restartHost: async (host) => {
         host.program = (await start("jaypassd", ["--settings", host.settingsFile])).program;
       },
-      setFaults: async (url, faults) => void await postJson(`${url}/test/faults`, faults),
+      setFaults: async (url, faults) =>
+        void await untilAnswered(() => postJson(`${url}/test/faults`, faults)),
       administer: (url, path, body) => postJson(`${url}/admin/v1/${path}`, body),
-      log: (url) => getJson(`${url}/test/log`),
+      log: (url) => untilAnswered(() => getJson(`${url}/test/log`)),
       status: (host) => getJson(`${host.url}/admin/v1/status`),
       ready: () => waitUntilReady(hosts, document),
       stop,
@@ -285,6 +289,21 @@
   return alive < wanted.hosts ? `${alive} of ${wanted.hosts} hosts` : "";
 }
 
+/** Repeats a call to a stand-in, which refuses connections for a second after a crash. */
+async function untilAnswered<T>(call: () => Promise<T>): Promise<T> {
+  const endMs = performance.now() + STAND_IN_TIMEOUT_MS;
+  while (true) {
+    try {
+      return await call();
+    } catch (err) {
+      const { code } = err as NodeJS.ErrnoException;
+      const isDown = code === "ECONNREFUSED" || code === "ECONNRESET" || code === "UND_ERR_SOCKET";
+      if (!isDown || performance.now() > endMs) throw err;
+      await sleep(READY_POLL_MS);
+    }
+  }
+}
+
 async function postJson(url: string, body: unknown): Promise<unknown> {
   const res = await request(url, {
     method: "POST",
