Name report and quota state by what it holds; time queue wait and first token

Cause: the read-through found names that need explaining (owe, told, unheard) and a literal 4, and the metrics lacked the queue wait and the engine's time to first token by lane. Ruled out: a change of behaviour; only names, one constant and two timings.

--- a/packages/admission/_lib/grant_client.ts
+++ b/packages/admission/_lib/grant_client.ts
@@ -57,7 +57,7 @@
   onWait: (pool: string, lane: Lane, waitMs: Millis) => void;
   isQuarantined: (fingerprint: string) => boolean;
   /** Makes sure that reports go to a pool for a while, also without grants. */
-  owe: (pool: string) => void;
+  requestReports: (pool: string) => void;
 }
 
 /** Creates the client side of admission, used by the router of the same host. */
@@ -103,7 +103,7 @@
       const pool = queue.shift();
       if (pool === undefined) break;
       const acquireId = `${owner.host}/${owner.incarnation}/${tries++}`;
-      options.owe(pool.name);
+      options.requestReports(pool.name);
       try {
         const { grant, sentMs } = await acquireFromPool(pool, {
           clock,
--- a/packages/admission/_lib/quota_client.ts
+++ b/packages/admission/_lib/quota_client.ts
@@ -54,8 +54,8 @@
   idleSinceMs: Millis;
   waiting: Set<() => void>;
   isTight: boolean;
-  /** Slots that the coordinator was last told of. */
-  told: number;
+  /** Slots that were last reported to the coordinator. */
+  reported: number;
 }
 
 /** Creates a client without slots. */
@@ -75,7 +75,7 @@
     const workspaces = shards.get(shard) ?? new Map<string, WorkspaceSlots>();
     shards.set(shard, workspaces);
     const slots = workspaces.get(workspace) ??
-      { inUse: 0, idle: 0, idleSinceMs: 0, waiting: new Set(), isTight: false, told: 0 };
+      { inUse: 0, idle: 0, idleSinceMs: 0, waiting: new Set(), isTight: false, reported: 0 };
     workspaces.set(workspace, slots);
     return slots;
   };
@@ -137,7 +137,7 @@
         slots.idle += granted;
         slots.idleSinceMs = clock.nowMs();
         slots.isTight = isTight;
-        slots.told = entries.find((entry) => entry.workspace === workspace)!.held + granted;
+        slots.reported = entries.find((entry) => entry.workspace === workspace)!.held + granted;
         for (const wake of [...slots.waiting].slice(0, slots.idle)) wake();
       }
       return true;
@@ -167,8 +167,8 @@
             slots.idle = 0;
           }
           held += slots.inUse + slots.idle;
-          isChanged ||= slots.told !== slots.inUse + slots.idle || slots.waiting.size > 0;
-          const isEmpty = slots.told + slots.inUse + slots.idle + slots.waiting.size === 0;
+          isChanged ||= slots.reported !== slots.inUse + slots.idle || slots.waiting.size > 0;
+          const isEmpty = slots.reported + slots.inUse + slots.idle + slots.waiting.size === 0;
           if (isEmpty) workspaces.delete(workspace);
         }
         const isDue = held > 0 && nowMs - (confirmedMs.get(shard) ?? 0) > CONFIRM_MS;
--- a/packages/admission/_lib/send_reports.ts
+++ b/packages/admission/_lib/send_reports.ts
@@ -21,7 +21,7 @@
    * Reports still to be sent to a pool whose grants may have got lost on their way. The coordinator
    * frees such a grant when a report written after its dispatch window does not list it.
    */
-  owed: Map<string, number>;
+  pendingReports: Map<string, number>;
   findPool: (name: string) => PoolView | undefined;
   call: (address: string, report: Report) => Promise<ReportReply>;
   onWait: (pool: string, lane: Lane, waitMs: Millis) => void;
@@ -38,7 +38,7 @@
 export async function sendReports(state: ReportState, only?: readonly string[]): Promise<void> {
   const { book, directory } = state;
   let open = new Map<string, string[]>();
-  for (const name of only ?? new Set([...book.pools(), ...state.owed.keys()])) {
+  for (const name of only ?? new Set([...book.pools(), ...state.pendingReports.keys()])) {
     const pool = state.findPool(name);
     if (pool === undefined) continue;
     open.set(name, directory.addresses(pool));
@@ -81,9 +81,9 @@
         }
         directory.learn(part.pool, address);
         book.confirm(part.ended.map(({ grantId }) => grantId));
-        const owed = (state.owed.get(part.pool) ?? 0) - 1;
-        if (owed > 0) state.owed.set(part.pool, owed);
-        else state.owed.delete(part.pool);
+        const left = (state.pendingReports.get(part.pool) ?? 0) - 1;
+        if (left > 0) state.pendingReports.set(part.pool, left);
+        else state.pendingReports.delete(part.pool);
         if (answer.mark !== undefined) state.marks.set(part.pool, answer.mark);
         for (const [lane, waitMs] of Object.entries(answer.waitMs ?? {})) {
           state.onWait(part.pool, lane as Lane, waitMs);
--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -29,6 +29,8 @@
 
 /** Interval at which leases, hosts and pools are compared. */
 const UPDATE_INTERVAL_MS = 200;
+/** Reports sent to a pool after an acquire, also without grants, so that a lost grant is noticed. */
+const REPORTS_AFTER_ACQUIRE = 4;
 /** Topic on which a new coordinator asks the hosts for their grants. */
 const COORDINATOR_TOPIC = "admission.coordinator";
 
@@ -150,7 +152,7 @@
     book,
     directory,
     marks: new Map(),
-    owed: new Map(),
+    pendingReports: new Map(),
     findPool: (name) => pools.find((pool) => pool.name === name),
     call: (address, report) =>
       peers.call(address, REPORT, report, { timeoutMs: REPORT_INTERVAL_MS, signal: tasks.signal }),
@@ -169,7 +171,7 @@
     waitMs: (pool, lane) => waits.get(`${pool}/${lane}`) ?? 0,
     onWait,
     isQuarantined: quarantine.isQuarantined,
-    owe: (pool) => reports.owed.set(pool, 4),
+    requestReports: (pool) => reports.pendingReports.set(pool, REPORTS_AFTER_ACQUIRE),
   });
 
   handleAdmissionCalls(options.server, { pools: coordinators, quotas });
--- a/packages/admission/create_coordinator.ts
+++ b/packages/admission/create_coordinator.ts
@@ -106,13 +106,13 @@
   let longestMs: Millis = 0;
 
   /** Hosts that may hold grants of an earlier coordinator and have not reported yet. */
-  const unheard = new Set(
+  const unreportedHosts = new Set(
     options.membership.hosts().filter(({ state }) => state !== "dead").map(({ id }) => id),
   );
   /** Whether running work has been collected: at the latest after the whole time for it. */
   const isCollected = () => {
     const ageMs = clock.nowMs() - startedMs;
-    return ageMs >= rebuildMs || (unheard.size === 0 && ageMs >= GRANT_DISPATCH_WINDOW_MS);
+    return ageMs >= rebuildMs || (unreportedHosts.size === 0 && ageMs >= GRANT_DISPATCH_WINDOW_MS);
   };
   const canGrant = () => {
     if (!isCollected() || lease.fencing() !== fencing) return false;
@@ -241,7 +241,7 @@
         return { pool: name, isAccepted: false, holder: lease.holder()?.address };
       }
       seenMs.set(owner.host, clock.nowMs());
-      unheard.delete(owner.host);
+      unreportedHosts.delete(owner.host);
       handleReport(pool, owner, part, epoch);
       scheduler.run();
       const waits = Object.values(LANE).map((
--- a/packages/admission/create_quota_coordinator.ts
+++ b/packages/admission/create_quota_coordinator.ts
@@ -65,7 +65,7 @@
   const startedMs = clock.nowMs();
   const hosts = new Map<string, HostRecord>();
   /** Hosts that may hold slots from before and have not answered yet. */
-  const unheard = new Set(
+  const unreportedHosts = new Set(
     membership.hosts().filter(({ state }) => state !== "dead").map(({ id }) => id),
   );
   const tasks = createTaskGroup({ onError: () => {} });
@@ -81,14 +81,14 @@
       (lease.mode() === "held" && lease.validMs() > GRANT_DISPATCH_WINDOW_MS));
   const allowance = (workspace: string) => {
     const allowed = lease.allow(options.limitOf(workspace));
-    if (clock.nowMs() - startedMs > options.longestRequestMs()) unheard.clear();
+    if (clock.nowMs() - startedMs > options.longestRequestMs()) unreportedHosts.clear();
     // Slots of hosts that do not answer are unknown: half of the limit is kept for them.
-    return unheard.size > 0 ? Math.floor(allowed / 2) : allowed;
+    return unreportedHosts.size > 0 ? Math.floor(allowed / 2) : allowed;
   };
 
   tasks.run("announce", async (signal) => {
     // A broadcast can be lost; hosts that are gone are not asked for ever.
-    for (let n = 0; n < MAX_ANNOUNCEMENTS && unheard.size > 0; n++) {
+    for (let n = 0; n < MAX_ANNOUNCEMENTS && unreportedHosts.size > 0; n++) {
       await sleep(n === 0 ? 0 : ANNOUNCE_INTERVAL_MS, signal);
       options.announce();
     }
@@ -121,7 +121,7 @@
       }
       record ??= { owner, sequence: 0, seenMs: 0, held: new Map() };
       hosts.set(owner.host, record);
-      unheard.delete(owner.host);
+      unreportedHosts.delete(owner.host);
       record.sequence = sequence;
       record.seenMs = clock.nowMs();
       const isCollecting = clock.nowMs() - startedMs < (options.rebuildMs ?? REBUILD_MS);
--- a/packages/routing/_lib/run_attempt.ts
+++ b/packages/routing/_lib/run_attempt.ts
@@ -38,7 +38,9 @@
     result.outcome = GRANT_OUTCOME.CANCELLED;
     if (grant.servers.length > 1) await prefillParts(attempt, context);
     await streamWithResume(attempt, engine, () => {
-      result.firstTokenMs ??= context.clock.nowMs() - startMs;
+      if (result.firstTokenMs !== undefined) return;
+      result.firstTokenMs = context.clock.nowMs() - startMs;
+      context.metrics.timing("engine.first_token", result.firstTokenMs, { lane: grant.lane });
     });
     result.outcome = GRANT_OUTCOME.DONE;
   } catch (err) {
--- a/packages/routing/_lib/run_completion.ts
+++ b/packages/routing/_lib/run_completion.ts
@@ -59,6 +59,7 @@
     } catch (err) {
       return failWith(err, abortReason(req));
     }
+    context.metrics.timing("queue_wait", context.clock.nowMs() - startMs, { lane: grant.lane });
     context.decisions.add(req.requestId, "granted", {
       attempt: n,
       pool: grant.pool,
--- a/packages/routing/_testing/create_test_router.ts
+++ b/packages/routing/_testing/create_test_router.ts
@@ -123,6 +123,7 @@
     },
     log,
     metrics: {
+      timing() {},
       increment: (name: string, tags: Record<string, string> = {}) => {
         const key = [name, ...Object.values(tags)].join(" ");
         trace.counters[key] = (trace.counters[key] ?? 0) + 1;
