Answer the quarantine list in the shape that the command line reads

Cause: the read-through found that GET /admin/v1/quarantine gave remainingMs while the command line reads sinceMs and expiresInMs, so 'jaypass quarantine list' failed with an invalid date as soon as the list had an entry. Tests had used an empty list or a canned answer. Ruled out: nothing else reads the list; the engines of an entry were never kept and leave the type.

--- a/packages/cli/commands/create_quarantine_command.ts
+++ b/packages/cli/commands/create_quarantine_command.ts
@@ -22,12 +22,11 @@
         const answer = await client.get<QuarantineResponse>(PATH);
         print(answer, () =>
           formatTable(
-            ["fingerprint", "since", "expires in s", "engines"],
+            ["fingerprint", "since", "expires in s"],
             answer.entries.map((entry) => [
               entry.fingerprint,
               new Date(entry.sinceMs).toISOString(),
               Math.round(entry.expiresInMs / 1_000),
-              entry.engines.join(", "),
             ]),
           ));
       }),
--- a/packages/cli/run_cli_test.ts
+++ b/packages/cli/run_cli_test.ts
@@ -220,7 +220,7 @@
       body: { engines: [{ name: "gent-1", pool: "gids@gent", state: "warm", coordinator: null }] },
     }),
     "GET /admin/v1/quarantine": () => ({
-      body: { entries: [{ fingerprint: "f1", engines: ["e"], sinceMs: 0, expiresInMs: 1_500 }] },
+      body: { entries: [{ fingerprint: "f1", sinceMs: 0, expiresInMs: 1_500 }] },
     }),
     "DELETE /admin/v1/quarantine/f1": () => ({ status: 204 }),
     "GET /admin/v1/calls/unknown?limit=100": () => ({
--- a/packages/configuration/operator_api.ts
+++ b/packages/configuration/operator_api.ts
@@ -194,8 +194,6 @@
 /** A quarantined request body. */
 export interface QuarantineEntry {
   fingerprint: string;
-  /** Engines that died while they ran it. */
-  engines: string[];
   /** Wall time, for people. */
   sinceMs: Millis;
   expiresInMs: Millis;
--- a/packages/entry/operator/create_operator_handler.ts
+++ b/packages/entry/operator/create_operator_handler.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { QUARANTINE_MS } from "@jaypass/admission";
 import { ADMINISTRATION_ERROR, findTokenOwner } from "@jaypass/configuration";
 import type {
   AdministrationReason,
   HostsResponse,
+  QuarantineResponse,
   StatusResponse,
   UnknownCallsResponse,
 } from "@jaypass/configuration";
@@ -83,7 +85,7 @@
     "GET calls/unknown": ({ query }) => listUnknownCalls(context, query),
     "POST calls/settle": (call) => settleCall(context, call),
     "POST leases/confirm-dead": (call) => confirmDead(context, call),
-    "GET quarantine": () => Promise.resolve({ entries: context.admission.quarantine.list() }),
+    "GET quarantine": () => Promise.resolve(listQuarantine(context)),
     "DELETE quarantine/*": ({ path, owner }) => releaseQuarantine(context, path[1]!, owner),
     "GET requests/*/explanation": ({ path }) => explain(context, path[1]!),
   };
@@ -204,7 +206,20 @@
   return { leases };
 }
 
+function listQuarantine({ admission, clock }: OperatorContext): QuarantineResponse {
+  const entries = admission.quarantine.list().map(({ fingerprint, remainingMs }) => ({
+    fingerprint,
+    sinceMs: clock.wallMs() + remainingMs - QUARANTINE_MS,
+    expiresInMs: remainingMs,
+  }));
+  return { entries };
+}
+
 async function releaseQuarantine(context: OperatorContext, fingerprint: string, owner: string) {
+  const entries = context.admission.quarantine.list();
+  if (!entries.some((entry) => entry.fingerprint === fingerprint)) {
+    throw notFound(`Fingerprint "${fingerprint}" is not quarantined`);
+  }
   await context.admission.quarantine.release(fingerprint);
   context.log.info({ fingerprint, owner }, "Operator released a quarantined request");
 }
--- a/packages/system_tests/operator_commands_test.ts
+++ b/packages/system_tests/operator_commands_test.ts
@@ -1,24 +1,12 @@
 import test from "ava";
-import { EXIT_CODE, runCli } from "@jaypass/cli";
-import { OPERATOR_TOKEN, startSystem } from "./mod.ts";
+import { EXIT_CODE } from "@jaypass/cli";
+import { startSystem } from "./mod.ts";
+import { runOperatorCommand } from "./run_operator_command.ts";
 
 test("operators see all hosts and take a data centre out with one command", async (t) => {
   const system = await startSystem({ hosts: 3, engines: 2, dataCentres: ["gent", "brussel"] });
   t.teardown(() => system.stop());
-  const run = async (...args: string[]) => {
-    const output: string[] = [];
-    const errors: string[] = [];
-    const code = await runCli(args, {
-      env: {
-        JAYPASS_TOKEN: OPERATOR_TOKEN,
-        JAYPASS_ADDRESS: system.hosts.map(({ url }) => url).join(","),
-      },
-      write: (text) => void output.push(text),
-      writeError: (text) => void errors.push(text),
-      readFile: () => Promise.reject(new Error("No file")),
-    });
-    return { code, output: output.join("\n"), errors: errors.join("\n") };
-  };
+  const run = (...args: string[]) => runOperatorCommand(system, args);
 
   const hosts = await run("hosts", "--json");
   t.is(hosts.code, EXIT_CODE.OK, hosts.errors);
--- a/packages/system_tests/poison_test.ts
+++ b/packages/system_tests/poison_test.ts
@@ -1,6 +1,9 @@
 import test from "ava";
+import { EXIT_CODE } from "@jaypass/cli";
+import type { QuarantineResponse } from "@jaypass/configuration";
 import { findFault, readEngineLogs } from "./answer_checks.ts";
 import { createCaller } from "./create_caller.ts";
+import { runOperatorCommand } from "./run_operator_command.ts";
 import { startSystem } from "./start_system.ts";
 
 const TOKENS = 30;
@@ -44,6 +47,12 @@
   const crashes = (await readEngineLogs(system)).flatMap((log) => log.crashes);
   t.true(crashes.length <= 2, JSON.stringify(crashes));
   t.true(reasons.every((list) => list.at(-1) === "quarantined"), JSON.stringify(reasons));
+  const listed = await runOperatorCommand(system, ["quarantine", "list", "--json"]);
+  const { entries } = JSON.parse(listed.output) as QuarantineResponse;
+  t.is(entries.length, 1);
+  const table = await runOperatorCommand(system, ["quarantine", "list"]);
+  t.is(table.code, EXIT_CODE.OK, table.errors);
+  t.true(entries[0]!.sinceMs <= Date.now() && entries[0]!.expiresInMs > 0);
   const failed = outcomes.filter(({ isWhole }) => !isWhole).map(({ error }) => error);
   t.deepEqual(failed, []);
 });
--- /dev/null
+++ b/packages/system_tests/run_operator_command.ts
@@ -0,0 +1,34 @@
+import { runCli } from "@jaypass/cli";
+import { OPERATOR_TOKEN } from "./start_system.ts";
+import type { System } from "./start_system.ts";
+
+/** What an operator's command printed. */
+export interface CommandOutcome {
+  code: number;
+  output: string;
+  errors: string;
+}
+
+/**
+ * Runs the operators' command line against the hosts of a system.
+ *
+ * @param system the running system
+ * @param args arguments after `jaypass`
+ */
+export async function runOperatorCommand(
+  system: System,
+  args: readonly string[],
+): Promise<CommandOutcome> {
+  const output: string[] = [];
+  const errors: string[] = [];
+  const code = await runCli([...args], {
+    env: {
+      JAYPASS_TOKEN: OPERATOR_TOKEN,
+      JAYPASS_ADDRESS: system.hosts.map(({ url }) => url).join(","),
+    },
+    write: (text) => void output.push(text),
+    writeError: (text) => void errors.push(text),
+    readFile: () => Promise.reject(new Error("No file")),
+  });
+  return { code, output: output.join("\n"), errors: errors.join("\n") };
+}
