Rename the clients of the product's own store to store_clients

The name packages/platform is needed for the adapter to the users' platform, which lives in platform/ at the root.

--- a/packages/admission/_testing/create_test_table.ts
+++ b/packages/admission/_testing/create_test_table.ts
@@ -1,4 +1,4 @@
-import type { Row, TableClient } from "@jaypass/platform";
+import type { Row, TableClient } from "@jaypass/store_clients";
 
 /** A table service in memory that a test can take down. */
 export interface TestTable extends TableClient {
--- a/packages/admission/create_admission.ts
+++ b/packages/admission/create_admission.ts
@@ -4,7 +4,7 @@
 import { createTaskGroup, sleep } from "@jaypass/kernel";
 import type { Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { QUOTA_SHARDS, REPORT_INTERVAL_MS } from "./constants.ts";
 import { createCoordinator } from "./create_coordinator.ts";
 import type { CoordinatorOptions } from "./create_coordinator.ts";
--- a/packages/admission/create_quarantine.ts
+++ b/packages/admission/create_quarantine.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
 import { createTaskGroup, sleep } from "@jaypass/kernel";
 import type { Membership } from "@jaypass/membership";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { z } from "zod";
 import { QUARANTINE_MS } from "./constants.ts";
 
--- a/packages/bench/_lib/control_worker.ts
+++ b/packages/bench/_lib/control_worker.ts
@@ -6,7 +6,7 @@
 import { type ControlHost, startControlHost } from "./start_control_host.ts";
 import { createIpc, type IpcPort } from "./create_ipc.ts";
 import { monitorEventLoopDelay } from "node:perf_hooks";
-import type { HostListClient, ListedHost } from "@jaypass/platform";
+import type { HostListClient, ListedHost } from "@jaypass/store_clients";
 import type { PeerTls } from "@jaypass/peers";
 import type { Socket } from "node:net";
 import { sleep } from "@jaypass/kernel";
--- a/packages/bench/_lib/run_control.ts
+++ b/packages/bench/_lib/run_control.ts
@@ -1,6 +1,6 @@
 import { createIpc } from "./create_ipc.ts";
 import { fork } from "node:child_process";
-import type { ListedHost } from "@jaypass/platform";
+import type { ListedHost } from "@jaypass/store_clients";
 import type { PeerTls } from "@jaypass/peers";
 import { loadavg } from "node:os";
 import { sleep } from "@jaypass/kernel";
--- a/packages/bench/_lib/start_control_host.ts
+++ b/packages/bench/_lib/start_control_host.ts
@@ -1,7 +1,7 @@
 import { createClock, createMetrics, type Logger, type RandomSource } from "@jaypass/kernel";
 import { createIncarnation, createMembership } from "@jaypass/membership";
 import { createPeerPool, createPeerServer, type PeerTls } from "@jaypass/peers";
-import type { HostListClient } from "@jaypass/platform";
+import type { HostListClient } from "@jaypass/store_clients";
 
 const log: Logger = { debug() {}, info() {}, warn() {}, error() {}, child: () => log };
 
--- a/packages/bench/measure_store.ts
+++ b/packages/bench/measure_store.ts
@@ -2,7 +2,7 @@
 import type { Logger } from "@jaypass/kernel";
 import { createCallLedger } from "@jaypass/idempotency";
 import { createLease, createLeaseRenewer } from "@jaypass/leases";
-import { createObjectClient, createTableClient } from "@jaypass/platform";
+import { createObjectClient, createTableClient } from "@jaypass/store_clients";
 import { createPlatformStandIn } from "@jaypass/stand_ins";
 
 // Counts the store requests of leases at target scale and of calls; see docs/measurements/store.md.
--- a/packages/configuration/_lib/advance_from_store.ts
+++ b/packages/configuration/_lib/advance_from_store.ts
@@ -1,5 +1,5 @@
 import type { Logger, Metrics } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import {
   CHANGES_PER_READ,
   CONFIG_TABLE,
--- a/packages/configuration/_lib/commit_change.ts
+++ b/packages/configuration/_lib/commit_change.ts
@@ -1,6 +1,6 @@
 import { sleep } from "@jaypass/kernel";
 import type { Metrics, RandomSource } from "@jaypass/kernel";
-import type { Row, TableClient, Transaction } from "@jaypass/platform";
+import type { Row, TableClient, Transaction } from "@jaypass/store_clients";
 import { CONFIG_TABLE, HEAD_KEY, STORE_READ_TIMEOUT_MS } from "../constants.ts";
 import type { ConfigHead, StoredChange } from "../types.ts";
 import { changeKey } from "./change_key.ts";
--- a/packages/configuration/_lib/maintain_history.ts
+++ b/packages/configuration/_lib/maintain_history.ts
@@ -1,5 +1,5 @@
 import type { Logger } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import {
   HISTORY_REVISIONS,
   OBJECT_TIMEOUT_MS,
--- a/packages/configuration/_lib/read_changes.ts
+++ b/packages/configuration/_lib/read_changes.ts
@@ -1,4 +1,4 @@
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { CHANGES_PER_READ, CONFIG_TABLE, STORE_READ_TIMEOUT_MS } from "../constants.ts";
 import type { StoredChange } from "../types.ts";
 import { changeKey } from "./change_key.ts";
--- a/packages/configuration/_lib/read_document_at.ts
+++ b/packages/configuration/_lib/read_document_at.ts
@@ -1,4 +1,4 @@
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { OBJECT_TIMEOUT_MS } from "../constants.ts";
 import type { ConfigDocument } from "../types.ts";
 import { AdministrationError } from "./administration_error.ts";
--- a/packages/configuration/_lib/read_head.ts
+++ b/packages/configuration/_lib/read_head.ts
@@ -1,5 +1,5 @@
 import type { Metrics } from "@jaypass/kernel";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { CONFIG_TABLE, HEAD_KEY, STORE_READ_TIMEOUT_MS } from "../constants.ts";
 import type { ConfigHead } from "../types.ts";
 import { headSchema } from "./stored_schemas.ts";
--- a/packages/configuration/_lib/read_history.ts
+++ b/packages/configuration/_lib/read_history.ts
@@ -1,4 +1,4 @@
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import type { HistoryResponse } from "../operator_api.ts";
 import type { ManagedConfiguration } from "../types.ts";
 import { publicChange } from "./public_change.ts";
--- a/packages/configuration/_lib/store_first_document.ts
+++ b/packages/configuration/_lib/store_first_document.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { sleep } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { OBJECT_TIMEOUT_MS } from "../constants.ts";
 import type { ConfigDocument, ConfigSnapshot, StoredChange } from "../types.ts";
 import { assignPartitions } from "./assign_partitions.ts";
--- a/packages/configuration/_lib/store_request.ts
+++ b/packages/configuration/_lib/store_request.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { sleep } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { CHANGE_MAX_BYTES } from "../constants.ts";
 import type { ApplyResponse, ChangeEnvelope } from "../operator_api.ts";
 import type { ManagedConfiguration, SectionChange, StoredChange } from "../types.ts";
--- a/packages/configuration/_testing/create_test_administration.ts
+++ b/packages/configuration/_testing/create_test_administration.ts
@@ -2,7 +2,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createClock, type Metrics } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { createAdministration } from "../create_administration.ts";
 import type { ManagedConfiguration, SectionName } from "../types.ts";
 import { silentLog } from "./create_test_hosts.ts";
--- a/packages/configuration/_testing/create_test_hosts.ts
+++ b/packages/configuration/_testing/create_test_hosts.ts
@@ -1,6 +1,6 @@
 import { createClock, createMetrics } from "@jaypass/kernel";
 import type { Logger, Metrics, RandomSource } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { createConfiguration } from "../create_configuration.ts";
--- a/packages/configuration/create_administration.ts
+++ b/packages/configuration/create_administration.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { AdministrationError } from "./_lib/administration_error.ts";
 import { findAdministrationRoute } from "./_lib/administration_routes.ts";
 import { ConfigurationError } from "./errors.ts";
--- a/packages/configuration/create_configuration.ts
+++ b/packages/configuration/create_configuration.ts
@@ -2,7 +2,7 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
 import type { HostView, Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { advanceFromPeer } from "./_lib/advance_from_peer.ts";
 import { advanceFromStore } from "./_lib/advance_from_store.ts";
 import { createDocumentHolder } from "./_lib/create_document_holder.ts";
--- a/packages/entry/operator/operator_context.ts
+++ b/packages/entry/operator/operator_context.ts
@@ -3,7 +3,7 @@
 import type { CallLedger } from "@jaypass/idempotency";
 import type { Drain, Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import type { Router } from "@jaypass/routing";
 import type { ProcessContext } from "../process_context.ts";
 
--- a/packages/entry/service_names.ts
+++ b/packages/entry/service_names.ts
@@ -5,7 +5,7 @@
 import { serviceName } from "@jaypass/kernel";
 import type { Drain, Membership } from "@jaypass/membership";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
-import type { HostListClient, ObjectClient, TableClient } from "@jaypass/platform";
+import type { HostListClient, ObjectClient, TableClient } from "@jaypass/store_clients";
 import type { Router } from "@jaypass/routing";
 import type { LeaseFactory } from "./services/define_lease_service.ts";
 import type { Front } from "./http/create_front.ts";
--- a/packages/idempotency/_lib/ask_owner.ts
+++ b/packages/idempotency/_lib/ask_owner.ts
@@ -1,4 +1,4 @@
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import type { AttemptQuery, CallOwner, CallRecord, OwnerAnswer } from "../types.ts";
 import type { ActiveAttempts } from "./create_active_attempts.ts";
 import type { LedgerContext } from "./ledger_context.ts";
--- a/packages/idempotency/_lib/clean_up.ts
+++ b/packages/idempotency/_lib/clean_up.ts
@@ -1,4 +1,4 @@
-import type { Row, Write } from "@jaypass/platform";
+import type { Row, Write } from "@jaypass/store_clients";
 import { CALLS_EXPIRY_TABLE, CALLS_TABLE, CLEAN_UP_BATCH, RETENTION_MS } from "../constants.ts";
 import type { CallRecord } from "../types.ts";
 import { expiryKey, isExpiryDue, recordOfExpiryKey } from "./expiry_key.ts";
--- a/packages/idempotency/_lib/create_record_store.ts
+++ b/packages/idempotency/_lib/create_record_store.ts
@@ -1,6 +1,6 @@
 import { sleep } from "@jaypass/kernel";
 import type { Clock, Metrics, Millis, RandomSource } from "@jaypass/kernel";
-import type { Row, TableClient, Write } from "@jaypass/platform";
+import type { Row, TableClient, Write } from "@jaypass/store_clients";
 import { CALLS_SENDING_TABLE, CALLS_TABLE } from "../constants.ts";
 import type { CallRecord, LedgerTiming } from "../types.ts";
 
--- a/packages/idempotency/_lib/create_result_store.ts
+++ b/packages/idempotency/_lib/create_result_store.ts
@@ -1,4 +1,4 @@
-import type { ObjectClient } from "@jaypass/platform";
+import type { ObjectClient } from "@jaypass/store_clients";
 import { MAX_INLINE_RESULT_BYTES } from "../constants.ts";
 import type { CallResult, LedgerTiming, StoredResult } from "../types.ts";
 
--- a/packages/idempotency/_lib/ledger_context.ts
+++ b/packages/idempotency/_lib/ledger_context.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger, Metrics, Millis, RandomSource, TaskGroup } from "@jaypass/kernel";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import type { AskHost, CallOwner, LedgerTiming } from "../types.ts";
 import type { ActiveAttempts } from "./create_active_attempts.ts";
 import type { RecordStore } from "./create_record_store.ts";
--- a/packages/idempotency/_lib/read_status.ts
+++ b/packages/idempotency/_lib/read_status.ts
@@ -1,4 +1,4 @@
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import { CALLS_TABLE } from "../constants.ts";
 import type { CallRecord, CallStatus } from "../types.ts";
 import type { LedgerContext } from "./ledger_context.ts";
--- a/packages/idempotency/_lib/record_result.ts
+++ b/packages/idempotency/_lib/record_result.ts
@@ -1,5 +1,5 @@
 import { sleep } from "@jaypass/kernel";
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import type { CallRecord, CallResult, StoredResult } from "../types.ts";
 import type { LedgerContext } from "./ledger_context.ts";
 
--- a/packages/idempotency/_lib/record_within.ts
+++ b/packages/idempotency/_lib/record_within.ts
@@ -1,6 +1,6 @@
 import { sleep } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import type { CallRecord, CallResult } from "../types.ts";
 import type { LedgerContext } from "./ledger_context.ts";
 import { recordResult } from "./record_result.ts";
--- a/packages/idempotency/_lib/resolve_unknown.ts
+++ b/packages/idempotency/_lib/resolve_unknown.ts
@@ -1,4 +1,4 @@
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import { CALL_REASON, CallError } from "../errors.ts";
 import { RAN } from "../types.ts";
 import type { CallRecord, CallResult, LedgerCall } from "../types.ts";
--- a/packages/idempotency/_lib/run_attempt.ts
+++ b/packages/idempotency/_lib/run_attempt.ts
@@ -1,4 +1,4 @@
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import { CALL_REASON, CallError } from "../errors.ts";
 import { CALLS_EXPIRY_TABLE, STORE_RETRY_AFTER_MS } from "../constants.ts";
 import { RAN } from "../types.ts";
--- a/packages/idempotency/_lib/run_call.ts
+++ b/packages/idempotency/_lib/run_call.ts
@@ -1,5 +1,5 @@
 import { sleep } from "@jaypass/kernel";
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import { STORE_RETRY_AFTER_MS } from "../constants.ts";
 import { CALL_REASON, CallError } from "../errors.ts";
 import { RAN } from "../types.ts";
--- a/packages/idempotency/create_call_ledger.ts
+++ b/packages/idempotency/create_call_ledger.ts
@@ -1,7 +1,7 @@
 import { setMaxListeners } from "node:events";
 import { createDeadline, createTaskGroup, sleep } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
-import type { ObjectClient, TableClient } from "@jaypass/platform";
+import type { ObjectClient, TableClient } from "@jaypass/store_clients";
 import { answerFor } from "./_lib/ask_owner.ts";
 import { cleanUp } from "./_lib/clean_up.ts";
 import { createActiveAttempts } from "./_lib/create_active_attempts.ts";
--- a/packages/idempotency/create_call_ledger_test.ts
+++ b/packages/idempotency/create_call_ledger_test.ts
@@ -2,7 +2,7 @@
 import type { ExecutionContext } from "ava";
 import { createClock, createMetrics, sleep } from "@jaypass/kernel";
 import type { Logger } from "@jaypass/kernel";
-import { createObjectClient, createTableClient } from "@jaypass/platform";
+import { createObjectClient, createTableClient } from "@jaypass/store_clients";
 import { createPlatformStandIn } from "@jaypass/stand_ins";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
--- a/packages/leases/_lib/create_lease_rounds.ts
+++ b/packages/leases/_lib/create_lease_rounds.ts
@@ -1,5 +1,5 @@
 import type { Clock, Metrics } from "@jaypass/kernel";
-import type { Row, TableClient } from "@jaypass/platform";
+import type { Row, TableClient } from "@jaypass/store_clients";
 import { IDLE_WATCH_ROUNDS, LEASES_TABLE } from "../constants.ts";
 import { LEASE_MODE } from "../types.ts";
 import type { AskHolder, LeaseRow, LeaseTiming } from "../types.ts";
--- a/packages/leases/_lib/create_lease_state.ts
+++ b/packages/leases/_lib/create_lease_state.ts
@@ -1,5 +1,5 @@
 import type { Clock, Millis } from "@jaypass/kernel";
-import type { Row } from "@jaypass/platform";
+import type { Row } from "@jaypass/store_clients";
 import { computeAllowance } from "../compute_allowance.ts";
 import { LEASE_MODE } from "../types.ts";
 import type { LeaseHolder, LeaseMode, LeaseRow, LeaseTiming } from "../types.ts";
--- a/packages/leases/_lib/release_row.ts
+++ b/packages/leases/_lib/release_row.ts
@@ -1,4 +1,4 @@
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { LEASES_TABLE } from "../constants.ts";
 import type { LeaseHolder, LeaseRow, LeaseTiming } from "../types.ts";
 import type { Holding } from "./create_lease_state.ts";
--- a/packages/leases/confirm_holder_dead.ts
+++ b/packages/leases/confirm_holder_dead.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "@jaypass/kernel";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { LEASES_TABLE } from "./constants.ts";
 import { LeaseError } from "./errors.ts";
 import type { LeaseHolder, LeaseRow } from "./types.ts";
--- a/packages/leases/create_lease.ts
+++ b/packages/leases/create_lease.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { answerRelinquish } from "./_lib/answer_relinquish.ts";
 import type { LeaseMember } from "./_lib/create_lease_rounds.ts";
 import { createLeaseState } from "./_lib/create_lease_state.ts";
--- a/packages/leases/create_lease_renewer.ts
+++ b/packages/leases/create_lease_renewer.ts
@@ -1,6 +1,6 @@
 import { createTaskGroup, sleep } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
-import type { TableClient } from "@jaypass/platform";
+import type { TableClient } from "@jaypass/store_clients";
 import { answerRelinquish } from "./_lib/answer_relinquish.ts";
 import { createLeaseRounds } from "./_lib/create_lease_rounds.ts";
 import type { LeaseMember } from "./_lib/create_lease_rounds.ts";
--- a/packages/leases/create_lease_renewer_test.ts
+++ b/packages/leases/create_lease_renewer_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { createClock, createMetrics, sleep } from "@jaypass/kernel";
 import type { Logger } from "@jaypass/kernel";
-import { createTableClient } from "@jaypass/platform";
+import { createTableClient } from "@jaypass/store_clients";
 import { createPlatformStandIn } from "@jaypass/stand_ins";
 import { createLease, createLeaseRenewer, LEASE_TIMING, LeaseError } from "./mod.ts";
 
--- a/packages/membership/_lib/create_host_list_reader.ts
+++ b/packages/membership/_lib/create_host_list_reader.ts
@@ -7,7 +7,7 @@
   REJOIN_MS,
 } from "../constants.ts";
 import type { Clock, Logger, Metrics, RandomSource } from "@jaypass/kernel";
-import type { HostListClient, ListedHost } from "@jaypass/platform";
+import type { HostListClient, ListedHost } from "@jaypass/store_clients";
 import type { Links } from "./create_links.ts";
 import { HOST_STATE } from "../types.ts";
 import type { Sleep } from "./create_waker.ts";
--- a/packages/membership/_lib/virtual_network.ts
+++ b/packages/membership/_lib/virtual_network.ts
@@ -1,6 +1,6 @@
 import { AbortedError, type Logger, type Metrics, type RandomSource } from "@jaypass/kernel";
 import { createMembership, type StartedMembership } from "../create_membership.ts";
-import type { HostListClient, ListedHost } from "@jaypass/platform";
+import type { HostListClient, ListedHost } from "@jaypass/store_clients";
 import { PEER_FAILURE, PeerError, type PeerMethod, PeerRefusal } from "@jaypass/peers";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
 import type { Sleep } from "./create_waker.ts";
--- a/packages/membership/create_membership.ts
+++ b/packages/membership/create_membership.ts
@@ -17,7 +17,7 @@
 import { DEAD_AFTER_MS, PAUSE_MS, TICK_MS, TOMBSTONE_MS } from "./constants.ts";
 import { HEARTBEAT, IDENTIFY, PROBE_VIA } from "./_lib/messages.ts";
 import { HOST_STATE, type HostState, type HostView, type Membership } from "./types.ts";
-import type { HostListClient } from "@jaypass/platform";
+import type { HostListClient } from "@jaypass/store_clients";
 import { PeerRefusal } from "@jaypass/peers";
 import type { PeerPool, PeerServer } from "@jaypass/peers";
 import type { Sleep } from "./_lib/create_waker.ts";
--- a/packages/membership/create_membership_sockets_test.ts
+++ b/packages/membership/create_membership_sockets_test.ts
@@ -1,7 +1,7 @@
 import { createClock, createMetrics, type Logger, sleep } from "@jaypass/kernel";
 import { createMembership, type StartedMembership } from "./create_membership.ts";
 import { createPeerPool, createPeerServer } from "@jaypass/peers";
-import type { ListedHost } from "@jaypass/platform";
+import type { ListedHost } from "@jaypass/store_clients";
 import { readFileSync } from "node:fs";
 import test from "ava";
 
--- a/packages/platform/mod.ts
+++ b/packages/store_clients/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Public interface of `@jaypass/platform`.
+ * Public interface of `@jaypass/store_clients`.
  *
  * @module
  */
