--- a/packages/configuration/_testing/create_fake_store.ts
+++ b/packages/configuration/_testing/create_fake_store.ts
@@ -1,4 +1,10 @@
-import type { CommitResult, ObjectClient, Row, TableClient, Transaction } from "@jaypass/store_clients";
+import type {
+  CommitResult,
+  ObjectClient,
+  Row,
+  TableClient,
+  Transaction,
+} from "@jaypass/store_clients";
 import { sleep } from "@jaypass/kernel";
 
 /** What happens to calls of a client. */
--- a/packages/entry/services/define_platform_services.ts
+++ b/packages/entry/services/define_platform_services.ts
@@ -1,5 +1,9 @@
 import type { AnyServiceDefinition } from "@jaypass/kernel";
-import { createHostListClient, createObjectClient, createTableClient } from "@jaypass/store_clients";
+import {
+  createHostListClient,
+  createObjectClient,
+  createTableClient,
+} from "@jaypass/store_clients";
 import type { ProcessContext } from "../process_context.ts";
 import { SERVICE } from "../service_names.ts";
 
--- /dev/null
+++ b/packages/fleet/create_hub_client.ts
@@ -0,0 +1,241 @@
+import { sleep } from "@jaypass/kernel";
+import type { Clock, Logger, Millis, TaskGroup } from "@jaypass/kernel";
+import { chooseHubs } from "./choose_hubs.ts";
+import {
+  HUB_AVOID_MS,
+  HUB_REVIEW_MS,
+  LINK_CONNECT_TIMEOUT_MS,
+  LINK_SILENT_MS,
+  VIEW_INTERVAL_MS,
+  VIEW_STALE_MS,
+} from "./constants.ts";
+import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
+import type { JsonLink } from "./_lib/json_link.ts";
+import type { HubDesk } from "./create_hub_server.ts";
+import type { HubMessage, MemberMessage } from "./messages.ts";
+import type { HostEntry, RowBatch, Table } from "./types.ts";
+
+/** Options of {@linkcode createHubClient}. */
+export interface HubClientOptions<Job, Decision, Report> {
+  /** Entry of this host. */
+  self: HostEntry;
+  /** True while this host stops. */
+  isDraining: () => boolean;
+  /** Decides when this host is its own hub. */
+  desk: HubDesk<Job, Decision, Report>;
+  /** Hosts that have a row. */
+  knownHosts: () => HostEntry[];
+  /** Reports on all that runs here, for a hub that is new to it. */
+  currentReports: () => Report[];
+  /** Takes rows that a hub passes on. */
+  onRows: (table: Table, batch: RowBatch) => void;
+  /** Monotonic time source. */
+  clock: Clock;
+  /** Log of links. */
+  log: Logger;
+  /** Owner of the tasks. */
+  tasks: TaskGroup;
+}
+
+/** The side of a host towards its hubs. */
+export interface HubClient<Job, Decision, Report> {
+  /** Asks the hubs one after the other; undefined when none answers in time. */
+  place(job: Job, timeoutMs: Millis): Promise<{ by: string; decision: Decision } | undefined>;
+  /** Tells the hubs what this host does; `except` leaves out the hub that knows it already. */
+  report(report: Report, options?: { except?: string }): void;
+  /** Passes rows on to the hubs. */
+  sendRows(table: Table, batch: RowBatch): void;
+  /** True while some hub passes on fresh rows, or this host is one. */
+  isViewFresh(): boolean;
+  /** Milliseconds since the store came back, as a hub saw it; Infinity when unknown. */
+  recoveredAgoMs(): Millis;
+  /** Live hosts as the first hub that answers sees them; undefined without one. */
+  liveHosts(): HostEntry[] | undefined;
+  /** True when this host is one of its own hubs. */
+  isHub(): boolean;
+}
+
+interface HubLink<Job, Decision, Report> {
+  entry: HostEntry;
+  link: JsonLink<HubMessage<Decision>, MemberMessage<Job, Report>> | undefined;
+  isReady: boolean;
+  calls: Map<number, (decision: Decision | undefined) => void>;
+  timeouts: number;
+  hosts: HostEntry[] | undefined;
+  /** Monotonic time up to which the hub's rows were fresh. */
+  freshMs: Millis;
+  recoveredMs: Millis;
+}
+
+/** Placements without an answer in a row after which a hub is given up. */
+const MAX_TIMEOUTS = 3;
+
+/**
+ * Creates the side of a host towards its hubs: one task for each link, and one that reviews which
+ * hosts are the hubs.
+ *
+ * @param options the host and what it passes on
+ * @returns the client; it starts at once
+ *
+ * @example
+ * const hubs = createHubClient({ self, desk, ... });
+ * const decision = await hubs.place(job, 80);
+ */
+export function createHubClient<Job, Decision, Report>(
+  options: HubClientOptions<Job, Decision, Report>,
+): HubClient<Job, Decision, Report> {
+  type Hub = HubLink<Job, Decision, Report>;
+  const { self, desk, clock, log, tasks } = options;
+  const hubs = new Map<string, Hub>();
+  const avoidedUntil = new Map<string, Millis>();
+  let order: string[] = [];
+  let nextCall = 1;
+
+  const isSelf = (host: string) => host === self.host;
+
+  const avoid = (host: string) => avoidedUntil.set(host, clock.nowMs() + HUB_AVOID_MS);
+
+  const closeHub = (hub: Hub) => {
+    hubs.delete(hub.entry.host);
+    hub.link?.close();
+    for (const settle of hub.calls.values()) settle(undefined);
+    hub.calls.clear();
+  };
+
+  const handleMessage = (hub: Hub, message: HubMessage<Decision>) => {
+    if (message.type === "rows") options.onRows(message.table, message.batch);
+    else if (message.type === "view") {
+      const now = clock.nowMs();
+      hub.isReady = true;
+      hub.hosts = message.hosts;
+      hub.freshMs = now - message.ageMs;
+      hub.recoveredMs = now - (message.recoveredAgoMs ?? Infinity);
+    } else {
+      hub.calls.get(message.call)?.(message.decision);
+      hub.calls.delete(message.call);
+    }
+  };
+
+  const runLink = async (hub: Hub) => {
+    const { entry } = hub;
+    try {
+      const socket = await connectSocket(entry.linkAddress, LINK_CONNECT_TIMEOUT_MS);
+      if (hubs.get(entry.host) !== hub) return void socket.destroy();
+      const link = createJsonLink<HubMessage<Decision>, MemberMessage<Job, Report>>(socket, {
+        silentMs: LINK_SILENT_MS,
+      });
+      hub.link = link;
+      const isDraining = options.isDraining();
+      link.send({ type: "hello", entry: self, isDraining, reports: options.currentReports() });
+      for await (const message of link.messages()) handleMessage(hub, message);
+      throw new Error("Hub closed the link");
+    } catch (err) {
+      if (hubs.get(entry.host) !== hub) return;
+      log.info({ hub: entry.host, err: String(err) }, "Hub lost");
+      avoid(entry.host);
+      closeHub(hub);
+    }
+  };
+
+  const openHub = (entry: HostEntry) => {
+    const hub: Hub = {
+      entry,
+      link: undefined,
+      isReady: isSelf(entry.host),
+      calls: new Map(),
+      timeouts: 0,
+      hosts: undefined,
+      freshMs: -Infinity,
+      recoveredMs: -Infinity,
+    };
+    hubs.set(entry.host, hub);
+    log.info({ hub: entry.host }, "Hub chosen");
+    if (isSelf(entry.host)) {
+      desk.forget(self.host);
+      for (const report of options.currentReports()) desk.report(self.host, report);
+    } else tasks.run(`link to hub ${entry.host}`, () => runLink(hub));
+  };
+
+  const review = () => {
+    const now = clock.nowMs();
+    const able = options.knownHosts().filter((entry) =>
+      isSelf(entry.host) ? !options.isDraining() : (avoidedUntil.get(entry.host) ?? 0) <= now
+    );
+    const chosen = chooseHubs(able);
+    order = chosen.map((entry) => entry.host);
+    for (const hub of [...hubs.values()]) {
+      const entry = chosen.find(({ host }) => host === hub.entry.host);
+      if (entry?.incarnation === hub.entry.incarnation) continue;
+      closeHub(hub);
+      if (isSelf(hub.entry.host)) desk.forget(self.host);
+    }
+    for (const entry of chosen) if (!hubs.has(entry.host)) openHub(entry);
+  };
+
+  const readyHubs = () =>
+    order.flatMap((host) => {
+      const hub = hubs.get(host);
+      return hub?.isReady ? [hub] : [];
+    });
+
+  const ask = (hub: Hub, job: Job, timeoutMs: Millis) =>
+    new Promise<Decision | undefined>((resolve) => {
+      const call = nextCall++;
+      const timer = setTimeout(() => {
+        hub.calls.delete(call);
+        hub.timeouts += 1;
+        log.warn({ hub: hub.entry.host, timeoutMs, timeouts: hub.timeouts }, "Hub did not answer");
+        if (hub.timeouts >= MAX_TIMEOUTS && hubs.get(hub.entry.host) === hub) {
+          avoid(hub.entry.host);
+          closeHub(hub);
+        }
+        resolve(undefined);
+      }, timeoutMs);
+      hub.calls.set(call, (decision) => {
+        clearTimeout(timer);
+        if (decision !== undefined) hub.timeouts = 0;
+        resolve(decision);
+      });
+      hub.link?.send({ type: "place", call, job });
+    });
+
+  tasks.run("review hubs", async (signal) => {
+    while (!signal.aborted) {
+      review();
+      await sleep(HUB_REVIEW_MS, signal);
+    }
+  });
+  tasks.run("ping hubs", async (signal) => {
+    while (!signal.aborted) {
+      await sleep(VIEW_INTERVAL_MS, signal);
+      const isDraining = options.isDraining();
+      for (const hub of hubs.values()) hub.link?.send({ type: "ping", isDraining });
+    }
+  });
+
+  return {
+    async place(job, timeoutMs) {
+      for (const hub of readyHubs()) {
+        if (isSelf(hub.entry.host)) return { by: self.host, decision: desk.place(self.host, job) };
+        const decision = await ask(hub, job, timeoutMs);
+        if (decision !== undefined) return { by: hub.entry.host, decision };
+      }
+      return undefined;
+    },
+    report(report, { except } = {}) {
+      for (const hub of hubs.values()) {
+        if (hub.entry.host === except) continue;
+        if (isSelf(hub.entry.host)) desk.report(self.host, report);
+        else hub.link?.send({ type: "report", report });
+      }
+    },
+    sendRows(table, batch) {
+      for (const hub of hubs.values()) hub.link?.send({ type: "rows", table, batch });
+    },
+    isViewFresh: () => readyHubs().some((hub) => clock.nowMs() - hub.freshMs < VIEW_STALE_MS),
+    recoveredAgoMs: () =>
+      Math.min(Infinity, ...readyHubs().map((hub) => clock.nowMs() - hub.recoveredMs)),
+    liveHosts: () => readyHubs().find((hub) => hub.hosts !== undefined)?.hosts,
+    isHub: () => hubs.has(self.host),
+  };
+}
--- /dev/null
+++ b/packages/fleet/create_hub_server.ts
@@ -0,0 +1,221 @@
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+import { once } from "node:events";
+import { sleep } from "@jaypass/kernel";
+import type { Clock, Logger, Millis, TaskGroup } from "@jaypass/kernel";
+import {
+  INVITE_INTERVAL_MS,
+  LINK_CONNECT_TIMEOUT_MS,
+  LINK_SILENT_MS,
+  VIEW_INTERVAL_MS,
+} from "./constants.ts";
+import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
+import type { JsonLink } from "./_lib/json_link.ts";
+import type { HubMessage, MemberMessage } from "./messages.ts";
+import type { HostEntry, RowBatch, Table } from "./types.ts";
+
+/** Decides for the members of a hub. */
+export interface HubDesk<Job, Decision, Report> {
+  /** Decides on a job of a member. */
+  place(host: string, job: Job): Decision;
+  /** Takes a member's report of what it does. */
+  report(host: string, report: Report): void;
+  /** Forgets what a member did, since its link ended. */
+  forget(host: string): void;
+}
+
+/** Options of {@linkcode createHubServer}. */
+export interface HubServerOptions<Job, Decision, Report> {
+  /** Entry of this host. */
+  self: HostEntry;
+  /** True while this host stops. */
+  isDraining: () => boolean;
+  /** Decides for the members. */
+  desk: HubDesk<Job, Decision, Report>;
+  /** Whole copies of all tables, for a new member. */
+  snapshot: () => { table: Table; batch: RowBatch }[];
+  /** Takes rows that a member or a caller of this host passes on. */
+  onRows: (table: Table, batch: RowBatch) => void;
+  /** Contact with the store. */
+  storeAge: () => { ageMs: Millis; recoveredAgoMs: Millis };
+  /** Hosts that have a row. */
+  knownHosts: () => HostEntry[];
+  /** The hosts' table, for a host that knows nobody. */
+  hostRows: () => RowBatch;
+  /** True while this host invites others, since it is a hub. */
+  isHub: () => boolean;
+  /** Monotonic time source. */
+  clock: Clock;
+  /** Log of members that come and go. */
+  log: Logger;
+  /** Owner of the tasks. */
+  tasks: TaskGroup;
+}
+
+/** The side of a hub towards its members. */
+export interface HubServer {
+  /** Starts to listen. */
+  start(): Promise<void>;
+  /** Stops listening and closes all links. */
+  stop(): void;
+  /** Passes rows on to all members. */
+  broadcast(table: Table, batch: RowBatch): void;
+  /** Hosts with a link that do not stop. */
+  liveMembers(): HostEntry[];
+  /** Milliseconds since a host's link ended; 0 while it has one, undefined if it never had. */
+  goneMs(host: string): Millis | undefined;
+}
+
+interface Member<Decision> {
+  entry: HostEntry;
+  isDraining: boolean;
+  link: JsonLink<unknown, HubMessage<Decision>>;
+}
+
+/**
+ * Creates the side of a hub towards its members: one task a link.
+ *
+ * @param options the host, its copies of rows and its decisions
+ * @returns the server, not yet started
+ *
+ * @example
+ * const hubServer = createHubServer({ self, desk, ... });
+ * await hubServer.start();
+ */
+export function createHubServer<Job, Decision, Report>(
+  options: HubServerOptions<Job, Decision, Report>,
+): HubServer {
+  const { self, desk, clock, log, tasks } = options;
+  const members = new Map<string, Member<Decision>>();
+  const goneAt = new Map<string, Millis>();
+  const sockets = new Set<Socket>();
+
+  const listLive = () =>
+    [...members.values()].filter((member) => !member.isDraining).map((member) => member.entry);
+
+  const describeView = (): HubMessage<Decision> => {
+    const { ageMs, recoveredAgoMs } = options.storeAge();
+    const others = listLive().filter((entry) => entry.host !== self.host);
+    return {
+      type: "view",
+      ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : Number.MAX_SAFE_INTEGER,
+      recoveredAgoMs: Number.isFinite(recoveredAgoMs) ? Math.round(recoveredAgoMs) : null,
+      hosts: options.isDraining() ? others : [self, ...others],
+    };
+  };
+
+  const welcome = (
+    message: MemberMessage<Job, Report> & { type: "hello" },
+    link: JsonLink<unknown, HubMessage<Decision>>,
+  ): Member<Decision> => {
+    const { entry, isDraining, reports } = message;
+    members.get(entry.host)?.link.close();
+    desk.forget(entry.host);
+    for (const report of reports) desk.report(entry.host, report);
+    const member = { entry, isDraining, link };
+    members.set(entry.host, member);
+    for (const { table, batch } of options.snapshot()) link.send({ type: "rows", table, batch });
+    link.send(describeView());
+    log.info({ member: entry.host, reports: reports.length }, "Member joined");
+    return member;
+  };
+
+  const handleMessage = (member: Member<Decision>, message: MemberMessage<Job, Report>) => {
+    const { host } = member.entry;
+    if (message.type === "ping") member.isDraining = message.isDraining;
+    else if (message.type === "report") desk.report(host, message.report);
+    else if (message.type === "rows") options.onRows(message.table, message.batch);
+    else if (message.type === "place") {
+      const decision = desk.place(host, message.job);
+      member.link.send({ type: "placed", call: message.call, decision });
+    }
+  };
+
+  const serveLink = async (socket: Socket) => {
+    const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<Decision>>(socket, {
+      silentMs: LINK_SILENT_MS,
+    });
+    let member: Member<Decision> | undefined;
+    try {
+      for await (const message of link.messages()) {
+        if (message.type === "hello") member = welcome(message, link);
+        else if (message.type === "invite") options.onRows("hosts", message.hosts);
+        else if (member !== undefined) handleMessage(member, message);
+      }
+    } catch (err) {
+      log.info({ member: member?.entry.host, err: String(err) }, "Link to member failed");
+    } finally {
+      link.close();
+      // A member that has linked again meanwhile stays.
+      if (member !== undefined && members.get(member.entry.host) === member) {
+        members.delete(member.entry.host);
+        goneAt.set(member.entry.host, clock.nowMs());
+        desk.forget(member.entry.host);
+        log.info({ member: member.entry.host }, "Member left");
+      }
+    }
+  };
+
+  const invite = async (entry: HostEntry) => {
+    try {
+      const socket = await connectSocket(entry.linkAddress, LINK_CONNECT_TIMEOUT_MS);
+      const message = { type: "invite", hosts: options.hostRows() };
+      socket.on("error", () => {});
+      socket.end(`${JSON.stringify(message)}\n`);
+      log.info({ host: entry.host }, "Invited host without a link");
+    } catch (err) {
+      log.debug({ host: entry.host, err: String(err) }, "Host cannot be invited");
+    }
+  };
+
+  const server: Server = createServer((socket) => {
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+    tasks.run("serve link", () => serveLink(socket));
+  });
+
+  return {
+    async start() {
+      const separator = self.linkAddress.lastIndexOf(":");
+      server.listen({
+        host: self.linkAddress.slice(0, separator),
+        port: Number(self.linkAddress.slice(separator + 1)),
+      });
+      await once(server, "listening");
+      tasks.run("send views", async (signal) => {
+        while (!signal.aborted) {
+          await sleep(VIEW_INTERVAL_MS, signal);
+          const view = describeView();
+          for (const member of members.values()) member.link.send(view);
+        }
+      });
+      tasks.run("invite hosts", async (signal) => {
+        while (!signal.aborted) {
+          await sleep(INVITE_INTERVAL_MS, signal);
+          if (!options.isHub()) continue;
+          const missing = options.knownHosts()
+            .filter((entry) => entry.host !== self.host && !members.has(entry.host));
+          await Promise.all(missing.map(invite));
+        }
+      });
+    },
+    stop() {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+    broadcast(table, batch) {
+      // The view goes first: it says whether the store has just come back.
+      const view = describeView();
+      for (const { link } of members.values()) {
+        link.send(view);
+        link.send({ type: "rows", table, batch });
+      }
+    },
+    liveMembers: listLive,
+    goneMs(host) {
+      if (members.has(host)) return 0;
+      const at = goneAt.get(host);
+      return at === undefined ? undefined : clock.nowMs() - at;
+    },
+  };
+}
--- /dev/null
+++ b/packages/fleet/messages.ts
@@ -0,0 +1,22 @@
+/**
+ * Messages on links between hosts: one JSON object a line.
+ *
+ * @module
+ */
+import type { Millis } from "@jaypass/kernel";
+import type { HostEntry, RowBatch, Table } from "./types.ts";
+
+/** Messages of a host to its hub. `Job` and `Report` are the placement's own. */
+export type MemberMessage<Job, Report> =
+  | { type: "hello"; entry: HostEntry; isDraining: boolean; reports: Report[] }
+  | { type: "ping"; isDraining: boolean }
+  | { type: "place"; call: number; job: Job }
+  | { type: "report"; report: Report }
+  | { type: "rows"; table: Table; batch: RowBatch }
+  | { type: "invite"; hosts: RowBatch };
+
+/** Messages of a hub to a host. */
+export type HubMessage<Decision> =
+  | { type: "rows"; table: Table; batch: RowBatch }
+  | { type: "view"; ageMs: Millis; recoveredAgoMs: Millis | null; hosts: HostEntry[] }
+  | { type: "placed"; call: number; decision: Decision };
--- /dev/null
+++ b/packages/forwarding/_lib/read_body.ts
@@ -0,0 +1,45 @@
+import type { IncomingMessage } from "node:http";
+import { FAILURE, ForwardingError } from "../errors.ts";
+import type { BodyMemory } from "./body_memory.ts";
+import { takeBodyMemory } from "./body_memory.ts";
+
+/** Options of {@linkcode readBody}. */
+export interface ReadBodyOptions {
+  /** Most bytes of a body. */
+  maxBytes: number;
+  /** Budget of the host; the caller of this function releases the body's length. */
+  memory: BodyMemory;
+}
+
+/**
+ * Reads a request's body whole, so that it can be sent to more than one server.
+ *
+ * @param req the request
+ * @param options bounds
+ * @returns the body, empty when there is none
+ * @throws {ForwardingError} when it is too large, when memory is short or when the caller leaves
+ *
+ * @example
+ * const body = await readBody(req, { maxBytes: 4_194_304, memory });
+ */
+export async function readBody(req: IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
+  const { maxBytes, memory } = options;
+  const chunks: Buffer[] = [];
+  let length = 0;
+  const stated = Number(req.headers["content-length"] ?? 0);
+  if (stated > maxBytes) throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
+  try {
+    for await (const chunk of req as AsyncIterable<Buffer>) {
+      if (length + chunk.length > maxBytes) throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
+      takeBodyMemory(memory, chunk.length);
+      length += chunk.length;
+      chunks.push(chunk);
+    }
+  } catch (err) {
+    memory.release(length);
+    if (err instanceof ForwardingError) throw err;
+    throw new ForwardingError(400, FAILURE.BODY_INCOMPLETE, { cause: err });
+  }
+  const [only] = chunks;
+  return chunks.length === 1 && only !== undefined ? only : Buffer.concat(chunks, length);
+}
--- /dev/null
+++ b/packages/forwarding/_lib/use_stream_answer.ts
@@ -0,0 +1,108 @@
+import { JOB_OUTCOME } from "@jaypass/placement";
+import { STALL_PAUSE_FACTOR } from "../constants.ts";
+import { createEventSplitter } from "../create_event_splitter.ts";
+import { FAILURE } from "../errors.ts";
+import type { CallerRequest, ForwardingContext } from "./request_context.ts";
+import type { AnswerInUse, AttemptHandler, UseResult } from "./run_attempts.ts";
+import { sendHead, writeToCaller } from "./write_to_caller.ts";
+
+/**
+ * Creates the handler of event streams.
+ *
+ * Only whole events are passed on, so that a stream that breaks off can go on at another server
+ * after the last event that the caller has. A stream that cannot go on is broken off, never ended.
+ *
+ * @param context the host
+ * @param request the caller's request
+ * @returns the handler
+ */
+export function createStreamHandler(
+  context: ForwardingContext,
+  request: CallerRequest,
+): AttemptHandler {
+  const { route } = request;
+  let lastEventId: number | undefined;
+  let hasBegun = false;
+
+  const use = async (inUse: AnswerInUse): Promise<UseResult> => {
+    const { answer, facts, exchange, onFirstByte } = inUse;
+    const isSuccess = answer.status >= 200 && answer.status < 300;
+    if (!isSuccess) return await useFailure(inUse);
+    if (!facts.isSealed || facts.isEncoded) {
+      return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
+    }
+    const splitter = createEventSplitter();
+    const stall = createStallTimer(route.pauseGoalMs * STALL_PAUSE_FACTOR, () => {
+      context.log.warn({ requestId: request.id, lastEventId }, "Stream stalled");
+      exchange.cancel();
+    });
+    try {
+      for await (const chunk of answer.body) {
+        onFirstByte();
+        stall.restart();
+        for (const event of splitter.push(chunk)) {
+          // A server that goes on may repeat what the caller has.
+          if (event.id !== undefined && lastEventId !== undefined && event.id <= lastEventId) {
+            continue;
+          }
+          begin(inUse);
+          await writeToCaller(request, event.bytes);
+          lastEventId = event.id ?? lastEventId;
+        }
+      }
+    } finally {
+      stall.clear();
+    }
+    begin(inUse);
+    const rest = splitter.rest();
+    if (rest.length > 0) await writeToCaller(request, rest);
+    request.res.end();
+    return { outcome: JOB_OUTCOME.ANSWERED, isDone: true, failure: FAILURE.INTERNAL };
+  };
+
+  /** Writes the head once: a resumed stream keeps the headers of its first server. */
+  const begin = ({ answer }: AnswerInUse) => {
+    if (hasBegun) return;
+    hasBegun = true;
+    sendHead(context, request, answer, undefined);
+    const waitMs = context.clock.nowMs() - request.arrivalMs;
+    context.metrics.timing("first_event_ms", waitMs, { route: route.name });
+  };
+
+  const useFailure = async ({ answer, facts }: AnswerInUse): Promise<UseResult> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of answer.body) chunks.push(chunk);
+    const deliver = () => {
+      if (hasBegun) return void request.res.destroy();
+      const body = Buffer.concat(chunks);
+      sendHead(context, request, answer, body.length);
+      request.res.end(body);
+    };
+    const isServerFailure = answer.status >= 500;
+    if (!isServerFailure && facts.isSealed) {
+      deliver();
+      return { outcome: JOB_OUTCOME.FAILED, isDone: true, failure: FAILURE.INTERNAL };
+    }
+    return {
+      outcome: JOB_OUTCOME.FAILED,
+      isDone: false,
+      failure: FAILURE.SERVER_BROKE_OFF,
+      deliver: facts.isSealed ? deliver : undefined,
+    };
+  };
+
+  return { use, resumeAfter: () => lastEventId };
+}
+
+/** Timer that runs anew with each chunk; a timeout of 0 never fires. */
+function createStallTimer(timeoutMs: number, onStall: () => void) {
+  let timer: NodeJS.Timeout | undefined;
+  return {
+    restart() {
+      if (timeoutMs === 0) return;
+      if (timer === undefined) timer = setTimeout(onStall, timeoutMs);
+      else timer.refresh();
+    },
+    clear: () => clearTimeout(timer),
+  };
+}
--- /dev/null
+++ b/packages/forwarding/create_event_splitter.ts
@@ -0,0 +1,62 @@
+/** A whole event of a stream. */
+export interface StreamEvent {
+  /** The event's bytes with the blank line that ends it. */
+  bytes: Buffer;
+  /** Its id, where it has a whole number. */
+  id: number | undefined;
+}
+
+/** Cuts a byte stream into whole events. */
+export interface EventSplitter {
+  /** Adds bytes and returns the events that are whole now. */
+  push(chunk: Buffer): StreamEvent[];
+  /** Bytes of an event that is not whole. */
+  rest(): Buffer;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+
+/**
+ * Creates a splitter of server-sent events. Events are whole at a blank line, with either kind of
+ * line end.
+ *
+ * @returns the splitter, empty
+ *
+ * @example
+ * const splitter = createEventSplitter();
+ * for (const event of splitter.push(chunk)) res.write(event.bytes);
+ */
+export function createEventSplitter(): EventSplitter {
+  let pending: Buffer = Buffer.alloc(0);
+  let scannedTo = 0;
+  return {
+    push(chunk) {
+      pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk]);
+      const events: StreamEvent[] = [];
+      let start = 0;
+      for (let at = scannedTo; at < pending.length; at++) {
+        if (pending[at] !== LINE_FEED || !isBlankLineEnd(pending, start, at)) continue;
+        const bytes = pending.subarray(start, at + 1);
+        events.push({ bytes, id: parseEventId(bytes) });
+        start = at + 1;
+      }
+      pending = pending.subarray(start);
+      scannedTo = pending.length;
+      return events;
+    },
+    rest: () => pending,
+  };
+}
+
+/** Reports whether the line feed at `at` ends a line without content. */
+function isBlankLineEnd(bytes: Buffer, start: number, at: number): boolean {
+  let before = at - 1;
+  if (before >= start && bytes[before] === CARRIAGE_RETURN) before -= 1;
+  return before >= start && bytes[before] === LINE_FEED;
+}
+
+function parseEventId(bytes: Buffer): number | undefined {
+  const match = /(?:^|\n)id: ?(\d+)\r?\n/.exec(bytes.toString("latin1"));
+  return match?.[1] === undefined ? undefined : Number(match[1]);
+}
--- /dev/null
+++ b/packages/forwarding/mod.ts
@@ -0,0 +1,22 @@
+/**
+ * Forwarding of opaque requests and event streams to backend servers, by host name and path prefix.
+ *
+ * @module
+ */
+
+export * from "./choose_target.ts";
+export * from "./constants.ts";
+export * from "./create_event_splitter.ts";
+export * from "./create_forwarder.ts";
+export * from "./errors.ts";
+export * from "./index_configuration.ts";
+export * from "./match_route.ts";
+export * from "./open_exchange.ts";
+export * from "./types.ts";
+export type {
+  ForwardingContext,
+  ForwardingServer,
+  PlacementClient,
+  Reservation,
+  ReservationClient,
+} from "./_lib/request_context.ts";
--- /dev/null
+++ b/packages/forwarding_host/choose_addresses.ts
@@ -0,0 +1,21 @@
+import type { RandomSource } from "@jaypass/kernel";
+import type { HostEntry } from "@jaypass/fleet";
+import { MAX_ADDRESSES } from "./constants.ts";
+
+/**
+ * Chooses the addresses that a caller may use: all live hosts, or a random part of many.
+ *
+ * @param hosts live hosts
+ * @param random source of random numbers
+ * @returns at most 64 addresses in random order
+ *
+ * @example
+ * chooseAddresses(hosts, Math.random); // ["10.1.0.40:8227"]
+ */
+export function chooseAddresses(hosts: readonly HostEntry[], random: RandomSource): string[] {
+  return hosts
+    .map((entry) => ({ entry, order: random() }))
+    .sort((a, b) => a.order - b.order)
+    .slice(0, MAX_ADDRESSES)
+    .map(({ entry }) => entry.callerAddress);
+}
--- /dev/null
+++ b/packages/forwarding_host/create_desk.ts
@@ -0,0 +1,56 @@
+import type { HubDesk } from "@jaypass/fleet";
+import { JOB_OUTCOME } from "@jaypass/placement";
+import type {
+  JobOutcome,
+  PlacementDecision,
+  PlacementJob,
+  Placer,
+  RunningJob,
+} from "@jaypass/placement";
+
+/** What a host tells its hubs of a request. */
+export type JobReport =
+  | { kind: "running"; running: RunningJob }
+  | { kind: "started"; jobId: string }
+  | { kind: "finished"; jobId: string; outcome: JobOutcome; faultyServerId?: string };
+
+/**
+ * Creates the decisions of a hub: a placer that knows the requests of all members.
+ *
+ * @param placer places with the whole of the common limits
+ * @returns the desk
+ *
+ * @example
+ * const desk = createDesk(placer);
+ */
+export function createDesk(placer: Placer): HubDesk<PlacementJob, PlacementDecision, JobReport> {
+  const jobsByHost = new Map<string, Set<string>>();
+  const jobsOf = (host: string) => {
+    const known = jobsByHost.get(host);
+    if (known !== undefined) return known;
+    const jobs = new Set<string>();
+    jobsByHost.set(host, jobs);
+    return jobs;
+  };
+  return {
+    place(host, job) {
+      const decision = placer.place(job);
+      if (decision.kind === "placed") jobsOf(host).add(job.id);
+      return decision;
+    },
+    report(host, report) {
+      if (report.kind === "running") {
+        jobsOf(host).add(report.running.job.id);
+        placer.adopt(report.running);
+      } else if (report.kind === "started") placer.started(report.jobId);
+      else {
+        jobsOf(host).delete(report.jobId);
+        placer.finished(report.jobId, report.outcome, report.faultyServerId);
+      }
+    },
+    forget(host) {
+      for (const jobId of jobsOf(host)) placer.finished(jobId, JOB_OUTCOME.CANCELLED);
+      jobsByHost.delete(host);
+    },
+  };
+}
--- /dev/null
+++ b/packages/forwarding_host/create_forwarding_host.ts
@@ -0,0 +1,49 @@
+import { createKernel, createTaskGroup } from "@jaypass/kernel";
+import type { Kernel, ServiceDefinition, TaskGroup } from "@jaypass/kernel";
+import { createStopState } from "./create_stop_state.ts";
+import type { StopState } from "./create_stop_state.ts";
+import { defineClusterService } from "./define_cluster_service.ts";
+import { defineForwarderService, definePublicServers } from "./define_public_services.ts";
+import type { HostContext } from "./host_context.ts";
+import { SERVICE } from "./service_names.ts";
+
+/**
+ * Creates the kernel of a forwarding host with all its services.
+ *
+ * @param context settings, adapter and the process's clock, log and metrics
+ * @returns the kernel, not yet started
+ *
+ * @example
+ * const kernel = createForwardingHost(context);
+ * await kernel.start();
+ */
+export function createForwardingHost(context: HostContext): Kernel {
+  return createKernel([
+    defineTasks(context),
+    defineStopState(context),
+    defineClusterService(context),
+    defineForwarderService(context),
+    definePublicServers(context),
+  ]);
+}
+
+function defineTasks({ log }: HostContext): ServiceDefinition<TaskGroup> {
+  return {
+    name: SERVICE.TASKS,
+    needs: [],
+    start() {
+      const tasks = createTaskGroup({
+        onError: (task, err) => log.error({ task, err }, "Task failed"),
+      });
+      return { service: tasks, stop: () => tasks.stop() };
+    },
+  };
+}
+
+function defineStopState({ clock, settings }: HostContext): ServiceDefinition<StopState> {
+  return {
+    name: SERVICE.STOP_STATE,
+    needs: [],
+    start: () => ({ service: createStopState({ clock, graceMs: settings.stopGraceMs }) }),
+  };
+}
--- /dev/null
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -0,0 +1,74 @@
+import type { Logger, Metrics } from "@jaypass/kernel";
+import type { Fleet } from "@jaypass/fleet";
+import type { PlacementClient } from "@jaypass/forwarding";
+import type { PlacementDecision, PlacementJob, Placer, RunningJob } from "@jaypass/placement";
+import { PLACEMENT_TIMEOUT_MS } from "./constants.ts";
+import type { JobReport } from "./create_desk.ts";
+
+/** Options of {@linkcode createPlacementClient}. */
+export interface PlacementClientOptions {
+  /** The hosts together. */
+  fleet: () => Pick<Fleet<PlacementJob, PlacementDecision, JobReport>, "place" | "report">;
+  /** Places with what this host alone knows, and with its share of the common limits. */
+  local: Placer;
+  /** Log of placements without a hub. */
+  log: Logger;
+  /** Counters. */
+  metrics: Metrics;
+}
+
+/** Placement of a host's requests, with the list of those that run. */
+export interface HostPlacement extends PlacementClient {
+  /** Reports on all requests that run here. */
+  currentReports(): JobReport[];
+}
+
+/**
+ * Creates the placement of a host's requests: at a hub, or here when no hub answers.
+ *
+ * @param options fleet and local placer
+ * @returns the placement
+ *
+ * @example
+ * const placement = createPlacementClient({ fleet: () => fleet, local, log, metrics });
+ */
+export function createPlacementClient(options: PlacementClientOptions): HostPlacement {
+  const { fleet, local, log, metrics } = options;
+  const running = new Map<string, RunningJob>();
+
+  const remember = (job: PlacementJob, decision: PlacementDecision, decidedBy?: string) => {
+    if (decision.kind !== "placed") return;
+    const { serverId, helperIds } = decision;
+    const entry: RunningJob = { job, serverId, helperIds, isWriting: false };
+    running.set(job.id, entry);
+    if (decidedBy !== undefined) local.adopt(entry);
+    fleet().report({ kind: "running", running: entry }, { except: decidedBy });
+  };
+
+  return {
+    async place(job) {
+      const answer = await fleet().place(job, PLACEMENT_TIMEOUT_MS);
+      if (answer === undefined) {
+        metrics.increment("placement", { by: "host" });
+        log.info({ jobId: job.id }, "Placed without a hub");
+      } else metrics.increment("placement", { by: "hub" });
+      const decision = answer?.decision ?? local.place(job);
+      remember(job, decision, answer?.by);
+      return decision;
+    },
+    started(jobId) {
+      const entry = running.get(jobId);
+      if (entry === undefined || entry.isWriting) return;
+      entry.isWriting = true;
+      local.started(jobId);
+      fleet().report({ kind: "started", jobId });
+    },
+    finished(jobId, outcome, faultyServerId) {
+      if (!running.delete(jobId)) return;
+      local.finished(jobId, outcome, faultyServerId);
+      fleet().report({ kind: "finished", jobId, outcome, faultyServerId });
+    },
+    currentReports: () =>
+      [...running.values()].map((entry) => ({ kind: "running", running: entry })),
+  };
+}
--- /dev/null
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -0,0 +1,91 @@
+import { sleep } from "@jaypass/kernel";
+import type { ServiceDefinition } from "@jaypass/kernel";
+import { createFleet } from "@jaypass/fleet";
+import type { HostEntry } from "@jaypass/fleet";
+import { createPlacer } from "@jaypass/placement";
+import { LAPSE_CHECK_MS } from "./constants.ts";
+import { createClusterView } from "./create_cluster_view.ts";
+import { createDesk } from "./create_desk.ts";
+import { createPlacementClient } from "./create_placement_client.ts";
+import type { HostContext } from "./host_context.ts";
+import { SERVICE } from "./service_names.ts";
+import type { Cluster, PlacementFleet } from "./service_names.ts";
+
+/**
+ * Defines the service that joins fleet, view and placement.
+ *
+ * @param context settings, adapter and the process's clock, log and metrics
+ * @returns the definition
+ */
+export function defineClusterService(context: HostContext): ServiceDefinition<Cluster> {
+  return {
+    name: SERVICE.CLUSTER,
+    needs: [SERVICE.TASKS],
+    async start(lookup) {
+      const tasks = lookup(SERVICE.TASKS);
+      const cluster = createCluster(context, tasks);
+      await cluster.fleet.start();
+      tasks.run("expire lapsed servers", async (signal) => {
+        while (!signal.aborted) {
+          await sleep(LAPSE_CHECK_MS, signal);
+          cluster.view.expireLapsed();
+        }
+      });
+      return { service: cluster, stop: () => Promise.resolve(cluster.fleet.stop()) };
+    },
+  };
+}
+
+function createCluster(
+  context: HostContext,
+  tasks: Parameters<typeof createFleet>[0]["tasks"],
+): Cluster {
+  const { settings, adapter, clock, random, log, metrics } = context;
+  const { retryLimits, coldLimits } = settings;
+  // The hub's placer knows all requests; the local one is used when no hub answers.
+  const hubPlacer = createPlacer({ clock, retryLimits, coldLimits, share: () => 1 });
+  const localPlacer = createPlacer({
+    clock,
+    retryLimits,
+    coldLimits,
+    share: () => 1 / fleet.hostCount(),
+  });
+  const placement = createPlacementClient({ fleet: () => fleet, local: localPlacer, log, metrics });
+  const view = createClusterView({
+    clock,
+    log,
+    storeRecoveredAgoMs: () => fleet.storeRecoveredAgoMs(),
+    onChange() {
+      const services = [...view.configuration()?.services.values() ?? []];
+      const servers = view.usableServers();
+      for (const placer of [hubPlacer, localPlacer]) {
+        placer.setServices(services);
+        placer.setServers(servers);
+      }
+    },
+  });
+  const fleet: PlacementFleet = createFleet({
+    self: describeSelf(context),
+    store: adapter.store,
+    desk: createDesk(hubPlacer),
+    currentReports: () => placement.currentReports(),
+    onChange: (table, changed) => view.apply(table, changed),
+    clock,
+    random,
+    log,
+    metrics,
+    tasks,
+  });
+  return { fleet, view, placement };
+}
+
+function describeSelf({ settings, incarnation }: HostContext): HostEntry {
+  return {
+    host: settings.host,
+    linkAddress: settings.linkAddress,
+    callerAddress: settings.callerAddress,
+    dataCentre: settings.dataCentre,
+    weight: settings.processorShare,
+    incarnation,
+  };
+}
--- /dev/null
+++ b/packages/forwarding_host/define_public_services.ts
@@ -0,0 +1,139 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { ServiceDefinition } from "@jaypass/kernel";
+import { createForwarder } from "@jaypass/forwarding";
+import type { Forwarder } from "@jaypass/forwarding";
+import { CONNECTION_CHECK_MS, DIRECTORY_TTL_MS, MAX_HEADER_BYTES } from "./constants.ts";
+import { createReservations } from "./create_reservations.ts";
+import type { HostContext } from "./host_context.ts";
+import { listen } from "./_lib/listen.ts";
+import { chooseAddresses } from "./choose_addresses.ts";
+import { SERVICE } from "./service_names.ts";
+import type { Cluster } from "./service_names.ts";
+import type { StopState } from "./create_stop_state.ts";
+
+/**
+ * Defines the service that forwards requests.
+ *
+ * @param context settings, adapter and the process's clock, log and metrics
+ * @returns the definition
+ */
+export function defineForwarderService(context: HostContext): ServiceDefinition<Forwarder> {
+  const { adapter, clock, random, log, metrics } = context;
+  return {
+    name: SERVICE.FORWARDER,
+    needs: [SERVICE.TASKS, SERVICE.STOP_STATE, SERVICE.CLUSTER],
+    start(lookup) {
+      const { view, placement } = lookup(SERVICE.CLUSTER);
+      const stop = lookup(SERVICE.STOP_STATE);
+      const forwarder = createForwarder({
+        clock,
+        random,
+        log,
+        metrics,
+        codec: adapter.codec,
+        configuration: () => view.configuration(),
+        findServer: (id) => view.findServer(id),
+        findServerAt: (address) => view.findServerAt(address),
+        placement,
+        reservations: createReservations({
+          orders: adapter.orders,
+          log,
+          tasks: lookup(SERVICE.TASKS),
+        }),
+        isRefusing: () => stop.isRefusing(),
+        isClosing: () => stop.isStopping(),
+      });
+      return { service: forwarder };
+    },
+  };
+}
+
+/**
+ * Defines the service that listens for callers, readiness checks, the directory and metrics.
+ *
+ * @param context settings, adapter and the process's clock, log and metrics
+ * @returns the definition
+ */
+export function definePublicServers(context: HostContext): ServiceDefinition<undefined> {
+  const { settings } = context;
+  return {
+    name: SERVICE.PUBLIC_SERVERS,
+    needs: [SERVICE.STOP_STATE, SERVICE.CLUSTER, SERVICE.FORWARDER],
+    async start(lookup) {
+      const cluster = lookup(SERVICE.CLUSTER);
+      const stop = lookup(SERVICE.STOP_STATE);
+      const forwarder = lookup(SERVICE.FORWARDER);
+      const servers: [Server, string | undefined][] = [
+        [createCallerServer(cluster, forwarder), settings.callerAddress],
+        [createReadinessServer(context, cluster, stop), settings.readinessAddress],
+        [createDirectoryServer(context, cluster), settings.directoryAddress],
+        [createMetricsServer(context), settings.metricsAddress],
+      ];
+      for (const [server, address] of servers) {
+        if (address !== undefined) await listen(server, address);
+      }
+      return {
+        service: undefined,
+        stop() {
+          for (const [server] of servers) {
+            server.close();
+            server.closeAllConnections();
+          }
+          return Promise.resolve();
+        },
+      };
+    },
+  };
+}
+
+function createCallerServer(cluster: Cluster, forwarder: Forwarder): Server {
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    connectionsCheckingInterval: CONNECTION_CHECK_MS,
+    requestTimeout: 0,
+    noDelay: true,
+  }, (req, res) => {
+    const limits = cluster.view.configuration()?.limits;
+    if (limits !== undefined) {
+      server.keepAliveTimeout = limits.idleTimeoutMs;
+      server.headersTimeout = limits.headerTimeoutMs;
+    }
+    void forwarder.handle(req, res);
+  });
+  return server;
+}
+
+function createReadinessServer(context: HostContext, cluster: Cluster, stop: StopState): Server {
+  return createServer((req, res) => {
+    const isReady = !stop.isStopping() && cluster.view.configuration() !== undefined;
+    const isCall = context.adapter.publicCalls.isReadinessCall(req.method ?? "", req.url ?? "");
+    sendText(res, isCall ? (isReady ? 200 : 503) : 404, "");
+  });
+}
+
+function createDirectoryServer(context: HostContext, cluster: Cluster): Server {
+  const { publicCalls } = context.adapter;
+  const ttlMs = Math.min(DIRECTORY_TTL_MS, context.settings.maxDirectoryTtlMs);
+  return createServer((req: IncomingMessage, res: ServerResponse) => {
+    if (!publicCalls.isDirectoryCall(req.method ?? "", req.url ?? "")) {
+      sendText(res, 404, "");
+      return;
+    }
+    const addresses = chooseAddresses(cluster.fleet.liveHosts(), context.random);
+    if (addresses.length === 0) sendText(res, 503, "");
+    else sendText(res, 200, publicCalls.formatDirectory(addresses, ttlMs), "application/json");
+  });
+}
+
+function createMetricsServer(context: HostContext): Server {
+  return createServer(async (_req, res) => {
+    sendText(res, 200, await context.metrics.text());
+  });
+}
+
+function sendText(res: ServerResponse, status: number, text: string, type = "text/plain"): void {
+  const body = Buffer.from(text);
+  res.writeHead(status, { "Content-Type": type, "Content-Length": body.length });
+  res.end(body);
+}
--- /dev/null
+++ b/packages/forwarding_host/mod.ts
@@ -0,0 +1,18 @@
+/**
+ * A host that forwards requests on a platform: the services, their start and their stop.
+ *
+ * @module
+ */
+
+export * from "./choose_addresses.ts";
+export * from "./constants.ts";
+export * from "./create_cluster_view.ts";
+export * from "./create_desk.ts";
+export * from "./create_forwarding_host.ts";
+export * from "./create_placement_client.ts";
+export * from "./create_reservations.ts";
+export * from "./create_stop_state.ts";
+export * from "./host_context.ts";
+export * from "./run_forwarding_host.ts";
+export * from "./service_names.ts";
+export * from "./types.ts";
--- /dev/null
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -0,0 +1,34 @@
+import { sleep } from "@jaypass/kernel";
+import { STOP_CHECK_MS } from "./constants.ts";
+import { createForwardingHost } from "./create_forwarding_host.ts";
+import type { HostContext } from "./host_context.ts";
+import { SERVICE } from "./service_names.ts";
+
+/**
+ * Runs a forwarding host until SIGTERM or SIGINT, then lets its requests end.
+ *
+ * @param context settings, adapter and the process's clock, log and metrics
+ */
+export async function runForwardingHost(context: HostContext): Promise<void> {
+  const { settings, log, incarnation } = context;
+  const kernel = createForwardingHost(context);
+  await kernel.start();
+  log.info({ incarnation, callers: settings.callerAddress }, "Started");
+
+  const signal = await waitForSignal();
+  const stop = kernel.lookup(SERVICE.STOP_STATE);
+  const forwarder = kernel.lookup(SERVICE.FORWARDER);
+  stop.begin();
+  log.info({ signal, requests: forwarder.size() }, "Stopping");
+  const left = kernel.lookup(SERVICE.CLUSTER).fleet.leave();
+  while (!stop.isDone(forwarder.size())) await sleep(STOP_CHECK_MS);
+  log.info({ requests: forwarder.size() }, "Stopped");
+  // The row may be removed by a hub as well, so that a store that is away does not delay the end.
+  await Promise.race([left, sleep(STOP_CHECK_MS)]);
+}
+
+function waitForSignal(): Promise<string> {
+  return new Promise((resolve) => {
+    for (const signal of ["SIGTERM", "SIGINT"] as const) process.once(signal, resolve);
+  });
+}
--- /dev/null
+++ b/packages/forwarding_host/service_names.ts
@@ -0,0 +1,31 @@
+import { serviceName } from "@jaypass/kernel";
+import type { TaskGroup } from "@jaypass/kernel";
+import type { Fleet } from "@jaypass/fleet";
+import type { Forwarder } from "@jaypass/forwarding";
+import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
+import type { ClusterView } from "./create_cluster_view.ts";
+import type { JobReport } from "./create_desk.ts";
+import type { HostPlacement } from "./create_placement_client.ts";
+import type { StopState } from "./create_stop_state.ts";
+
+/** The fleet with the messages of placement. */
+export type PlacementFleet = Fleet<PlacementJob, PlacementDecision, JobReport>;
+
+/** Names of the services of a forwarding host. */
+export const SERVICE = {
+  TASKS: serviceName<TaskGroup>("tasks"),
+  STOP_STATE: serviceName<StopState>("stop-state"),
+  CLUSTER: serviceName<Cluster>("cluster"),
+  FORWARDER: serviceName<Forwarder>("forwarder"),
+  PUBLIC_SERVERS: serviceName<undefined>("public-servers"),
+} as const;
+
+/** Fleet, view and placement, which need each other. */
+export interface Cluster {
+  /** The hosts together. */
+  fleet: PlacementFleet;
+  /** What this host believes. */
+  view: ClusterView;
+  /** Placement of this host's requests. */
+  placement: HostPlacement;
+}
--- a/packages/kernel/create_logger.ts
+++ b/packages/kernel/create_logger.ts
@@ -7,10 +7,12 @@
   level: "debug" | "info" | "warn" | "error" | "fatal";
   /** Fields added to every line, for example the host id. */
   fields?: Record<string, string>;
+  /** Receives the lines; standard error unless stated. */
+  output?: { write(line: string): void };
 }
 
 /**
- * Creates the structured logger of a process, which writes JSON lines to standard error.
+ * Creates the structured logger of a process, which writes JSON lines.
  *
  * @param name program name
  * @param options level and common fields
@@ -23,7 +25,10 @@
 export function createLogger(name: string, options: LoggerOptions): Logger {
   return bunyan.createLogger({
     name,
-    streams: [{ stream: process.stderr, level: options.level }],
+    streams: [{
+      stream: (options.output ?? process.stderr) as NodeJS.WritableStream,
+      level: options.level,
+    }],
     serializers: { err: bunyan.stdSerializers.err },
     ...options.fields,
   }) as unknown as Logger;
--- /dev/null
+++ b/packages/kernel/create_text_metrics.ts
@@ -0,0 +1,66 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Metrics } from "./types.ts";
+
+/** Metrics that are served as text. */
+export interface TextMetrics extends Metrics {
+  /** All metrics in the text format of Prometheus. */
+  text(): Promise<string>;
+}
+
+/** Upper bounds of latency classes in milliseconds, from a fast forward to the longest deadline. */
+const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 300, 500, 1_000, 1_500, 3_000, 5_000, 15_000];
+
+/**
+ * Creates metrics that are kept in the process and read by a scraper.
+ *
+ * @param commonTags tags of every metric, for example host and data centre
+ * @returns the metrics
+ *
+ * @example
+ * const metrics = createTextMetrics({ host: "h1" });
+ * metrics.increment("refusal", { reason: "no_server" });
+ */
+export function createTextMetrics(commonTags: Record<string, string>): TextMetrics {
+  const registry = new Registry();
+  registry.setDefaultLabels(commonTags);
+  const counters = new Map<string, Counter>();
+  const gauges = new Map<string, Gauge>();
+  const histograms = new Map<string, Histogram>();
+  const totals = new Map<string, number>();
+
+  const optionsOf = (name: string, tags: Record<string, string>) => ({
+    name: `jaypass_${name}`,
+    help: name,
+    labelNames: Object.keys(tags),
+    registers: [registry],
+  });
+  const findOrCreate = <T>(metrics: Map<string, T>, name: string, create: () => T): T => {
+    const known = metrics.get(name);
+    if (known !== undefined) return known;
+    const metric = create();
+    metrics.set(name, metric);
+    return metric;
+  };
+
+  return {
+    increment(name, tags = {}, value = 1) {
+      findOrCreate(counters, name, () => new Counter(optionsOf(`${name}_total`, tags)))
+        .inc(tags, value);
+      const key = `${name}${JSON.stringify(tags)}`;
+      totals.set(key, (totals.get(key) ?? 0) + value);
+    },
+    gauge(name, value, tags = {}) {
+      findOrCreate(gauges, name, () => new Gauge(optionsOf(name, tags))).set(tags, value);
+    },
+    timing(name, valueMs, tags = {}) {
+      findOrCreate(
+        histograms,
+        name,
+        () => new Histogram({ ...optionsOf(name, tags), buckets: LATENCY_BUCKETS_MS }),
+      ).observe(tags, valueMs);
+    },
+    counters: () => Object.fromEntries([...totals].sort()),
+    close: () => Promise.resolve(),
+    text: () => registry.metrics(),
+  };
+}
--- a/packages/kernel/mod.ts
+++ b/packages/kernel/mod.ts
@@ -5,13 +5,16 @@
  * @module
  */
 
+export * from "./create_buffered_output.ts";
 export * from "./create_clock.ts";
 export * from "./create_deadline.ts";
 export * from "./create_kernel.ts";
 export * from "./create_logger.ts";
 export * from "./create_metrics.ts";
 export * from "./create_task_group.ts";
+export * from "./create_text_metrics.ts";
 export * from "./errors.ts";
+export * from "./limit_log_rate.ts";
 export * from "./service_name.ts";
 export * from "./sleep.ts";
 export * from "./types.ts";
--- /dev/null
+++ b/packages/placement/create_placer.ts
@@ -0,0 +1,249 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import { chooseEngines } from "./choose_engines.ts";
+import type { EngineChoice } from "./choose_engines.ts";
+import {
+  BUDGET_RETRY_AFTER_MS,
+  COLD_RETRY_AFTER_MS,
+  NO_SERVER_RETRY_AFTER_MS,
+  OVERHEAD_MS,
+  QUARANTINE_MS,
+} from "./constants.ts";
+import { createCrashQuarantine } from "./create_crash_quarantine.ts";
+import { createRetryLimiter } from "./create_retry_limiter.ts";
+import type { RetryLimits } from "./create_retry_limiter.ts";
+import { createServerLoad } from "./create_server_load.ts";
+import type { ServerLoad } from "./create_server_load.ts";
+import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "./types.ts";
+import type {
+  JobOutcome,
+  PlacementDecision,
+  PlacementJob,
+  PlacementRefusal,
+  PlacementServer,
+  PlacementService,
+} from "./types.ts";
+
+/** Limits of a cold server, from the settings of the host. */
+export interface ColdLimits {
+  /** Factor on the service's cold rate that must not be exceeded. */
+  multiplier: number;
+  /** Requests a second allowed besides. */
+  slack: number;
+}
+
+/** Options of {@linkcode createPlacer}. */
+export interface PlacerOptions {
+  /** Monotonic time source. */
+  clock: Clock;
+  /** Retry limits over all hosts. */
+  retryLimits: RetryLimits;
+  /** Cold limits over all hosts. */
+  coldLimits: ColdLimits;
+  /** Part of the common limits that this placer may use, between 0 and 1. */
+  share: () => number;
+}
+
+/** A job that runs already, as a host reports it to a hub that is new to it. */
+export interface RunningJob {
+  /** The request. */
+  job: PlacementJob;
+  /** The decision under which it was sent. */
+  serverId: string;
+  /** Servers that read a part of its prompt. */
+  helperIds: string[];
+  /** True once the first byte of the answer came. */
+  isWriting: boolean;
+}
+
+/** Decides which server gets a request, with the load of everything that it placed. */
+export interface Placer {
+  /** Replaces the usable servers; the load of those that stay is kept. */
+  setServers(servers: readonly PlacementServer[]): void;
+  /** Replaces the services. */
+  setServices(services: readonly PlacementService[]): void;
+  /** Places a job; a placed job counts until it is finished. */
+  place(job: PlacementJob): PlacementDecision;
+  /** Takes over a job that was placed elsewhere. */
+  adopt(running: RunningJob): void;
+  /** Tells that the first byte of the answer came. */
+  started(jobId: string): void;
+  /** Tells how a job ended, and at which server that is at fault where it is known. */
+  finished(jobId: string, outcome: JobOutcome, faultyServerId?: string): void;
+  /** Jobs that run now. */
+  size(): number;
+  /** One line a server, for logs. */
+  describe(): string;
+}
+
+/** Part of the cold limit that is never used, since a second of the server is not ours. */
+const COLD_RESERVED_SHARE = 0.3;
+
+/**
+ * Creates the placement of requests on servers.
+ *
+ * @param options clock and the limits that hold over all hosts
+ * @returns the placer, without servers
+ *
+ * @example
+ * const placer = createPlacer({ clock, retryLimits, coldLimits, share: () => 1 });
+ * placer.setServers(servers);
+ * const decision = placer.place(job);
+ */
+export function createPlacer(options: PlacerOptions): Placer {
+  const { clock, retryLimits, coldLimits, share } = options;
+  const services = new Map<string, PlacementService>();
+  const loads = new Map<string, ServerLoad>();
+  const running = new Map<string, RunningJob>();
+  const quarantine = createCrashQuarantine(clock);
+  const limiter = createRetryLimiter({ clock, limits: retryLimits, share });
+
+  const refuse = (reason: PlacementRefusal, retryAfterMs: Millis): PlacementDecision => ({
+    kind: "refused",
+    reason,
+    retryAfterMs,
+  });
+
+  const isWithinColdLimit = (load: ServerLoad) => {
+    const rate = services.get(load.server.service)?.coldRequestsPerS ?? 0;
+    if (rate === 0 || clock.nowMs() > load.server.coldUntilMs) return true;
+    const limit = (rate * coldLimits.multiplier + coldLimits.slack) * share();
+    return load.recentSends() + 1 <= Math.max(1, limit * (1 - COLD_RESERVED_SHARE));
+  };
+
+  const listUsable = (job: PlacementJob) => {
+    const all = [...loads.values()].filter(({ server }) =>
+      server.service === job.service && !job.excludedIds.includes(server.id)
+    );
+    const trusted = all.filter((load) => !load.isSuspect());
+    return trusted.length > 0 ? trusted : all;
+  };
+
+  const record = (job: PlacementJob, choice: EngineChoice) => {
+    const reserved = new Map(choice.tickets.map((ticket) => [ticket.serverId, ticket.tokens]));
+    const total = job.promptTokens + job.answerTokens;
+    const elsewhere = choice.tickets.reduce((sum, ticket) => sum + ticket.tokens, 0);
+    choice.first.add(job, {
+      readMs: choice.partMs,
+      memoryTokens: total - elsewhere,
+      isFirst: true,
+    });
+    for (const helper of choice.helpers) {
+      const memoryTokens = reserved.get(helper.server.id) ?? 0;
+      helper.add(job, { readMs: choice.partMs, memoryTokens, isFirst: false });
+    }
+    choice.first.countSend();
+    running.set(job.id, {
+      job,
+      serverId: choice.first.server.id,
+      helperIds: choice.helpers.map((helper) => helper.server.id),
+      isWriting: false,
+    });
+  };
+
+  const choose = (job: PlacementJob, usable: ServerLoad[]): EngineChoice | undefined => {
+    const profile = services.get(job.service)?.engine;
+    if (profile !== undefined) return chooseEngines(job, usable, profile);
+    const [first] = [...usable].sort((a, b) =>
+      a.size() / a.server.slots - b.size() / b.server.slots ||
+      a.recentSends() - b.recentSends()
+    );
+    if (first === undefined) return undefined;
+    return { first, helpers: [], tickets: [], partMs: 0, expectedMs: OVERHEAD_MS };
+  };
+
+  const place = (job: PlacementJob): PlacementDecision => {
+    if (quarantine.isQuarantined(job.fingerprint)) {
+      return refuse(PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
+    }
+    const usable = listUsable(job);
+    if (usable.length === 0) return refuse(PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
+    const open = usable.filter(isWithinColdLimit);
+    if (open.length === 0) return refuse(PLACEMENT_REFUSAL.COLD_LIMIT, COLD_RETRY_AFTER_MS);
+    const choice = choose(job, open);
+    if (choice === undefined) return refuse(PLACEMENT_REFUSAL.TOO_LARGE, NO_SERVER_RETRY_AFTER_MS);
+    if (job.isRetry && !limiter.tryTake(job.service)) {
+      return refuse(PLACEMENT_REFUSAL.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS);
+    }
+    if (!job.isRetry) limiter.countFirst(job.service);
+    record(job, choice);
+    return {
+      kind: "placed",
+      serverId: choice.first.server.id,
+      helperIds: choice.helpers.map((helper) => helper.server.id),
+      tickets: choice.tickets,
+      expectedMs: choice.expectedMs,
+    };
+  };
+
+  const serversOf = (entry: RunningJob) => [entry.serverId, ...entry.helperIds];
+
+  const judgeServer = (entry: RunningJob, outcome: JobOutcome, faultyServerId?: string) => {
+    const faulty = loads.get(faultyServerId ?? entry.serverId);
+    if (outcome === JOB_OUTCOME.ANSWERED) {
+      loads.get(entry.serverId)?.trust();
+      quarantine.clear(entry.job.fingerprint);
+    } else if (
+      outcome === JOB_OUTCOME.BROKEN || outcome === JOB_OUTCOME.SILENT ||
+      outcome === JOB_OUTCOME.REJECTED
+    ) {
+      faulty?.suspect();
+    }
+    if (outcome === JOB_OUTCOME.BROKEN && !entry.isWriting) {
+      quarantine.countBroken(entry.job.fingerprint, entry.serverId);
+    }
+  };
+
+  return {
+    setServers(servers) {
+      const present = new Set(servers.map((server) => server.id));
+      for (const id of loads.keys()) if (!present.has(id)) loads.delete(id);
+      for (const server of servers) {
+        const load = loads.get(server.id);
+        if (load?.server.bornMs === server.bornMs) load.server = server;
+        else {
+          const profile = services.get(server.service)?.engine;
+          loads.set(server.id, createServerLoad(server, { clock, profile }));
+        }
+      }
+    },
+    setServices(list) {
+      services.clear();
+      for (const service of list) services.set(service.name, service);
+      const servers = [...loads.values()].map((load) => load.server);
+      for (const { id, service } of servers) {
+        const profile = services.get(service)?.engine;
+        const load = loads.get(id);
+        if (load !== undefined) load.setProfile(profile);
+      }
+    },
+    place,
+    adopt(entry) {
+      if (running.has(entry.job.id)) return;
+      running.set(entry.job.id, { ...entry });
+      for (const id of serversOf(entry)) {
+        const isFirst = id === entry.serverId;
+        const memoryTokens = isFirst ? entry.job.promptTokens + entry.job.answerTokens : 0;
+        loads.get(id)?.add(entry.job, { readMs: 0, memoryTokens, isFirst });
+        if (entry.isWriting) loads.get(id)?.markWriting(entry.job.id);
+      }
+    },
+    started(jobId) {
+      const entry = running.get(jobId);
+      if (entry === undefined) return;
+      entry.isWriting = true;
+      for (const id of serversOf(entry)) loads.get(id)?.markWriting(jobId);
+    },
+    finished(jobId, outcome, faultyServerId) {
+      const entry = running.get(jobId);
+      if (entry === undefined) return;
+      running.delete(jobId);
+      for (const id of serversOf(entry)) loads.get(id)?.remove(jobId);
+      judgeServer(entry, outcome, faultyServerId);
+    },
+    size: () => running.size,
+    describe: () =>
+      [...loads.values()].map((load) =>
+        `${load.server.id}:${load.requests()}/${load.size()}:${Math.round(load.readBacklogMs())}`
+      ).join(" "),
+  };
+}
--- /dev/null
+++ b/packages/placement/create_server_load.ts
@@ -0,0 +1,152 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import { computePassMs } from "./compute_pass_ms.ts";
+import { PAUSE_SLACK_MS, SUSPECT_BASE_MS, SUSPECT_MAX_MS } from "./constants.ts";
+import { createRateWindow } from "./create_rate_window.ts";
+import type { EngineProfile, PlacementJob, PlacementServer } from "./types.ts";
+
+/** Window of the cold limit, from the engine protocol. */
+const COLD_WINDOW_MS = 1_000;
+
+/** Part of a read that is taken to be left when it lasts longer than planned. */
+const OVERDUE_SHARE = 0.1;
+
+/** What one job does on one server. */
+interface Share {
+  job: PlacementJob;
+  /** Expected milliseconds of reading here. */
+  readMs: Millis;
+  /** True for the server that got the request, false for a helper. */
+  isFirst: boolean;
+  /** True once the first byte of the answer came. */
+  isWriting: boolean;
+  /** Memory that it takes here. */
+  memoryTokens: number;
+  startMs: Millis;
+}
+
+/** The load of one server, as known from what was sent to it. */
+export interface ServerLoad {
+  /** The server's present entry. */
+  server: PlacementServer;
+  /** Replaces the cost figures. */
+  setProfile(profile: EngineProfile | undefined): void;
+  /** Counts a job or a part of it. */
+  add(job: PlacementJob, part: { readMs: Millis; memoryTokens: number; isFirst: boolean }): void;
+  /** Counts a request that was sent, for the cold limit. */
+  countSend(): void;
+  /** Marks a job as writing; its read is over. */
+  markWriting(jobId: string): void;
+  /** Removes a job. */
+  remove(jobId: string): void;
+  /** Requests and parts here. */
+  size(): number;
+  /** Requests that run here, without parts of others. */
+  requests(): number;
+  /** Requests that write with a pause goal, or will write after their read. */
+  writers(): number;
+  /** Shortest pause goal of the requests here; Infinity without any. */
+  strictestPauseMs(): Millis;
+  /** Expected milliseconds of reading still to be done. */
+  readBacklogMs(): Millis;
+  /** Expected milliseconds of a pass without reads. */
+  passMs(): Millis;
+  /** Longest read in milliseconds that delays no writer beyond its goal. */
+  readRoomMs(): Millis;
+  /** Tokens of memory taken. */
+  memoryTokens(): number;
+  /** Sends within the last second. */
+  recentSends(): number;
+  /** Avoids the server for a while that grows with each failure in a row. */
+  suspect(): void;
+  /** Ends the suspicion. */
+  trust(): void;
+  /** Reports whether the server is avoided now. */
+  isSuspect(): boolean;
+}
+
+/**
+ * Creates the account of one server's load.
+ *
+ * @param server entry of the server
+ * @param options clock and, for engines, the cost figures
+ * @returns the account, empty
+ *
+ * @example
+ * const load = createServerLoad(server, { clock, profile });
+ * load.add(job, { readMs: 32, memoryTokens: 6_300, isFirst: true });
+ */
+export function createServerLoad(
+  server: PlacementServer,
+  options: { clock: Clock; profile: EngineProfile | undefined },
+): ServerLoad {
+  const { clock } = options;
+  let profile = options.profile;
+  const shares = new Map<string, Share>();
+  const sends = createRateWindow({ clock, windowMs: COLD_WINDOW_MS });
+  let failures = 0;
+  let suspectUntilMs = -Infinity;
+
+  const all = () => [...shares.values()];
+  const streams = () => all().filter((share) => share.isFirst && share.job.pauseGoalMs > 0);
+
+  const readBacklogMs = () => {
+    const now = clock.nowMs();
+    let elapsedMs = 0;
+    let backlogMs = 0;
+    for (const share of all()) {
+      if (share.isWriting) continue;
+      // Reads are taken to run one after another: time since the oldest start counts once.
+      const sinceMs = Math.max(0, now - share.startMs - elapsedMs);
+      const doneMs = Math.min(sinceMs, share.readMs * (1 - OVERDUE_SHARE));
+      elapsedMs += doneMs;
+      backlogMs += share.readMs - doneMs;
+    }
+    return backlogMs;
+  };
+
+  const passMs = () => {
+    if (profile === undefined) return 0;
+    const writing = streams();
+    const contextTokens = writing.reduce((sum, share) => sum + share.job.promptTokens, 0);
+    return computePassMs(writing.length, contextTokens, profile);
+  };
+
+  const strictestPauseMs = () =>
+    streams().reduce((least, share) => Math.min(least, share.job.pauseGoalMs), Infinity);
+
+  const load: ServerLoad = {
+    server,
+    setProfile: (next) => {
+      profile = next;
+    },
+    add(job, part) {
+      shares.set(job.id, { job, ...part, isWriting: false, startMs: clock.nowMs() });
+    },
+    countSend: () => sends.add(),
+    markWriting(jobId) {
+      const share = shares.get(jobId);
+      if (share !== undefined) share.isWriting = true;
+    },
+    remove: (jobId) => void shares.delete(jobId),
+    size: () => shares.size,
+    requests: () => all().filter((share) => share.isFirst).length,
+    writers: () => streams().length,
+    strictestPauseMs,
+    readBacklogMs,
+    passMs,
+    readRoomMs: () => Math.max(0, strictestPauseMs() - passMs() - PAUSE_SLACK_MS - readBacklogMs()),
+    memoryTokens: () => all().reduce((sum, share) => sum + share.memoryTokens, 0),
+    recentSends: () => sends.count(),
+    suspect() {
+      const lengthMs = Math.min(SUSPECT_MAX_MS, SUSPECT_BASE_MS * 2 ** failures);
+      failures += 1;
+      suspectUntilMs = clock.nowMs() + lengthMs;
+    },
+    trust() {
+      failures = 0;
+      suspectUntilMs = -Infinity;
+    },
+    isSuspect: () => clock.nowMs() < suspectUntilMs,
+  };
+  return load;
+}
--- /dev/null
+++ b/packages/placement/mod.ts
@@ -0,0 +1,17 @@
+/**
+ * Placement of requests on servers: which server, which helpers, retry budget, cold limit and
+ * quarantine. Nothing here knows a network.
+ *
+ * @module
+ */
+
+export * from "./choose_engines.ts";
+export * from "./compute_pass_ms.ts";
+export * from "./compute_read_ms.ts";
+export * from "./constants.ts";
+export * from "./create_crash_quarantine.ts";
+export * from "./create_placer.ts";
+export * from "./create_rate_window.ts";
+export * from "./create_retry_limiter.ts";
+export * from "./create_server_load.ts";
+export * from "./types.ts";
--- a/packages/system_tests/configuration_faults_test.ts
+++ b/packages/system_tests/configuration_faults_test.ts
@@ -16,7 +16,11 @@
 import { createClock, createMetrics, sleep } from "@jaypass/kernel";
 import { createMembership } from "@jaypass/membership";
 import { createPeerPool, createPeerServer } from "@jaypass/peers";
-import { createHostListClient, createObjectClient, createTableClient } from "@jaypass/store_clients";
+import {
+  createHostListClient,
+  createObjectClient,
+  createTableClient,
+} from "@jaypass/store_clients";
 import { createPlatformStandIn, type PlatformFaults } from "@jaypass/stand_ins";
 
 const SEED = 11;
