--- /dev/null
+++ b/packages/fleet/create_row_cache_test.ts
@@ -0,0 +1,61 @@
+import test from "ava";
+import { createRowCache } from "./create_row_cache.ts";
+import { TABLE } from "./types.ts";
+import type { Row, RowBatch } from "./types.ts";
+
+const row = (key: string, value: string | undefined, version: number): Row => ({
+  key,
+  value,
+  version,
+});
+const whole = (revision: number, rows: Row[]): RowBatch => ({
+  revision,
+  rows,
+  isWhole: true,
+  sinceRevision: undefined,
+});
+const changes = (sinceRevision: number, revision: number, rows: Row[]): RowBatch => ({
+  revision,
+  rows,
+  isWhole: false,
+  sinceRevision,
+});
+
+test("an older batch that comes late changes nothing", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, [row("a", "new", 9)]));
+  const changed = cache.apply(TABLE.SERVERS, changes(3, 6, [row("a", "old", 5)]));
+  t.deepEqual([changed, cache.rows(TABLE.SERVERS)], [[], [row("a", "new", 9)]]);
+});
+
+test("a row that is missing from a whole table is removed, unless it is newer", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, [row("a", "1", 9), row("b", "1", 10)]));
+  cache.apply(TABLE.SERVERS, changes(10, 20, [row("c", "1", 20)]));
+  const changed = cache.apply(TABLE.SERVERS, whole(15, [row("a", "1", 9)]));
+  t.deepEqual(changed, [row("b", undefined, 15)]);
+  t.deepEqual(cache.rows(TABLE.SERVERS).map(({ key }) => key), ["a", "c"]);
+});
+
+test("a removed row does not come back from a late batch", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, [row("a", "1", 9)]));
+  cache.apply(TABLE.SERVERS, changes(10, 12, [row("a", undefined, 12)]));
+  cache.apply(TABLE.SERVERS, changes(10, 11, [row("a", "2", 11)]));
+  t.deepEqual(cache.rows(TABLE.SERVERS), []);
+});
+
+test("changes after a gap are taken, and the table is still read from the old revision", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, []));
+  cache.apply(TABLE.SERVERS, changes(15, 20, [row("a", "1", 18)]));
+  t.is(cache.revision(TABLE.SERVERS), 10);
+  cache.apply(TABLE.SERVERS, changes(10, 25, []));
+  t.is(cache.revision(TABLE.SERVERS), 25);
+});
+
+test("a row that is written again with the same content is no change", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, [row("a", "1", 9)]));
+  t.deepEqual(cache.apply(TABLE.SERVERS, changes(10, 12, [row("a", "1", 12)])), []);
+});
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -98,7 +98,7 @@
     const server = context.findServer(decision.serverId);
     if (request.signal.aborted || server === undefined) {
       context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
-      if (request.signal.aborted) throw endOf(request, state);
+      if (request.signal.aborted) throw endOf(request);
       state.excludedIds.push(decision.serverId);
       state.connectFailures += 1;
       if (state.connectFailures >= MAX_CONNECT_FAILURES) throw noServer(state);
@@ -343,10 +343,9 @@
   return new ForwardingError(503, FAILURE.NO_SERVER, { retryAfterMs: REJECTED_RETRY_AFTER_MS });
 }
 
-function endOf(request: CallerRequest, state: Attempts): ForwardingError {
+function endOf(request: CallerRequest): ForwardingError {
   const isTimeout = request.endMs - request.arrivalMs >= request.route.timeoutMs;
-  const reason = isTimeout ? FAILURE.ROUTE_TIMEOUT : FAILURE.DEADLINE;
-  return new ForwardingError(504, state.last?.failure ?? reason);
+  return new ForwardingError(504, isTimeout ? FAILURE.ROUTE_TIMEOUT : FAILURE.DEADLINE);
 }
 
 function failureOf(
@@ -354,7 +353,7 @@
   state: Attempts,
   result: UseResult,
 ): ForwardingError {
-  if (request.signal.aborted) return endOf(request, state);
+  if (request.signal.aborted) return endOf(request);
   if (state.mayHaveRun) return new ForwardingError(502, result.failure);
   return new ForwardingError(503, result.failure, { retryAfterMs: REJECTED_RETRY_AFTER_MS });
 }
--- a/packages/forwarding/_lib/use_plain_answer.ts
+++ b/packages/forwarding/_lib/use_plain_answer.ts
@@ -22,7 +22,7 @@
   const use = async (inUse: AnswerInUse): Promise<UseResult> => {
     const { answer, facts, onFirstByte } = inUse;
     const isSuccess = answer.status >= 200 && answer.status < 300;
-    if (facts.isEncoded || (isSuccess && !facts.isSealed)) {
+    if (facts.isEncoded || !facts.isSealed) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
     onFirstByte();
@@ -41,12 +41,9 @@
         outcome: JOB_OUTCOME.FAILED,
         isDone: false,
         failure: FAILURE.SERVER_BROKE_OFF,
-        deliver: facts.isSealed ? deliver : undefined,
+        deliver,
       };
     }
-    if (answer.status >= 500 && !facts.isSealed) {
-      return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure: FAILURE.INVALID_ANSWER };
-    }
     deliver();
     const outcome = isSuccess ? JOB_OUTCOME.ANSWERED : JOB_OUTCOME.FAILED;
     return { outcome, isDone: true, failure: FAILURE.INTERNAL };
--- a/packages/forwarding/_lib/use_stream_answer.ts
+++ b/packages/forwarding/_lib/use_stream_answer.ts
@@ -2,6 +2,7 @@
 import { STALL_PAUSE_FACTOR } from "../constants.ts";
 import { createEventSplitter } from "../create_event_splitter.ts";
 import { FAILURE } from "../errors.ts";
+import type { ServerAnswer } from "../open_exchange.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import type { AnswerInUse, AttemptHandler, UseResult } from "./run_attempts.ts";
 import { sendHead, writeToCaller } from "./write_to_caller.ts";
@@ -26,11 +27,11 @@
 
   const use = async (inUse: AnswerInUse): Promise<UseResult> => {
     const { answer, facts, exchange, onFirstByte } = inUse;
-    const isSuccess = answer.status >= 200 && answer.status < 300;
-    if (!isSuccess) return await useFailure(inUse);
     if (!facts.isSealed || facts.isEncoded) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
+    const isSuccess = answer.status >= 200 && answer.status < 300;
+    if (!isSuccess) return await useFailure(answer);
     const splitter = createEventSplitter();
     const stall = createStallTimer(route.pauseGoalMs * STALL_PAUSE_FACTOR, () => {
       context.log.warn({ requestId: request.id, lastEventId }, "Stream stalled");
@@ -69,7 +70,7 @@
     context.metrics.timing("first_event_ms", waitMs, { route: route.name });
   };
 
-  const useFailure = async ({ answer, facts }: AnswerInUse): Promise<UseResult> => {
+  const useFailure = async (answer: ServerAnswer): Promise<UseResult> => {
     const chunks: Buffer[] = [];
     for await (const chunk of answer.body) chunks.push(chunk);
     const deliver = () => {
@@ -78,17 +79,12 @@
       sendHead(context, request, answer, body.length);
       request.res.end(body);
     };
-    const isServerFailure = answer.status >= 500;
-    if (!isServerFailure && facts.isSealed) {
-      deliver();
-      return { outcome: JOB_OUTCOME.FAILED, isDone: true, failure: FAILURE.INTERNAL };
+    if (answer.status >= 500) {
+      const failure = FAILURE.SERVER_BROKE_OFF;
+      return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure, deliver };
     }
-    return {
-      outcome: JOB_OUTCOME.FAILED,
-      isDone: false,
-      failure: FAILURE.SERVER_BROKE_OFF,
-      deliver: facts.isSealed ? deliver : undefined,
-    };
+    deliver();
+    return { outcome: JOB_OUTCOME.FAILED, isDone: true, failure: FAILURE.INTERNAL };
   };
 
   return { use, resumeAfter: () => lastEventId };
--- /dev/null
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -0,0 +1,271 @@
+import { once } from "node:events";
+import { createServer, request } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { createClock } from "@jaypass/kernel";
+import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
+import { createForwarder } from "../create_forwarder.ts";
+import { indexConfiguration } from "../index_configuration.ts";
+import { ROUTE_KIND } from "../types.ts";
+import type { HeaderCodec, Route, RouteKind } from "../types.ts";
+
+/** Answers a request at a backend server of a test. */
+export type ServerBehaviour = (req: IncomingMessage, res: ServerResponse, body: string) => void;
+
+/** What a caller sees. */
+export interface CallerResult {
+  /** Status; 0 when the connection ended without an answer. */
+  status: number;
+  /** Body, as far as it came. */
+  body: string;
+  /** True when the answer is complete. */
+  isComplete: boolean;
+  /** Value of the header that says when to come back. */
+  retryAfter: string | undefined;
+}
+
+/** A host with one backend server for each behaviour. */
+export interface TestHost {
+  /** Sends a request and waits for its end. */
+  call(options?: CallOptions): Promise<CallerResult>;
+  /** Requests that reached servers: index of the server and body. */
+  arrivals: { server: number; body: string; headers: IncomingMessage["headers"] }[];
+  /** How the placed jobs ended, in order. */
+  outcomes: JobOutcome[];
+  /** Starts the refusal of new requests. */
+  refuse(): void;
+  /** Requests under way. */
+  size(): number;
+  /** Closes everything. */
+  close(): Promise<void>;
+}
+
+/** Options of a call. */
+export interface CallOptions {
+  kind?: RouteKind;
+  body?: string;
+  method?: string;
+  path?: string;
+  deadlineMs?: number;
+  key?: string;
+  /** Milliseconds after which the caller closes its connection. */
+  leaveAfterMs?: number;
+}
+
+const SILENT_LOG = {
+  debug: () => {},
+  info: () => {},
+  warn: () => {},
+  error: (fields: object, message: string) => console.error(message, fields),
+  child: () => SILENT_LOG,
+};
+
+/** Options of {@linkcode createTestHost}. */
+export interface TestHostOptions {
+  /** Servers to which one attempt may be sent. */
+  maxAttempts?: number;
+  /** True when no configuration is known. */
+  hasNoConfiguration?: boolean;
+  /** Milliseconds of the routes' timeout. */
+  timeoutMs?: number;
+  /** Refusal in place of a placement. */
+  refusal?: PlacementDecision & { kind: "refused" };
+}
+
+/**
+ * Creates a host and its servers on loopback. Each attempt is placed on the next server.
+ */
+export async function createTestHost(
+  behaviours: readonly ServerBehaviour[],
+  options: TestHostOptions = {},
+): Promise<TestHost> {
+  const arrivals: TestHost["arrivals"] = [];
+  const servers = await Promise.all(
+    behaviours.map((behaviour, index) => listen(createBackend(arrivals, behaviour, index))),
+  );
+  const addresses = servers.map(addressOf);
+  const outcomes: JobOutcome[] = [];
+  let isRefusing = false;
+  const forwarder = createForwarder({
+    clock: createClock(),
+    random: () => 0.5,
+    log: SILENT_LOG,
+    metrics: {
+      increment: () => {},
+      gauge: () => {},
+      timing: () => {},
+      counters: () => ({}),
+      close: () => Promise.resolve(),
+    },
+    codec: TEST_CODEC,
+    configuration: () =>
+      options.hasNoConfiguration ? undefined : indexConfiguration({
+        version: 1,
+        routes: Object.values(ROUTE_KIND).map((kind) => makeRoute(kind, options)),
+        services: [{ name: "s", coldRequestsPerS: 0 }],
+        workspaces: [{ name: "w1", keys: ["k1"] }],
+        limits: {
+          maxHeaderBytes: 16_384,
+          maxBodyBytes: 1_000_000,
+          headerTimeoutMs: 1_000,
+          idleTimeoutMs: 5_000,
+        },
+      }),
+    findServer: (id) => ({ id, address: addresses[Number(id)] ?? "127.0.0.1:1" }),
+    findServerAt: () => undefined,
+    placement: {
+      place: (job) => Promise.resolve(options.refusal ?? placeNext(job, behaviours.length)),
+      started: () => {},
+      finished: (_jobId, outcome) => void outcomes.push(outcome),
+    },
+    reservations: { reserve: () => Promise.resolve(undefined) },
+    isRefusing: () => isRefusing,
+    isClosing: () => isRefusing,
+  });
+  const front = await listen(createServer((req, res) => void forwarder.handle(req, res)));
+  return {
+    call: (call = {}) => callHost(addressOf(front), call),
+    arrivals,
+    outcomes,
+    refuse: () => void (isRefusing = true),
+    size: () => forwarder.size(),
+    async close() {
+      for (const server of [front, ...servers]) {
+        server.close();
+        server.closeAllConnections();
+        await once(server, "close");
+      }
+    },
+  };
+}
+
+function placeNext(job: PlacementJob, servers: number): PlacementDecision {
+  const next = job.excludedIds.length;
+  if (next >= servers) return { kind: "refused", reason: "no_server", retryAfterMs: 250 };
+  return {
+    kind: "placed",
+    serverId: String(next),
+    helperIds: [],
+    tickets: [],
+    expectedMs: 10,
+  };
+}
+
+function makeRoute(kind: RouteKind, options: TestHostOptions): Route {
+  return {
+    name: kind,
+    host: "a.example",
+    prefix: `/${kind}/`,
+    kind,
+    timeoutMs: options.timeoutMs ?? 5_000,
+    goalMs: 50,
+    pauseGoalMs: kind === ROUTE_KIND.STREAMING ? 100 : 0,
+    priority: 1,
+    targets: [{ service: "s", weight: 1 }],
+    maxAttempts: options.maxAttempts ?? (kind === ROUTE_KIND.NON_IDEMPOTENT ? 1 : 2),
+    isPublic: false,
+    isResumable: true,
+  };
+}
+
+/** A plain rendering of facts as headers, so that no platform's names are needed here. */
+const TEST_CODEC: HeaderCodec = {
+  retryAfterName: "Retry-After",
+  readCaller: (headers) => ({
+    attemptId: find(headers, "attempt"),
+    deadlineMs: find(headers, "deadline") === undefined
+      ? undefined
+      : Number(find(headers, "deadline")),
+    key: find(headers, "key"),
+    lastEventId: undefined,
+    promptTokens: 0,
+    maxAnswerTokens: 0,
+    estimatedAnswerTokens: undefined,
+  }),
+  writeServerRequest: (headers, facts) => [
+    "Host",
+    "server",
+    "Attempt",
+    find(headers, "attempt") ?? "",
+    "Server",
+    facts.serverId,
+    "Workspace",
+    facts.workspace ?? "",
+    "Remaining",
+    String(facts.remainingMs),
+    "Resume-After",
+    String(facts.resumeAfter ?? ""),
+  ],
+  readAnswer: (_status, headers) => ({
+    attemptId: find(headers, "attempt"),
+    isSealed: find(headers, "seal") !== undefined,
+    isNotRun: find(headers, "not-run") !== undefined,
+    faultyAddress: undefined,
+    isEncoded: find(headers, "content-encoding") !== undefined,
+  }),
+  writeCallerAnswer: (headers) => ["Seal", find(headers, "seal") ?? ""],
+};
+
+function find(headers: string[], name: string): string | undefined {
+  const at = headers.findIndex((field, index) => index % 2 === 0 && field.toLowerCase() === name);
+  return at < 0 ? undefined : headers[at + 1];
+}
+
+function createBackend(
+  arrivals: TestHost["arrivals"],
+  behaviour: ServerBehaviour,
+  index: number,
+): Server {
+  return createServer(async (req, res) => {
+    let body = "";
+    for await (const chunk of req.setEncoding("utf8")) body += chunk;
+    arrivals.push({ server: index, body, headers: req.headers });
+    behaviour(req, res, body);
+  });
+}
+
+async function listen(server: Server): Promise<Server> {
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  return server;
+}
+
+function addressOf(server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function callHost(address: string, call: CallOptions): Promise<CallerResult> {
+  const kind = call.kind ?? ROUTE_KIND.IDEMPOTENT;
+  return new Promise((resolve) => {
+    const result: CallerResult = {
+      status: 0,
+      body: "",
+      isComplete: false,
+      retryAfter: undefined,
+    };
+    const req = request(`http://${address}${call.path ?? `/${kind}/1`}`, {
+      method: call.method ?? "POST",
+      agent: false,
+      headers: {
+        Host: "a.example",
+        Attempt: "a1",
+        Key: call.key ?? "k1",
+        Deadline: String(call.deadlineMs ?? 3_000),
+      },
+    }, (res) => {
+      result.status = res.statusCode ?? 0;
+      result.retryAfter = res.headers["retry-after"];
+      res.setEncoding("utf8").on("data", (chunk: string) => result.body += chunk);
+      res.on("error", () => {});
+      res.on("close", () => resolve({ ...result, isComplete: res.complete }));
+    });
+    req.on("error", () => resolve(result));
+    req.end(call.body ?? "");
+    if (call.leaveAfterMs !== undefined) setTimeout(() => req.destroy(), call.leaveAfterMs);
+  });
+}
+
+/** Ends the connection of an answer at once, with a reset. */
+export function resetConnection(res: ServerResponse): void {
+  (res.socket as Socket).resetAndDestroy();
+}
--- /dev/null
+++ b/packages/placement/_testing/fixtures.ts
@@ -0,0 +1,54 @@
+import type { Clock } from "@jaypass/kernel";
+import type { EngineProfile, PlacementJob, PlacementServer } from "../types.ts";
+
+/** A clock that moves only when told to. */
+export function createManualClock(): Clock & { advance(ms: number): void } {
+  let nowMs = 0;
+  return { nowMs: () => nowMs, wallMs: () => nowMs, advance: (ms) => void (nowMs += ms) };
+}
+
+/** Figures of an engine that reads 150 tokens in a millisecond. */
+export const PROFILE: EngineProfile = {
+  slots: 8,
+  memoryTokens: 400_000,
+  stepMs: 1.3,
+  perWriterMs: 0.001,
+  contextMsPerThousand: 0.002,
+  readTokensPerMs: 150,
+  pairMsPerMillion: 0.16,
+  stepsPerPass: 34,
+  chunkTokens: 2_048,
+};
+
+/** Servers `s1`, `s2` and so on of one service. */
+export function makeServers(count: number, service = "model"): PlacementServer[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `s${index + 1}`,
+    service,
+    address: `10.0.0.${index + 1}:80`,
+    dataCentre: "a",
+    slots: 8,
+    bornMs: 0,
+    coldUntilMs: 0,
+  }));
+}
+
+let nextId = 1;
+
+/** A short streamed request, with changes. */
+export function makeJob(changes: Partial<PlacementJob> = {}): PlacementJob {
+  return {
+    id: `job-${nextId++}`,
+    service: "model",
+    promptTokens: 5_000,
+    answerTokens: 1_000,
+    goalMs: 300,
+    pauseGoalMs: 250,
+    remainingMs: 10_000,
+    excludedIds: [],
+    isRetry: false,
+    fingerprint: "f",
+    isRepeatable: true,
+    ...changes,
+  };
+}
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -56,8 +56,8 @@
 ): EngineChoice | undefined {
   const candidates = loads.map((load) => toCandidate(load, profile));
   const workMs = computeReadMs(job.promptTokens, profile);
-  return planWithinGoals(job, candidates, profile, workMs) ??
-    planWithLeastDelay(job, candidates, profile, workMs);
+  return planWithinGoals(job, candidates, workMs) ??
+    planWithLeastDelay(job, candidates, workMs);
 }
 
 function toCandidate(load: ServerLoad, profile: EngineProfile): Candidate {
@@ -74,7 +74,6 @@
 function planWithinGoals(
   job: PlacementJob,
   candidates: Candidate[],
-  profile: EngineProfile,
   workMs: Millis,
 ): EngineChoice | undefined {
   const limitMs = job.goalMs * GOAL_SHARE;
@@ -86,7 +85,7 @@
     candidate.backlogMs + workMs + candidate.load.passMs() <= limitMs
   );
   if (single !== undefined) {
-    const choice = compose(job, [single], profile, workMs);
+    const choice = compose(job, [single], workMs);
     if (choice !== undefined) return choice;
   }
   const roomy = [...free].sort((a, b) => b.roomMs - a.roomMs || a.backlogMs - b.backlogMs);
@@ -97,7 +96,7 @@
     const leastRoomMs = Math.min(QUIET_PART_MS, ...chosen.map(({ roomMs }) => roomMs));
     const backlogMs = Math.max(...chosen.map((candidate) => candidate.backlogMs));
     if (partMs > leastRoomMs || partMs + backlogMs > limitMs) continue;
-    const choice = compose(job, chosen, profile, workMs);
+    const choice = compose(job, chosen, workMs);
     if (choice !== undefined) return choice;
   }
   return undefined;
@@ -107,7 +106,6 @@
 function planWithLeastDelay(
   job: PlacementJob,
   candidates: Candidate[],
-  profile: EngineProfile,
   workMs: Millis,
 ): EngineChoice | undefined {
   const byBacklog = [...candidates].sort((a, b) =>
@@ -118,18 +116,17 @@
   const most = Math.min(pool.length, MAX_HELPERS + 1);
   const wanted = Math.max(1, Math.ceil(workMs / QUIET_PART_MS));
   for (let count = Math.min(wanted, most); count <= most; count++) {
-    const choice = compose(job, pool.slice(0, count), profile, workMs);
+    const choice = compose(job, pool.slice(0, count), workMs);
     if (choice !== undefined) return choice;
   }
   const all = [...candidates].sort((a, b) => b.freeTokens - a.freeTokens);
-  return compose(job, all.slice(0, MAX_HELPERS + 1), profile, workMs);
+  return compose(job, all.slice(0, MAX_HELPERS + 1), workMs);
 }
 
 /** Puts the engine with the most memory first and reserves on helpers what it cannot hold. */
 function compose(
   job: PlacementJob,
   chosen: Candidate[],
-  profile: EngineProfile,
   workMs: Millis,
 ): EngineChoice | undefined {
   const [first, ...others] = chosen.length === 1
--- /dev/null
+++ b/packages/placement/create_placer_test.ts
@@ -0,0 +1,147 @@
+import test from "ava";
+import { createPlacer } from "./create_placer.ts";
+import type { Placer } from "./create_placer.ts";
+import { QUARANTINE_AFTER } from "./constants.ts";
+import { createManualClock, makeJob, makeServers, PROFILE } from "./_testing/fixtures.ts";
+import { JOB_OUTCOME } from "./types.ts";
+import type { PlacementDecision, PlacementJob } from "./types.ts";
+
+function setUp(options: { servers?: number; share?: number; coldRequestsPerS?: number } = {}) {
+  const clock = createManualClock();
+  const placer = createPlacer({
+    clock,
+    retryLimits: { ratio: 0.2, slack: 10, windowMs: 10_000 },
+    coldLimits: { multiplier: 1.5, slack: 5 },
+    share: () => options.share ?? 1,
+  });
+  placer.setServices([
+    { name: "model", coldRequestsPerS: options.coldRequestsPerS ?? 0, engine: PROFILE },
+    { name: "plain", coldRequestsPerS: 0 },
+  ]);
+  placer.setServers([...makeServers(options.servers ?? 4)]);
+  return { clock, placer };
+}
+
+function describe(decision: PlacementDecision) {
+  if (decision.kind === "refused") return `refused: ${decision.reason}`;
+  const { serverId, helperIds, tickets } = decision;
+  return { serverId, helpers: helperIds.length, tickets: tickets.map(({ tokens }) => tokens) };
+}
+
+function placeAndAnswer(placer: Placer, job: PlacementJob) {
+  const decision = placer.place(job);
+  placer.started(job.id);
+  return decision;
+}
+
+test("short prompts are packed while long ones get engines without writers", (t) => {
+  const { placer } = setUp();
+  const short = Array.from({ length: 3 }, () => describe(placeAndAnswer(placer, makeJob())));
+  const long = placer.place(makeJob({ promptTokens: 180_000, goalMs: 4_000, pauseGoalMs: 1_000 }));
+  t.snapshot({ short, long: describe(long) });
+});
+
+test("a prompt larger than an engine's memory gets tickets for the rest", (t) => {
+  const { placer } = setUp();
+  const job = makeJob({ promptTokens: 900_000, goalMs: 4_000, pauseGoalMs: 1_000 });
+  t.snapshot(describe(placer.place(job)));
+});
+
+test("a prompt larger than all engines together is refused at once", (t) => {
+  const { placer } = setUp({ servers: 2 });
+  const job = makeJob({ promptTokens: 900_000, goalMs: 4_000, pauseGoalMs: 1_000 });
+  t.is(describe(placer.place(job)), "refused: too_large");
+});
+
+test("memory of helpers stays taken until the answer has ended", (t) => {
+  const { placer } = setUp({ servers: 3 });
+  const first = makeJob({ promptTokens: 900_000, goalMs: 4_000, pauseGoalMs: 1_000 });
+  placeAndAnswer(placer, first);
+  const second = makeJob({ promptTokens: 900_000, goalMs: 4_000, pauseGoalMs: 1_000 });
+  const during = describe(placer.place(second));
+  placer.finished(first.id, JOB_OUTCOME.ANSWERED);
+  const after = placer.place(makeJob({ ...second, id: "again" })).kind;
+  t.deepEqual({ during, after }, { during: "refused: too_large", after: "placed" });
+});
+
+test("a server that failed is avoided and tried again later", (t) => {
+  const { placer, clock } = setUp({ servers: 2 });
+  const failed = makeJob();
+  const first = placer.place(failed);
+  placer.finished(failed.id, JOB_OUTCOME.SILENT);
+  const other = placer.place(makeJob());
+  clock.advance(10_000);
+  const ids = new Set(
+    Array.from({ length: 12 }, () => placer.place(makeJob()))
+      .flatMap((decision) => decision.kind === "placed" ? [decision.serverId] : []),
+  );
+  t.true(first.kind === "placed" && other.kind === "placed");
+  if (first.kind !== "placed" || other.kind !== "placed") return;
+  t.not(first.serverId, other.serverId);
+  t.is(ids.size, 2);
+});
+
+test("retries are refused beyond the budget, and the share of one host is smaller", (t) => {
+  const countRetries = (share: number) => {
+    const { placer } = setUp({ share });
+    return Array.from({ length: 20 }, () => placer.place(makeJob({ isRetry: true })))
+      .filter((decision) => decision.kind === "placed").length;
+  };
+  t.deepEqual([countRetries(1), countRetries(0.5)], [8, 4]);
+});
+
+test("a request whose servers break off is quarantined, and an answer clears it", (t) => {
+  const { placer, clock } = setUp({ servers: 8 });
+  const breakOff = (fingerprint: string) => {
+    const job = makeJob({ fingerprint });
+    placer.place(job);
+    placer.finished(job.id, JOB_OUTCOME.BROKEN);
+  };
+  for (let count = 0; count < QUARANTINE_AFTER; count++) {
+    breakOff("poison");
+    breakOff("innocent");
+    const job = makeJob({ fingerprint: "innocent" });
+    placer.place(job);
+    placer.finished(job.id, JOB_OUTCOME.ANSWERED);
+  }
+  const poison = describe(placer.place(makeJob({ fingerprint: "poison" })));
+  const innocent = placer.place(makeJob({ fingerprint: "innocent" })).kind;
+  clock.advance(120_000);
+  const later = placer.place(makeJob({ fingerprint: "poison" })).kind;
+  t.deepEqual(
+    { poison, innocent, later },
+    { poison: "refused: quarantined", innocent: "placed", later: "placed" },
+  );
+});
+
+test("a cold server gets no more a second than its limit", (t) => {
+  const { placer, clock } = setUp({ servers: 0, coldRequestsPerS: 10 });
+  placer.setServers(makeServers(1).map((server) => ({ ...server, coldUntilMs: 5_000 })));
+  const count = () => {
+    const jobs = Array.from({ length: 40 }, () => makeJob());
+    const placed = jobs.filter((job) => placer.place(job).kind === "placed");
+    for (const job of jobs) placer.finished(job.id, JOB_OUTCOME.ANSWERED);
+    return placed.length;
+  };
+  const cold = count();
+  clock.advance(6_000);
+  t.deepEqual({ cold, warm: count() }, { cold: 14, warm: 40 });
+});
+
+test("a server that starts again under its id has no load of before", (t) => {
+  const { placer } = setUp({ servers: 1 });
+  const job = makeJob({ promptTokens: 300_000, goalMs: 4_000 });
+  placer.place(job);
+  const full = placer.place(makeJob({ promptTokens: 300_000 })).kind;
+  placer.setServers(makeServers(1).map((server) => ({ ...server, bornMs: 7 })));
+  t.deepEqual([full, placer.place(makeJob({ promptTokens: 300_000 })).kind], ["refused", "placed"]);
+});
+
+test("requests of plain services go to the least loaded server", (t) => {
+  const { placer } = setUp({ servers: 0 });
+  placer.setServers(makeServers(3, "plain"));
+  const job = () => makeJob({ service: "plain", promptTokens: 0, pauseGoalMs: 0 });
+  const ids = Array.from({ length: 6 }, () => placer.place(job()))
+    .flatMap((decision) => decision.kind === "placed" ? [decision.serverId] : []);
+  t.snapshot(ids.toSorted());
+});
