Give up links whose peer is silent even while messages are written to it

A socket's own timeout is restarted by writes, and a hub writes a view every 300 ms, so a member without power never left. Ruled out: rows of the store, which a hub does not use for the list while it has links. Change: the link measures the time since bytes came. Links are closed at stop as well, without which tests hung. Measured: the new test fails with the old timeout and passes now.

--- a/packages/fleet/_lib/json_link.ts
+++ b/packages/fleet/_lib/json_link.ts
@@ -26,7 +26,12 @@
   options: { silentMs: Millis },
 ): JsonLink<In, Out> {
   socket.setNoDelay(true);
-  socket.setTimeout(options.silentMs, () => socket.destroy(new LinkError("Peer is silent")));
+  // The socket's own timeout does not serve: writes to a dead peer would restart it.
+  const silence = setTimeout(
+    () => socket.destroy(new LinkError("Peer is silent")),
+    options.silentMs,
+  );
+  socket.once("close", () => clearTimeout(silence));
   // Errors are seen by the reader; without a listener they would end the process.
   socket.on("error", () => {});
   return {
@@ -37,15 +42,16 @@
         socket.destroy(new LinkError("Peer reads too slowly"));
       }
     },
-    messages: () => readMessages<In>(socket),
+    messages: () => readMessages<In>(socket, () => silence.refresh()),
     close: () => socket.destroy(),
   };
 }
 
-async function* readMessages<In>(socket: Socket): AsyncGenerator<In> {
+async function* readMessages<In>(socket: Socket, onChunk: () => void): AsyncGenerator<In> {
   let rest = "";
   try {
     for await (const chunk of socket.setEncoding("utf8")) {
+      onChunk();
       const lines = (rest + chunk).split("\n");
       rest = lines.pop() ?? "";
       for (const line of lines) yield JSON.parse(line) as In;
--- /dev/null
+++ b/packages/fleet/_lib/json_link_test.ts
@@ -0,0 +1,41 @@
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { LinkError } from "../errors.ts";
+import { createJsonLink } from "./json_link.ts";
+
+async function createPair(t: ExecutionContext): Promise<[Socket, Socket]> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const near = connect((server.address() as AddressInfo).port, "127.0.0.1");
+  const [far] = await once(server, "connection") as [Socket];
+  t.teardown(() => {
+    near.destroy();
+    far.destroy();
+    server.close();
+  });
+  return [near, far];
+}
+
+test("a peer that sends nothing is given up, also while messages are written to it", async (t) => {
+  const [near] = await createPair(t);
+  const link = createJsonLink<unknown, string>(near, { silentMs: 200 });
+  const writes = setInterval(() => link.send("view"), 20);
+  t.teardown(() => clearInterval(writes));
+  const guard = setTimeout(() => near.destroy(), 3_000);
+  t.teardown(() => clearTimeout(guard));
+  const err = await t.throwsAsync(() => link.messages().next(), { instanceOf: LinkError });
+  t.is((err?.cause as Error | undefined)?.message, "Peer is silent");
+});
+
+test("messages are whole however the bytes come", async (t) => {
+  const [near, far] = await createPair(t);
+  const link = createJsonLink<{ at: number }, unknown>(near, { silentMs: 1_000 });
+  far.write('{"at":1}\n{"a');
+  setTimeout(() => far.end('t":2}\n'), 30);
+  const seen: number[] = [];
+  for await (const message of link.messages()) seen.push(message.at);
+  t.deepEqual(seen, [1, 2]);
+});
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -214,7 +214,10 @@
       const own = cache.rows(TABLE.HOSTS).find((row) => row.key === self.host);
       if (own !== undefined) await removeRow(own);
     },
-    stop: () => hubServer.stop(),
+    stop() {
+      hubServer.stop();
+      hubClient.stop();
+    },
     place: (job, timeoutMs) => hubClient.place(job, timeoutMs),
     report: (report, reportOptions) => hubClient.report(report, reportOptions),
     rows: (table) => cache.rows(table),
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -53,6 +53,8 @@
   liveHosts(): HostEntry[] | undefined;
   /** True when this host is one of its own hubs. */
   isHub(): boolean;
+  /** Closes all links. */
+  stop(): void;
 }
 
 interface HubLink<Job, Decision, Report> {
@@ -237,5 +239,8 @@
       Math.min(Infinity, ...readyHubs().map((hub) => clock.nowMs() - hub.recoveredMs)),
     liveHosts: () => readyHubs().find((hub) => hub.hosts !== undefined)?.hosts,
     isHub: () => hubs.has(self.host),
+    stop() {
+      for (const hub of [...hubs.values()]) closeHub(hub);
+    },
   };
 }
