Treat an answer without a length as broken off when its connection is reset

Node.js finishes the parser of a client request when its socket fails, which ends a body without a length as complete. Ruled out: extra answers, which a connection used once cannot deliver (test from before). Change: an error of the connection before the end of the body fails the body. Measured: the new test delivered the cut answer as whole before and breaks it off now.

--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
 import type { ExecutionContext } from "ava";
@@ -90,6 +91,25 @@
   t.snapshot(await play(t, [extra]));
 });
 
+/** An answer without a length, which ends with its connection. */
+const unframed = (body: string, end: (res: ServerResponse) => void): ServerBehaviour => (_, res) => {
+  res.socket?.write(`HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n\r\n${body}`);
+  setTimeout(() => end(res), 20);
+};
+
+test("an answer without a length is complete when its connection is closed", async (t) => {
+  const closed = unframed("whole", (res) => res.socket?.end());
+  t.snapshot((await play(t, [closed], { kind: ROUTE_KIND.NON_IDEMPOTENT })).result);
+});
+
+test("an answer without a length is not complete when its connection is reset", async (t) => {
+  const reset = unframed(events(1, 1), resetConnection);
+  t.snapshot({
+    plain: (await play(t, [reset], { kind: ROUTE_KIND.NON_IDEMPOTENT })).result,
+    stream: (await play(t, [reset], { kind: ROUTE_KIND.STREAMING }, { maxAttempts: 1 })).result,
+  });
+});
+
 test("a server's own failure is delivered when no other server may answer", async (t) => {
   const fail: ServerBehaviour = (_req, res) => void res.writeHead(500, SEALED).end("failed");
   t.snapshot({
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -86,6 +86,8 @@
   const separator = serverRequest.address.lastIndexOf(":");
   let isConnected = false;
   let isCancelled = false;
+  let bodyError: Error | undefined;
+  let answered: IncomingMessage | undefined;
   const failureOf = (err: unknown) => {
     if (isCancelled) return new ExchangeError(EXCHANGE_FAILURE.CANCELLED, { cause: err });
     const failure = isConnected ? EXCHANGE_FAILURE.BROKEN : EXCHANGE_FAILURE.NOT_CONNECTED;
@@ -114,16 +116,19 @@
     });
     req.on("error", (err) => {
       clearTimeout(connectTimer);
+      // Node.js ends a body without a length as if it were whole, also after a reset.
+      if (answered?.complete === false) bodyError = err;
       reject(failureOf(err));
     });
     req.once("response", (res: IncomingMessage) => {
       // A late socket error is reported by the body's iteration, or concerns bytes after its end.
       res.on("error", () => {});
+      answered = res;
       resolve({
         status: res.statusCode ?? 0,
         statusText: res.statusMessage ?? "",
         headers: res.rawHeaders,
-        body: readAnswerBody(res, failureOf),
+        body: readAnswerBody(res, { failureOf, bodyError: () => bodyError }),
       });
     });
   });
@@ -148,12 +153,17 @@
 
 async function* readAnswerBody(
   res: IncomingMessage,
-  failureOf: (err: unknown) => ExchangeError,
+  { failureOf, bodyError }: {
+    failureOf: (err: unknown) => ExchangeError;
+    bodyError: () => Error | undefined;
+  },
 ): AsyncGenerator<Buffer> {
   try {
     for await (const chunk of res as AsyncIterable<Buffer>) yield chunk;
   } catch (err) {
     throw failureOf(err);
   }
+  const err = bodyError();
+  if (err !== undefined) throw failureOf(err);
   if (!res.complete) throw failureOf(new Error("Answer ended before its length"));
 }
