--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -7,6 +7,7 @@
   VIEW_STALE_MS,
 } from "./constants.ts";
 import { createHubClient } from "./create_hub_client.ts";
+import type { PlaceTimeouts } from "./create_hub_client.ts";
 import { createHubServer } from "./create_hub_server.ts";
 import type { HubDesk } from "./create_hub_server.ts";
 import { createRowCache } from "./create_row_cache.ts";
@@ -47,7 +48,10 @@
   /** Closes all links. */
   stop(): void;
   /** Asks the hubs; undefined when none answers in time. */
-  place(job: Job, timeoutMs: Millis): Promise<{ by: string; decision: Decision } | undefined>;
+  place(
+    job: Job,
+    timeouts: PlaceTimeouts,
+  ): Promise<{ by: string; decision: Decision } | undefined>;
   /** Tells the hubs what this host does; `except` leaves out the hub that knows it already. */
   report(report: Report, options?: { except?: string }): void;
   /** Rows of a table. */
@@ -218,7 +222,7 @@
       hubServer.stop();
       hubClient.stop();
     },
-    place: (job, timeoutMs) => hubClient.place(job, timeoutMs),
+    place: (job, timeouts) => hubClient.place(job, timeouts),
     report: (report, reportOptions) => hubClient.report(report, reportOptions),
     rows: (table) => cache.rows(table),
     liveHosts: listLive,
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -37,10 +37,21 @@
   tasks: TaskGroup;
 }
 
+/** How long a host waits for a hub's decision. */
+export interface PlaceTimeouts {
+  /** Milliseconds for a hub to answer at all. */
+  answerMs: Millis;
+  /** Milliseconds for a decision, when the hub answers that the job has to wait. */
+  waitMs: Millis;
+}
+
 /** The side of a host towards its hubs. */
 export interface HubClient<Job, Decision, Report> {
   /** Asks the hubs one after the other; undefined when none answers in time. */
-  place(job: Job, timeoutMs: Millis): Promise<{ by: string; decision: Decision } | undefined>;
+  place(
+    job: Job,
+    timeouts: PlaceTimeouts,
+  ): Promise<{ by: string; decision: Decision } | undefined>;
   /** Tells the hubs what this host does; `except` leaves out the hub that knows it already. */
   report(report: Report, options?: { except?: string }): void;
   /** Passes rows on to the hubs. */
@@ -57,11 +68,18 @@
   stop(): void;
 }
 
+/** A job on which a hub has not decided. */
+interface Call<Decision> {
+  settle(decision: Decision | undefined): void;
+  /** Tells that the hub lets the job wait. */
+  extend(): void;
+}
+
 interface HubLink<Job, Decision, Report> {
   entry: HostEntry;
   link: JsonLink<HubMessage<Decision>, MemberMessage<Job, Report>> | undefined;
   isReady: boolean;
-  calls: Map<number, (decision: Decision | undefined) => void>;
+  calls: Map<number, Call<Decision>>;
   timeouts: number;
   hosts: HostEntry[] | undefined;
   /** Monotonic time up to which the hub's rows were fresh. */
@@ -100,7 +118,7 @@
   const closeHub = (hub: Hub) => {
     hubs.delete(hub.entry.host);
     hub.link?.close();
-    for (const settle of hub.calls.values()) settle(undefined);
+    for (const call of [...hub.calls.values()]) call.settle(undefined);
     hub.calls.clear();
   };
 
@@ -112,10 +130,8 @@
       hub.hosts = message.hosts;
       hub.freshMs = now - message.ageMs;
       hub.recoveredMs = now - (message.recoveredAgoMs ?? Infinity);
-    } else {
-      hub.calls.get(message.call)?.(message.decision);
-      hub.calls.delete(message.call);
-    }
+    } else if (message.type === "waiting") hub.calls.get(message.call)?.extend();
+    else hub.calls.get(message.call)?.settle(message.decision);
   };
 
   const runLink = async (hub: Hub) => {
@@ -180,25 +196,38 @@
       return hub?.isReady ? [hub] : [];
     });
 
-  const ask = (hub: Hub, job: Job, timeoutMs: Millis) =>
+  const countTimeout = (hub: Hub, timeoutMs: Millis) => {
+    hub.timeouts += 1;
+    log.warn({ hub: hub.entry.host, timeoutMs, timeouts: hub.timeouts }, "Hub did not answer");
+    if (hub.timeouts < MAX_TIMEOUTS || hubs.get(hub.entry.host) !== hub) return;
+    avoid(hub.entry.host);
+    closeHub(hub);
+  };
+
+  const ask = (hub: Hub, job: Job, timeouts: PlaceTimeouts) =>
     new Promise<Decision | undefined>((resolve) => {
-      const call = nextCall++;
-      const timer = setTimeout(() => {
-        hub.calls.delete(call);
-        hub.timeouts += 1;
-        log.warn({ hub: hub.entry.host, timeoutMs, timeouts: hub.timeouts }, "Hub did not answer");
-        if (hub.timeouts >= MAX_TIMEOUTS && hubs.get(hub.entry.host) === hub) {
-          avoid(hub.entry.host);
-          closeHub(hub);
-        }
-        resolve(undefined);
-      }, timeoutMs);
-      hub.calls.set(call, (decision) => {
-        clearTimeout(timer);
-        if (decision !== undefined) hub.timeouts = 0;
-        resolve(decision);
-      });
-      hub.link?.send({ type: "place", call, job });
+      const number = nextCall++;
+      const startTimer = (timeoutMs: Millis) =>
+        setTimeout(() => {
+          call.settle(undefined);
+          countTimeout(hub, timeoutMs);
+        }, timeoutMs);
+      let timer = startTimer(timeouts.answerMs);
+      const call: Call<Decision> = {
+        settle(decision) {
+          clearTimeout(timer);
+          hub.calls.delete(number);
+          if (decision !== undefined) hub.timeouts = 0;
+          resolve(decision);
+        },
+        extend() {
+          clearTimeout(timer);
+          hub.timeouts = 0;
+          timer = startTimer(timeouts.waitMs);
+        },
+      };
+      hub.calls.set(number, call);
+      hub.link?.send({ type: "place", call: number, job });
     });
 
   tasks.run("review hubs", async (signal) => {
@@ -216,10 +245,11 @@
   });
 
   return {
-    async place(job, timeoutMs) {
+    async place(job, timeouts) {
       for (const hub of readyHubs()) {
-        if (isSelf(hub.entry.host)) return { by: self.host, decision: desk.place(self.host, job) };
-        const decision = await ask(hub, job, timeoutMs);
+        const { host } = hub.entry;
+        if (isSelf(host)) return { by: host, decision: await desk.place(host, job) };
+        const decision = await ask(hub, job, timeouts);
         if (decision !== undefined) return { by: hub.entry.host, decision };
       }
       return undefined;
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -16,8 +16,8 @@
 
 /** Decides for the members of a hub. */
 export interface HubDesk<Job, Decision, Report> {
-  /** Decides on a job of a member. */
-  place(host: string, job: Job): Decision;
+  /** Decides on a job of a member, at once or after a wait. */
+  place(host: string, job: Job): Decision | Promise<Decision>;
   /** Takes a member's report of what it does. */
   report(host: string, report: Report): void;
   /** Forgets what a member did, since its link ended. */
@@ -120,15 +120,24 @@
     return member;
   };
 
+  const answerPlace = (member: Member<Decision>, call: number, job: Job) => {
+    const decision = desk.place(member.entry.host, job);
+    if (!(decision instanceof Promise)) {
+      member.link.send({ type: "placed", call, decision });
+      return;
+    }
+    member.link.send({ type: "waiting", call });
+    tasks.run("answer after a wait", async () => {
+      member.link.send({ type: "placed", call, decision: await decision });
+    });
+  };
+
   const handleMessage = (member: Member<Decision>, message: MemberMessage<Job, Report>) => {
     const { host } = member.entry;
     if (message.type === "ping") member.isDraining = message.isDraining;
     else if (message.type === "report") desk.report(host, message.report);
     else if (message.type === "rows") options.onRows(message.table, message.batch);
-    else if (message.type === "place") {
-      const decision = desk.place(host, message.job);
-      member.link.send({ type: "placed", call: message.call, decision });
-    }
+    else if (message.type === "place") answerPlace(member, message.call, message.job);
   };
 
   const serveLink = async (socket: Socket) => {
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -19,4 +19,5 @@
 export type HubMessage<Decision> =
   | { type: "rows"; table: Table; batch: RowBatch }
   | { type: "view"; ageMs: Millis; recoveredAgoMs: Millis | null; hosts: HostEntry[] }
+  | { type: "waiting"; call: number }
   | { type: "placed"; call: number; decision: Decision };
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -15,6 +15,8 @@
 export interface PlacementClient {
   /** Places a job; never fails, since a host without a hub decides by itself. */
   place(job: PlacementJob): Promise<PlacementDecision>;
+  /** Gives up a job whose placement is still awaited. */
+  cancel(jobId: string): void;
   /** Tells that the first byte of the answer came. */
   started(jobId: string): void;
   /** Tells how a job ended, and at which server that is at fault where it is known. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -34,6 +34,16 @@
   failure: Failure;
   /** Delivers the server's own failure, if no other server answers. */
   deliver?: () => void;
+  /** Times of a stream, for the log. */
+  timing?: StreamTiming;
+}
+
+/** When the events of a stream came from its server. */
+export interface StreamTiming {
+  /** Milliseconds from the caller's request to the first event of this server. */
+  firstEventMs: Millis;
+  /** Longest pause between two events. */
+  longestPauseMs: Millis;
 }
 
 /** A server's answer whose head has come, with what is needed to use it. */
@@ -90,7 +100,8 @@
   };
   while (true) {
     const job = describeJob(context, request, state);
-    const decision = await context.placement.place(job);
+    const decision = await placeUnlessAborted(context, request, job);
+    if (decision === undefined) throw endOf(request);
     if (decision.kind === "refused") {
       if (finishWithLast(state)) return;
       throw refusalOf(state, decision);
@@ -115,6 +126,8 @@
       elapsedMs: Math.round(context.clock.nowMs() - request.arrivalMs),
       outcome: result.outcome,
       failure: result.isDone ? undefined : result.failure,
+      promptTokens: request.facts.promptTokens || undefined,
+      ...result.timing,
     }, "Attempt ended");
     if (result.isDone) return;
     state.last = result;
@@ -127,6 +140,29 @@
   }
 }
 
+/** Places a job; undefined when the caller leaves or its deadline passes before the decision. */
+async function placeUnlessAborted(
+  context: ForwardingContext,
+  request: CallerRequest,
+  job: PlacementJob,
+): Promise<PlacementDecision | undefined> {
+  const { signal } = request;
+  if (signal.aborted) return undefined;
+  let onAbort = () => {};
+  const aborted = new Promise<undefined>((resolve) => {
+    onAbort = () => resolve(undefined);
+    signal.addEventListener("abort", onAbort, { once: true });
+  });
+  const placing = context.placement.place(job);
+  const decision = await Promise.race([placing, aborted]);
+  signal.removeEventListener("abort", onAbort);
+  if (decision !== undefined) return decision;
+  context.placement.cancel(job.id);
+  // The decision may have been on its way; a placed job is ended as well.
+  placing.then(() => context.placement.finished(job.id, JOB_OUTCOME.CANCELLED));
+  return undefined;
+}
+
 function describeJob(
   context: ForwardingContext,
   request: CallerRequest,
@@ -142,6 +178,7 @@
     goalMs: route.goalMs,
     pauseGoalMs: route.pauseGoalMs,
     remainingMs: request.endMs - context.clock.nowMs(),
+    elapsedMs: context.clock.nowMs() - request.arrivalMs,
     excludedIds: state.excludedIds,
     isRetry: state.sends > 0,
     fingerprint: request.fingerprint,
--- a/packages/forwarding/_lib/use_stream_answer.ts
+++ b/packages/forwarding/_lib/use_stream_answer.ts
@@ -37,9 +37,11 @@
       context.log.warn({ requestId: request.id, lastEventId }, "Stream stalled");
       exchange.cancel();
     });
+    const pace = createPace(context, request);
     try {
       for await (const chunk of answer.body) {
         onFirstByte();
+        pace.mark();
         stall.restart();
         for (const event of splitter.push(chunk)) {
           // A server that goes on may repeat what the caller has.
@@ -58,7 +60,12 @@
     const rest = splitter.rest();
     if (rest.length > 0) await writeToCaller(request, rest);
     request.res.end();
-    return { outcome: JOB_OUTCOME.ANSWERED, isDone: true, failure: FAILURE.INTERNAL };
+    return {
+      outcome: JOB_OUTCOME.ANSWERED,
+      isDone: true,
+      failure: FAILURE.INTERNAL,
+      timing: pace.timing(),
+    };
   };
 
   /** Writes the head once: a resumed stream keeps the headers of its first server. */
@@ -90,6 +97,25 @@
   return { use, resumeAfter: () => lastEventId };
 }
 
+/** Measures when the chunks of a stream come. */
+function createPace(context: ForwardingContext, request: CallerRequest) {
+  let firstMs: number | undefined;
+  let lastMs = 0;
+  let longestPauseMs = 0;
+  return {
+    mark() {
+      const now = context.clock.nowMs();
+      if (firstMs === undefined) firstMs = now;
+      else longestPauseMs = Math.max(longestPauseMs, now - lastMs);
+      lastMs = now;
+    },
+    timing: () => ({
+      firstEventMs: Math.round((firstMs ?? context.clock.nowMs()) - request.arrivalMs),
+      longestPauseMs: Math.round(longestPauseMs),
+    }),
+  };
+}
+
 /** Timer that runs anew with each chunk; a timeout of 0 never fires. */
 function createStallTimer(timeoutMs: number, onStall: () => void) {
   let timer: NodeJS.Timeout | undefined;
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -115,6 +115,7 @@
     findServerAt: () => undefined,
     placement: {
       place: (job) => Promise.resolve(options.refusal ?? placeNext(job, behaviours.length)),
+      cancel: () => {},
       started: () => {},
       finished: (_jobId, outcome) => void outcomes.push(outcome),
     },
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -110,6 +110,15 @@
   });
 });
 
+test("an answer without a length is not complete when the reset comes with its bytes", async (t) => {
+  const reset: ServerBehaviour = (_req, res) => {
+    res.socket?.write("HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n\r\nhalf", () => {
+      resetConnection(res);
+    });
+  };
+  t.snapshot((await play(t, [reset], { kind: ROUTE_KIND.NON_IDEMPOTENT })).result);
+});
+
 test("a server's own failure is delivered when no other server may answer", async (t) => {
   const fail: ServerBehaviour = (_req, res) => void res.writeHead(500, SEALED).end("failed");
   t.snapshot({
--- a/packages/forwarding/errors.ts
+++ b/packages/forwarding/errors.ts
@@ -20,6 +20,7 @@
   QUARANTINED: "quarantined",
   COLD_LIMIT: "cold_limit",
   TOO_LARGE: "too_large",
+  UNSERVABLE: "unservable",
   SERVER_REJECTED: "server_rejected",
   SERVER_BROKE_OFF: "server_broke_off",
   SERVER_SILENT: "server_silent",
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -1,5 +1,6 @@
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import type { Millis } from "@jaypass/kernel";
 import type { HeaderList } from "./types.ts";
 
@@ -87,6 +88,7 @@
   let isConnected = false;
   let isCancelled = false;
   let bodyError: Error | undefined;
+  let ending: Promise<Error | undefined> = Promise.resolve(undefined);
   let answered: IncomingMessage | undefined;
   const failureOf = (err: unknown) => {
     if (isCancelled) return new ExchangeError(EXCHANGE_FAILURE.CANCELLED, { cause: err });
@@ -113,6 +115,9 @@
         isConnected = true;
         clearTimeout(connectTimer);
       });
+      socket.prependOnceListener("end", () => {
+        if (answered !== undefined && isUnframed(answered)) ending = findReset(socket);
+      });
     });
     req.on("error", (err) => {
       clearTimeout(connectTimer);
@@ -128,7 +133,7 @@
         status: res.statusCode ?? 0,
         statusText: res.statusMessage ?? "",
         headers: res.rawHeaders,
-        body: readAnswerBody(res, { failureOf, bodyError: () => bodyError }),
+        body: readAnswerBody(res, { failureOf, findError: async () => bodyError ?? await ending }),
       });
     });
   });
@@ -151,11 +156,28 @@
   return hasBody ? [...headers, "Content-Length", String(body.length)] : headers;
 }
 
+/** True for a body that ends with its connection. */
+function isUnframed(res: IncomingMessage): boolean {
+  const { headers } = res;
+  return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+}
+
+/**
+ * Finds out whether an ended connection was reset. Node.js reports a reset that comes together with
+ * the last bytes as a plain end, but a write to such a connection fails at once. The empty line is
+ * no request, and a server that closed its side does not read it.
+ */
+function findReset(socket: Socket): Promise<Error | undefined> {
+  return new Promise((resolve) => {
+    socket.write("\r\n", (err) => resolve(err ?? undefined));
+  });
+}
+
 async function* readAnswerBody(
   res: IncomingMessage,
-  { failureOf, bodyError }: {
+  { failureOf, findError }: {
     failureOf: (err: unknown) => ExchangeError;
-    bodyError: () => Error | undefined;
+    findError: () => Promise<Error | undefined>;
   },
 ): AsyncGenerator<Buffer> {
   try {
@@ -163,7 +185,7 @@
   } catch (err) {
     throw failureOf(err);
   }
-  const err = bodyError();
+  const err = await findError();
   if (err !== undefined) throw failureOf(err);
   if (!res.complete) throw failureOf(new Error("Answer ended before its length"));
 }
--- /dev/null
+++ b/packages/forwarding_host/create_cluster_view_test.ts
@@ -0,0 +1,112 @@
+import test from "ava";
+import { TABLE } from "@jaypass/fleet";
+import type { Row } from "@jaypass/fleet";
+import type { Logger } from "@jaypass/kernel";
+import { createClusterView } from "./create_cluster_view.ts";
+
+const LOG: Logger = {
+  debug: () => {},
+  info: () => {},
+  warn: () => {},
+  error: () => {},
+  child: () => LOG,
+};
+
+function setUp() {
+  let nowMs = 0;
+  let recoveredAgoMs = Infinity;
+  const view = createClusterView({
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    log: LOG,
+    storeRecoveredAgoMs: () => recoveredAgoMs,
+    onChange: () => {},
+  });
+  let version = 1;
+  const row = (key: string, value: unknown): Row => ({
+    key,
+    value: value === undefined ? undefined : JSON.stringify(value),
+    version: version++,
+  });
+  return {
+    view,
+    write: (table: typeof TABLE[keyof typeof TABLE], key: string, value: unknown) =>
+      view.apply(table, [row(key, value)]),
+    advance: (ms: number) => void (nowMs += ms),
+    setRecovered: (ms: number) => void (recoveredAgoMs = ms),
+    usable: () => view.usableServers().map(({ id }) => id),
+  };
+}
+
+const server = (id: string, changes = {}) => ({
+  id,
+  service: "model",
+  address: `${id}:80`,
+  dataCentre: "dc-a",
+  slots: 4,
+  state: "ready",
+  coldLeftMs: 0,
+  bornMs: 1,
+  ...changes,
+});
+
+const configuration = (version: number) => ({
+  kind: "configuration",
+  document: {
+    version,
+    routes: [],
+    services: [],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  },
+});
+
+test("a configuration never goes back to an older one", (t) => {
+  const { view, write } = setUp();
+  write(TABLE.OPERATORS, "config", configuration(7));
+  write(TABLE.OPERATORS, "config", configuration(5));
+  t.is(view.configuration()?.version, 7);
+  write(TABLE.OPERATORS, "config", undefined);
+  t.is(view.configuration()?.version, 7);
+});
+
+test("a draining server and one of an evacuated data centre get nothing", (t) => {
+  const { view, write, usable } = setUp();
+  write(TABLE.SERVERS, "s1", server("s1"));
+  write(TABLE.SERVERS, "s2", server("s2", { dataCentre: "dc-b" }));
+  write(TABLE.SERVERS, "s3", server("s3", { state: "draining" }));
+  write(TABLE.OPERATORS, "evacuate/b", { kind: "evacuation", dataCentre: "dc-b" });
+  t.deepEqual(usable(), ["s1"]);
+  t.is(view.findServer("s2"), undefined);
+  write(TABLE.OPERATORS, "evacuate/b", undefined);
+  t.deepEqual(usable(), ["s1", "s2"]);
+});
+
+test("a removed server gets nothing from then on", (t) => {
+  const { write, usable } = setUp();
+  write(TABLE.SERVERS, "s1", server("s1"));
+  write(TABLE.SERVERS, "s1", undefined);
+  t.deepEqual(usable(), []);
+});
+
+test("a server missing right after the store came back is kept until it must be gone", (t) => {
+  const { view, write, usable, advance, setRecovered } = setUp();
+  write(TABLE.SERVERS, "s1", server("s1"));
+  write(TABLE.SERVERS, "s2", server("s2"));
+  setRecovered(100);
+  write(TABLE.SERVERS, "s1", undefined);
+  write(TABLE.SERVERS, "s2", undefined);
+  advance(1_500);
+  write(TABLE.SERVERS, "s2", server("s2"));
+  view.expireLapsed();
+  const during = usable();
+  advance(1_000);
+  view.expireLapsed();
+  t.deepEqual([during, usable()], [["s1", "s2"], ["s2"]]);
+});
+
+test("a server that drained before the store was away is not brought back by its lapse", (t) => {
+  const { write, usable, setRecovered } = setUp();
+  write(TABLE.SERVERS, "s1", server("s1", { state: "draining" }));
+  setRecovered(100);
+  write(TABLE.SERVERS, "s1", undefined);
+  t.deepEqual(usable(), []);
+});
--- a/packages/forwarding_host/create_desk.ts
+++ b/packages/forwarding_host/create_desk.ts
@@ -32,11 +32,19 @@
     jobsByHost.set(host, jobs);
     return jobs;
   };
+  const forgetRefused = (host: string, job: PlacementJob, decision: PlacementDecision) => {
+    if (decision.kind === "refused") jobsOf(host).delete(job.id);
+    return decision;
+  };
   return {
     place(host, job) {
+      // A job that waits is its host's too: it leaves the line when the host is lost.
+      jobsOf(host).add(job.id);
       const decision = placer.place(job);
-      if (decision.kind === "placed") jobsOf(host).add(job.id);
-      return decision;
+      if (decision instanceof Promise) {
+        return decision.then((settled) => forgetRefused(host, job, settled));
+      }
+      return forgetRefused(host, job, decision);
     },
     report(host, report) {
       if (report.kind === "running") {
--- a/packages/forwarding_host/create_placement_client.ts
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -1,6 +1,7 @@
 import type { Logger, Metrics } from "@jaypass/kernel";
 import type { Fleet } from "@jaypass/fleet";
 import type { PlacementClient } from "@jaypass/forwarding";
+import { JOB_OUTCOME } from "@jaypass/placement";
 import type { PlacementDecision, PlacementJob, Placer, RunningJob } from "@jaypass/placement";
 import { PLACEMENT_TIMEOUT_MS } from "./constants.ts";
 import type { JobReport } from "./create_desk.ts";
@@ -47,15 +48,21 @@
 
   return {
     async place(job) {
-      const answer = await fleet().place(job, PLACEMENT_TIMEOUT_MS);
+      const answer = await fleet().place(job, {
+        answerMs: PLACEMENT_TIMEOUT_MS,
+        waitMs: job.remainingMs,
+      });
       if (answer === undefined) {
         metrics.increment("placement", { by: "host" });
         log.info({ jobId: job.id }, "Placed without a hub");
       } else metrics.increment("placement", { by: "hub" });
-      const decision = answer?.decision ?? local.place(job);
+      const decision = answer?.decision ?? await local.place(job);
       remember(job, decision, answer?.by);
       return decision;
     },
+    cancel(jobId) {
+      fleet().report({ kind: "finished", jobId, outcome: JOB_OUTCOME.CANCELLED });
+    },
     started(jobId) {
       const entry = running.get(jobId);
       if (entry === undefined || entry.isWriting) return;
--- /dev/null
+++ b/packages/forwarding_host/create_reservations_test.ts
@@ -0,0 +1,72 @@
+import { setTimeout as wait } from "node:timers/promises";
+import test from "ava";
+import { createTaskGroup } from "@jaypass/kernel";
+import type { Logger } from "@jaypass/kernel";
+import { RESERVATION_RENEW_MS } from "./constants.ts";
+import { createReservations } from "./create_reservations.ts";
+import type { EngineOrders } from "./types.ts";
+
+const LOG: Logger = {
+  debug: () => {},
+  info: () => {},
+  warn: () => {},
+  error: () => {},
+  child: () => LOG,
+};
+
+const plan = (serverId: string) => ({ serverId, address: `${serverId}:80`, tokens: 10 });
+
+function setUp(reserve: (serverId: string) => Promise<boolean>) {
+  const orders: string[] = [];
+  const engine: EngineOrders = {
+    async reserve({ serverId }) {
+      orders.push(`reserve ${serverId}`);
+      return await reserve(serverId);
+    },
+    release({ serverId }) {
+      orders.push(`release ${serverId}`);
+      return Promise.resolve();
+    },
+  };
+  const tasks = createTaskGroup({ onError: () => {} });
+  return { orders, reservations: createReservations({ orders: engine, log: LOG, tasks }) };
+}
+
+test("memory is reserved in one order on all engines and released at the end", async (t) => {
+  const { orders, reservations } = setUp(() => Promise.resolve(true));
+  const reservation = await reservations.reserve("r1", [plan("b"), plan("a")]);
+  reservation?.release();
+  await wait(20);
+  t.deepEqual(orders, ["reserve a", "reserve b", "release a", "release b"]);
+});
+
+test("without memory on one engine nothing stays reserved on the others", async (t) => {
+  const { orders, reservations } = setUp((id) => Promise.resolve(id !== "b"));
+  const reservation = await reservations.reserve("r1", [plan("a"), plan("b"), plan("c")]);
+  await wait(20);
+  t.is(reservation, undefined);
+  t.deepEqual(orders, ["reserve a", "reserve b", "release a", "release b"]);
+});
+
+test("an order without an answer may have been carried out and is released too", async (t) => {
+  const { orders, reservations } = setUp((id) =>
+    id === "b" ? Promise.reject(new Error("no answer")) : Promise.resolve(true)
+  );
+  await reservations.reserve("r1", [plan("a"), plan("b")]);
+  await wait(20);
+  t.deepEqual(orders.slice(2), ["release a", "release b"]);
+});
+
+test("no renewal that is on its way reserves the memory again after its release", async (t) => {
+  let isSlow = false;
+  const { orders, reservations } = setUp(async () => {
+    if (isSlow) await wait(200);
+    return true;
+  });
+  const reservation = await reservations.reserve("r1", [plan("a")]);
+  isSlow = true;
+  await wait(RESERVATION_RENEW_MS + 50);
+  reservation?.release();
+  await wait(400);
+  t.deepEqual(orders, ["reserve a", "reserve a", "release a"]);
+});
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -2,7 +2,7 @@
 import type { ServiceDefinition } from "@jaypass/kernel";
 import { createFleet } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
-import { createPlacer } from "@jaypass/placement";
+import { createPlacer, LINE_CHECK_MS } from "@jaypass/placement";
 import { LAPSE_CHECK_MS } from "./constants.ts";
 import { createClusterView } from "./create_cluster_view.ts";
 import { createDesk } from "./create_desk.ts";
@@ -43,12 +43,19 @@
   const { settings, adapter, clock, random, log, metrics } = context;
   const { retryLimits, coldLimits } = settings;
   // The hub's placer knows all requests; the local one is used when no hub answers.
-  const hubPlacer = createPlacer({ clock, retryLimits, coldLimits, share: () => 1 });
+  const hubPlacer = createPlacer({
+    clock,
+    retryLimits,
+    coldLimits,
+    share: () => 1,
+    canWait: true,
+  });
   const localPlacer = createPlacer({
     clock,
     retryLimits,
     coldLimits,
     share: () => 1 / fleet.hostCount(),
+    canWait: false,
   });
   const placement = createPlacementClient({ fleet: () => fleet, local: localPlacer, log, metrics });
   const view = createClusterView({
@@ -76,6 +83,12 @@
     metrics,
     tasks,
   });
+  tasks.run("review waiting prompts", async (signal) => {
+    while (!signal.aborted) {
+      await sleep(LINE_CHECK_MS, signal);
+      hubPlacer.review();
+    }
+  });
   return { fleet, view, placement };
 }
 
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -2,16 +2,22 @@
 import { computeReadMs } from "./compute_read_ms.ts";
 import {
   GOAL_SHARE,
+  LATE_LOSS_SHARE,
+  LONG_READ_MS,
   MAX_HELPERS,
   MEMORY_SHARE,
   OVERHEAD_MS,
+  PACKED_SLOTS_SHARE,
   QUIET_PART_MS,
+  RESERVE_FREE_SLOTS,
   SPARE_SLOTS,
+  SPLIT_GOAL_SHARE,
 } from "./constants.ts";
+import { computeWeight } from "./compute_weight.ts";
 import type { ServerLoad } from "./create_server_load.ts";
 import type { EngineProfile, PlacementJob, TicketPlan } from "./types.ts";
 
-/** Engines chosen for a prompt. */
+/** Engines chosen for a prompt, and what the choice is expected to cost. */
 export interface EngineChoice {
   /** Engine that gets the request. */
   first: ServerLoad;
@@ -21,8 +27,14 @@
   tickets: TicketPlan[];
   /** Expected milliseconds of each part. */
   partMs: Millis;
+  /** Expected milliseconds of reads that come before. */
+  backlogMs: Millis;
   /** Expected milliseconds to the first byte. */
   expectedMs: Millis;
+  /** Weight of the writers that this read delays beyond their goals. */
+  harm: number;
+  /** True when the first byte is expected within the job's goal. */
+  isOnTime: boolean;
 }
 
 interface Candidate {
@@ -30,34 +42,48 @@
   roomMs: Millis;
   backlogMs: Millis;
   writers: number;
+  writersWeight: number;
   freeTokens: number;
 }
 
+/** Options of {@linkcode chooseEngines}. */
+export interface ChooseOptions {
+  /** Cost figures of the engines. */
+  profile: EngineProfile;
+  /** Milliseconds that the job has waited already. */
+  waitedMs: Millis;
+}
+
 /**
- * Chooses the engines that read and answer a prompt.
+ * Chooses the engines that read and answer a prompt, at the least expected loss.
  *
- * The load it answers: short and long prompts on the same engines. Short prompts are packed on
- * engines that write already, which leaves others quiet for long reads. A prompt is read by as few
- * engines as meet its goal without delaying the writers there; where no number does, by quiet
- * engines only, so that writers are spared and the long prompt is late alone.
+ * The load it answers: short and long prompts on the same engines. A loss is a request whose first
+ * byte or whose pause is later than its goal, weighed by its size. Short prompts are packed on
+ * engines that write already, which leaves others quiet; a long prompt is split over as few engines
+ * as meet its goal, quiet ones first, and over engines with writers only where that delays none of
+ * them or loses less than the prompt itself.
  *
  * @param job the request
  * @param loads usable engines of its service
- * @param profile cost figures of the engines
- * @returns the choice, or nothing when no engine has the memory
+ * @param options cost figures and the time waited
+ * @returns the choice, or nothing when no engines have the memory
  *
  * @example
- * const choice = chooseEngines(job, loads, profile);
+ * const choice = chooseEngines(job, loads, { profile, waitedMs: 0 });
  */
 export function chooseEngines(
   job: PlacementJob,
   loads: readonly ServerLoad[],
-  profile: EngineProfile,
+  options: ChooseOptions,
 ): EngineChoice | undefined {
-  const candidates = loads.map((load) => toCandidate(load, profile));
+  const { profile } = options;
   const workMs = computeReadMs(job.promptTokens, profile);
-  return planWithinGoals(job, candidates, workMs) ??
-    planWithLeastDelay(job, candidates, workMs);
+  const all = loads.map((load) => toCandidate(load, profile));
+  const free = all.filter(({ load }) => load.requests() < load.server.slots - SPARE_SLOTS);
+  const candidates = free.length > 0 ? free : all;
+  return (workMs <= QUIET_PART_MS ? packOnOne(job, candidates, options, workMs) : undefined) ??
+    splitAtLeastLoss(job, withoutReserve(candidates, workMs), options, workMs) ??
+    splitAtLeastLoss(job, all, options, workMs);
 }
 
 function toCandidate(load: ServerLoad, profile: EngineProfile): Candidate {
@@ -66,91 +92,135 @@
     roomMs: load.readRoomMs(),
     backlogMs: load.readBacklogMs(),
     writers: load.writers(),
+    writersWeight: load.onTimeWeight(),
     freeTokens: profile.memoryTokens * MEMORY_SHARE - load.memoryTokens(),
   };
 }
 
-/** Fewest engines that meet the goal of the prompt and of all writers there. */
-function planWithinGoals(
+/** Keeps an idle engine for short prompts while those that write have few slots left. */
+function withoutReserve(candidates: Candidate[], workMs: Millis): Candidate[] {
+  if (workMs < LONG_READ_MS) return candidates;
+  const packed = candidates.filter(({ writers, roomMs }) => writers > 0 && roomMs > 0);
+  const freeSlots = packed.reduce(
+    (sum, { load }) => sum + load.server.slots - SPARE_SLOTS - load.requests(),
+    0,
+  );
+  if (freeSlots >= RESERVE_FREE_SLOTS) return candidates;
+  const idle = candidates.filter(({ writers, backlogMs }) => writers === 0 && backlogMs === 0);
+  const [reserved] = idle;
+  return idle.length < 2 ? candidates : candidates.filter((candidate) => candidate !== reserved);
+}
+
+/** One engine on which a short prompt is in time and delays nobody. */
+function packOnOne(
   job: PlacementJob,
   candidates: Candidate[],
+  options: ChooseOptions,
   workMs: Millis,
 ): EngineChoice | undefined {
-  const limitMs = job.goalMs * GOAL_SHARE;
-  const free = candidates.filter(({ load }) => load.requests() < load.server.slots - SPARE_SLOTS);
-  const packed = [...free].sort((a, b) => b.writers - a.writers || a.backlogMs - b.backlogMs);
-  const single = packed.find((candidate) =>
-    candidate.roomMs >= workMs && workMs <= QUIET_PART_MS &&
-    workMs + candidate.backlogMs <= job.pauseGoalMs &&
-    candidate.backlogMs + workMs + candidate.load.passMs() <= limitMs
+  const limitMs = job.goalMs * GOAL_SHARE - options.waitedMs;
+  const fitting = candidates.filter(({ roomMs, backlogMs, load }) =>
+    roomMs >= workMs && workMs + backlogMs <= job.pauseGoalMs &&
+    backlogMs + workMs + load.passMs() <= limitMs
   );
-  if (single !== undefined) {
-    const choice = compose(job, [single], workMs);
-    if (choice !== undefined) return choice;
-  }
-  const roomy = [...free].sort((a, b) => b.roomMs - a.roomMs || a.backlogMs - b.backlogMs);
-  const most = Math.min(roomy.length, MAX_HELPERS + 1);
-  for (let count = 2; count <= most; count++) {
-    const chosen = roomy.slice(0, count);
-    const partMs = workMs / count;
-    const leastRoomMs = Math.min(QUIET_PART_MS, ...chosen.map(({ roomMs }) => roomMs));
-    const backlogMs = Math.max(...chosen.map((candidate) => candidate.backlogMs));
-    if (partMs > leastRoomMs || partMs + backlogMs > limitMs) continue;
-    const choice = compose(job, chosen, workMs);
-    if (choice !== undefined) return choice;
-  }
-  return undefined;
+  const isPacked = ({ writers, load }: Candidate) =>
+    writers < load.server.slots * PACKED_SLOTS_SHARE;
+  const ordered = fitting.sort((a, b) =>
+    Number(isPacked(b)) - Number(isPacked(a)) ||
+    (isPacked(a) ? b.writers - a.writers : a.writers - b.writers) ||
+    a.backlogMs - b.backlogMs
+  );
+  const [best] = ordered;
+  return best === undefined ? undefined : compose(job, [best], options, workMs);
 }
 
-/** Engines without writers where there are any; else those where the wait is shortest. */
-function planWithLeastDelay(
+/** The number of engines with the least loss; of equal ones the fewest. */
+function splitAtLeastLoss(
   job: PlacementJob,
   candidates: Candidate[],
+  options: ChooseOptions,
   workMs: Millis,
 ): EngineChoice | undefined {
-  const byBacklog = [...candidates].sort((a, b) =>
-    a.backlogMs - b.backlogMs || a.load.requests() - b.load.requests()
+  const ordered = [...candidates].sort((a, b) =>
+    a.writersWeight - b.writersWeight || a.backlogMs - b.backlogMs || b.roomMs - a.roomMs
   );
-  const quiet = byBacklog.filter(({ roomMs }) => roomMs >= QUIET_PART_MS);
-  const pool = quiet.length > 0 ? quiet : byBacklog;
-  const most = Math.min(pool.length, MAX_HELPERS + 1);
-  const wanted = Math.max(1, Math.ceil(workMs / QUIET_PART_MS));
-  for (let count = Math.min(wanted, most); count <= most; count++) {
-    const choice = compose(job, pool.slice(0, count), workMs);
-    if (choice !== undefined) return choice;
+  const most = Math.min(ordered.length, MAX_HELPERS + 1);
+  let best: { choice: EngineChoice; loss: number } | undefined;
+  for (let count = 1; count <= most; count++) {
+    const choice = compose(job, ordered.slice(0, count), options, workMs);
+    if (choice === undefined) continue;
+    const loss = choice.harm + lossOfLateness(job, choice, options);
+    if (best === undefined || loss < best.loss) best = { choice, loss };
   }
-  const all = [...candidates].sort((a, b) => b.freeTokens - a.freeTokens);
-  return compose(job, all.slice(0, MAX_HELPERS + 1), workMs);
+  return best?.choice;
+}
+
+/** What the job itself loses: little while it is early, a part of its weight once it is late. */
+function lossOfLateness(
+  job: PlacementJob,
+  choice: EngineChoice,
+  { waitedMs }: ChooseOptions,
+): number {
+  const weight = computeWeight(job);
+  const lateness = (choice.expectedMs + waitedMs) / job.goalMs;
+  if (lateness <= SPLIT_GOAL_SHARE) return 0;
+  // Among late choices the earlier one is still better, so the loss keeps growing with time.
+  const growth = Math.min(1, lateness / (lateness + 1));
+  return weight * (choice.isOnTime ? (1 - LATE_LOSS_SHARE) * growth : LATE_LOSS_SHARE + growth);
 }
 
 /** Puts the engine with the most memory first and reserves on helpers what it cannot hold. */
 function compose(
   job: PlacementJob,
   chosen: Candidate[],
+  { profile, waitedMs }: ChooseOptions,
   workMs: Millis,
 ): EngineChoice | undefined {
-  const [first, ...others] = chosen.length === 1
-    ? chosen
-    : [...chosen].sort((a, b) => b.freeTokens - a.freeTokens);
+  const [first, ...others] = [...chosen].sort((a, b) =>
+    a.writers - b.writers || b.freeTokens - a.freeTokens
+  );
   if (first === undefined) return undefined;
-  let missing = job.promptTokens + job.answerTokens - first.freeTokens;
-  const tickets: TicketPlan[] = [];
-  for (const helper of others) {
-    if (missing <= 0) break;
-    const tokens = Math.floor(Math.min(missing, helper.freeTokens));
-    if (tokens <= 0) continue;
-    tickets.push({ serverId: helper.load.server.id, tokens });
-    missing -= tokens;
-  }
-  if (missing > 0) return undefined;
+  const tickets = planTickets(job, first, others);
+  if (tickets === undefined) return undefined;
   const partMs = workMs / chosen.length;
   const backlogMs = Math.max(...chosen.map((candidate) => candidate.backlogMs));
   const passMs = Math.max(...chosen.map(({ load }) => load.passMs()));
+  const expectedMs = backlogMs + partMs * readSlowdown(first, profile) + passMs + OVERHEAD_MS;
+  const harm = chosen
+    .filter(({ roomMs }) => partMs > roomMs)
+    .reduce((sum, { writersWeight }) => sum + writersWeight, 0);
   return {
     first: first.load,
     helpers: others.map(({ load }) => load),
     tickets,
     partMs,
-    expectedMs: backlogMs + partMs + passMs + OVERHEAD_MS,
+    backlogMs,
+    expectedMs,
+    harm,
+    isOnTime: expectedMs + waitedMs <= job.goalMs,
   };
 }
+
+/** Reading goes on between token steps while some request writes. */
+function readSlowdown({ writers }: Candidate, profile: EngineProfile): number {
+  if (writers === 0) return 1;
+  const chunkMs = profile.chunkTokens / profile.readTokensPerMs;
+  return 1 + profile.stepMs / chunkMs;
+}
+
+function planTickets(
+  job: PlacementJob,
+  first: Candidate,
+  helpers: Candidate[],
+): TicketPlan[] | undefined {
+  let missing = job.promptTokens + job.answerTokens - first.freeTokens;
+  const tickets: TicketPlan[] = [];
+  for (const helper of [...helpers].sort((a, b) => b.freeTokens - a.freeTokens)) {
+    if (missing <= 0) break;
+    const tokens = Math.floor(Math.min(missing, helper.freeTokens));
+    if (tokens <= 0) continue;
+    tickets.push({ serverId: helper.load.server.id, tokens });
+    missing -= tokens;
+  }
+  return missing > 0 ? undefined : tickets;
+}
--- /dev/null
+++ b/packages/placement/choose_engines_test.ts
@@ -0,0 +1,83 @@
+import test from "ava";
+import { chooseEngines } from "./choose_engines.ts";
+import { createServerLoad } from "./create_server_load.ts";
+import { createManualClock, makeJob, makeServers, PROFILE } from "./_testing/fixtures.ts";
+
+const LONG = { promptTokens: 180_000, goalMs: 4_000, pauseGoalMs: 1_000 };
+
+function setUp(servers: number) {
+  const clock = createManualClock();
+  const loads = makeServers(servers).map((server) =>
+    createServerLoad(server, { clock, profile: PROFILE })
+  );
+  const addWriters = (index: number, count: number) => {
+    for (let writer = 0; writer < count; writer++) {
+      const job = makeJob();
+      loads[index]?.add(job, { readMs: 0, memoryTokens: 6_000, isFirst: true });
+      loads[index]?.markWriting(job.id);
+    }
+  };
+  const addRead = (index: number, readMs: number) =>
+    loads[index]?.add(makeJob(LONG), { readMs, memoryTokens: 0, isFirst: false });
+  const choose = (changes = {}) => {
+    const choice = chooseEngines(makeJob(changes), loads, { profile: PROFILE, waitedMs: 0 });
+    return choice && {
+      servers: [choice.first, ...choice.helpers].map(({ server }) => server.id),
+      isOnTime: choice.isOnTime,
+      hasHarm: choice.harm > 0,
+    };
+  };
+  return { choose, addWriters, addRead, loads };
+}
+
+test("a long prompt leaves engines with writers alone", (t) => {
+  const { choose, addWriters } = setUp(6);
+  addWriters(0, 4);
+  addWriters(1, 1);
+  const choice = choose(LONG);
+  t.false(choice?.servers.includes("s1") || choice?.servers.includes("s2"));
+  t.deepEqual([choice?.isOnTime, choice?.hasHarm], [true, false]);
+});
+
+test("a middling prompt is split so finely that it delays no writer", (t) => {
+  const { choose, addWriters } = setUp(6);
+  for (let index = 0; index < 6; index++) addWriters(index, 2);
+  const choice = choose({ promptTokens: 45_000, goalMs: 1_500, pauseGoalMs: 600 });
+  t.deepEqual([choice?.isOnTime, choice?.hasHarm], [true, false]);
+  t.true((choice?.servers.length ?? 0) >= 3);
+});
+
+test("a short prompt goes past engines that read a long one", (t) => {
+  const { choose, addRead } = setUp(3);
+  addRead(0, 900);
+  addRead(1, 900);
+  t.deepEqual(choose()?.servers, ["s3"]);
+});
+
+test("short prompts open another engine when the packed ones are filled to their share", (t) => {
+  const { choose, addWriters } = setUp(3);
+  addWriters(0, 5);
+  t.deepEqual(choose()?.servers, ["s2"]);
+});
+
+test("a long prompt keeps an idle engine free while those that write are full", (t) => {
+  const { choose, addWriters } = setUp(4);
+  addWriters(0, 7);
+  t.is(choose(LONG)?.servers.length, 2);
+});
+
+test("without any quiet engine the fewest writers are delayed", (t) => {
+  const { choose, addWriters } = setUp(3);
+  addWriters(0, 5);
+  addWriters(1, 1);
+  addWriters(2, 5);
+  t.deepEqual(choose({ ...LONG, goalMs: 6_000 })?.servers, ["s2"]);
+});
+
+test("writers that are late already do not keep a prompt away", (t) => {
+  const { choose, addWriters, loads } = setUp(2);
+  addWriters(0, 3);
+  addWriters(1, 3);
+  loads[0]?.markDelayed();
+  t.deepEqual(choose({ ...LONG, goalMs: 6_000 })?.servers, ["s1"]);
+});
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -16,6 +16,12 @@
 /** Part of the goal for the first byte that a plan may use; the rest covers queueing and network. */
 export const GOAL_SHARE = 0.6;
 
+/**
+ * Part of the goal below which a split gains nothing by more engines. Smaller values free engines
+ * sooner, larger ones leave more engines to short prompts meanwhile.
+ */
+export const SPLIT_GOAL_SHARE = 0.35;
+
 /** Slots of an engine left free by packing, for requests that placement did not see. */
 export const SPARE_SLOTS = 1;
 
@@ -48,3 +54,39 @@
 
 /** Share of an engine's memory that placement fills; answers may grow beyond their estimate. */
 export const MEMORY_SHARE = 0.95;
+
+/** Tokens of a prompt that one token of an answer counts for, from the users' rules. */
+export const ANSWER_TOKEN_WEIGHT = 10;
+
+/** Part of a request's weight that is lost when it is late; most of the users' classes lose 0.75. */
+export const LATE_LOSS_SHARE = 0.75;
+
+/** Milliseconds of reading on one engine from which a prompt may wait for quiet engines. */
+export const LONG_READ_MS = 800;
+
+/** Part of an engine's slots up to which short prompts are packed before another engine is opened. */
+export const PACKED_SLOTS_SHARE = 0.6;
+
+/** Free slots on engines that write below which an idle engine is kept for short prompts. */
+export const RESERVE_FREE_SLOTS = 4;
+
+/** Milliseconds of reads before it that a long prompt accepts when it leaves the line. */
+export const READY_BACKLOG_MS = 150;
+
+/** Milliseconds before its last chance to be in time at which a long prompt leaves the line. */
+export const LAST_CALL_MS = 150;
+
+/** Longest part in milliseconds of a late prompt that does not yet press for its deadline. */
+export const LATE_PART_MS = 1_000;
+
+/** The same as a multiple of the shortest possible part, where few engines are left. */
+export const LATE_PART_FACTOR = 1.5;
+
+/** Milliseconds beside its read and answer that a late prompt keeps before its deadline. */
+export const DEADLINE_MARGIN_MS = 2_500;
+
+/** Milliseconds between two looks at the line when nothing else happens. */
+export const LINE_CHECK_MS = 50;
+
+/** Prompts that wait at most; beyond it they are placed at once. */
+export const MAX_WAITING = 200;
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -4,13 +4,18 @@
 import {
   BUDGET_RETRY_AFTER_MS,
   COLD_RETRY_AFTER_MS,
+  LONG_READ_MS,
+  MAX_HELPERS,
+  MEMORY_SHARE,
   NO_SERVER_RETRY_AFTER_MS,
-  OVERHEAD_MS,
   QUARANTINE_MS,
 } from "./constants.ts";
 import { createCrashQuarantine } from "./create_crash_quarantine.ts";
 import { createRetryLimiter } from "./create_retry_limiter.ts";
 import type { RetryLimits } from "./create_retry_limiter.ts";
+import { chooseLeastLoaded } from "./choose_least_loaded.ts";
+import { computeReadMs } from "./compute_read_ms.ts";
+import { createWaitingLine } from "./create_waiting_line.ts";
 import { createServerLoad } from "./create_server_load.ts";
 import type { ServerLoad } from "./create_server_load.ts";
 import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "./types.ts";
@@ -41,6 +46,8 @@
   coldLimits: ColdLimits;
   /** Part of the common limits that this placer may use, between 0 and 1. */
   share: () => number;
+  /** True when long prompts may wait for quiet engines. */
+  canWait: boolean;
 }
 
 /** A job that runs already, as a host reports it to a hub that is new to it. */
@@ -61,8 +68,10 @@
   setServers(servers: readonly PlacementServer[]): void;
   /** Replaces the services. */
   setServices(services: readonly PlacementService[]): void;
-  /** Places a job; a placed job counts until it is finished. */
-  place(job: PlacementJob): PlacementDecision;
+  /** Places a job, at once or after a wait; a placed job counts until it is finished. */
+  place(job: PlacementJob): PlacementDecision | Promise<PlacementDecision>;
+  /** Sends jobs that wait and whose time has come. */
+  review(): void;
   /** Takes over a job that was placed elsewhere. */
   adopt(running: RunningJob): void;
   /** Tells that the first byte of the answer came. */
@@ -90,7 +99,7 @@
  * const decision = placer.place(job);
  */
 export function createPlacer(options: PlacerOptions): Placer {
-  const { clock, retryLimits, coldLimits, share } = options;
+  const { clock, retryLimits, coldLimits, share, canWait } = options;
   const services = new Map<string, PlacementService>();
   const loads = new Map<string, ServerLoad>();
   const running = new Map<string, RunningJob>();
@@ -118,10 +127,17 @@
     return trusted.length > 0 ? trusted : all;
   };
 
+  const markDelayed = (choice: EngineChoice) => {
+    for (const load of [choice.first, ...choice.helpers]) {
+      if (choice.partMs > load.readRoomMs()) load.markDelayed();
+    }
+  };
+
   const record = (job: PlacementJob, choice: EngineChoice) => {
     const reserved = new Map(choice.tickets.map((ticket) => [ticket.serverId, ticket.tokens]));
     const total = job.promptTokens + job.answerTokens;
     const elsewhere = choice.tickets.reduce((sum, ticket) => sum + ticket.tokens, 0);
+    markDelayed(choice);
     choice.first.add(job, {
       readMs: choice.partMs,
       memoryTokens: total - elsewhere,
@@ -140,27 +156,17 @@
     });
   };
 
-  const choose = (job: PlacementJob, usable: ServerLoad[]): EngineChoice | undefined => {
+  const choose = (
+    job: PlacementJob,
+    usable: ServerLoad[],
+    waitedMs: Millis,
+  ): EngineChoice | undefined => {
     const profile = services.get(job.service)?.engine;
-    if (profile !== undefined) return chooseEngines(job, usable, profile);
-    const [first] = [...usable].sort((a, b) =>
-      a.size() / a.server.slots - b.size() / b.server.slots ||
-      a.recentSends() - b.recentSends()
-    );
-    if (first === undefined) return undefined;
-    return { first, helpers: [], tickets: [], partMs: 0, expectedMs: OVERHEAD_MS };
+    if (profile !== undefined) return chooseEngines(job, usable, { profile, waitedMs });
+    return chooseLeastLoaded(usable);
   };
 
-  const place = (job: PlacementJob): PlacementDecision => {
-    if (quarantine.isQuarantined(job.fingerprint)) {
-      return refuse(PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
-    }
-    const usable = listUsable(job);
-    if (usable.length === 0) return refuse(PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
-    const open = usable.filter(isWithinColdLimit);
-    if (open.length === 0) return refuse(PLACEMENT_REFUSAL.COLD_LIMIT, COLD_RETRY_AFTER_MS);
-    const choice = choose(job, open);
-    if (choice === undefined) return refuse(PLACEMENT_REFUSAL.TOO_LARGE, NO_SERVER_RETRY_AFTER_MS);
+  const dispatch = (job: PlacementJob, choice: EngineChoice): PlacementDecision => {
     if (job.isRetry && !limiter.tryTake(job.service)) {
       return refuse(PLACEMENT_REFUSAL.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS);
     }
@@ -175,6 +181,51 @@
     };
   };
 
+  const listOpen = (job: PlacementJob) => listUsable(job).filter(isWithinColdLimit);
+
+  const leastReadMs = (job: PlacementJob): Millis => {
+    const profile = services.get(job.service)?.engine;
+    if (profile === undefined) return 0;
+    const engines = Math.min(listUsable(job).length, MAX_HELPERS + 1);
+    return computeReadMs(job.promptTokens, profile) / Math.max(1, engines);
+  };
+
+  const line = createWaitingLine({
+    choose: (job, waitedMs) => choose(job, listOpen(job), waitedMs),
+    leastReadMs,
+    dispatch,
+    refuse: () => refuse(PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
+  }, clock);
+
+  const isLong = (job: PlacementJob) => {
+    const profile = services.get(job.service)?.engine;
+    return profile !== undefined && computeReadMs(job.promptTokens, profile) >= LONG_READ_MS;
+  };
+
+  const fitsWhenIdle = (job: PlacementJob, usable: ServerLoad[]) => {
+    const memory = (services.get(job.service)?.engine?.memoryTokens ?? 0) * MEMORY_SHARE;
+    const engines = Math.min(usable.length, MAX_HELPERS + 1);
+    return job.promptTokens + job.answerTokens <= memory * engines;
+  };
+
+  const place = (job: PlacementJob): PlacementDecision | Promise<PlacementDecision> => {
+    if (quarantine.isQuarantined(job.fingerprint)) {
+      return refuse(PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
+    }
+    const usable = listUsable(job);
+    if (usable.length === 0) return refuse(PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
+    const open = usable.filter(isWithinColdLimit);
+    if (open.length === 0) return refuse(PLACEMENT_REFUSAL.COLD_LIMIT, COLD_RETRY_AFTER_MS);
+    if (leastReadMs(job) > job.remainingMs) {
+      return refuse(PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS);
+    }
+    const choice = choose(job, open, job.elapsedMs);
+    const mayWait = canWait && isLong(job) && line.hasRoom();
+    if (choice !== undefined && (!mayWait || line.isReady(choice))) return dispatch(job, choice);
+    if (mayWait && fitsWhenIdle(job, usable)) return line.add(job);
+    return refuse(PLACEMENT_REFUSAL.TOO_LARGE, NO_SERVER_RETRY_AFTER_MS);
+  };
+
   const serversOf = (entry: RunningJob) => [entry.serverId, ...entry.helperIds];
 
   const judgeServer = (entry: RunningJob, outcome: JobOutcome, faultyServerId?: string) => {
@@ -217,6 +268,7 @@
       }
     },
     place,
+    review: () => line.review(),
     adopt(entry) {
       if (running.has(entry.job.id)) return;
       running.set(entry.job.id, { ...entry });
@@ -234,6 +286,7 @@
       for (const id of serversOf(entry)) loads.get(id)?.markWriting(jobId);
     },
     finished(jobId, outcome, faultyServerId) {
+      if (line.cancel(jobId)) return;
       const entry = running.get(jobId);
       if (entry === undefined) return;
       running.delete(jobId);
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@jaypass/kernel";
 import { computePassMs } from "./compute_pass_ms.ts";
+import { computeWeight } from "./compute_weight.ts";
 import { PAUSE_SLACK_MS, SUSPECT_BASE_MS, SUSPECT_MAX_MS } from "./constants.ts";
 import { createRateWindow } from "./create_rate_window.ts";
 import type { EngineProfile, PlacementJob, PlacementServer } from "./types.ts";
@@ -19,6 +20,8 @@
   isFirst: boolean;
   /** True once the first byte of the answer came. */
   isWriting: boolean;
+  /** True once a read was placed here that delays it beyond its pause goal. */
+  isDelayed: boolean;
   /** Memory that it takes here. */
   memoryTokens: number;
   startMs: Millis;
@@ -44,6 +47,10 @@
   requests(): number;
   /** Requests that write with a pause goal, or will write after their read. */
   writers(): number;
+  /** Weight of the requests here that are in time so far and have a pause goal. */
+  onTimeWeight(): number;
+  /** Marks the requests here as late, since a read delays them beyond their goals. */
+  markDelayed(): void;
   /** Shortest pause goal of the requests here; Infinity without any. */
   strictestPauseMs(): Millis;
   /** Expected milliseconds of reading still to be done. */
@@ -111,8 +118,10 @@
     return computePassMs(writing.length, contextTokens, profile);
   };
 
+  // A request that is late already cannot be delayed out of time once more.
   const strictestPauseMs = () =>
-    streams().reduce((least, share) => Math.min(least, share.job.pauseGoalMs), Infinity);
+    streams().filter((share) => !share.isDelayed)
+      .reduce((least, share) => Math.min(least, share.job.pauseGoalMs), Infinity);
 
   const load: ServerLoad = {
     server,
@@ -120,7 +129,13 @@
       profile = next;
     },
     add(job, part) {
-      shares.set(job.id, { job, ...part, isWriting: false, startMs: clock.nowMs() });
+      shares.set(job.id, {
+        job,
+        ...part,
+        isWriting: false,
+        isDelayed: false,
+        startMs: clock.nowMs(),
+      });
     },
     countSend: () => sends.add(),
     markWriting(jobId) {
@@ -131,6 +146,12 @@
     size: () => shares.size,
     requests: () => all().filter((share) => share.isFirst).length,
     writers: () => streams().length,
+    onTimeWeight: () =>
+      streams().filter((share) => !share.isDelayed)
+        .reduce((sum, share) => sum + computeWeight(share.job), 0),
+    markDelayed() {
+      for (const share of streams()) share.isDelayed = true;
+    },
     strictestPauseMs,
     readBacklogMs,
     passMs,
--- /dev/null
+++ b/packages/placement/create_waiting_line.ts
@@ -0,0 +1,136 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import type { EngineChoice } from "./choose_engines.ts";
+import {
+  DEADLINE_MARGIN_MS,
+  LAST_CALL_MS,
+  LATE_LOSS_SHARE,
+  LATE_PART_FACTOR,
+  LATE_PART_MS,
+  MAX_WAITING,
+  READY_BACKLOG_MS,
+} from "./constants.ts";
+import { computeWeight } from "./compute_weight.ts";
+import type { PlacementDecision, PlacementJob } from "./types.ts";
+
+/** What the line needs to know of a prompt that may wait. */
+export interface LineView {
+  /** The best choice of engines now; undefined when no engines have the memory. */
+  choose(job: PlacementJob, waitedMs: Millis): EngineChoice | undefined;
+  /** Milliseconds in which all engines together would read the prompt if they were idle. */
+  leastReadMs(job: PlacementJob): Millis;
+  /** Sends the job to the engines of a choice. */
+  dispatch(job: PlacementJob, choice: EngineChoice): PlacementDecision;
+  /** Refuses a job that can no longer be answered in time. */
+  refuse(job: PlacementJob): PlacementDecision;
+}
+
+/** Long prompts that wait for quiet engines. */
+export interface WaitingLine {
+  /** True when the prompt should be sent at once with this choice. */
+  isReady(choice: EngineChoice): boolean;
+  /** True while another prompt may wait. */
+  hasRoom(): boolean;
+  /** Lets a prompt wait; settles when it is sent, refused or cancelled. */
+  add(job: PlacementJob): Promise<PlacementDecision>;
+  /** Takes a prompt out, since its caller left; false when it does not wait. */
+  cancel(jobId: string): boolean;
+  /** Sends every prompt whose time has come. */
+  review(): void;
+  /** Prompts that wait. */
+  size(): number;
+}
+
+interface Entry {
+  job: PlacementJob;
+  sinceMs: Millis;
+  settle: (decision: PlacementDecision) => void;
+}
+
+/**
+ * Creates the line of long prompts.
+ *
+ * The load it answers: more long prompts than the engines read in time. Without a line they queue
+ * on all engines, where each of them becomes late and short prompts wait behind them. Here a prompt
+ * leaves the line when quiet engines can read it in time; one that can still be in time goes before
+ * one that is late already, and a late one goes when engines are idle or its deadline presses.
+ *
+ * @param view engines and what can be done with a prompt
+ * @param clock monotonic time source
+ * @returns the line, empty
+ *
+ * @example
+ * const line = createWaitingLine(view, clock);
+ * const decision = await line.add(job);
+ */
+export function createWaitingLine(view: LineView, clock: Clock): WaitingLine {
+  const entries = new Map<string, Entry>();
+
+  const waitedMs = ({ job, sinceMs }: Entry) => job.elapsedMs + clock.nowMs() - sinceMs;
+  const slackMs = (entry: Entry) =>
+    entry.job.goalMs - waitedMs(entry) - view.leastReadMs(entry.job);
+  const deadlineSlackMs = ({ job, sinceMs }: Entry) =>
+    job.remainingMs - (clock.nowMs() - sinceMs) - view.leastReadMs(job);
+
+  const isReady = (choice: EngineChoice) =>
+    choice.harm === 0 && choice.isOnTime && choice.backlogMs <= READY_BACKLOG_MS;
+
+  /** Those that can be in time by urgency, then the late ones, the smallest first. */
+  const inOrder = () => {
+    const all = [...entries.values()].map((entry) => ({ entry, slackMs: slackMs(entry) }));
+    const inTime = all.filter((item) => item.slackMs >= 0).sort((a, b) => a.slackMs - b.slackMs);
+    const late = all.filter((item) => item.slackMs < 0)
+      .sort((a, b) => a.entry.job.promptTokens - b.entry.job.promptTokens);
+    return [...inTime, ...late];
+  };
+
+  const shouldSend = (
+    { entry, slackMs }: { entry: Entry; slackMs: Millis },
+    choice: EngineChoice,
+    isOvertaken: boolean,
+  ): boolean => {
+    if (isReady(choice)) return true;
+    const isPressing = deadlineSlackMs(entry) <= DEADLINE_MARGIN_MS + view.leastReadMs(entry.job);
+    if (isPressing) return true;
+    const gain = LATE_LOSS_SHARE * computeWeight(entry.job);
+    if (slackMs >= 0) {
+      return slackMs <= LAST_CALL_MS && choice.isOnTime && choice.harm < gain;
+    }
+    return !isOvertaken && choice.harm === 0 && choice.backlogMs <= READY_BACKLOG_MS &&
+      choice.partMs <= Math.max(LATE_PART_MS, LATE_PART_FACTOR * view.leastReadMs(entry.job));
+  };
+
+  const leave = (entry: Entry, decision: PlacementDecision) => {
+    entries.delete(entry.job.id);
+    entry.settle(decision);
+  };
+
+  return {
+    isReady,
+    hasRoom: () => entries.size < MAX_WAITING,
+    add: (job) =>
+      new Promise((settle) => {
+        entries.set(job.id, { job, sinceMs: clock.nowMs(), settle });
+      }),
+    cancel(jobId) {
+      const entry = entries.get(jobId);
+      if (entry === undefined) return false;
+      leave(entry, view.refuse(entry.job));
+      return true;
+    },
+    review() {
+      let isOvertaken = false;
+      for (const item of inOrder()) {
+        const { entry } = item;
+        if (deadlineSlackMs(entry) < 0) {
+          leave(entry, view.refuse(entry.job));
+          continue;
+        }
+        const choice = view.choose(entry.job, waitedMs(entry));
+        if (choice !== undefined && shouldSend(item, choice, isOvertaken)) {
+          leave(entry, view.dispatch(entry.job, choice));
+        } else if (item.slackMs >= 0) isOvertaken = true;
+      }
+    },
+    size: () => entries.size,
+  };
+}
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -71,6 +71,8 @@
   pauseGoalMs: Millis;
   /** Milliseconds until the caller's deadline. */
   remainingMs: Millis;
+  /** Milliseconds since the caller's request came. */
+  elapsedMs: Millis;
   /** Servers that this request must not get. */
   excludedIds: readonly string[];
   /** True for a second or later server of the same request. */
@@ -96,6 +98,7 @@
   QUARANTINED: "quarantined",
   COLD_LIMIT: "cold_limit",
   TOO_LARGE: "too_large",
+  UNSERVABLE: "unservable",
 } as const;
 
 /** One of {@linkcode PLACEMENT_REFUSAL}. */
