--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -5,13 +5,13 @@
  */
 
 /** Milliseconds between two looks of a hub at the servers' table; well inside the drain bound. */
-export const SERVERS_POLL_GAP_MS = 400;
+export const SERVERS_POLL_GAP_MS = 600;
 
 /** Milliseconds that the store holds a look at the servers' table without changes. */
-export const SERVERS_WAIT_MS = 300;
+export const SERVERS_WAIT_MS = 200;
 
 /** Milliseconds that the store holds a look at a table that changes seldom. */
-export const TABLE_WAIT_MS = 1_000;
+export const TABLE_WAIT_MS = 2_000;
 
 /** Milliseconds between two looks at a table that changes seldom, so that series are read at once. */
 export const TABLE_POLL_GAP_MS = 50;
@@ -23,7 +23,7 @@
 export const STORE_RETRY_MS = { min: 150, max: 1_000 } as const;
 
 /** Milliseconds without fresh rows from a hub after which a host follows the store itself. */
-export const VIEW_STALE_MS = 900;
+export const VIEW_STALE_MS = 1_300;
 
 /** Milliseconds between two views that a hub sends. */
 export const VIEW_INTERVAL_MS = 300;
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -92,10 +92,11 @@
 });
 
 /** An answer without a length, which ends with its connection. */
-const unframed = (body: string, end: (res: ServerResponse) => void): ServerBehaviour => (_, res) => {
-  res.socket?.write(`HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n\r\n${body}`);
-  setTimeout(() => end(res), 20);
-};
+const unframed =
+  (body: string, end: (res: ServerResponse) => void): ServerBehaviour => (_, res) => {
+    res.socket?.write(`HTTP/1.1 200 OK\r\nAttempt: a1\r\nSeal: s\r\n\r\n${body}`);
+    setTimeout(() => end(res), 20);
+  };
 
 test("an answer without a length is complete when its connection is closed", async (t) => {
   const closed = unframed("whole", (res) => res.socket?.end());
--- a/packages/forwarding_host/mod.ts
+++ b/packages/forwarding_host/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./apply_settings.ts";
 export * from "./choose_addresses.ts";
 export * from "./constants.ts";
 export * from "./create_cluster_view.ts";
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -7,11 +7,11 @@
   MAX_HELPERS,
   MEMORY_SHARE,
   OVERHEAD_MS,
-  PACKED_SLOTS_SHARE,
   QUIET_PART_MS,
   RESERVE_FREE_SLOTS,
   SPARE_SLOTS,
   SPLIT_GOAL_SHARE,
+  UNANSWERED_LOSS_SHARE,
 } from "./constants.ts";
 import { computeWeight } from "./compute_weight.ts";
 import type { ServerLoad } from "./create_server_load.ts";
@@ -52,6 +52,10 @@
   profile: EngineProfile;
   /** Milliseconds that the job has waited already. */
   waitedMs: Millis;
+  /** Milliseconds until the job's deadline. */
+  leftMs: Millis;
+  /** Part of an engine's slots up to which short prompts are packed before another is opened. */
+  packedShare: number;
 }
 
 /**
@@ -124,7 +128,7 @@
     backlogMs + workMs + load.passMs() <= limitMs
   );
   const isPacked = ({ writers, load }: Candidate) =>
-    writers < load.server.slots * PACKED_SLOTS_SHARE;
+    writers < load.server.slots * options.packedShare;
   const ordered = fitting.sort((a, b) =>
     Number(isPacked(b)) - Number(isPacked(a)) ||
     (isPacked(a) ? b.writers - a.writers : a.writers - b.writers) ||
@@ -155,13 +159,14 @@
   return best?.choice;
 }
 
-/** What the job itself loses: little while it is early, a part of its weight once it is late. */
+/** What the job itself loses: little while it is early, more once it is late or not answered. */
 function lossOfLateness(
   job: PlacementJob,
   choice: EngineChoice,
-  { waitedMs }: ChooseOptions,
+  { waitedMs, leftMs }: ChooseOptions,
 ): number {
   const weight = computeWeight(job);
+  if (choice.expectedMs > leftMs) return weight * UNANSWERED_LOSS_SHARE;
   const lateness = (choice.expectedMs + waitedMs) / job.goalMs;
   if (lateness <= SPLIT_GOAL_SHARE) return 0;
   // Among late choices the earlier one is still better, so the loss keeps growing with time.
--- a/packages/placement/choose_engines_test.ts
+++ b/packages/placement/choose_engines_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { chooseEngines } from "./choose_engines.ts";
+import { PACKED_SLOTS_SHARE } from "./constants.ts";
 import { createServerLoad } from "./create_server_load.ts";
 import { createManualClock, makeJob, makeServers, PROFILE } from "./_testing/fixtures.ts";
 
@@ -19,8 +20,14 @@
   };
   const addRead = (index: number, readMs: number) =>
     loads[index]?.add(makeJob(LONG), { readMs, memoryTokens: 0, isFirst: false });
-  const choose = (changes = {}) => {
-    const choice = chooseEngines(makeJob(changes), loads, { profile: PROFILE, waitedMs: 0 });
+  const choose = (changes = {}, options = {}) => {
+    const choice = chooseEngines(makeJob(changes), loads, {
+      profile: PROFILE,
+      waitedMs: 0,
+      leftMs: 15_000,
+      packedShare: PACKED_SLOTS_SHARE,
+      ...options,
+    });
     return choice && {
       servers: [choice.first, ...choice.helpers].map(({ server }) => server.id),
       isOnTime: choice.isOnTime,
@@ -81,3 +88,10 @@
   loads[0]?.markDelayed();
   t.deepEqual(choose({ ...LONG, goalMs: 6_000 })?.servers, ["s1"]);
 });
+
+test("a late prompt is split so far that it is answered before its deadline", (t) => {
+  const { choose, addWriters } = setUp(8);
+  for (let index = 0; index < 8; index++) addWriters(index, 4);
+  const choice = choose({ ...LONG, promptTokens: 340_000 }, { waitedMs: 10_000, leftMs: 4_000 });
+  t.true((choice?.servers.length ?? 0) >= 4, String(choice?.servers));
+});
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -61,12 +61,24 @@
 /** Part of a request's weight that is lost when it is late; most of the users' classes lose 0.75. */
 export const LATE_LOSS_SHARE = 0.75;
 
+/** Multiple of a request's weight that is lost when it waited in vain until its deadline. */
+export const UNANSWERED_LOSS_SHARE = 3;
+
+/** Part of a late prompt's weight that the writers may lose which it delays. */
+export const LATE_HARM_SHARE = 0.1;
+
+/** Part of the time to its deadline that a late prompt may be read for on few engines. */
+export const LATE_READ_SHARE = 0.33;
+
 /** Milliseconds of reading on one engine from which a prompt may wait for quiet engines. */
 export const LONG_READ_MS = 800;
 
 /** Part of an engine's slots up to which short prompts are packed before another engine is opened. */
 export const PACKED_SLOTS_SHARE = 0.6;
 
+/** The same while long prompts wait for quiet engines. */
+export const TIGHT_SLOTS_SHARE = 0.9;
+
 /** Free slots on engines that write below which an idle engine is kept for short prompts. */
 export const RESERVE_FREE_SLOTS = 4;
 
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -8,7 +8,9 @@
   MAX_HELPERS,
   MEMORY_SHARE,
   NO_SERVER_RETRY_AFTER_MS,
+  PACKED_SLOTS_SHARE,
   QUARANTINE_MS,
+  TIGHT_SLOTS_SHARE,
 } from "./constants.ts";
 import { createCrashQuarantine } from "./create_crash_quarantine.ts";
 import { createRetryLimiter } from "./create_retry_limiter.ts";
@@ -159,11 +161,12 @@
   const choose = (
     job: PlacementJob,
     usable: ServerLoad[],
-    waitedMs: Millis,
+    times: { waitedMs: Millis; leftMs: Millis },
   ): EngineChoice | undefined => {
     const profile = services.get(job.service)?.engine;
-    if (profile !== undefined) return chooseEngines(job, usable, { profile, waitedMs });
-    return chooseLeastLoaded(usable);
+    if (profile === undefined) return chooseLeastLoaded(usable);
+    const packedShare = line.size() > 0 ? TIGHT_SLOTS_SHARE : PACKED_SLOTS_SHARE;
+    return chooseEngines(job, usable, { profile, packedShare, ...times });
   };
 
   const dispatch = (job: PlacementJob, choice: EngineChoice): PlacementDecision => {
@@ -191,7 +194,7 @@
   };
 
   const line = createWaitingLine({
-    choose: (job, waitedMs) => choose(job, listOpen(job), waitedMs),
+    choose: (job, waitedMs, leftMs) => choose(job, listOpen(job), { waitedMs, leftMs }),
     leastReadMs,
     dispatch,
     refuse: () => refuse(PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
@@ -219,7 +222,7 @@
     if (leastReadMs(job) > job.remainingMs) {
       return refuse(PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS);
     }
-    const choice = choose(job, open, job.elapsedMs);
+    const choice = choose(job, open, { waitedMs: job.elapsedMs, leftMs: job.remainingMs });
     const mayWait = canWait && isLong(job) && line.hasRoom();
     if (choice !== undefined && (!mayWait || line.isReady(choice))) return dispatch(job, choice);
     if (mayWait && fitsWhenIdle(job, usable)) return line.add(job);
--- a/packages/placement/create_waiting_line.ts
+++ b/packages/placement/create_waiting_line.ts
@@ -3,9 +3,11 @@
 import {
   DEADLINE_MARGIN_MS,
   LAST_CALL_MS,
+  LATE_HARM_SHARE,
   LATE_LOSS_SHARE,
   LATE_PART_FACTOR,
   LATE_PART_MS,
+  LATE_READ_SHARE,
   MAX_WAITING,
   READY_BACKLOG_MS,
 } from "./constants.ts";
@@ -15,7 +17,7 @@
 /** What the line needs to know of a prompt that may wait. */
 export interface LineView {
   /** The best choice of engines now; undefined when no engines have the memory. */
-  choose(job: PlacementJob, waitedMs: Millis): EngineChoice | undefined;
+  choose(job: PlacementJob, waitedMs: Millis, leftMs: Millis): EngineChoice | undefined;
   /** Milliseconds in which all engines together would read the prompt if they were idle. */
   leastReadMs(job: PlacementJob): Millis;
   /** Sends the job to the engines of a choice. */
@@ -68,8 +70,8 @@
   const waitedMs = ({ job, sinceMs }: Entry) => job.elapsedMs + clock.nowMs() - sinceMs;
   const slackMs = (entry: Entry) =>
     entry.job.goalMs - waitedMs(entry) - view.leastReadMs(entry.job);
-  const deadlineSlackMs = ({ job, sinceMs }: Entry) =>
-    job.remainingMs - (clock.nowMs() - sinceMs) - view.leastReadMs(job);
+  const leftMs = ({ job, sinceMs }: Entry) => job.remainingMs - (clock.nowMs() - sinceMs);
+  const deadlineSlackMs = (entry: Entry) => leftMs(entry) - view.leastReadMs(entry.job);
 
   const isReady = (choice: EngineChoice) =>
     choice.harm === 0 && choice.isOnTime && choice.backlogMs <= READY_BACKLOG_MS;
@@ -95,8 +97,15 @@
     if (slackMs >= 0) {
       return slackMs <= LAST_CALL_MS && choice.isOnTime && choice.harm < gain;
     }
-    return !isOvertaken && choice.harm === 0 && choice.backlogMs <= READY_BACKLOG_MS &&
-      choice.partMs <= Math.max(LATE_PART_MS, LATE_PART_FACTOR * view.leastReadMs(entry.job));
+    const longestPartMs = Math.max(
+      LATE_PART_MS,
+      LATE_READ_SHARE,
+      LATE_PART_FACTOR * view.leastReadMs(entry.job),
+      LATE_READ_SHARE * deadlineSlackMs(entry),
+    );
+    return !isOvertaken && choice.backlogMs <= READY_BACKLOG_MS &&
+      choice.partMs <= longestPartMs &&
+      choice.harm <= LATE_HARM_SHARE * computeWeight(entry.job);
   };
 
   const leave = (entry: Entry, decision: PlacementDecision) => {
@@ -125,7 +134,7 @@
           leave(entry, view.refuse(entry.job));
           continue;
         }
-        const choice = view.choose(entry.job, waitedMs(entry));
+        const choice = view.choose(entry.job, waitedMs(entry), leftMs(entry));
         if (choice !== undefined && shouldSend(item, choice, isOvertaken)) {
           leave(entry, view.dispatch(entry.job, choice));
         } else if (item.slackMs >= 0) isOvertaken = true;
