Ask engines for their load where hosts place without a hub

Change: hosts that place alone order servers by a hash of their own and read the engines' reports first; a hub reads them once a second while some host has no link to it. What a report shows beyond the placer's own requests counts as writers, memory and backlog.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -60,6 +60,10 @@
   liveHosts(): HostEntry[];
   /** Number of hosts with a row, at least 1; used for a host's share of common limits. */
   hostCount(): number;
+  /** True while this host is a hub and so decides for others. */
+  isDeciding(): boolean;
+  /** Hosts with a row that have no link to this host, which is a hub. */
+  missingHosts(): number;
   /** Milliseconds since the store came back from an absence; Infinity without one. */
   storeRecoveredAgoMs(): Millis;
 }
@@ -226,6 +230,9 @@
     report: (report, reportOptions) => hubClient.report(report, reportOptions),
     rows: (table) => cache.rows(table),
     liveHosts: listLive,
+    isDeciding: () => hubClient.isHub(),
+    missingHosts: () =>
+      knownHosts().filter(({ host }) => host !== self.host && hubServer.goneMs(host) !== 0).length,
     hostCount: () => knownHosts().length,
     storeRecoveredAgoMs,
   };
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -42,3 +42,15 @@
 
 /** Log lines a second beyond which lines below warning level are dropped and counted. */
 export const MAX_LOG_LINES_PER_S = 100;
+
+/** Milliseconds between two looks of a hub at the engines while some host has no link to it. */
+export const HUB_PROBE_MS = 1_000;
+
+/** Milliseconds for which a look at the engines serves further placements. */
+export const PROBE_REUSE_MS = 400;
+
+/** Milliseconds that a placement waits for the engines' reports. */
+export const PROBE_TIMEOUT_MS = 80;
+
+/** Engines that one look asks at most. */
+export const PROBE_MAX_ENGINES = 16;
--- a/packages/forwarding_host/create_placement_client.ts
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -12,6 +12,8 @@
   fleet: () => Pick<Fleet<PlacementJob, PlacementDecision, JobReport>, "place" | "report">;
   /** Places with what this host alone knows, and with its share of the common limits. */
   local: Placer;
+  /** Asks the engines for their load. */
+  refreshLoad: () => Promise<void>;
   /** Log of placements without a hub. */
   log: Logger;
   /** Counters. */
@@ -34,7 +36,7 @@
  * const placement = createPlacementClient({ fleet: () => fleet, local, log, metrics });
  */
 export function createPlacementClient(options: PlacementClientOptions): HostPlacement {
-  const { fleet, local, log, metrics } = options;
+  const { fleet, local, refreshLoad, log, metrics } = options;
   const running = new Map<string, RunningJob>();
 
   const remember = (job: PlacementJob, decision: PlacementDecision, decidedBy?: string) => {
@@ -54,7 +56,8 @@
       });
       if (answer === undefined) {
         metrics.increment("placement", { by: "host" });
-        log.info({ jobId: job.id }, "Placed without a hub");
+        log.info({ jobId: job.id }, "Placing without a hub");
+        if (job.promptTokens > 0) await refreshLoad();
       } else metrics.increment("placement", { by: "hub" });
       const decision = answer?.decision ?? await local.place(job);
       remember(job, decision, answer?.by);
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -3,9 +3,12 @@
 import { createFleet } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
 import { createPlacer, LINE_CHECK_MS } from "@jaypass/placement";
-import { LAPSE_CHECK_MS } from "./constants.ts";
+import type { PlacementServer } from "@jaypass/placement";
+import { HUB_PROBE_MS, LAPSE_CHECK_MS } from "./constants.ts";
 import { createClusterView } from "./create_cluster_view.ts";
+import type { ClusterView } from "./create_cluster_view.ts";
 import { createDesk } from "./create_desk.ts";
+import { createLoadProbe } from "./create_load_probe.ts";
 import { createPlacementClient } from "./create_placement_client.ts";
 import type { HostContext } from "./host_context.ts";
 import { SERVICE } from "./service_names.ts";
@@ -49,6 +52,7 @@
     coldLimits,
     share: () => 1,
     canWait: true,
+    seed: "",
   });
   const localPlacer = createPlacer({
     clock,
@@ -56,8 +60,25 @@
     coldLimits,
     share: () => 1 / fleet.hostCount(),
     canWait: false,
+    seed: settings.host,
+  });
+  const probe = createLoadProbe({
+    reports: adapter.reports,
+    clock,
+    log,
+    metrics,
+    engines: () => listEngines(view),
+    onReport(serverId, report) {
+      for (const placer of [hubPlacer, localPlacer]) placer.observe(serverId, report);
+    },
+  });
+  const placement = createPlacementClient({
+    fleet: () => fleet,
+    local: localPlacer,
+    refreshLoad: () => probe.refresh(),
+    log,
+    metrics,
   });
-  const placement = createPlacementClient({ fleet: () => fleet, local: localPlacer, log, metrics });
   const view = createClusterView({
     clock,
     log,
@@ -89,9 +110,22 @@
       hubPlacer.review();
     }
   });
+  tasks.run("probe load that other hosts place", async (signal) => {
+    while (!signal.aborted) {
+      await sleep(HUB_PROBE_MS, signal);
+      // Hosts without a link place by themselves, and only the engines tell what they sent.
+      if (fleet.isDeciding() && fleet.missingHosts() > 0) await probe.refresh();
+    }
+  });
   return { fleet, view, placement };
 }
 
+/** Usable engines; servers of plain services make no reports. */
+function listEngines(view: ClusterView): PlacementServer[] {
+  const services = view.configuration()?.services;
+  return view.usableServers().filter(({ service }) => services?.get(service)?.engine !== undefined);
+}
+
 function describeSelf({ settings, incarnation }: HostContext): HostEntry {
   return {
     host: settings.host,
--- a/packages/forwarding_host/types.ts
+++ b/packages/forwarding_host/types.ts
@@ -6,7 +6,7 @@
 import type { Millis } from "@jaypass/kernel";
 import type { RowStore } from "@jaypass/fleet";
 import type { HeaderCodec } from "@jaypass/forwarding";
-import type { ColdLimits, RetryLimits } from "@jaypass/placement";
+import type { ColdLimits, EngineReport, RetryLimits } from "@jaypass/placement";
 import type { ConfigurationDocument } from "@jaypass/forwarding";
 
 /** Settings of a forwarding host. */
@@ -57,6 +57,12 @@
   release(server: { address: string; serverId: string }, ticket: string): Promise<void>;
 }
 
+/** Reports of engines on their load. */
+export interface EngineReports {
+  /** Asks an engine; fails when it does not answer in time. */
+  read(server: { address: string; serverId: string }, timeoutMs: Millis): Promise<EngineReport>;
+}
+
 /** The formats of the directory and of readiness checks. */
 export interface PublicCalls {
   /** True for a question which addresses to use. */
@@ -75,6 +81,8 @@
   codec: HeaderCodec;
   /** Memory reservations on engines. */
   orders: EngineOrders;
+  /** Reports of engines. */
+  reports: EngineReports;
   /** Formats of public calls. */
   publicCalls: PublicCalls;
 }
--- a/packages/placement/_testing/fixtures.ts
+++ b/packages/placement/_testing/fixtures.ts
@@ -18,6 +18,8 @@
   pairMsPerMillion: 0.16,
   stepsPerPass: 34,
   chunkTokens: 2_048,
+  usualPromptTokens: 11_000,
+  usualAnswerTokens: 1_250,
 };
 
 /** Servers `s1`, `s2` and so on of one service. */
--- a/packages/placement/choose_engines_test.ts
+++ b/packages/placement/choose_engines_test.ts
@@ -95,3 +95,15 @@
   const choice = choose({ ...LONG, promptTokens: 340_000 }, { waitedMs: 10_000, leftMs: 4_000 });
   t.true((choice?.servers.length ?? 0) >= 4, String(choice?.servers));
 });
+
+test("an engine that reports requests of other hosts is left alone by long prompts", (t) => {
+  const { choose, loads } = setUp(3);
+  loads[0]?.observe({ running: 4, queued: 0, usedTokens: 40_000 });
+  t.false(choose(LONG)?.servers.includes("s1"));
+});
+
+test("an engine that holds much memory for few requests is taken to read", (t) => {
+  const { choose, loads } = setUp(2);
+  loads[0]?.observe({ running: 1, queued: 0, usedTokens: 300_000 });
+  t.deepEqual(choose()?.servers, ["s2"]);
+});
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -102,3 +102,12 @@
 
 /** Prompts that wait at most; beyond it they are placed at once. */
 export const MAX_WAITING = 200;
+
+/** Milliseconds for which an engine's report on requests that were placed elsewhere counts. */
+export const REPORT_VALID_MS = 1_500;
+
+/** Milliseconds of reading that fit beside writers of which only the number is known. */
+export const FOREIGN_ROOM_MS = 150;
+
+/** Multiple of the usual size beyond which memory in use shows that a long prompt is read. */
+export const FOREIGN_SIZE_FACTOR = 2;
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -1,3 +1,4 @@
+import { createHash } from "node:crypto";
 import type { Clock, Millis } from "@jaypass/kernel";
 import { chooseEngines } from "./choose_engines.ts";
 import type { EngineChoice } from "./choose_engines.ts";
@@ -22,6 +23,7 @@
 import type { ServerLoad } from "./create_server_load.ts";
 import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "./types.ts";
 import type {
+  EngineReport,
   JobOutcome,
   PlacementDecision,
   PlacementJob,
@@ -50,6 +52,8 @@
   share: () => number;
   /** True when long prompts may wait for quiet engines. */
   canWait: boolean;
+  /** Orders servers of equal load; hosts that place alone differ in it, so as not to meet. */
+  seed: string;
 }
 
 /** A job that runs already, as a host reports it to a hub that is new to it. */
@@ -74,6 +78,8 @@
   place(job: PlacementJob): PlacementDecision | Promise<PlacementDecision>;
   /** Sends jobs that wait and whose time has come. */
   review(): void;
+  /** Takes an engine's report on its load. */
+  observe(serverId: string, report: EngineReport): void;
   /** Takes over a job that was placed elsewhere. */
   adopt(running: RunningJob): void;
   /** Tells that the first byte of the answer came. */
@@ -101,9 +107,10 @@
  * const decision = placer.place(job);
  */
 export function createPlacer(options: PlacerOptions): Placer {
-  const { clock, retryLimits, coldLimits, share, canWait } = options;
+  const { clock, retryLimits, coldLimits, share, canWait, seed } = options;
   const services = new Map<string, PlacementService>();
   const loads = new Map<string, ServerLoad>();
+  const ranks = new Map<string, string>();
   const running = new Map<string, RunningJob>();
   const quarantine = createCrashQuarantine(clock);
   const limiter = createRetryLimiter({ clock, limits: retryLimits, share });
@@ -126,7 +133,16 @@
       server.service === job.service && !job.excludedIds.includes(server.id)
     );
     const trusted = all.filter((load) => !load.isSuspect());
-    return trusted.length > 0 ? trusted : all;
+    return (trusted.length > 0 ? trusted : all)
+      .sort((a, b) => rankOf(a.server.id) < rankOf(b.server.id) ? -1 : 1);
+  };
+
+  const rankOf = (serverId: string): string => {
+    const known = ranks.get(serverId);
+    if (known !== undefined) return known;
+    const rank = createHash("sha1").update(`${seed}/${serverId}`).digest("hex");
+    ranks.set(serverId, rank);
+    return rank;
   };
 
   const markDelayed = (choice: EngineChoice) => {
@@ -250,7 +266,10 @@
   return {
     setServers(servers) {
       const present = new Set(servers.map((server) => server.id));
-      for (const id of loads.keys()) if (!present.has(id)) loads.delete(id);
+      for (const id of [...loads.keys()].filter((known) => !present.has(known))) {
+        loads.delete(id);
+        ranks.delete(id);
+      }
       for (const server of servers) {
         const load = loads.get(server.id);
         if (load?.server.bornMs === server.bornMs) load.server = server;
@@ -271,6 +290,7 @@
       }
     },
     place,
+    observe: (serverId, report) => loads.get(serverId)?.observe(report),
     review: () => line.review(),
     adopt(entry) {
       if (running.has(entry.job.id)) return;
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -6,7 +6,9 @@
 import { JOB_OUTCOME } from "./types.ts";
 import type { PlacementDecision, PlacementJob } from "./types.ts";
 
-function setUp(options: { servers?: number; share?: number; coldRequestsPerS?: number } = {}) {
+function setUp(
+  options: { servers?: number; share?: number; coldRequestsPerS?: number; seed?: string } = {},
+) {
   const clock = createManualClock();
   const placer = createPlacer({
     clock,
@@ -14,6 +16,7 @@
     coldLimits: { multiplier: 1.5, slack: 5 },
     share: () => options.share ?? 1,
     canWait: false,
+    seed: options.seed ?? "",
   });
   placer.setServices([
     { name: "model", coldRequestsPerS: options.coldRequestsPerS ?? 0, engine: PROFILE },
@@ -153,3 +156,12 @@
     .flatMap((decision) => decision.kind === "placed" ? [decision.serverId] : []);
   t.snapshot(ids.toSorted());
 });
+
+test("hosts that place alone do not all begin with the same server", (t) => {
+  const firsts = Array.from({ length: 12 }, (_, index) => {
+    const { placer } = setUp({ servers: 8, seed: `host-${index}` });
+    const decision = placer.place(makeJob());
+    return decision.kind === "placed" ? decision.serverId : undefined;
+  });
+  t.true(new Set(firsts).size >= 4, String(firsts));
+});
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -1,9 +1,17 @@
 import type { Clock, Millis } from "@jaypass/kernel";
 import { computePassMs } from "./compute_pass_ms.ts";
 import { computeWeight } from "./compute_weight.ts";
-import { PAUSE_SLACK_MS, SUSPECT_BASE_MS, SUSPECT_MAX_MS } from "./constants.ts";
+import { computeReadMs } from "./compute_read_ms.ts";
+import {
+  FOREIGN_ROOM_MS,
+  FOREIGN_SIZE_FACTOR,
+  PAUSE_SLACK_MS,
+  REPORT_VALID_MS,
+  SUSPECT_BASE_MS,
+  SUSPECT_MAX_MS,
+} from "./constants.ts";
 import { createRateWindow } from "./create_rate_window.ts";
-import type { EngineProfile, PlacementJob, PlacementServer } from "./types.ts";
+import type { EngineProfile, EngineReport, PlacementJob, PlacementServer } from "./types.ts";
 
 /** Window of the cold limit, from the engine protocol. */
 const COLD_WINDOW_MS = 1_000;
@@ -33,6 +41,8 @@
   server: PlacementServer;
   /** Replaces the cost figures. */
   setProfile(profile: EngineProfile | undefined): void;
+  /** Takes the server's own report, which shows requests that were placed elsewhere. */
+  observe(report: EngineReport): void;
   /** Counts a job or a part of it. */
   add(job: PlacementJob, part: { readMs: Millis; memoryTokens: number; isFirst: boolean }): void;
   /** Counts a request that was sent, for the cold limit. */
@@ -90,10 +100,15 @@
   let profile = options.profile;
   const shares = new Map<string, Share>();
   const sends = createRateWindow({ clock, windowMs: COLD_WINDOW_MS });
+  let foreign = { requests: 0, tokens: 0, untilMs: -Infinity };
   let failures = 0;
   let suspectUntilMs = -Infinity;
 
   const all = () => [...shares.values()];
+  const foreignRequests = () => clock.nowMs() < foreign.untilMs ? foreign.requests : 0;
+  const foreignTokens = () => clock.nowMs() < foreign.untilMs ? foreign.tokens : 0;
+  const ownRequests = () => all().filter((share) => share.isFirst).length;
+  const ownTokens = () => all().reduce((sum, share) => sum + share.memoryTokens, 0);
   const streams = () => all().filter((share) => share.isFirst && share.job.pauseGoalMs > 0);
 
   const readBacklogMs = () => {
@@ -108,9 +123,23 @@
       elapsedMs += doneMs;
       backlogMs += share.readMs - doneMs;
     }
-    return backlogMs;
+    return backlogMs + foreignBacklogMs();
   };
 
+  /** Half of the read of tokens beyond what requests of the usual size would hold. */
+  const foreignBacklogMs = () => {
+    if (profile === undefined) return 0;
+    const excess = foreignTokens() - FOREIGN_SIZE_FACTOR * foreignRequests() *
+        (profile.usualPromptTokens + profile.usualAnswerTokens);
+    return excess <= 0 ? 0 : computeReadMs(excess, profile) / 2;
+  };
+
+  const foreignWeight = () =>
+    profile === undefined ? 0 : foreignRequests() * computeWeight({
+      promptTokens: profile.usualPromptTokens,
+      answerTokens: profile.usualAnswerTokens,
+    });
+
   const passMs = () => {
     if (profile === undefined) return 0;
     const writing = streams();
@@ -128,6 +157,13 @@
     setProfile: (next) => {
       profile = next;
     },
+    observe({ running, queued, usedTokens }) {
+      foreign = {
+        requests: Math.max(0, running + queued - ownRequests()),
+        tokens: Math.max(0, usedTokens - ownTokens()),
+        untilMs: clock.nowMs() + REPORT_VALID_MS,
+      };
+    },
     add(job, part) {
       shares.set(job.id, {
         job,
@@ -144,19 +180,22 @@
     },
     remove: (jobId) => void shares.delete(jobId),
     size: () => shares.size,
-    requests: () => all().filter((share) => share.isFirst).length,
-    writers: () => streams().length,
+    requests: () => ownRequests() + foreignRequests(),
+    writers: () => streams().length + foreignRequests(),
     onTimeWeight: () =>
       streams().filter((share) => !share.isDelayed)
-        .reduce((sum, share) => sum + computeWeight(share.job), 0),
+        .reduce((sum, share) => sum + computeWeight(share.job), 0) + foreignWeight(),
     markDelayed() {
       for (const share of streams()) share.isDelayed = true;
     },
     strictestPauseMs,
     readBacklogMs,
     passMs,
-    readRoomMs: () => Math.max(0, strictestPauseMs() - passMs() - PAUSE_SLACK_MS - readBacklogMs()),
-    memoryTokens: () => all().reduce((sum, share) => sum + share.memoryTokens, 0),
+    readRoomMs() {
+      const roomMs = Math.max(0, strictestPauseMs() - passMs() - PAUSE_SLACK_MS - readBacklogMs());
+      return foreignRequests() > 0 ? Math.min(roomMs, FOREIGN_ROOM_MS) : roomMs;
+    },
+    memoryTokens: () => ownTokens() + foreignTokens(),
     recentSends: () => sends.count(),
     suspect() {
       const lengthMs = Math.min(SUSPECT_MAX_MS, SUSPECT_BASE_MS * 2 ** failures);
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -25,6 +25,20 @@
   stepsPerPass: number;
   /** Most prompt tokens read in a step. */
   chunkTokens: number;
+  /** Mean tokens of a prompt and of an answer; weigh requests of which nothing else is known. */
+  usualPromptTokens: number;
+  /** See `usualPromptTokens`. */
+  usualAnswerTokens: number;
+}
+
+/** What an engine says of its own load, some hundred milliseconds late. */
+export interface EngineReport {
+  /** Requests that run. */
+  running: number;
+  /** Requests that wait for a slot. */
+  queued: number;
+  /** Tokens of memory in use. */
+  usedTokens: number;
 }
 
 /** A service as placement sees it. */
