Log each placement with what it rests on; let no prompt wait at a host that is alone

From the log alone it was not to be told where a prompt waited and why. Change: a hub without members lets nothing wait; hubs and hosts that place alone log each decision with usable servers, line, backlog, expected time and delayed weight.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -62,6 +62,8 @@
   hostCount(): number;
   /** True while this host is a hub and so decides for others. */
   isDeciding(): boolean;
+  /** True when there are other hosts and none has a link to this one. */
+  isAlone(): boolean;
   /** Hosts with a row that have no link to this host, which is a hub. */
   missingHosts(): number;
   /** Milliseconds since the store came back from an absence; Infinity without one. */
@@ -231,6 +233,7 @@
     rows: (table) => cache.rows(table),
     liveHosts: listLive,
     isDeciding: () => hubClient.isHub(),
+    isAlone: () => knownHosts().length > 1 && hubServer.liveMembers().length === 0,
     missingHosts: () =>
       knownHosts().filter(({ host }) => host !== self.host && hubServer.goneMs(host) !== 0).length,
     hostCount: () => knownHosts().length,
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -119,6 +119,7 @@
     context.log.info({
       requestId: request.id,
       server: server.id,
+      configuration: context.configuration()?.version,
       send: state.sends,
       helpers: decision.helperIds.length,
       tickets: decision.tickets.length,
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -51,7 +51,9 @@
     retryLimits,
     coldLimits,
     share: () => 1,
-    canWait: true,
+    onDecision: (note) => log.info(note, "Placement decided"),
+    // A host that no other reaches does not know for what a prompt would wait.
+    canWait: () => !fleet.isAlone(),
     seed: "",
   });
   const localPlacer = createPlacer({
@@ -59,7 +61,8 @@
     retryLimits,
     coldLimits,
     share: () => 1 / fleet.hostCount(),
-    canWait: false,
+    canWait: () => false,
+    onDecision: (note) => log.info(note, "Placement decided alone"),
     seed: settings.host,
   });
   const probe = createLoadProbe({
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -40,6 +40,32 @@
   slack: number;
 }
 
+/** A decision and what it rests on. */
+export interface DecisionNote {
+  /** The job. */
+  jobId: string;
+  /** What was decided. */
+  decision: "placed" | "waits" | PlacementRefusal;
+  /** Tokens of the prompt. */
+  promptTokens: number;
+  /** Milliseconds since the caller's request came. */
+  elapsedMs: Millis;
+  /** Servers that were usable. */
+  usable: number;
+  /** Prompts that wait. */
+  waiting: number;
+  /** The chosen server. */
+  serverId?: string;
+  /** Servers that read a part of the prompt. */
+  helpers?: number;
+  /** Expected milliseconds of reads that come before. */
+  backlogMs?: Millis;
+  /** Expected milliseconds to the first byte. */
+  expectedMs?: Millis;
+  /** Weight of the writers that are delayed. */
+  harm?: number;
+}
+
 /** Options of {@linkcode createPlacer}. */
 export interface PlacerOptions {
   /** Monotonic time source. */
@@ -50,8 +76,10 @@
   coldLimits: ColdLimits;
   /** Part of the common limits that this placer may use, between 0 and 1. */
   share: () => number;
-  /** True when long prompts may wait for quiet engines. */
-  canWait: boolean;
+  /** True while long prompts may wait for quiet engines, since most of the load is known. */
+  canWait: () => boolean;
+  /** Receives each decision with what it rests on, for the log. */
+  onDecision?: (note: DecisionNote) => void;
   /** Orders servers of equal load; hosts that place alone differ in it, so as not to meet. */
   seed: string;
 }
@@ -115,11 +143,33 @@
   const quarantine = createCrashQuarantine(clock);
   const limiter = createRetryLimiter({ clock, limits: retryLimits, share });
 
-  const refuse = (reason: PlacementRefusal, retryAfterMs: Millis): PlacementDecision => ({
-    kind: "refused",
-    reason,
-    retryAfterMs,
-  });
+  const note = (
+    job: PlacementJob,
+    decision: DecisionNote["decision"],
+    choice?: EngineChoice,
+  ) =>
+    options.onDecision?.({
+      jobId: job.id,
+      decision,
+      promptTokens: job.promptTokens,
+      elapsedMs: Math.round(job.elapsedMs),
+      usable: listUsable(job).length,
+      waiting: line.size(),
+      serverId: choice?.first.server.id,
+      helpers: choice?.helpers.length,
+      backlogMs: choice && Math.round(choice.backlogMs),
+      expectedMs: choice && Math.round(choice.expectedMs),
+      harm: choice && Math.round(choice.harm),
+    });
+
+  const refuse = (
+    job: PlacementJob,
+    reason: PlacementRefusal,
+    retryAfterMs: Millis,
+  ): PlacementDecision => {
+    note(job, reason);
+    return { kind: "refused", reason, retryAfterMs };
+  };
 
   const isWithinColdLimit = (load: ServerLoad) => {
     const rate = services.get(load.server.service)?.coldRequestsPerS ?? 0;
@@ -187,9 +237,10 @@
 
   const dispatch = (job: PlacementJob, choice: EngineChoice): PlacementDecision => {
     if (job.isRetry && !limiter.tryTake(job.service)) {
-      return refuse(PLACEMENT_REFUSAL.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS);
+      return refuse(job, PLACEMENT_REFUSAL.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS);
     }
     if (!job.isRetry) limiter.countFirst(job.service);
+    note(job, "placed", choice);
     record(job, choice);
     return {
       kind: "placed",
@@ -213,7 +264,7 @@
     choose: (job, waitedMs, leftMs) => choose(job, listOpen(job), { waitedMs, leftMs }),
     leastReadMs,
     dispatch,
-    refuse: () => refuse(PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
+    refuse: (job) => refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
   }, clock);
 
   const isLong = (job: PlacementJob) => {
@@ -229,20 +280,25 @@
 
   const place = (job: PlacementJob): PlacementDecision | Promise<PlacementDecision> => {
     if (quarantine.isQuarantined(job.fingerprint)) {
-      return refuse(PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
+      return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
     }
     const usable = listUsable(job);
-    if (usable.length === 0) return refuse(PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
+    if (usable.length === 0) {
+      return refuse(job, PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
+    }
     const open = usable.filter(isWithinColdLimit);
-    if (open.length === 0) return refuse(PLACEMENT_REFUSAL.COLD_LIMIT, COLD_RETRY_AFTER_MS);
+    if (open.length === 0) return refuse(job, PLACEMENT_REFUSAL.COLD_LIMIT, COLD_RETRY_AFTER_MS);
     if (leastReadMs(job) > job.remainingMs) {
-      return refuse(PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS);
+      return refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS);
     }
     const choice = choose(job, open, { waitedMs: job.elapsedMs, leftMs: job.remainingMs });
-    const mayWait = canWait && isLong(job) && line.hasRoom();
+    const mayWait = canWait() && isLong(job) && line.hasRoom();
     if (choice !== undefined && (!mayWait || line.isReady(choice))) return dispatch(job, choice);
-    if (mayWait && fitsWhenIdle(job, usable)) return line.add(job);
-    return refuse(PLACEMENT_REFUSAL.TOO_LARGE, NO_SERVER_RETRY_AFTER_MS);
+    if (mayWait && fitsWhenIdle(job, usable)) {
+      note(job, "waits", choice);
+      return line.add(job);
+    }
+    return refuse(job, PLACEMENT_REFUSAL.TOO_LARGE, NO_SERVER_RETRY_AFTER_MS);
   };
 
   const serversOf = (entry: RunningJob) => [entry.serverId, ...entry.helperIds];
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -15,7 +15,7 @@
     retryLimits: { ratio: 0.2, slack: 10, windowMs: 10_000 },
     coldLimits: { multiplier: 1.5, slack: 5 },
     share: () => options.share ?? 1,
-    canWait: false,
+    canWait: () => false,
     seed: options.seed ?? "",
   });
   placer.setServices([
--- a/packages/placement/create_waiting_line_test.ts
+++ b/packages/placement/create_waiting_line_test.ts
@@ -13,7 +13,7 @@
     retryLimits: { ratio: 0.2, slack: 100, windowMs: 10_000 },
     coldLimits: { multiplier: 1.5, slack: 5 },
     share: () => 1,
-    canWait: true,
+    canWait: () => true,
     seed: "",
   });
   placer.setServices([{ name: "model", coldRequestsPerS: 0, engine: PROFILE }]);
