Keep slots for short prompts, and send no prompt that cannot be answered any more

Change: callers' patience is part of the deadline of a placement; an answer beyond it counts as lost; long prompts leave the engines that the present short ones and some growth fill; a wait for a slot is part of the expected time; a prompt leaves the line only while it can be answered in time.

--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -99,7 +99,7 @@
     last: undefined,
   };
   while (true) {
-    const job = describeJob(context, request, state);
+    const job = describeJob(context, request, state, handler);
     const decision = await placeUnlessAborted(context, request, job);
     if (decision === undefined) throw endOf(request);
     if (decision.kind === "refused") {
@@ -168,9 +168,11 @@
   context: ForwardingContext,
   request: CallerRequest,
   state: Attempts,
+  handler: AttemptHandler,
 ): PlacementJob {
   const { facts, route } = request;
   const attempt = state.sends + state.connectFailures;
+  const now = context.clock.nowMs();
   return {
     id: `${request.id}.${attempt}`,
     service: request.service,
@@ -178,8 +180,8 @@
     answerTokens: facts.estimatedAnswerTokens ?? facts.maxAnswerTokens,
     goalMs: route.goalMs,
     pauseGoalMs: route.pauseGoalMs,
-    remainingMs: request.endMs - context.clock.nowMs(),
-    elapsedMs: context.clock.nowMs() - request.arrivalMs,
+    remainingMs: patienceEndMs(request, now, handler.resumeAfter() !== undefined) - now,
+    elapsedMs: now - request.arrivalMs,
     excludedIds: state.excludedIds,
     isRetry: state.sends > 0,
     fingerprint: request.fingerprint,
@@ -187,6 +189,12 @@
   };
 }
 
+/** Monotonic time up to which a first event is of use; a caller that waits on is served on. */
+function patienceEndMs(request: CallerRequest, nowMs: Millis, hasBegun: boolean): Millis {
+  const patienceMs = request.arrivalMs + request.route.patienceMs;
+  return hasBegun || patienceMs <= nowMs ? request.endMs : Math.min(request.endMs, patienceMs);
+}
+
 interface Attempt {
   job: PlacementJob;
   decision: PlacementDecision & { kind: "placed" };
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -161,6 +161,7 @@
     timeoutMs: options.timeoutMs ?? 5_000,
     goalMs: 50,
     pauseGoalMs: kind === ROUTE_KIND.STREAMING ? 100 : 0,
+    patienceMs: 5_000,
     priority: 1,
     targets: [{ service: "s", weight: 1 }],
     maxAttempts: options.maxAttempts ?? (kind === ROUTE_KIND.NON_IDEMPOTENT ? 1 : 2),
--- a/packages/forwarding/match_route_test.ts
+++ b/packages/forwarding/match_route_test.ts
@@ -13,6 +13,7 @@
     timeoutMs: 1_000,
     goalMs: 100,
     pauseGoalMs: 0,
+    patienceMs: 5_000,
     priority: 1,
     targets: [{ service: "s", weight: 1 }],
     maxAttempts: 1,
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -43,6 +43,8 @@
   goalMs: Millis;
   /** Longest pause between events that is in time; 0 for other routes. */
   pauseGoalMs: Millis;
+  /** Time without any event after which callers give a stream up; the timeout on other routes. */
+  patienceMs: Millis;
   /** Rank; 0 is the highest. */
   priority: number;
   /** Services that answer. */
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -9,6 +9,7 @@
   OVERHEAD_MS,
   QUIET_PART_MS,
   RESERVE_FREE_SLOTS,
+  SHORT_GROWTH_FACTOR,
   SPARE_SLOTS,
   SPLIT_GOAL_SHARE,
   UNANSWERED_LOSS_SHARE,
@@ -39,6 +40,8 @@
 
 interface Candidate {
   load: ServerLoad;
+  passMs: Millis;
+  slotWaitMs: Millis;
   roomMs: Millis;
   backlogMs: Millis;
   writers: number;
@@ -83,36 +86,52 @@
   const { profile } = options;
   const workMs = computeReadMs(job.promptTokens, profile);
   const all = loads.map((load) => toCandidate(load, profile));
-  const free = all.filter(({ load }) => load.requests() < load.server.slots - SPARE_SLOTS);
-  const candidates = free.length > 0 ? free : all;
-  return (workMs <= QUIET_PART_MS ? packOnOne(job, candidates, options, workMs) : undefined) ??
-    splitAtLeastLoss(job, withoutReserve(candidates, workMs), options, workMs) ??
-    splitAtLeastLoss(job, all, options, workMs);
+  if (workMs <= QUIET_PART_MS) {
+    const choice = packOnOne(job, all, options, workMs);
+    if (choice !== undefined) return choice;
+  }
+  if (workMs >= LONG_READ_MS) {
+    const choice = splitAtLeastLoss(job, withoutReserve(all), options, workMs);
+    if (choice !== undefined && choice.expectedMs <= options.leftMs) return choice;
+  }
+  return splitAtLeastLoss(job, all, options, workMs);
 }
 
 function toCandidate(load: ServerLoad, profile: EngineProfile): Candidate {
+  const passMs = load.passMs();
   return {
     load,
+    passMs,
     roomMs: load.readRoomMs(),
     backlogMs: load.readBacklogMs(),
+    slotWaitMs: computeSlotWait(load, profile, passMs),
     writers: load.writers(),
     writersWeight: load.onTimeWeight(),
     freeTokens: profile.memoryTokens * MEMORY_SHARE - load.memoryTokens(),
   };
 }
 
-/** Keeps an idle engine for short prompts while those that write have few slots left. */
-function withoutReserve(candidates: Candidate[], workMs: Millis): Candidate[] {
-  if (workMs < LONG_READ_MS) return candidates;
-  const packed = candidates.filter(({ writers, roomMs }) => writers > 0 && roomMs > 0);
-  const freeSlots = packed.reduce(
-    (sum, { load }) => sum + load.server.slots - SPARE_SLOTS - load.requests(),
-    0,
-  );
-  if (freeSlots >= RESERVE_FREE_SLOTS) return candidates;
-  const idle = candidates.filter(({ writers, backlogMs }) => writers === 0 && backlogMs === 0);
-  const [reserved] = idle;
-  return idle.length < 2 ? candidates : candidates.filter((candidate) => candidate !== reserved);
+/** Expected milliseconds until one of an engine's slots is free. */
+function computeSlotWait(load: ServerLoad, profile: EngineProfile, passMs: Millis): Millis {
+  const { slots } = load.server;
+  const ahead = load.requests() - slots + 1;
+  if (ahead <= 0) return 0;
+  const answerMs = profile.usualAnswerTokens / profile.stepsPerPass * passMs;
+  return ahead * answerMs / slots;
+}
+
+/**
+ * Leaves out the engines that the present short prompts fill, and some more, so that a long read
+ * does not take what they need next.
+ */
+function withoutReserve(candidates: Candidate[]): Candidate[] {
+  const short = candidates.reduce((sum, { load }) => sum + load.shortRequests(), 0);
+  const usableSlots = Math.max(1, (candidates[0]?.load.server.slots ?? 1) - SPARE_SLOTS);
+  const needed = Math.ceil((short * SHORT_GROWTH_FACTOR + RESERVE_FREE_SLOTS) / usableSlots);
+  const kept = Math.min(needed, candidates.length - 1);
+  return [...candidates].sort((a, b) =>
+    b.load.shortRequests() - a.load.shortRequests() || b.writersWeight - a.writersWeight
+  ).slice(kept);
 }
 
 /** One engine on which a short prompt is in time and delays nobody. */
@@ -123,9 +142,10 @@
   workMs: Millis,
 ): EngineChoice | undefined {
   const limitMs = job.goalMs * GOAL_SHARE - options.waitedMs;
-  const fitting = candidates.filter(({ roomMs, backlogMs, load }) =>
+  const fitting = candidates.filter(({ roomMs, backlogMs, passMs, load }) =>
+    load.requests() < load.server.slots - SPARE_SLOTS &&
     roomMs >= workMs && workMs + backlogMs <= job.pauseGoalMs &&
-    backlogMs + workMs + load.passMs() <= limitMs
+    backlogMs + workMs + passMs <= limitMs
   );
   const isPacked = ({ writers, load }: Candidate) =>
     writers < load.server.slots * options.packedShare;
@@ -146,7 +166,7 @@
   workMs: Millis,
 ): EngineChoice | undefined {
   const ordered = [...candidates].sort((a, b) =>
-    a.writersWeight - b.writersWeight || a.backlogMs - b.backlogMs || b.roomMs - a.roomMs
+    a.writersWeight - b.writersWeight || a.backlogMs + a.slotWaitMs - b.backlogMs - b.slotWaitMs
   );
   const most = Math.min(ordered.length, MAX_HELPERS + 1);
   let best: { choice: EngineChoice; loss: number } | undefined;
@@ -189,8 +209,9 @@
   if (tickets === undefined) return undefined;
   const partMs = workMs / chosen.length;
   const backlogMs = Math.max(...chosen.map((candidate) => candidate.backlogMs));
-  const passMs = Math.max(...chosen.map(({ load }) => load.passMs()));
-  const expectedMs = backlogMs + partMs * readSlowdown(first, profile) + passMs + OVERHEAD_MS;
+  const passMs = Math.max(...chosen.map((candidate) => candidate.passMs));
+  const expectedMs = backlogMs + first.slotWaitMs + partMs * readSlowdown(first, profile) +
+    passMs + OVERHEAD_MS;
   const harm = chosen
     .filter(({ roomMs }) => partMs > roomMs)
     .reduce((sum, { writersWeight }) => sum + writersWeight, 0);
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -67,6 +67,9 @@
 /** Part of a late prompt's weight that the writers may lose which it delays. */
 export const LATE_HARM_SHARE = 0.1;
 
+/** The same for a prompt whose deadline presses: what it loses if it is not sent. */
+export const PRESSING_HARM_SHARE = 1;
+
 /** Part of the time to its deadline that a late prompt may be read for on few engines. */
 export const LATE_READ_SHARE = 0.33;
 
@@ -79,9 +82,12 @@
 /** The same while long prompts wait for quiet engines. */
 export const TIGHT_SLOTS_SHARE = 0.9;
 
-/** Free slots on engines that write below which an idle engine is kept for short prompts. */
+/** Slots kept for short prompts beside what the present ones take and may grow to. */
 export const RESERVE_FREE_SLOTS = 4;
 
+/** Factor by which short prompts are taken to grow while a long one is read. */
+export const SHORT_GROWTH_FACTOR = 1.2;
+
 /** Milliseconds of reads before it that a long prompt accepts when it leaves the line. */
 export const READY_BACKLOG_MS = 150;
 
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -5,6 +5,7 @@
 import {
   FOREIGN_ROOM_MS,
   FOREIGN_SIZE_FACTOR,
+  LONG_READ_MS,
   PAUSE_SLACK_MS,
   REPORT_VALID_MS,
   SUSPECT_BASE_MS,
@@ -55,6 +56,8 @@
   size(): number;
   /** Requests that run here, without parts of others. */
   requests(): number;
+  /** Requests whose prompt is short, and those that were placed elsewhere. */
+  shortRequests(): number;
   /** Requests that write with a pause goal, or will write after their read. */
   writers(): number;
   /** Weight of the requests here that are in time so far and have a pause goal. */
@@ -134,6 +137,9 @@
     return excess <= 0 ? 0 : computeReadMs(excess, profile) / 2;
   };
 
+  const isLong = (job: PlacementJob) =>
+    profile !== undefined && computeReadMs(job.promptTokens, profile) >= LONG_READ_MS;
+
   const foreignWeight = () =>
     profile === undefined ? 0 : foreignRequests() * computeWeight({
       promptTokens: profile.usualPromptTokens,
@@ -181,6 +187,8 @@
     remove: (jobId) => void shares.delete(jobId),
     size: () => shares.size,
     requests: () => ownRequests() + foreignRequests(),
+    shortRequests: () =>
+      all().filter((share) => share.isFirst && !isLong(share.job)).length + foreignRequests(),
     writers: () => streams().length + foreignRequests(),
     onTimeWeight: () =>
       streams().filter((share) => !share.isDelayed)
--- a/packages/placement/create_waiting_line.ts
+++ b/packages/placement/create_waiting_line.ts
@@ -9,6 +9,7 @@
   LATE_PART_MS,
   LATE_READ_SHARE,
   MAX_WAITING,
+  PRESSING_HARM_SHARE,
   READY_BACKLOG_MS,
 } from "./constants.ts";
 import { computeWeight } from "./compute_weight.ts";
@@ -91,9 +92,11 @@
     isOvertaken: boolean,
   ): boolean => {
     if (isReady(choice)) return true;
+    if (choice.expectedMs > leftMs(entry)) return false;
+    const weight = computeWeight(entry.job);
     const isPressing = deadlineSlackMs(entry) <= DEADLINE_MARGIN_MS + view.leastReadMs(entry.job);
-    if (isPressing) return true;
-    const gain = LATE_LOSS_SHARE * computeWeight(entry.job);
+    if (isPressing) return choice.harm <= PRESSING_HARM_SHARE * weight;
+    const gain = LATE_LOSS_SHARE * weight;
     if (slackMs >= 0) {
       return slackMs <= LAST_CALL_MS && choice.isOnTime && choice.harm < gain;
     }
@@ -105,7 +108,7 @@
     );
     return !isOvertaken && choice.backlogMs <= READY_BACKLOG_MS &&
       choice.partMs <= longestPartMs &&
-      choice.harm <= LATE_HARM_SHARE * computeWeight(entry.job);
+      choice.harm <= LATE_HARM_SHARE * weight;
   };
 
   const leave = (entry: Entry, decision: PlacementDecision) => {
