Order engines by what a part of the read delays there, not by their writers alone

Change: for each number of parts, engines that the part delays nobody on come first, the least busy before.

--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -165,12 +165,10 @@
   options: ChooseOptions,
   workMs: Millis,
 ): EngineChoice | undefined {
-  const ordered = [...candidates].sort((a, b) =>
-    a.writersWeight - b.writersWeight || a.backlogMs + a.slotWaitMs - b.backlogMs - b.slotWaitMs
-  );
-  const most = Math.min(ordered.length, MAX_HELPERS + 1);
+  const most = Math.min(candidates.length, MAX_HELPERS + 1);
   let best: { choice: EngineChoice; loss: number } | undefined;
   for (let count = 1; count <= most; count++) {
+    const ordered = orderByLoss(candidates, workMs / count);
     const choice = compose(job, ordered.slice(0, count), options, workMs);
     if (choice === undefined) continue;
     const loss = choice.harm + lossOfLateness(job, choice, options);
@@ -179,6 +177,13 @@
   return best?.choice;
 }
 
+/** Engines whose writers a part of this length does not delay come first, the least busy before. */
+function orderByLoss(candidates: Candidate[], partMs: Millis): Candidate[] {
+  const lossOf = ({ roomMs, writersWeight }: Candidate) => partMs > roomMs ? writersWeight : 0;
+  const waitOf = ({ backlogMs, slotWaitMs }: Candidate) => backlogMs + slotWaitMs;
+  return [...candidates].sort((a, b) => lossOf(a) - lossOf(b) || waitOf(a) - waitOf(b));
+}
+
 /** What the job itself loses: little while it is early, more once it is late or not answered. */
 function lossOfLateness(
   job: PlacementJob,
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -67,8 +67,8 @@
 /** Part of a late prompt's weight that the writers may lose which it delays. */
 export const LATE_HARM_SHARE = 0.1;
 
-/** The same for a prompt whose deadline presses: what it loses if it is not sent. */
-export const PRESSING_HARM_SHARE = 1;
+/** The same for a prompt whose deadline presses. */
+export const PRESSING_HARM_SHARE = 0.5;
 
 /** Part of the time to its deadline that a late prompt may be read for on few engines. */
 export const LATE_READ_SHARE = 0.33;
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -57,7 +57,7 @@
   /** The chosen server. */
   serverId?: string;
   /** Servers that read a part of the prompt. */
-  helpers?: number;
+  helperIds?: string[];
   /** Expected milliseconds of reads that come before. */
   backlogMs?: Millis;
   /** Expected milliseconds to the first byte. */
@@ -156,7 +156,7 @@
       usable: listUsable(job).length,
       waiting: line.size(),
       serverId: choice?.first.server.id,
-      helpers: choice?.helpers.length,
+      helperIds: choice?.helpers.map((helper) => helper.server.id),
       backlogMs: choice && Math.round(choice.backlogMs),
       expectedMs: choice && Math.round(choice.expectedMs),
       harm: choice && Math.round(choice.harm),
