--- a/packages/placement/create_waiting_line.ts
+++ b/packages/placement/create_waiting_line.ts
@@ -111,6 +111,13 @@
       choice.harm <= LATE_HARM_SHARE * weight;
   };
 
+  /** The job with the time that it has waited, for decisions and their log. */
+  const present = (entry: Entry): PlacementJob => ({
+    ...entry.job,
+    elapsedMs: waitedMs(entry),
+    remainingMs: leftMs(entry),
+  });
+
   const leave = (entry: Entry, decision: PlacementDecision) => {
     entries.delete(entry.job.id);
     entry.settle(decision);
@@ -126,7 +133,7 @@
     cancel(jobId) {
       const entry = entries.get(jobId);
       if (entry === undefined) return false;
-      leave(entry, view.refuse(entry.job));
+      leave(entry, view.refuse(present(entry)));
       return true;
     },
     review() {
@@ -134,12 +141,12 @@
       for (const item of inOrder()) {
         const { entry } = item;
         if (deadlineSlackMs(entry) < 0) {
-          leave(entry, view.refuse(entry.job));
+          leave(entry, view.refuse(present(entry)));
           continue;
         }
         const choice = view.choose(entry.job, waitedMs(entry), leftMs(entry));
         if (choice !== undefined && shouldSend(item, choice, isOvertaken)) {
-          leave(entry, view.dispatch(entry.job, choice));
+          leave(entry, view.dispatch(present(entry), choice));
         } else if (item.slackMs >= 0) isOvertaken = true;
       }
     },
