Find the answer of a dead host also when its engine has ended it

A host that resumes another one's request looks it up in the engines' lists, which leave ended requests out; when callers came back after the engine had written the rest, the answer was unknown though the engine still held it. Ruled out: the coordinators, which also forget a grant that has ended. Change: when no list has the request, the engines are asked for the events of its attempts.

--- a/packages/routing/_lib/find_running.ts
+++ b/packages/routing/_lib/find_running.ts
@@ -1,7 +1,7 @@
 import type { GrantOutcome } from "@jaypass/admission";
 import type { EngineClient } from "@jaypass/engines";
 import type { Millis } from "@jaypass/kernel";
-import { ENGINE_CALL_TIMEOUT_MS, FOLLOW_TIMEOUT_MS } from "../constants.ts";
+import { ENGINE_CALL_TIMEOUT_MS, FOLLOW_TIMEOUT_MS, MAX_ATTEMPTS } from "../constants.ts";
 import { parseRequestId } from "../parse_request_id.ts";
 import type { RouterContext } from "./router_context.ts";
 
@@ -58,9 +58,45 @@
     if (attemptId === undefined) continue;
     return { engine, attemptId, remainingMs: FOLLOW_TIMEOUT_MS, end: () => {} };
   }
+  return await findEnded(requestId, engines, signal);
+}
+
+/** Finds an engine that ended the request a short time ago; lists leave such requests out. */
+async function findEnded(
+  requestId: string,
+  engines: readonly EngineClient[],
+  signal: AbortSignal,
+): Promise<RunningAttempt | undefined> {
+  // The latest attempt has every token of the earlier ones.
+  for (let attempt = MAX_ATTEMPTS - 1; attempt >= 0; attempt--) {
+    const attemptId = `${requestId}.${attempt}`;
+    const holds = await Promise.all(engines.map((engine) => hasEvents(engine, attemptId, signal)));
+    const engine = engines[holds.indexOf(true)];
+    if (engine === undefined) continue;
+    return { engine, attemptId, remainingMs: FOLLOW_TIMEOUT_MS, end: () => {} };
+  }
   return undefined;
 }
 
+async function hasEvents(
+  engine: EngineClient,
+  attemptId: string,
+  signal: AbortSignal,
+): Promise<boolean> {
+  const events = engine.resume(attemptId, 0, {
+    timeoutMs: ENGINE_CALL_TIMEOUT_MS,
+    idleTimeoutMs: ENGINE_CALL_TIMEOUT_MS,
+    signal,
+  });
+  try {
+    // Leaving a resumed stream does not cancel its request.
+    for await (const _event of events) return true;
+    return false;
+  } catch {
+    return false;
+  }
+}
+
 function listEngines(requestId: string, context: RouterContext): EngineClient[] {
   const parsed = parseRequestId(requestId);
   return Object.values(context.configuration.document().backendServers)
