--- a/packages/forwarding/_lib/use_plain_answer.ts
+++ b/packages/forwarding/_lib/use_plain_answer.ts
@@ -4,7 +4,7 @@
 import type { ServerAnswer } from "../open_exchange.ts";
 import { ROUTE_KIND } from "../types.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
-import type { AnswerInUse, AttemptHandler, UseResult } from "./run_attempts.ts";
+import type { AnswerInUse, AttemptHandler, UseResult } from "./attempt.ts";
 import { sendHead, writeToCaller } from "./write_to_caller.ts";
 
 /**
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { createPlacer } from "./create_placer.ts";
-import type { Placer } from "./create_placer.ts";
+import type { Placer } from "./placer_types.ts";
 import { QUARANTINE_AFTER } from "./constants.ts";
 import { createManualClock, makeJob, makeServers, PROFILE } from "./_testing/fixtures.ts";
 import { JOB_OUTCOME } from "./types.ts";
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -16,4 +16,5 @@
 export * from "./create_retry_limiter.ts";
 export * from "./create_server_load.ts";
 export * from "./create_waiting_line.ts";
+export * from "./placer_types.ts";
 export * from "./types.ts";
