Send nothing for a caller that left while memory was reserved

Cause: found by reading: the caller's signal was listened to only after the reservation, so a request whose caller had left meanwhile still reached its engine and ran to its end. Change: the signal is checked right before the send. The new test fails before and passes after.

--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -21,6 +21,10 @@
   { job, decision, server, state, handler }: Attempt,
   options: { reservation: Reservation | undefined; onFault: (address: string) => void },
 ): Promise<UseResult> {
+  // The caller may have left while memory was reserved.
+  if (request.signal.aborted) {
+    return { outcome: JOB_OUTCOME.CANCELLED, isDone: false, failure: FAILURE.DEADLINE };
+  }
   const helpers = decision.helperIds.flatMap((id) => {
     const address = context.findServer(id)?.address;
     return address === undefined ? [] : [{ address, ticket: options.reservation?.tickets.get(id) }];
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -2,6 +2,7 @@
 import { createServer, request } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
 import { createClock } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import { createForwarder } from "../create_forwarder.ts";
@@ -68,6 +69,8 @@
   hasNoConfiguration?: boolean;
   /** Milliseconds of the routes' timeout. */
   timeoutMs?: number;
+  /** Milliseconds that a reservation takes; placements have a ticket then. */
+  reservationMs?: number;
   /** Refusal in place of a placement. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -114,12 +117,17 @@
     findServer: (id) => ({ id, address: addresses[Number(id)] ?? "127.0.0.1:1" }),
     findServerAt: () => undefined,
     placement: {
-      place: (job) => Promise.resolve(options.refusal ?? placeNext(job, behaviours.length)),
+      place: (job) => Promise.resolve(options.refusal ?? placeNext(job, behaviours.length, options)),
       cancel: () => {},
       started: () => {},
       finished: (_jobId, outcome) => void outcomes.push(outcome),
     },
-    reservations: { reserve: () => Promise.resolve(undefined) },
+    reservations: {
+      async reserve() {
+        await wait(options.reservationMs);
+        return { tickets: new Map(), release: () => {} };
+      },
+    },
     isRefusing: () => isRefusing,
     isClosing: () => isRefusing,
   });
@@ -140,14 +148,18 @@
   };
 }
 
-function placeNext(job: PlacementJob, servers: number): PlacementDecision {
+function placeNext(
+  job: PlacementJob,
+  servers: number,
+  options: TestHostOptions,
+): PlacementDecision {
   const next = job.excludedIds.length;
   if (next >= servers) return { kind: "refused", reason: "no_server", retryAfterMs: 250 };
   return {
     kind: "placed",
     serverId: String(next),
     helperIds: [],
-    tickets: [],
+    tickets: options.reservationMs === undefined ? [] : [{ serverId: "0", tokens: 1 }],
     expectedMs: 10,
   };
 }
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -177,6 +177,14 @@
   t.deepEqual([host.size(), host.outcomes], [0, ["cancelled"]]);
 });
 
+test("a caller that leaves while memory is reserved for it reaches no server", async (t) => {
+  const host = await createTestHost([answer("late")], { reservationMs: 200 });
+  t.teardown(() => host.close());
+  await host.call({ leaveAfterMs: 50 });
+  await wait(300);
+  t.deepEqual([host.arrivals.length, host.outcomes], [0, ["cancelled"]]);
+});
+
 test("a request that is not answered in time gets a final answer then", async (t) => {
   const call = { kind: ROUTE_KIND.NON_IDEMPOTENT, deadlineMs: 200 };
   t.snapshot({
