--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -117,7 +117,8 @@
     findServer: (id) => ({ id, address: addresses[Number(id)] ?? "127.0.0.1:1" }),
     findServerAt: () => undefined,
     placement: {
-      place: (job) => Promise.resolve(options.refusal ?? placeNext(job, behaviours.length, options)),
+      place: (job) =>
+        Promise.resolve(options.refusal ?? placeNext(job, behaviours.length, options)),
       cancel: () => {},
       started: () => {},
       finished: (_jobId, outcome) => void outcomes.push(outcome),
--- /dev/null
+++ b/packages/kernel/create_text_metrics_test.ts
@@ -0,0 +1,12 @@
+import test from "ava";
+import { createTextMetrics } from "./create_text_metrics.ts";
+
+test("counters, gauges and histograms are served as text with the common tags", async (t) => {
+  const metrics = createTextMetrics({ host: "h1" });
+  metrics.increment("refusal", { reason: "no_server" });
+  metrics.increment("refusal", { reason: "no_server" }, 2);
+  metrics.increment("refusal", { reason: "deadline" });
+  metrics.gauge("waiting", 4);
+  metrics.timing("answer_ms", 40, { route: "r1" });
+  t.snapshot(await metrics.text());
+});
