--- a/packages/idempotency/_lib/create_result_store.ts
+++ b/packages/idempotency/_lib/create_result_store.ts
@@ -1,5 +1,6 @@
 import type { ObjectClient } from "@jaypass/store_clients";
 import { MAX_INLINE_RESULT_BYTES } from "../constants.ts";
+import { MissingResultError } from "../errors.ts";
 import type { CallResult, LedgerTiming, StoredResult } from "../types.ts";
 
 /** Creates the storage of results, in the record or in the object store. */
@@ -23,7 +24,7 @@
         return { status, contentType, body: Buffer.from(bodyBase64 ?? "", "base64") };
       }
       const body = await objects.get(object, callOptions);
-      if (body === undefined) throw new Error(`Object "${object}" is missing`);
+      if (body === undefined) throw new MissingResultError(`Object "${object}" is missing`);
       return { status, contentType, body };
     },
     async remove({ object }: StoredResult): Promise<void> {
--- a/packages/idempotency/errors.ts
+++ b/packages/idempotency/errors.ts
@@ -41,3 +41,8 @@
     this.retryAfterMs = options.retryAfterMs;
   }
 }
+
+/** A record names a stored result that does not exist. */
+export class MissingResultError extends Error {
+  override name = "MissingResultError";
+}
