Count the store as having been away only when all hubs saw it

Ruled out: slow polls, as every host learned of the removal within 0.9 s. Change: the grace after an outage applies only when all hubs saw the absence, and ends 2.2 s after the store's return, whenever the row is missed. The three new tests fail before and pass after.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -123,7 +123,7 @@
     onRows: (table, batch) => take(table, batch, "member"),
     storeAge: () => ({
       ageMs: follower.ageMs(),
-      recoveredAgoMs: storeRecoveredAgoMs(),
+      recoveredAgoMs: follower.recoveredAgoMs(),
     }),
     knownHosts,
     hostRows: () => wholeTable(TABLE.HOSTS),
@@ -157,7 +157,12 @@
     onBatch: (table, batch) => take(table, batch, "store"),
   });
 
-  const storeRecoveredAgoMs = () => Math.min(follower.recoveredAgoMs(), hubClient.recoveredAgoMs());
+  /** An absence that only some hosts saw is none: servers could write their rows meanwhile. */
+  const storeRecoveredAgoMs = (): Millis => {
+    const others = hubClient.recoveredAgoMs();
+    if (others === undefined) return follower.recoveredAgoMs();
+    return hubClient.isHub() ? Math.max(follower.recoveredAgoMs(), others) : others;
+  };
 
   const isRegistered = () =>
     cache.rows(TABLE.HOSTS).some((row) =>
--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -174,6 +174,25 @@
   t.pass();
 });
 
+test("a store that turned only one hub away does not count as having been away", async (t) => {
+  const { store, hosts, hub } = await startHosts(t, 4);
+  store.turnedAway.add(hub.entry.host);
+  await wait(2_500);
+  store.turnedAway.clear();
+  await wait(1_500);
+  const seen = hosts.map(({ fleet }) => fleet.storeRecoveredAgoMs());
+  t.deepEqual(seen, hosts.map(() => Infinity));
+});
+
+test("a store that was away for all counts as back on every host", async (t) => {
+  const { store, hosts } = await startHosts(t, 4);
+  store.turnedAway.add("all");
+  await wait(2_500);
+  store.turnedAway.clear();
+  await until(() => hosts.every(({ fleet }) => fleet.storeRecoveredAgoMs() < 2_000));
+  t.pass();
+});
+
 test("a host that starts while the store is down learns everything from a hub", async (t) => {
   const { store, members: [member] } = await startHosts(t, 4);
   store.write(TABLE.SERVERS, "s1", "{}");
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -58,8 +58,11 @@
   sendRows(table: Table, batch: RowBatch): void;
   /** True while some hub passes on fresh rows, or this host is one. */
   isViewFresh(): boolean;
-  /** Milliseconds since the store came back, as a hub saw it; Infinity when unknown. */
-  recoveredAgoMs(): Millis;
+  /**
+   * Milliseconds since the store came back as all other hubs saw it, Infinity when one of them saw
+   * no absence; undefined without another hub.
+   */
+  recoveredAgoMs(): Millis | undefined;
   /** Live hosts as the first hub that answers sees them; undefined without one. */
   liveHosts(): HostEntry[] | undefined;
   /** True when this host is one of its own hubs. */
@@ -265,8 +268,11 @@
       for (const hub of hubs.values()) hub.link?.send({ type: "rows", table, batch });
     },
     isViewFresh: () => readyHubs().some((hub) => clock.nowMs() - hub.freshMs < VIEW_STALE_MS),
-    recoveredAgoMs: () =>
-      Math.min(Infinity, ...readyHubs().map((hub) => clock.nowMs() - hub.recoveredMs)),
+    recoveredAgoMs() {
+      const others = readyHubs().filter((hub) => !isSelf(hub.entry.host));
+      if (others.length === 0) return undefined;
+      return Math.max(...others.map((hub) => clock.nowMs() - hub.recoveredMs));
+    },
     liveHosts: () => readyHubs().find((hub) => hub.hosts !== undefined)?.hosts,
     isHub: () => hubs.has(self.host),
     stop() {
--- a/packages/forwarding_host/create_cluster_view.ts
+++ b/packages/forwarding_host/create_cluster_view.ts
@@ -37,8 +37,8 @@
 interface KnownServer {
   entry: ServerEntry;
   coldUntilMs: Millis;
-  /** Set while its row is missing after a store outage. */
-  lapsedMs: Millis | undefined;
+  /** True while its row is missing after a store outage. */
+  isLapsed: boolean;
 }
 
 /**
@@ -84,13 +84,13 @@
       if (known?.entry.state !== entry.state || known.entry.bornMs !== entry.bornMs) {
         log.info({ server: entry.id, service: entry.service, state: entry.state }, "Server entry");
       }
-      servers.set(row.key, { entry, coldUntilMs, lapsedMs: undefined });
+      servers.set(row.key, { entry, coldUntilMs, isLapsed: false });
       return;
     }
     if (known === undefined) return;
     const isLapse = options.storeRecoveredAgoMs() < LAPSE_GRACE_MS;
     log.info({ server: row.key, isLapse }, "Server entry removed");
-    if (isLapse) known.lapsedMs = clock.nowMs();
+    if (isLapse) known.isLapsed = true;
     else servers.delete(row.key);
   };
 
@@ -125,8 +125,10 @@
       [...servers.values()].find(({ entry }) => entry.address === address)?.entry.id,
     expireLapsed() {
       let hasChanged = false;
-      for (const [id, { lapsedMs }] of servers) {
-        if (lapsedMs === undefined || clock.nowMs() - lapsedMs < LAPSE_GRACE_MS) continue;
+      // The grace counts from the store's return, whenever the row was found to be missing.
+      if (options.storeRecoveredAgoMs() < LAPSE_GRACE_MS) return;
+      for (const [id, { isLapsed }] of servers) {
+        if (!isLapsed) continue;
         log.info({ server: id }, "Server did not come back with the store");
         servers.delete(id);
         hasChanged = true;
--- a/packages/forwarding_host/create_cluster_view_test.ts
+++ b/packages/forwarding_host/create_cluster_view_test.ts
@@ -13,10 +13,9 @@
 };
 
 function setUp() {
-  let nowMs = 0;
   let recoveredAgoMs = Infinity;
   const view = createClusterView({
-    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    clock: { nowMs: () => 0, wallMs: () => 0 },
     log: LOG,
     storeRecoveredAgoMs: () => recoveredAgoMs,
     onChange: () => {},
@@ -31,7 +30,6 @@
     view,
     write: (table: typeof TABLE[keyof typeof TABLE], key: string, value: unknown) =>
       view.apply(table, [row(key, value)]),
-    advance: (ms: number) => void (nowMs += ms),
     setRecovered: (ms: number) => void (recoveredAgoMs = ms),
     usable: () => view.usableServers().map(({ id }) => id),
   };
@@ -88,21 +86,31 @@
 });
 
 test("a server missing right after the store came back is kept until it must be gone", (t) => {
-  const { view, write, usable, advance, setRecovered } = setUp();
+  const { view, write, usable, setRecovered } = setUp();
   write(TABLE.SERVERS, "s1", server("s1"));
   write(TABLE.SERVERS, "s2", server("s2"));
   setRecovered(100);
   write(TABLE.SERVERS, "s1", undefined);
   write(TABLE.SERVERS, "s2", undefined);
-  advance(1_500);
+  setRecovered(1_600);
   write(TABLE.SERVERS, "s2", server("s2"));
   view.expireLapsed();
   const during = usable();
-  advance(1_000);
+  setRecovered(2_600);
   view.expireLapsed();
   t.deepEqual([during, usable()], [["s1", "s2"], ["s2"]]);
 });
 
+test("a server that leaves late in the grace gets nothing beyond the grace", (t) => {
+  const { view, write, usable, setRecovered } = setUp();
+  write(TABLE.SERVERS, "s1", server("s1"));
+  setRecovered(2_100);
+  write(TABLE.SERVERS, "s1", undefined);
+  setRecovered(2_300);
+  view.expireLapsed();
+  t.deepEqual(usable(), []);
+});
+
 test("a server that drained before the store was away is not brought back by its lapse", (t) => {
   const { write, usable, setRecovered } = setUp();
   write(TABLE.SERVERS, "s1", server("s1", { state: "draining" }));
