--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -56,7 +56,7 @@
   report(report: Report, options?: { except?: string }): void;
   /** Passes rows on to the hubs. */
   sendRows(table: Table, batch: RowBatch): void;
-  /** True while some hub passes on fresh rows, or this host is one. */
+  /** True while some other hub passes on fresh rows; a host that is a hub follows the store. */
   isViewFresh(): boolean;
   /**
    * Milliseconds since the store came back as all other hubs saw it, Infinity when one of them saw
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -69,6 +69,8 @@
   hasNoConfiguration?: boolean;
   /** Milliseconds of the routes' timeout. */
   timeoutMs?: number;
+  /** True when the routes ask for no key. */
+  isPublic?: boolean;
   /** Milliseconds that a reservation takes; placements have a ticket then. */
   reservationMs?: number;
   /** Refusal in place of a placement. */
@@ -178,7 +180,7 @@
     priority: 1,
     targets: [{ service: "s", weight: 1 }],
     maxAttempts: options.maxAttempts ?? (kind === ROUTE_KIND.NON_IDEMPOTENT ? 1 : 2),
-    isPublic: false,
+    isPublic: options.isPublic ?? false,
     isResumable: true,
   };
 }
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -209,6 +209,13 @@
   });
 });
 
+test("a public route asks for no key and names no workspace", async (t) => {
+  const host = await createTestHost([answer("open")], { isPublic: true });
+  t.teardown(() => host.close());
+  const { status } = await host.call({ key: "other" });
+  t.deepEqual([status, host.arrivals[0]?.headers.workspace], [200, ""]);
+});
+
 test("a body beyond the limit is refused before it is sent anywhere", async (t) => {
   t.snapshot(await play(t, [answer("")], { body: "x".repeat(1_000_001) }));
 });
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -76,7 +76,7 @@
  * @returns the choice, or nothing when no engines have the memory
  *
  * @example
- * const choice = chooseEngines(job, loads, { profile, waitedMs: 0 });
+ * const choice = chooseEngines(job, loads, { profile, waitedMs: 0, leftMs: 9_000, packedShare: 0.6 });
  */
 export function chooseEngines(
   job: PlacementJob,
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -58,7 +58,7 @@
 /** Tokens of a prompt that one token of an answer counts for, from the users' rules. */
 export const ANSWER_TOKEN_WEIGHT = 10;
 
-/** Part of a request's weight that is lost when it is late; most of the users' classes lose 0.75. */
+/** Part of a request's weight that counts as lost when it is late; no route states its own. */
 export const LATE_LOSS_SHARE = 0.75;
 
 /** Multiple of a request's weight that is lost when it waited in vain until its deadline. */
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -40,9 +40,10 @@
  * @returns the placer, without servers
  *
  * @example
- * const placer = createPlacer({ clock, retryLimits, coldLimits, share: () => 1 });
+ * const placer = createPlacer({ clock, retryLimits, coldLimits, share, canWait, seed: "" });
+ * placer.setServices(services);
  * placer.setServers(servers);
- * const decision = placer.place(job);
+ * const decision = await placer.place(job);
  */
 export function createPlacer(options: PlacerOptions): Placer {
   const { clock, retryLimits, coldLimits, share, canWait, seed } = options;
@@ -282,10 +283,5 @@
       for (const id of serversOf(entry)) loads.get(id)?.remove(jobId);
       judgeServer(entry, outcome, faultyServerId);
     },
-    size: () => running.size,
-    describe: () =>
-      [...loads.values()].map((load) =>
-        `${load.server.id}:${load.requests()}/${load.size()}:${Math.round(load.readBacklogMs())}`
-      ).join(" "),
   };
 }
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -64,8 +64,6 @@
   onTimeWeight(): number;
   /** Marks the requests here as late, since a read delays them beyond their goals. */
   markDelayed(): void;
-  /** Shortest pause goal of the requests here; Infinity without any. */
-  strictestPauseMs(): Millis;
   /** Expected milliseconds of reading still to be done. */
   readBacklogMs(): Millis;
   /** Expected milliseconds of a pass without reads. */
@@ -196,7 +194,6 @@
     markDelayed() {
       for (const share of streams()) share.isDelayed = true;
     },
-    strictestPauseMs,
     readBacklogMs,
     passMs,
     readRoomMs() {
--- a/packages/placement/create_waiting_line.ts
+++ b/packages/placement/create_waiting_line.ts
@@ -102,7 +102,6 @@
     }
     const longestPartMs = Math.max(
       LATE_PART_MS,
-      LATE_READ_SHARE,
       LATE_PART_FACTOR * view.leastReadMs(entry.job),
       LATE_READ_SHARE * deadlineSlackMs(entry),
     );
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -97,8 +97,4 @@
   started(jobId: string): void;
   /** Tells how a job ended, and at which server that is at fault where it is known. */
   finished(jobId: string, outcome: JobOutcome, faultyServerId?: string): void;
-  /** Jobs that run now. */
-  size(): number;
-  /** One line a server, for logs. */
-  describe(): string;
 }
