--- a/packages/admission/create_quota_coordinator.ts
+++ b/packages/admission/create_quota_coordinator.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis } from "@jaypass/kernel";
+import type { Clock, Metrics, Millis } from "@jaypass/kernel";
 import { createTaskGroup, sleep } from "@jaypass/kernel";
 import type { Lease } from "@jaypass/leases";
 import type { Membership } from "@jaypass/membership";
@@ -18,6 +18,7 @@
 /** What a quota coordinator needs. */
 export interface QuotaCoordinatorOptions {
   clock: Clock;
+  metrics: Metrics;
   lease: Lease;
   membership: Pick<Membership, "hosts" | "askIncarnation">;
   /** Limit of a workspace, 0 when it is not known. */
@@ -57,10 +58,10 @@
  * @returns the coordinator
  *
  * @example
- * const quota = createQuotaCoordinator({ clock, lease, membership, limitOf, longestRequestMs });
+ * const quota = createQuotaCoordinator({ clock, metrics, lease, membership, ... });
  */
 export function createQuotaCoordinator(options: QuotaCoordinatorOptions): QuotaCoordinator {
-  const { clock, lease, membership } = options;
+  const { clock, lease, membership, metrics } = options;
   const fencing = lease.fencing();
   const startedMs = clock.nowMs();
   const hosts = new Map<string, HostRecord>();
@@ -138,7 +139,10 @@
           const needed = Math.min(want, free);
           const most = Math.floor(allowed * SPARE_SHARE) - used(workspace) - needed;
           const granted = needed + (isCollecting ? 0 : Math.max(0, Math.min(spare, most)));
-          if (granted > 0) record.held.set(workspace, held + granted);
+          if (granted > 0) {
+            record.held.set(workspace, held + granted);
+            metrics.increment("quota.granted", { workspace });
+          }
           const isTight = used(workspace) >= allowed * TIGHT_SHARE;
           return { workspace, granted, isTight };
         }),
