Put no part of a prompt on an engine that reads, and split no short prompt

Cause: an engine reads parts of other engines' prompts before its own and the newest of them first. And when engines were full, prompts of 5,000 tokens were split over up to nine engines, whose parts went before what those engines read themselves; a part of 5 ms waits for a pass of 45 ms. Change: a long prompt leaves the line only when its engines read nothing; a choice of engines counts readers that a part would make late like writers that it delays; a prompt whose read is short goes to the one engine that is free first. Three tests fail before: a short prompt that is not split, a part that would make a read late, a prompt that waits for the end of a read.

--- a/packages/bench/_lib/engine_model.ts
+++ b/packages/bench/_lib/engine_model.ts
@@ -25,6 +25,8 @@
   at(timeMs: number, action: () => void): void;
   /** Runs events until a time. */
   runUntil(endMs: number): void;
+  /** Runs the next event; false when there is none. */
+  runNext(): boolean;
 }
 
 /** Creates a queue of events at time 0, kept in a binary heap. */
@@ -67,6 +69,13 @@
       }
       nowMs = endMs;
     },
+    runNext() {
+      if (heap.length === 0) return false;
+      const { timeMs, action } = pop();
+      nowMs = timeMs;
+      action();
+      return true;
+    },
   };
 }
 
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -13,6 +13,7 @@
   SPARE_SLOTS,
   SPLIT_GOAL_SHARE,
   UNANSWERED_LOSS_SHARE,
+  UNDIVIDED_READ_MS,
 } from "./constants.ts";
 import { computeWeight } from "./compute_weight.ts";
 import type { ServerLoad } from "./create_server_load.ts";
@@ -90,6 +91,7 @@
     const choice = packOnOne(job, all, options, workMs);
     if (choice !== undefined) return choice;
   }
+  if (workMs <= UNDIVIDED_READ_MS) return leastWait(job, all, options, workMs);
   if (workMs >= LONG_READ_MS) {
     const choice = splitAtLeastLoss(job, withoutReserve(all), options, workMs);
     if (choice !== undefined && choice.expectedMs <= options.leftMs) return choice;
@@ -158,6 +160,22 @@
   return best === undefined ? undefined : compose(job, [best], options, workMs);
 }
 
+/** The one engine that is expected to answer first; parts of so short a read would only add waits. */
+function leastWait(
+  job: PlacementJob,
+  candidates: Candidate[],
+  options: ChooseOptions,
+  workMs: Millis,
+): EngineChoice | undefined {
+  const waitOf = ({ slotWaitMs, backlogMs, passMs }: Candidate) => slotWaitMs + backlogMs + passMs;
+  const ordered = [...candidates].sort((a, b) => waitOf(a) - waitOf(b));
+  for (const candidate of ordered) {
+    const choice = compose(job, [candidate], options, workMs);
+    if (choice !== undefined) return choice;
+  }
+  return undefined;
+}
+
 /** The number of engines with the least loss; of equal ones the fewest. */
 function splitAtLeastLoss(
   job: PlacementJob,
@@ -179,7 +197,8 @@
 
 /** Engines whose writers a part of this length does not delay come first, the least busy before. */
 function orderByLoss(candidates: Candidate[], partMs: Millis): Candidate[] {
-  const lossOf = ({ roomMs, writersWeight }: Candidate) => partMs > roomMs ? writersWeight : 0;
+  const lossOf = ({ roomMs, writersWeight, load }: Candidate) =>
+    (partMs > roomMs ? writersWeight : 0) + load.delayedReadersWeight(partMs);
   const waitOf = ({ backlogMs, slotWaitMs }: Candidate) => backlogMs + slotWaitMs;
   return [...candidates].sort((a, b) => lossOf(a) - lossOf(b) || waitOf(a) - waitOf(b));
 }
@@ -219,7 +238,8 @@
     passMs + OVERHEAD_MS;
   const harm = chosen
     .filter(({ roomMs }) => partMs > roomMs)
-    .reduce((sum, { writersWeight }) => sum + writersWeight, 0);
+    .reduce((sum, { writersWeight }) => sum + writersWeight, 0) +
+    others.reduce((sum, { load }) => sum + load.delayedReadersWeight(partMs), 0);
   return {
     first: first.load,
     helpers: others.map(({ load }) => load),
--- a/packages/placement/choose_engines_test.ts
+++ b/packages/placement/choose_engines_test.ts
@@ -107,3 +107,21 @@
   loads[0]?.observe({ running: 1, queued: 0, usedTokens: 300_000 });
   t.deepEqual(choose()?.servers, ["s2"]);
 });
+
+test("a short prompt is not split when every engine is full", (t) => {
+  const { choose, addWriters } = setUp(4);
+  for (let index = 0; index < 4; index++) addWriters(index, 8);
+  t.is(choose()?.servers.length, 1);
+});
+
+test("a part is not put on an engine where it would make another read late", (t) => {
+  const { choose, loads } = setUp(3);
+  // Engines read the newest part first, so a read that is there already would wait for this one.
+  const addRead = (index: number, readMs: number, elapsedMs: number) =>
+    loads[index]?.add(makeJob({ ...LONG, elapsedMs }), { readMs, memoryTokens: 0, isFirst: false });
+  addRead(0, 900, 5_000);
+  addRead(1, 900, 5_000);
+  addRead(2, 700, 2_000);
+  const choice = choose({ ...LONG, goalMs: 9_000 });
+  t.deepEqual([choice?.servers.includes("s3"), choice?.hasHarm], [false, false]);
+});
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -13,6 +13,9 @@
 /** Longest part of a joint read in milliseconds on an engine without writers that it would delay. */
 export const QUIET_PART_MS = 450;
 
+/** Milliseconds of reading up to which a prompt is never split; a part waits for a pass of 45 ms. */
+export const UNDIVIDED_READ_MS = 80;
+
 /** Part of the goal for the first byte that a plan may use; the rest covers queueing and network. */
 export const GOAL_SHARE = 0.6;
 
@@ -25,6 +28,9 @@
 /** Slots of an engine left free by packing, for requests that placement did not see. */
 export const SPARE_SLOTS = 1;
 
+/** Passes of a full engine between a free slot and the first byte: the one under way and the next. */
+export const PASSES_TO_FIRST_BYTE = 2;
+
 /** Milliseconds for which a server is avoided after its first failure in a row. */
 export const SUSPECT_BASE_MS = 800;
 
@@ -89,7 +95,7 @@
 export const SHORT_GROWTH_FACTOR = 1.2;
 
 /** Milliseconds of reads before it that a long prompt accepts when it leaves the line. */
-export const READY_BACKLOG_MS = 150;
+export const READY_BACKLOG_MS = 0;
 
 /** Milliseconds before its last chance to be in time at which a long prompt leaves the line. */
 export const LAST_CALL_MS = 150;
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -62,6 +62,8 @@
   writers(): number;
   /** Weight of the requests here that are in time so far and have a pause goal. */
   onTimeWeight(): number;
+  /** Weight of the unread requests here that a part of this length would make late. */
+  delayedReadersWeight(partMs: Millis): number;
   /** Marks the requests here as late, since a read delays them beyond their goals. */
   markDelayed(): void;
   /** Expected milliseconds of reading still to be done. */
@@ -191,6 +193,14 @@
     onTimeWeight: () =>
       streams().filter((share) => !share.isDelayed)
         .reduce((sum, share) => sum + computeWeight(share.job), 0) + foreignWeight(),
+    delayedReadersWeight: (partMs) =>
+      all().filter((share) => {
+        if (share.isWriting || share.isDelayed) return false;
+        const sinceMs = clock.nowMs() - share.startMs;
+        const leftMs = Math.max(0, share.readMs - sinceMs);
+        const slackMs = share.job.goalMs - share.job.elapsedMs - sinceMs - leftMs - passMs();
+        return slackMs >= 0 && slackMs < partMs;
+      }).reduce((sum, share) => sum + computeWeight(share.job), 0),
     markDelayed() {
       for (const share of streams()) share.isDelayed = true;
     },
--- a/packages/placement/create_waiting_line_test.ts
+++ b/packages/placement/create_waiting_line_test.ts
@@ -108,3 +108,12 @@
   }
   t.is(place(makeJob()), "at once");
 });
+
+test("a long prompt waits for the end of a read that its own parts would go before", (t) => {
+  const { place, clock } = setUp(3);
+  const LONG = { promptTokens: 90_000, ...GOALS };
+  for (let count = 0; count < 3; count++) place(makeJob(LONG));
+  // Of the reads of 1,250 ms about 100 ms are left on each engine.
+  clock.advance(1_150);
+  t.is(place(makeJob(LONG)), "waits");
+});
