Tell hubs what is left of running reads, count readers' deadlines and the time of the answer

Late prompts were also placed on engines where other late ones still read (46.65, 47.17, 50.72, 51.78 s), and each starved the one before until its deadline; and some were sent with 2.8 s to the first byte and 3.1 s to the deadline, in which the answer cannot be whole. Change: a host reports for each running job the length of its parts, their age and the reserved memory, and a hub that is new to it counts them. The first byte is due early enough for half of the estimated answer before the deadline; what cannot be is refused at once. Tests: the two of the hub that learns of a job, the one of a reader's deadline and the one of the answer's time cover it; they were written with the change and not run on the code before.

--- a/packages/bench/play_placement.ts
+++ b/packages/bench/play_placement.ts
@@ -239,6 +239,7 @@
     goalMs: kind.goalMs,
     pauseGoalMs: kind.pauseGoalMs,
     remainingMs: kind.patienceMs,
+    wholeWithinMs: Infinity,
     elapsedMs: 0,
     excludedIds: [],
     isRetry: false,
--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -22,6 +22,7 @@
     goalMs: route.goalMs,
     pauseGoalMs: route.pauseGoalMs,
     remainingMs: patienceEndMs(request, now, handler.resumeAfter() !== undefined) - now,
+    wholeWithinMs: request.endMs - now,
     elapsedMs: now - request.arrivalMs,
     excludedIds: state.excludedIds,
     isRetry: state.sends > 0,
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -163,6 +163,7 @@
     serverId: String(next),
     helperIds: [],
     tickets: options.reservationMs === undefined ? [] : [{ serverId: "0", tokens: 1 }],
+    partMs: 0,
     expectedMs: 10,
   };
 }
--- a/packages/forwarding_host/create_placement_client.ts
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -1,4 +1,4 @@
-import type { Logger, Metrics } from "@jaypass/kernel";
+import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
 import type { Fleet } from "@jaypass/fleet";
 import type { PlacementClient } from "@jaypass/forwarding";
 import { JOB_OUTCOME } from "@jaypass/placement";
@@ -12,6 +12,8 @@
   fleet: () => Pick<Fleet<PlacementJob, PlacementDecision, JobReport>, "place" | "report">;
   /** Places with what this host alone knows, and with its share of the common limits. */
   local: Placer;
+  /** Monotonic time source. */
+  clock: Clock;
   /** Asks the engines for their load. */
   refreshLoad: () => Promise<void>;
   /** Log of placements without a hub. */
@@ -33,17 +35,31 @@
  * @returns the placement
  *
  * @example
- * const placement = createPlacementClient({ fleet: () => fleet, local, log, metrics });
+ * const placement = createPlacementClient({ fleet: () => fleet, local, clock, ... });
  */
 export function createPlacementClient(options: PlacementClientOptions): HostPlacement {
-  const { fleet, local, refreshLoad, log, metrics } = options;
-  const running = new Map<string, RunningJob>();
+  const { fleet, local, clock, refreshLoad, log, metrics } = options;
+  const running = new Map<string, RunningJob & { placedMs: Millis }>();
+
+  /** A job as a hub needs it that has not placed it. */
+  const present = ({ placedMs, ...entry }: RunningJob & { placedMs: Millis }): RunningJob => ({
+    ...entry,
+    ageMs: clock.nowMs() - placedMs,
+  });
 
   const remember = (job: PlacementJob, decision: PlacementDecision, decidedBy?: string) => {
     if (decision.kind !== "placed") return;
-    const { serverId, helperIds } = decision;
-    const entry: RunningJob = { job, serverId, helperIds, isWriting: false };
-    running.set(job.id, entry);
+    const { serverId, helperIds, tickets, partMs } = decision;
+    const entry: RunningJob = {
+      job,
+      serverId,
+      helperIds,
+      tickets,
+      partMs,
+      ageMs: 0,
+      isWriting: false,
+    };
+    running.set(job.id, { ...entry, placedMs: clock.nowMs() });
     if (decidedBy !== undefined) local.adopt(entry);
     fleet().report({ kind: "running", running: entry }, { except: decidedBy });
   };
@@ -79,6 +95,6 @@
       fleet().report({ kind: "finished", jobId, outcome, faultyServerId });
     },
     currentReports: () =>
-      [...running.values()].map((entry) => ({ kind: "running", running: entry })),
+      [...running.values()].map((entry) => ({ kind: "running", running: present(entry) })),
   };
 }
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -78,6 +78,7 @@
   const placement = createPlacementClient({
     fleet: () => fleet,
     local: localPlacer,
+    clock,
     refreshLoad: () => probe.refresh(),
     log,
     metrics,
--- a/packages/placement/_testing/fixtures.ts
+++ b/packages/placement/_testing/fixtures.ts
@@ -47,6 +47,7 @@
     goalMs: 300,
     pauseGoalMs: 250,
     remainingMs: 60_000,
+    wholeWithinMs: 60_000,
     elapsedMs: 0,
     excludedIds: [],
     isRetry: false,
--- a/packages/placement/choose_engines_test.ts
+++ b/packages/placement/choose_engines_test.ts
@@ -125,3 +125,18 @@
   const choice = choose({ ...LONG, goalMs: 9_000 });
   t.deepEqual([choice?.servers.includes("s3"), choice?.hasHarm], [false, false]);
 });
+
+test("a part is not put on an engine where another read would then miss its deadline", (t) => {
+  const { choose, loads } = setUp(3);
+  const addRead = (index: number, readMs: number, remainingMs: number) =>
+    loads[index]?.add(makeJob({ ...LONG, elapsedMs: 5_000, remainingMs }), {
+      readMs,
+      memoryTokens: 0,
+      isFirst: false,
+    });
+  addRead(0, 900, 15_000);
+  addRead(1, 900, 15_000);
+  addRead(2, 700, 1_500);
+  const choice = choose({ ...LONG, goalMs: 9_000 });
+  t.deepEqual([choice?.servers.includes("s3"), choice?.hasHarm], [false, false]);
+});
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -31,6 +31,12 @@
 /** Passes of a full engine between a free slot and the first byte: the one under way and the next. */
 export const PASSES_TO_FIRST_BYTE = 2;
 
+/**
+ * Part of the estimated answer for which time is kept before the deadline. Callers' estimates are
+ * often far off, and a prompt must not be refused for an answer that is shorter.
+ */
+export const SURE_ANSWER_SHARE = 0.5;
+
 /** Milliseconds for which a server is avoided after its first failure in a row. */
 export const SUSPECT_BASE_MS = 800;
 
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -13,6 +13,7 @@
   PACKED_SLOTS_SHARE,
   PASSES_TO_FIRST_BYTE,
   QUARANTINE_MS,
+  SURE_ANSWER_SHARE,
   TIGHT_SLOTS_SHARE,
 } from "./constants.ts";
 import { createCrashQuarantine } from "./create_crash_quarantine.ts";
@@ -34,6 +35,9 @@
   PlacementService,
 } from "./types.ts";
 
+/** What is kept of a job that runs. */
+type PlacedJob = Pick<RunningJob, "job" | "serverId" | "helperIds" | "isWriting">;
+
 /** Part of the cold limit that is never used, since a second of the server is not ours. */
 const COLD_RESERVED_SHARE = 0.3;
 
@@ -54,7 +58,7 @@
   const services = new Map<string, PlacementService>();
   const loads = new Map<string, ServerLoad>();
   const ranks = new Map<string, string>();
-  const running = new Map<string, RunningJob>();
+  const running = new Map<string, PlacedJob>();
   const quarantine = createCrashQuarantine(clock);
   const limiter = createRetryLimiter({ clock, limits: retryLimits, share });
 
@@ -162,6 +166,7 @@
       serverId: choice.first.server.id,
       helperIds: choice.helpers.map((helper) => helper.server.id),
       tickets: choice.tickets,
+      partMs: choice.partMs,
       expectedMs: choice.expectedMs,
     };
   };
@@ -220,7 +225,17 @@
     return job.promptTokens + job.answerTokens <= memory * engines;
   };
 
-  const place = (job: PlacementJob): PlacementDecision | Promise<PlacementDecision> => {
+  /** The job with its first byte due early enough for the whole answer to come in time. */
+  const withAnswerTime = (job: PlacementJob): PlacementJob => {
+    const profile = services.get(job.service)?.engine;
+    if (profile === undefined) return job;
+    const passes = SURE_ANSWER_SHARE * job.answerTokens / profile.stepsPerPass;
+    const answerMs = passes * computePassMs(1, job.promptTokens, profile);
+    return { ...job, remainingMs: Math.min(job.remainingMs, job.wholeWithinMs - answerMs) };
+  };
+
+  const place = (asked: PlacementJob): PlacementDecision | Promise<PlacementDecision> => {
+    const job = withAnswerTime(asked);
     if (quarantine.isQuarantined(job.fingerprint)) {
       return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
     }
@@ -251,9 +266,9 @@
     return refuse(job, PLACEMENT_REFUSAL.TOO_LARGE, NO_SERVER_RETRY_AFTER_MS);
   };
 
-  const serversOf = (entry: RunningJob) => [entry.serverId, ...entry.helperIds];
+  const serversOf = (entry: PlacedJob) => [entry.serverId, ...entry.helperIds];
 
-  const judgeServer = (entry: RunningJob, outcome: JobOutcome, faultyServerId?: string) => {
+  const judgeServer = (entry: PlacedJob, outcome: JobOutcome, faultyServerId?: string) => {
     const faulty = loads.get(faultyServerId ?? entry.serverId);
     if (outcome === JOB_OUTCOME.ANSWERED) {
       loads.get(entry.serverId)?.trust();
@@ -303,11 +318,16 @@
     },
     adopt(entry) {
       if (running.has(entry.job.id)) return;
-      running.set(entry.job.id, { ...entry });
+      const { job, serverId, helperIds, isWriting, tickets, partMs, ageMs } = entry;
+      running.set(job.id, { job, serverId, helperIds, isWriting });
+      const reserved = new Map(tickets.map((ticket) => [ticket.serverId, ticket.tokens]));
+      const elsewhere = tickets.reduce((sum, ticket) => sum + ticket.tokens, 0);
       for (const id of serversOf(entry)) {
-        const isFirst = id === entry.serverId;
-        const memoryTokens = isFirst ? entry.job.promptTokens + entry.job.answerTokens : 0;
-        loads.get(id)?.add(entry.job, { readMs: 0, memoryTokens, isFirst });
+        const isFirst = id === serverId;
+        const memoryTokens = isFirst
+          ? job.promptTokens + job.answerTokens - elsewhere
+          : reserved.get(id) ?? 0;
+        loads.get(id)?.add(job, { readMs: partMs, memoryTokens, isFirst, ageMs });
         if (entry.isWriting) loads.get(id)?.markWriting(entry.job.id);
       }
     },
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -165,3 +165,51 @@
   });
   t.true(new Set(firsts).size >= 4, String(firsts));
 });
+
+test("a hub that learns of a running read leaves its engines alone until it has ended", (t) => {
+  const { placer, clock } = setUp({ servers: 2 });
+  const expectedMsOf = (id: string) => {
+    const decision = placer.place(makeJob({ id, remainingMs: 20_000 }));
+    placer.finished(id, JOB_OUTCOME.CANCELLED);
+    return decision.kind === "placed" ? { server: decision.serverId } : undefined;
+  };
+  placer.adopt({
+    job: makeJob({ id: "long", promptTokens: 180_000, goalMs: 4_000, pauseGoalMs: 1_000 }),
+    serverId: "s1",
+    helperIds: [],
+    tickets: [],
+    partMs: 3_800,
+    ageMs: 1_000,
+    isWriting: false,
+  });
+  t.deepEqual(expectedMsOf("during"), { server: "s2" });
+  clock.advance(1_000);
+  t.deepEqual(expectedMsOf("still"), { server: "s2" });
+  placer.started("long");
+  t.deepEqual(expectedMsOf("after"), { server: "s1" });
+});
+
+test("a hub that learns of a running request counts the memory on its helpers", (t) => {
+  const { placer } = setUp({ servers: 2 });
+  const tokens = PROFILE.memoryTokens;
+  placer.adopt({
+    job: makeJob({ id: "large", promptTokens: 1.5 * tokens, answerTokens: 0 }),
+    serverId: "s1",
+    helperIds: ["s2"],
+    tickets: [{ serverId: "s2", tokens: 0.6 * tokens }],
+    partMs: 100,
+    ageMs: 0,
+    isWriting: true,
+  });
+  const decision = placer.place(makeJob({ promptTokens: 0.5 * tokens, remainingMs: 60_000 }));
+  t.is(describe(decision), "refused: too_large");
+});
+
+test("a prompt that can begin but not end before its deadline is refused at once", (t) => {
+  const { placer } = setUp({ servers: 1 });
+  // Read in 0.65 s; half of the estimated answer takes 0.75 s at least.
+  const prompt = { promptTokens: 50_000, answerTokens: 1_000, remainingMs: 3_000 };
+  const tooLate = makeJob({ ...prompt, wholeWithinMs: 1_200 });
+  t.is(describe(placer.place(tooLate)), "refused: unservable");
+  t.is(placer.place(makeJob({ ...prompt, wholeWithinMs: 2_000 })).kind, "placed");
+});
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -10,6 +10,7 @@
   REPORT_VALID_MS,
   SUSPECT_BASE_MS,
   SUSPECT_MAX_MS,
+  UNANSWERED_LOSS_SHARE,
 } from "./constants.ts";
 import { createRateWindow } from "./create_rate_window.ts";
 import type { EngineProfile, EngineReport, PlacementJob, PlacementServer } from "./types.ts";
@@ -36,6 +37,18 @@
   startMs: Millis;
 }
 
+/** What a job or a part of it takes of a server. */
+export interface LoadPart {
+  /** Expected milliseconds of reading. */
+  readMs: Millis;
+  /** Tokens of memory. */
+  memoryTokens: number;
+  /** True for the server that gets the request, false for a helper. */
+  isFirst: boolean;
+  /** Milliseconds since it was sent; 0 by default. */
+  ageMs?: Millis;
+}
+
 /** The load of one server, as known from what was sent to it. */
 export interface ServerLoad {
   /** The server's present entry. */
@@ -45,7 +58,7 @@
   /** Takes the server's own report, which shows requests that were placed elsewhere. */
   observe(report: EngineReport): void;
   /** Counts a job or a part of it. */
-  add(job: PlacementJob, part: { readMs: Millis; memoryTokens: number; isFirst: boolean }): void;
+  add(job: PlacementJob, part: LoadPart): void;
   /** Counts a request that was sent, for the cold limit. */
   countSend(): void;
   /** Marks a job as writing; its read is over. */
@@ -170,13 +183,13 @@
         untilMs: clock.nowMs() + REPORT_VALID_MS,
       };
     },
-    add(job, part) {
+    add(job, { ageMs = 0, ...part }) {
       shares.set(job.id, {
         job,
         ...part,
         isWriting: false,
         isDelayed: false,
-        startMs: clock.nowMs(),
+        startMs: clock.nowMs() - ageMs,
       });
     },
     countSend: () => sends.add(),
@@ -194,13 +207,18 @@
       streams().filter((share) => !share.isDelayed)
         .reduce((sum, share) => sum + computeWeight(share.job), 0) + foreignWeight(),
     delayedReadersWeight: (partMs) =>
-      all().filter((share) => {
-        if (share.isWriting || share.isDelayed) return false;
+      all().reduce((sum, share) => {
+        if (share.isWriting) return sum;
         const sinceMs = clock.nowMs() - share.startMs;
-        const leftMs = Math.max(0, share.readMs - sinceMs);
-        const slackMs = share.job.goalMs - share.job.elapsedMs - sinceMs - leftMs - passMs();
-        return slackMs >= 0 && slackMs < partMs;
-      }).reduce((sum, share) => sum + computeWeight(share.job), 0),
+        const doneMs = sinceMs + Math.max(0, share.readMs - sinceMs) + passMs();
+        const slackMs = share.job.goalMs - share.job.elapsedMs - doneMs;
+        const deadlineSlackMs = share.job.remainingMs - doneMs;
+        const weight = computeWeight(share.job);
+        if (deadlineSlackMs >= 0 && deadlineSlackMs < partMs) {
+          return sum + weight * UNANSWERED_LOSS_SHARE;
+        }
+        return slackMs >= 0 && slackMs < partMs && !share.isDelayed ? sum + weight : sum;
+      }, 0),
     markDelayed() {
       for (const share of streams()) share.isDelayed = true;
     },
--- a/packages/placement/create_slot_queue_test.ts
+++ b/packages/placement/create_slot_queue_test.ts
@@ -8,6 +8,7 @@
   serverId: "s1",
   helperIds: [],
   tickets: [],
+  partMs: 30,
   expectedMs: 100,
 };
 
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -13,6 +13,7 @@
   PlacementRefusal,
   PlacementServer,
   PlacementService,
+  TicketPlan,
 } from "./types.ts";
 
 /** Limits of a cold server, from the settings of the host. */
@@ -75,6 +76,12 @@
   serverId: string;
   /** Servers that read a part of its prompt. */
   helperIds: string[];
+  /** Memory reserved on helpers. */
+  tickets: TicketPlan[];
+  /** Expected milliseconds of reading on each of the servers. */
+  partMs: Millis;
+  /** Milliseconds since it was placed. */
+  ageMs: Millis;
   /** True once the first byte of the answer came. */
   isWriting: boolean;
 }
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -83,8 +83,10 @@
   goalMs: Millis;
   /** Longest pause between events that is still in time; 0 where the answer is no stream. */
   pauseGoalMs: Millis;
-  /** Milliseconds until the caller's deadline. */
+  /** Milliseconds until the caller leaves without a first byte. */
   remainingMs: Millis;
+  /** Milliseconds until the caller's deadline, by which the answer must be whole. */
+  wholeWithinMs: Millis;
   /** Milliseconds since the caller's request came. */
   elapsedMs: Millis;
   /** Servers that this request must not get. */
@@ -127,6 +129,8 @@
     helperIds: string[];
     /** Memory to reserve on helpers before the request is sent. */
     tickets: TicketPlan[];
+    /** Expected milliseconds of reading on each of the servers. */
+    partMs: Millis;
     /** Expected milliseconds to the first byte. */
     expectedMs: Millis;
   }
