--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -1,5 +1,5 @@
-import { createHash } from "node:crypto";
 import type { Millis } from "@jaypass/kernel";
+import { createServerBook } from "./_lib/server_book.ts";
 import { chooseEngines } from "./choose_engines.ts";
 import type { EngineChoice } from "./choose_engines.ts";
 import {
@@ -23,24 +23,14 @@
 import { computeReadMs } from "./compute_read_ms.ts";
 import { createSlotQueue } from "./create_slot_queue.ts";
 import { createWaitingLine } from "./create_waiting_line.ts";
-import { createServerLoad } from "./create_server_load.ts";
 import type { ServerLoad } from "./create_server_load.ts";
 import type { DecisionNote, Placer, PlacerOptions, RunningJob } from "./placer_types.ts";
 import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "./types.ts";
-import type {
-  JobOutcome,
-  PlacementDecision,
-  PlacementJob,
-  PlacementRefusal,
-  PlacementService,
-} from "./types.ts";
+import type { JobOutcome, PlacementDecision, PlacementJob, PlacementRefusal } from "./types.ts";
 
 /** What is kept of a job that runs. */
 type PlacedJob = Pick<RunningJob, "job" | "serverId" | "helperIds" | "isWriting">;
 
-/** Part of the cold limit that is never used, since a second of the server is not ours. */
-const COLD_RESERVED_SHARE = 0.3;
-
 /**
  * Creates the placement of requests on servers.
  *
@@ -54,10 +44,8 @@
  * const decision = await placer.place(job);
  */
 export function createPlacer(options: PlacerOptions): Placer {
-  const { clock, retryLimits, coldLimits, share, canWait, seed } = options;
-  const services = new Map<string, PlacementService>();
-  const loads = new Map<string, ServerLoad>();
-  const ranks = new Map<string, string>();
+  const { clock, retryLimits, share, canWait } = options;
+  const servers = createServerBook(options);
   const running = new Map<string, PlacedJob>();
   const quarantine = createCrashQuarantine(clock);
   const limiter = createRetryLimiter({ clock, limits: retryLimits, share });
@@ -72,7 +60,7 @@
       decision,
       promptTokens: job.promptTokens,
       elapsedMs: Math.round(job.elapsedMs),
-      usable: listUsable(job).length,
+      usable: servers.listUsable(job).length,
       waiting: line.size(),
       serverId: choice?.first.server.id,
       helperIds: choice?.helpers.map((helper) => helper.server.id),
@@ -90,30 +78,6 @@
     return { kind: "refused", reason, retryAfterMs };
   };
 
-  const isWithinColdLimit = (load: ServerLoad) => {
-    const rate = services.get(load.server.service)?.coldRequestsPerS ?? 0;
-    if (rate === 0 || clock.nowMs() > load.server.coldUntilMs) return true;
-    const limit = (rate * coldLimits.multiplier + coldLimits.slack) * share();
-    return load.recentSends() + 1 <= Math.max(1, limit * (1 - COLD_RESERVED_SHARE));
-  };
-
-  const listUsable = (job: PlacementJob) => {
-    const all = [...loads.values()].filter(({ server }) =>
-      server.service === job.service && !job.excludedIds.includes(server.id)
-    );
-    const trusted = all.filter((load) => !load.isSuspect());
-    return (trusted.length > 0 ? trusted : all)
-      .sort((a, b) => rankOf(a.server.id) < rankOf(b.server.id) ? -1 : 1);
-  };
-
-  const rankOf = (serverId: string): string => {
-    const known = ranks.get(serverId);
-    if (known !== undefined) return known;
-    const rank = createHash("sha1").update(`${seed}/${serverId}`).digest("hex");
-    ranks.set(serverId, rank);
-    return rank;
-  };
-
   const markDelayed = (choice: EngineChoice) => {
     for (const load of [choice.first, ...choice.helpers]) {
       if (choice.partMs > load.readRoomMs()) load.markDelayed();
@@ -148,7 +112,7 @@
     usable: ServerLoad[],
     times: { waitedMs: Millis; leftMs: Millis },
   ): EngineChoice | undefined => {
-    const profile = services.get(job.service)?.engine;
+    const profile = servers.profileOf(job.service);
     if (profile === undefined) return chooseLeastLoaded(usable);
     const packedShare = line.size() > 0 ? TIGHT_SLOTS_SHARE : PACKED_SLOTS_SHARE;
     return chooseEngines(job, usable, { profile, packedShare, ...times });
@@ -171,17 +135,15 @@
     };
   };
 
-  const listOpen = (job: PlacementJob) => listUsable(job).filter(isWithinColdLimit);
-
   const leastReadMs = (job: PlacementJob): Millis => {
-    const profile = services.get(job.service)?.engine;
+    const profile = servers.profileOf(job.service);
     if (profile === undefined) return 0;
-    const engines = Math.min(listUsable(job).length, MAX_HELPERS + 1);
+    const engines = Math.min(servers.listUsable(job).length, MAX_HELPERS + 1);
     return computeReadMs(job.promptTokens, profile) / Math.max(1, engines);
   };
 
   const line = createWaitingLine({
-    choose: (job, waitedMs, leftMs) => choose(job, listOpen(job), { waitedMs, leftMs }),
+    choose: (job, waitedMs, leftMs) => choose(job, servers.listOpen(job), { waitedMs, leftMs }),
     leastReadMs,
     dispatch,
     refuse: (job) => refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
@@ -191,7 +153,7 @@
 
   /** Sends a prompt to an engine with a free slot; undefined while there is none. */
   const dispatchToSlot = (job: PlacementJob): PlacementDecision | undefined => {
-    const free = listOpen(job).filter(hasFreeSlot);
+    const free = servers.listOpen(job).filter(hasFreeSlot);
     if (free.length === 0) return undefined;
     const choice = choose(job, free, { waitedMs: job.elapsedMs, leftMs: job.remainingMs });
     return choice && dispatch(job, choice);
@@ -199,7 +161,7 @@
 
   const slotQueue = createSlotQueue({
     expectedMs(job) {
-      const profile = services.get(job.service)?.engine;
+      const profile = servers.profileOf(job.service);
       if (profile === undefined) return 0;
       const passMs = computePassMs(
         profile.slots,
@@ -213,21 +175,21 @@
   }, clock);
 
   const isLong = (job: PlacementJob) => {
-    const profile = services.get(job.service)?.engine;
+    const profile = servers.profileOf(job.service);
     return profile !== undefined && computeReadMs(job.promptTokens, profile) >= LONG_READ_MS;
   };
 
-  const hasModel = (job: PlacementJob) => services.get(job.service)?.engine !== undefined;
+  const hasModel = (job: PlacementJob) => servers.profileOf(job.service) !== undefined;
 
   const fitsWhenIdle = (job: PlacementJob, usable: ServerLoad[]) => {
-    const memory = (services.get(job.service)?.engine?.memoryTokens ?? 0) * MEMORY_SHARE;
+    const memory = (servers.profileOf(job.service)?.memoryTokens ?? 0) * MEMORY_SHARE;
     const engines = Math.min(usable.length, MAX_HELPERS + 1);
     return job.promptTokens + job.answerTokens <= memory * engines;
   };
 
   /** The job with its first byte due early enough for the whole answer to come in time. */
   const withAnswerTime = (job: PlacementJob): PlacementJob => {
-    const profile = services.get(job.service)?.engine;
+    const profile = servers.profileOf(job.service);
     if (profile === undefined) return job;
     const passes = SURE_ANSWER_SHARE * job.answerTokens / profile.stepsPerPass;
     const answerMs = passes * computePassMs(1, job.promptTokens, profile);
@@ -239,11 +201,11 @@
     if (quarantine.isQuarantined(job.fingerprint)) {
       return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
     }
-    const usable = listUsable(job);
+    const usable = servers.listUsable(job);
     if (usable.length === 0) {
       return refuse(job, PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
     }
-    const open = usable.filter(isWithinColdLimit);
+    const open = servers.listOpen(job);
     if (open.length === 0) return refuse(job, PLACEMENT_REFUSAL.COLD_LIMIT, COLD_RETRY_AFTER_MS);
     if (leastReadMs(job) > job.remainingMs) {
       return refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS);
@@ -269,9 +231,9 @@
   const serversOf = (entry: PlacedJob) => [entry.serverId, ...entry.helperIds];
 
   const judgeServer = (entry: PlacedJob, outcome: JobOutcome, faultyServerId?: string) => {
-    const faulty = loads.get(faultyServerId ?? entry.serverId);
+    const faulty = servers.find(faultyServerId ?? entry.serverId);
     if (outcome === JOB_OUTCOME.ANSWERED) {
-      loads.get(entry.serverId)?.trust();
+      servers.find(entry.serverId)?.trust();
       quarantine.clear(entry.job.fingerprint);
     } else if (
       outcome === JOB_OUTCOME.BROKEN || outcome === JOB_OUTCOME.SILENT ||
@@ -285,33 +247,10 @@
   };
 
   return {
-    setServers(servers) {
-      const present = new Set(servers.map((server) => server.id));
-      for (const id of [...loads.keys()].filter((known) => !present.has(known))) {
-        loads.delete(id);
-        ranks.delete(id);
-      }
-      for (const server of servers) {
-        const load = loads.get(server.id);
-        if (load?.server.bornMs === server.bornMs) load.server = server;
-        else {
-          const profile = services.get(server.service)?.engine;
-          loads.set(server.id, createServerLoad(server, { clock, profile }));
-        }
-      }
-    },
-    setServices(list) {
-      services.clear();
-      for (const service of list) services.set(service.name, service);
-      const servers = [...loads.values()].map((load) => load.server);
-      for (const { id, service } of servers) {
-        const profile = services.get(service)?.engine;
-        const load = loads.get(id);
-        if (load !== undefined) load.setProfile(profile);
-      }
-    },
+    setServers: servers.setServers,
+    setServices: servers.setServices,
     place,
-    observe: (serverId, report) => loads.get(serverId)?.observe(report),
+    observe: (serverId, report) => servers.find(serverId)?.observe(report),
     review() {
       slotQueue.review();
       line.review();
@@ -327,22 +266,22 @@
         const memoryTokens = isFirst
           ? job.promptTokens + job.answerTokens - elsewhere
           : reserved.get(id) ?? 0;
-        loads.get(id)?.add(job, { readMs: partMs, memoryTokens, isFirst, ageMs });
-        if (entry.isWriting) loads.get(id)?.markWriting(entry.job.id);
+        servers.find(id)?.add(job, { readMs: partMs, memoryTokens, isFirst, ageMs });
+        if (entry.isWriting) servers.find(id)?.markWriting(entry.job.id);
       }
     },
     started(jobId) {
       const entry = running.get(jobId);
       if (entry === undefined) return;
       entry.isWriting = true;
-      for (const id of serversOf(entry)) loads.get(id)?.markWriting(jobId);
+      for (const id of serversOf(entry)) servers.find(id)?.markWriting(jobId);
     },
     finished(jobId, outcome, faultyServerId) {
       if (line.cancel(jobId) || slotQueue.cancel(jobId)) return;
       const entry = running.get(jobId);
       if (entry === undefined) return;
       running.delete(jobId);
-      for (const id of serversOf(entry)) loads.get(id)?.remove(jobId);
+      for (const id of serversOf(entry)) servers.find(id)?.remove(jobId);
       judgeServer(entry, outcome, faultyServerId);
       slotQueue.review();
     },
