Refuse a long prompt at once when what goes before it fills the time to its deadline

Ruled out: that a better order serves them all; the reads do not fit the engines' time. Change: the line adds up what goes before each prompt, and the reads that engines have, as if all engines did nothing else; a prompt that cannot be read before its deadline even so is refused, with that time as the time to come back. A test with twenty prompts for four engines fails before.

--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -145,8 +145,18 @@
   const line = createWaitingLine({
     choose: (job, waitedMs, leftMs) => choose(job, servers.listOpen(job), { waitedMs, leftMs }),
     leastReadMs,
+    backlogMs(job) {
+      const usable = servers.listUsable(job);
+      const totalMs = usable.reduce((sum, load) => sum + load.readBacklogMs(), 0);
+      return totalMs / Math.max(1, usable.length);
+    },
     dispatch,
-    refuse: (job) => refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
+    refuse: (job, retryAfterMs) =>
+      refuse(
+        job,
+        PLACEMENT_REFUSAL.UNSERVABLE,
+        Math.max(NO_SERVER_RETRY_AFTER_MS, retryAfterMs),
+      ),
   }, clock);
 
   const hasFreeSlot = (load: ServerLoad) => load.requests() < load.server.slots;
--- a/packages/placement/create_waiting_line.ts
+++ b/packages/placement/create_waiting_line.ts
@@ -21,10 +21,12 @@
   choose(job: PlacementJob, waitedMs: Millis, leftMs: Millis): EngineChoice | undefined;
   /** Milliseconds in which all engines together would read the prompt if they were idle. */
   leastReadMs(job: PlacementJob): Millis;
+  /** Milliseconds in which all engines together would end the reads that they have. */
+  backlogMs(job: PlacementJob): Millis;
   /** Sends the job to the engines of a choice. */
   dispatch(job: PlacementJob, choice: EngineChoice): PlacementDecision;
-  /** Refuses a job that can no longer be answered in time. */
-  refuse(job: PlacementJob): PlacementDecision;
+  /** Refuses a job that can no longer be answered in time; it may come back after some time. */
+  refuse(job: PlacementJob, retryAfterMs: Millis): PlacementDecision;
 }
 
 /** Long prompts that wait for quiet engines. */
@@ -55,7 +57,9 @@
  * The load it answers: more long prompts than the engines read in time. Without a line they queue
  * on all engines, where each of them becomes late and short prompts wait behind them. Here a prompt
  * leaves the line when quiet engines can read it in time; one that can still be in time goes before
- * one that is late already, and a late one goes when engines are idle or its deadline presses.
+ * one that is late already, and a late one goes when engines are idle or its deadline presses. A
+ * prompt that could not be read before its deadline even if all engines did nothing but read it and
+ * what goes before it is refused at once.
  *
  * @param view engines and what can be done with a prompt
  * @param clock monotonic time source
@@ -132,17 +136,20 @@
     cancel(jobId) {
       const entry = entries.get(jobId);
       if (entry === undefined) return false;
-      leave(entry, view.refuse(present(entry)));
+      leave(entry, view.refuse(present(entry), 0));
       return true;
     },
     review() {
       let isOvertaken = false;
+      let aheadMs = 0;
       for (const item of inOrder()) {
         const { entry } = item;
-        if (deadlineSlackMs(entry) < 0) {
-          leave(entry, view.refuse(present(entry)));
+        const beforeMs = aheadMs + view.backlogMs(entry.job);
+        if (deadlineSlackMs(entry) < beforeMs) {
+          leave(entry, view.refuse(present(entry), beforeMs));
           continue;
         }
+        aheadMs += view.leastReadMs(entry.job);
         const choice = view.choose(entry.job, waitedMs(entry), leftMs(entry));
         if (choice !== undefined && shouldSend(item, choice, isOvertaken)) {
           leave(entry, view.dispatch(present(entry), choice));
--- a/packages/placement/create_waiting_line_test.ts
+++ b/packages/placement/create_waiting_line_test.ts
@@ -117,3 +117,15 @@
   clock.advance(1_150);
   t.is(place(makeJob(LONG)), "waits");
 });
+
+test("prompts behind more reads than fit before their deadline are refused at once", async (t) => {
+  const { place, review } = setUp(4);
+  // Four engines read one such prompt in 0.95 s, so at most fifteen fit into 15 s.
+  for (let count = 1; count <= 20; count++) {
+    place(makeJob({ id: `p${count}`, promptTokens: 180_000, ...GOALS }));
+  }
+  const left = await review();
+  const refused = left.filter((entry) => entry.endsWith("unservable"));
+  t.true(refused.length >= 4 && refused.length <= 6, String(left));
+  t.false(left.includes("p5 unservable"));
+});
