--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -91,7 +91,9 @@
     const choice = packOnOne(job, all, options, workMs);
     if (choice !== undefined) return choice;
   }
-  if (workMs <= UNDIVIDED_READ_MS) return leastWait(job, all, options, workMs);
+  // A part fails with any of its helpers, so the second try of a middle prompt takes one engine.
+  const isUndivided = workMs <= UNDIVIDED_READ_MS || (job.isRetry && workMs < LONG_READ_MS);
+  if (isUndivided) return leastWait(job, all, options, workMs);
   if (workMs >= LONG_READ_MS) {
     const choice = splitAtLeastLoss(job, withoutReserve(all), options, workMs);
     if (choice !== undefined && choice.expectedMs <= options.leftMs) return choice;
--- a/packages/placement/choose_engines_test.ts
+++ b/packages/placement/choose_engines_test.ts
@@ -140,3 +140,11 @@
   const choice = choose({ ...LONG, goalMs: 9_000 });
   t.deepEqual([choice?.servers.includes("s3"), choice?.hasHarm], [false, false]);
 });
+
+test("the second try of a middle prompt does not depend on helpers", (t) => {
+  const { choose, addWriters } = setUp(6);
+  for (let index = 0; index < 6; index++) addWriters(index, 2);
+  const middle = { promptTokens: 45_000, goalMs: 1_500, pauseGoalMs: 600 };
+  t.true((choose(middle)?.servers.length ?? 0) > 1);
+  t.is(choose({ ...middle, isRetry: true })?.servers.length, 1);
+});
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -161,25 +161,34 @@
 
   const hasFreeSlot = (load: ServerLoad) => load.requests() < load.server.slots;
 
-  /** Sends a prompt to an engine with a free slot; undefined while there is none. */
+  /** Milliseconds from a free slot to the first byte on an engine that is full of short prompts. */
+  const fromSlotMs = (job: PlacementJob): Millis => {
+    const profile = servers.profileOf(job.service);
+    if (profile === undefined) return 0;
+    const contextTokens = profile.slots * profile.usualPromptTokens;
+    const passMs = computePassMs(profile.slots, contextTokens, profile);
+    return computeReadMs(job.promptTokens, profile) + PASSES_TO_FIRST_BYTE * passMs;
+  };
+
+  /**
+   * Sends a prompt to an engine with a free slot. A prompt that would be late there and not on
+   * another engine waits for a slot of that one, until it is late anyway.
+   */
   const dispatchToSlot = (job: PlacementJob): PlacementDecision | undefined => {
-    const free = servers.listOpen(job).filter(hasFreeSlot);
+    const open = servers.listOpen(job);
+    const free = open.filter(hasFreeSlot);
     if (free.length === 0) return undefined;
     const choice = choose(job, free, { waitedMs: job.elapsedMs, leftMs: job.remainingMs });
-    return choice && dispatch(job, choice);
+    if (choice === undefined) return undefined;
+    const mayStillBeInTime = job.elapsedMs + fromSlotMs(job) <= job.goalMs;
+    const hasOthers = free.length < open.length;
+    if (!choice.isOnTime && mayStillBeInTime && hasOthers) return undefined;
+    return dispatch(job, choice);
   };
 
   const slotQueue = createSlotQueue({
-    expectedMs(job) {
-      const profile = servers.profileOf(job.service);
-      if (profile === undefined) return 0;
-      const passMs = computePassMs(
-        profile.slots,
-        profile.slots * profile.usualPromptTokens,
-        profile,
-      );
-      return computeReadMs(job.promptTokens, profile) + PASSES_TO_FIRST_BYTE * passMs;
-    },
+    expectedMs: fromSlotMs,
+    hasFreeSlot: (job) => servers.listOpen(job).some(hasFreeSlot),
     dispatch: dispatchToSlot,
     refuse: (job) => refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
   }, clock);
--- a/packages/placement/create_slot_queue.ts
+++ b/packages/placement/create_slot_queue.ts
@@ -5,7 +5,9 @@
 export interface SlotQueueView {
   /** Milliseconds from now to the first byte if the prompt had a free slot. */
   expectedMs(job: PlacementJob): Millis;
-  /** Sends the job now; undefined while every engine that may take it is full. */
+  /** Reports whether some engine that may take the job has a free slot. */
+  hasFreeSlot(job: PlacementJob): boolean;
+  /** Sends the job now; undefined when it does better to wait for another slot. */
   dispatch(job: PlacementJob): PlacementDecision | undefined;
   /** Refuses a job. */
   refuse(job: PlacementJob): PlacementDecision;
@@ -89,16 +91,14 @@
     },
     review() {
       if (entries.size === 0) return;
-      const fullServices = new Set<string>();
       for (const entry of inOrder()) {
         if (leftMs(entry) <= view.expectedMs(entry.job)) {
           leave(entry, view.refuse(present(entry)));
           continue;
         }
-        if (fullServices.has(entry.job.service)) continue;
+        if (!view.hasFreeSlot(entry.job)) continue;
         const decision = view.dispatch(present(entry));
         if (decision !== undefined) leave(entry, decision);
-        else fullServices.add(entry.job.service);
       }
     },
     size: () => entries.size,
--- a/packages/placement/create_slot_queue_test.ts
+++ b/packages/placement/create_slot_queue_test.ts
@@ -22,8 +22,8 @@
   let free = 0;
   const queue = createSlotQueue({
     expectedMs: () => 100,
+    hasFreeSlot: () => free > 0,
     dispatch(job) {
-      if (free === 0) return undefined;
       free -= 1;
       sent.push(job.id);
       return PLACED;
--- a/packages/placement/create_waiting_line_test.ts
+++ b/packages/placement/create_waiting_line_test.ts
@@ -129,3 +129,15 @@
   t.true(refused.length >= 4 && refused.length <= 6, String(left));
   t.false(left.includes("p5 unservable"));
 });
+
+test("a short prompt waits for a slot of a quiet engine rather than behind a long read", async (t) => {
+  const { place, placer, review } = setUp(2);
+  for (let count = 1; count <= PROFILE.slots; count++) {
+    place(makeJob({ id: `w${count}`, excludedIds: ["s2"] }));
+    placer.started(`w${count}`);
+  }
+  place(makeJob({ id: "read", promptTokens: 60_000, goalMs: 1_500, excludedIds: ["s1"] }));
+  t.is(place(makeJob({ id: "short" })), "waits");
+  placer.finished("w1", JOB_OUTCOME.ANSWERED);
+  t.true((await review()).includes("short"));
+});
