Let hosts that place alone draw two engines for a prompt and take the better one

All had the same late reports, so all took the engine that looked best for packing: over 25 prompts went to one engine with 11 slots, were given up as silent after 0.7 to 0.8 s and tried elsewhere, all late. Ruled out: dead engines (that engine answered others), wrong reports (they were true, and 0.2 s old). Change: a host that places alone draws two engines for each short or middle prompt by a hash of the request and takes the better of the two.

--- a/packages/bench/play_placement.ts
+++ b/packages/bench/play_placement.ts
@@ -269,6 +269,7 @@
     coldLimits: { multiplier: 1, slack: 1 },
     share: () => 1,
     canWait: () => true,
+    isAlone: () => false,
     seed: "",
   });
   placer.setServices([{ name: "model", coldRequestsPerS: 0, engine: load.profile }]);
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -54,6 +54,7 @@
     onDecision: (note) => log.info(note, "Placement decided"),
     // A host that no other reaches does not know for what a prompt would wait.
     canWait: () => !fleet.isAlone(),
+    isAlone: () => fleet.isAlone(),
     seed: "",
   });
   const localPlacer = createPlacer({
@@ -62,6 +63,7 @@
     coldLimits,
     share: () => 1 / fleet.hostCount(),
     canWait: () => false,
+    isAlone: () => fleet.hostCount() > 1,
     onDecision: (note) => log.info(note, "Placement decided alone"),
     seed: settings.host,
   });
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -22,6 +22,7 @@
 import { computePassMs } from "./compute_pass_ms.ts";
 import { computeReadMs } from "./compute_read_ms.ts";
 import { createSlotQueue } from "./create_slot_queue.ts";
+import { sampleTwo } from "./sample_two.ts";
 import { createWaitingLine } from "./create_waiting_line.ts";
 import type { ServerLoad } from "./create_server_load.ts";
 import type { DecisionNote, Placer, PlacerOptions, RunningJob } from "./placer_types.ts";
@@ -38,13 +39,13 @@
  * @returns the placer, without servers
  *
  * @example
- * const placer = createPlacer({ clock, retryLimits, coldLimits, share, canWait, seed: "" });
+ * const placer = createPlacer({ clock, retryLimits, coldLimits, share, canWait, isAlone, seed: "" });
  * placer.setServices(services);
  * placer.setServers(servers);
  * const decision = await placer.place(job);
  */
 export function createPlacer(options: PlacerOptions): Placer {
-  const { clock, retryLimits, share, canWait } = options;
+  const { clock, retryLimits, share, canWait, isAlone } = options;
   const servers = createServerBook(options);
   const running = new Map<string, PlacedJob>();
   const quarantine = createCrashQuarantine(clock);
@@ -115,7 +116,10 @@
     const profile = servers.profileOf(job.service);
     if (profile === undefined) return chooseLeastLoaded(usable);
     const packedShare = line.size() > 0 ? TIGHT_SLOTS_SHARE : PACKED_SLOTS_SHARE;
-    return chooseEngines(job, usable, { profile, packedShare, ...times });
+    const drawn = isAlone() && !isLong(job)
+      ? sampleTwo(usable, job.id, (load) => load.server.id)
+      : usable;
+    return chooseEngines(job, drawn, { profile, packedShare, ...times });
   };
 
   const dispatch = (job: PlacementJob, choice: EngineChoice): PlacementDecision => {
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -7,7 +7,13 @@
 import type { PlacementDecision, PlacementJob } from "./types.ts";
 
 function setUp(
-  options: { servers?: number; share?: number; coldRequestsPerS?: number; seed?: string } = {},
+  options: {
+    servers?: number;
+    share?: number;
+    coldRequestsPerS?: number;
+    seed?: string;
+    isAlone?: boolean;
+  } = {},
 ) {
   const clock = createManualClock();
   const placer = createPlacer({
@@ -16,6 +22,7 @@
     coldLimits: { multiplier: 1.5, slack: 5 },
     share: () => options.share ?? 1,
     canWait: () => false,
+    isAlone: () => options.isAlone ?? false,
     seed: options.seed ?? "",
   });
   placer.setServices([
@@ -213,3 +220,18 @@
   t.is(describe(placer.place(tooLate)), "refused: unservable");
   t.is(placer.place(makeJob({ ...prompt, wholeWithinMs: 2_000 })).kind, "placed");
 });
+
+test("hosts that place alone and see the same reports do not all take the same engine", (t) => {
+  const counts = new Map<string, number>();
+  for (let host = 0; host < 18; host++) {
+    const { placer } = setUp({ servers: 10, seed: `host-${host}`, isAlone: true });
+    // All of them have heard the same of the engines; the first looks best for packing.
+    placer.observe("s1", { running: 3, queued: 0, usedTokens: 15_000 });
+    for (let n = 0; n < 2; n++) {
+      const decision = placer.place(makeJob({ id: `${host}.${n}` }));
+      if (decision.kind !== "placed") continue;
+      counts.set(decision.serverId, (counts.get(decision.serverId) ?? 0) + 1);
+    }
+  }
+  t.true(Math.max(...counts.values()) <= PROFILE.slots + 4, JSON.stringify([...counts]));
+});
--- a/packages/placement/create_waiting_line_test.ts
+++ b/packages/placement/create_waiting_line_test.ts
@@ -14,6 +14,7 @@
     coldLimits: { multiplier: 1.5, slack: 5 },
     share: () => 1,
     canWait: () => true,
+    isAlone: () => false,
     seed: "",
   });
   placer.setServices([{ name: "model", coldRequestsPerS: 0, engine: PROFILE }]);
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -18,4 +18,5 @@
 export * from "./create_slot_queue.ts";
 export * from "./create_waiting_line.ts";
 export * from "./placer_types.ts";
+export * from "./sample_two.ts";
 export * from "./types.ts";
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -62,6 +62,8 @@
   share: () => number;
   /** True while long prompts may wait for quiet engines, since most of the load is known. */
   canWait: () => boolean;
+  /** True while other hosts place as well and this placer does not hear of it. */
+  isAlone: () => boolean;
   /** Receives each decision with what it rests on, for the log. */
   onDecision?: (note: DecisionNote) => void;
   /** Orders servers of equal load; hosts that place alone differ in it, so as not to meet. */
