--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -132,6 +132,10 @@
       reservation,
       onFault: (address) => {
         faultyId = context.findServerAt(address);
+        context.log.info(
+          { requestId: request.id, server: decision.serverId, faulty: faultyId ?? address },
+          "Rejected because of a server",
+        );
       },
     });
     outcome = result.outcome;
