Refuse at once what no engine can hold; look for a free slot once a service in a review

A read-through of the change found two faults. A prompt of short reading that no engines have the memory for waited for a slot until its caller left; it is refused at once again (test fails before).

--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -93,7 +93,10 @@
   }
   // A part fails with any of its helpers, so the second try of a middle prompt takes one engine.
   const isUndivided = workMs <= UNDIVIDED_READ_MS || (job.isRetry && workMs < LONG_READ_MS);
-  if (isUndivided) return leastWait(job, all, options, workMs);
+  if (isUndivided) {
+    const choice = leastWait(job, all, options, workMs);
+    if (choice !== undefined) return choice;
+  }
   if (workMs >= LONG_READ_MS) {
     const choice = splitAtLeastLoss(job, withoutReserve(all), options, workMs);
     if (choice !== undefined && choice.expectedMs <= options.leftMs) return choice;
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -233,7 +233,8 @@
     if (leastReadMs(job) > job.remainingMs) {
       return refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS);
     }
-    if (canWait() && hasModel(job) && !isLong(job) && slotQueue.size() < MAX_WAITING) {
+    const mayQueue = canWait() && hasModel(job) && !isLong(job) && fitsWhenIdle(job, usable);
+    if (mayQueue && slotQueue.size() < MAX_WAITING) {
       const decision = slotQueue.size() === 0 ? dispatchToSlot(job) : undefined;
       if (decision !== undefined) return decision;
       note(job, "waits");
--- a/packages/placement/create_slot_queue.ts
+++ b/packages/placement/create_slot_queue.ts
@@ -91,12 +91,18 @@
     },
     review() {
       if (entries.size === 0) return;
+      const fullServices = new Set<string>();
       for (const entry of inOrder()) {
+        const { service, excludedIds } = entry.job;
         if (leftMs(entry) <= view.expectedMs(entry.job)) {
           leave(entry, view.refuse(present(entry)));
           continue;
         }
-        if (!view.hasFreeSlot(entry.job)) continue;
+        if (fullServices.has(service)) continue;
+        if (!view.hasFreeSlot(entry.job)) {
+          if (excludedIds.length === 0) fullServices.add(service);
+          continue;
+        }
         const decision = view.dispatch(present(entry));
         if (decision !== undefined) leave(entry, decision);
       }
--- a/packages/placement/create_waiting_line_test.ts
+++ b/packages/placement/create_waiting_line_test.ts
@@ -131,6 +131,13 @@
   t.false(left.includes("p5 unservable"));
 });
 
+test("a short prompt that no engines can hold is refused at once, though it might wait", (t) => {
+  const { place } = setUp(2);
+  // Its answer needs more memory than both engines have.
+  const answerTokens = 2 * PROFILE.memoryTokens;
+  t.is(place(makeJob({ answerTokens, wholeWithinMs: Infinity })), "at once");
+});
+
 test("a short prompt waits for a slot of a quiet engine rather than behind a long read", async (t) => {
   const { place, placer, review } = setUp(2);
   for (let count = 1; count <= PROFILE.slots; count++) {
