Ask the next hub when a host stops being its own hub while a job waits there

Change: a decision of a host's own hub ends undecided when the host stops being a hub, like one of another hub whose link ends, and the next hub is asked. Test: a job that waits at its own host when that leaves; it fails before. 24 tests of the fleet pass.

--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -70,6 +70,7 @@
     desk: {
       place: async (host, job) => {
         if (job === "long") await wait(1_000);
+        if (job === "own" && host === entry.host) await wait(3_000);
         return `${job} of ${host} placed by ${entry.host}`;
       },
       report: (host, report) => void reports.push(`${host}: ${report}`),
@@ -239,3 +240,12 @@
   await until(() => again.reports.includes(`${entry.host}: running j7`));
   t.pass();
 });
+
+test("a job that waits at its own host as a hub is decided elsewhere when the host stops", async (t) => {
+  const { hub, standby } = await startHosts(t, 3);
+  const placing = hub.fleet.place("own", { answerMs: 500, waitMs: 10_000 });
+  await wait(50);
+  await hub.fleet.leave();
+  const decision = await placing;
+  t.is(decision?.decision, `own of ${hub.entry.host} placed by ${standby.entry.host}`);
+});
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -233,6 +233,15 @@
       hub.link?.send({ type: "place", call: number, job });
     });
 
+  /** Decides here; undefined when this host stops being a hub before the job is decided. */
+  const decideHere = (hub: Hub, job: Job) =>
+    new Promise<Decision | undefined>((resolve, reject) => {
+      const number = nextCall++;
+      hub.calls.set(number, { settle: resolve, extend: () => {} });
+      Promise.resolve(desk.place(self.host, job)).then(resolve, reject)
+        .finally(() => hub.calls.delete(number));
+    });
+
   tasks.run("review hubs", async (signal) => {
     while (!signal.aborted) {
       review();
@@ -251,9 +260,8 @@
     async place(job, timeouts) {
       for (const hub of readyHubs()) {
         const { host } = hub.entry;
-        if (isSelf(host)) return { by: host, decision: await desk.place(host, job) };
-        const decision = await ask(hub, job, timeouts);
-        if (decision !== undefined) return { by: hub.entry.host, decision };
+        const decision = await (isSelf(host) ? decideHere(hub, job) : ask(hub, job, timeouts));
+        if (decision !== undefined) return { by: host, decision };
       }
       return undefined;
     },
