Keep the bookkeeping of waiting jobs and of their servers' load once

The line of long prompts and the queue for slots each kept the same list of waiting jobs and their times; it is _lib/waiting_jobs.ts now. The load of a placed job and of one taken over was counted in two places of create_placer.ts; it is one function.

--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -85,27 +85,20 @@
     }
   };
 
-  const record = (job: PlacementJob, choice: EngineChoice) => {
-    const reserved = new Map(choice.tickets.map((ticket) => [ticket.serverId, ticket.tokens]));
-    const total = job.promptTokens + job.answerTokens;
-    const elsewhere = choice.tickets.reduce((sum, ticket) => sum + ticket.tokens, 0);
-    markDelayed(choice);
-    choice.first.add(job, {
-      readMs: choice.partMs,
-      memoryTokens: total - elsewhere,
-      isFirst: true,
-    });
-    for (const helper of choice.helpers) {
-      const memoryTokens = reserved.get(helper.server.id) ?? 0;
-      helper.add(job, { readMs: choice.partMs, memoryTokens, isFirst: false });
+  /** Counts a job on the servers that it takes. */
+  const count = (entry: RunningJob) => {
+    const { job, serverId, helperIds, isWriting, tickets, partMs, ageMs } = entry;
+    running.set(job.id, { job, serverId, helperIds, isWriting });
+    const reserved = new Map(tickets.map((ticket) => [ticket.serverId, ticket.tokens]));
+    const elsewhere = tickets.reduce((sum, ticket) => sum + ticket.tokens, 0);
+    for (const id of [serverId, ...helperIds]) {
+      const isFirst = id === serverId;
+      const memoryTokens = isFirst
+        ? job.promptTokens + job.answerTokens - elsewhere
+        : reserved.get(id) ?? 0;
+      servers.find(id)?.add(job, { readMs: partMs, memoryTokens, isFirst, ageMs });
+      if (isWriting) servers.find(id)?.markWriting(job.id);
     }
-    choice.first.countSend();
-    running.set(job.id, {
-      job,
-      serverId: choice.first.server.id,
-      helperIds: choice.helpers.map((helper) => helper.server.id),
-      isWriting: false,
-    });
   };
 
   const choose = (
@@ -128,15 +121,13 @@
     }
     if (!job.isRetry) limiter.countFirst(job.service);
     note(job, "placed", choice);
-    record(job, choice);
-    return {
-      kind: "placed",
-      serverId: choice.first.server.id,
-      helperIds: choice.helpers.map((helper) => helper.server.id),
-      tickets: choice.tickets,
-      partMs: choice.partMs,
-      expectedMs: choice.expectedMs,
-    };
+    const { tickets, partMs, expectedMs } = choice;
+    const serverId = choice.first.server.id;
+    const helperIds = choice.helpers.map((helper) => helper.server.id);
+    markDelayed(choice);
+    count({ job, serverId, helperIds, tickets, partMs, ageMs: 0, isWriting: false });
+    choice.first.countSend();
+    return { kind: "placed", serverId, helperIds, tickets, partMs, expectedMs };
   };
 
   const leastReadMs = (job: PlacementJob): Millis => {
@@ -280,19 +271,7 @@
       line.review();
     },
     adopt(entry) {
-      if (running.has(entry.job.id)) return;
-      const { job, serverId, helperIds, isWriting, tickets, partMs, ageMs } = entry;
-      running.set(job.id, { job, serverId, helperIds, isWriting });
-      const reserved = new Map(tickets.map((ticket) => [ticket.serverId, ticket.tokens]));
-      const elsewhere = tickets.reduce((sum, ticket) => sum + ticket.tokens, 0);
-      for (const id of serversOf(entry)) {
-        const isFirst = id === serverId;
-        const memoryTokens = isFirst
-          ? job.promptTokens + job.answerTokens - elsewhere
-          : reserved.get(id) ?? 0;
-        servers.find(id)?.add(job, { readMs: partMs, memoryTokens, isFirst, ageMs });
-        if (entry.isWriting) servers.find(id)?.markWriting(entry.job.id);
-      }
+      if (!running.has(entry.job.id)) count(entry);
     },
     started(jobId) {
       const entry = running.get(jobId);
--- a/packages/placement/create_slot_queue.ts
+++ b/packages/placement/create_slot_queue.ts
@@ -1,4 +1,6 @@
 import type { Clock, Millis } from "@jaypass/kernel";
+import { createWaitingJobs } from "./_lib/waiting_jobs.ts";
+import type { WaitingJob } from "./_lib/waiting_jobs.ts";
 import type { PlacementDecision, PlacementJob } from "./types.ts";
 
 /** What the queue needs to know of prompts and engines. */
@@ -25,12 +27,6 @@
   size(): number;
 }
 
-interface Entry {
-  job: PlacementJob;
-  sinceMs: Millis;
-  settle: (decision: PlacementDecision) => void;
-}
-
 /**
  * Creates the queue of prompts for which every engine is full.
  *
@@ -49,26 +45,14 @@
  * const decision = await queue.add(job);
  */
 export function createSlotQueue(view: SlotQueueView, clock: Clock): SlotQueue {
-  const entries = new Map<string, Entry>();
-
-  const waitedMs = ({ job, sinceMs }: Entry) => job.elapsedMs + clock.nowMs() - sinceMs;
-  const leftMs = ({ job, sinceMs }: Entry) => job.remainingMs - (clock.nowMs() - sinceMs);
-  const slackMs = (entry: Entry) => entry.job.goalMs - waitedMs(entry) - view.expectedMs(entry.job);
+  const waiting = createWaitingJobs(clock);
+  const { waitedMs, leftMs, present, leave } = waiting;
 
-  /** The job with the time that it has waited, for decisions and their log. */
-  const present = (entry: Entry): PlacementJob => ({
-    ...entry.job,
-    elapsedMs: waitedMs(entry),
-    remainingMs: leftMs(entry),
-  });
-
-  const leave = (entry: Entry, decision: PlacementDecision) => {
-    entries.delete(entry.job.id);
-    entry.settle(decision);
-  };
+  const slackMs = (entry: WaitingJob) =>
+    entry.job.goalMs - waitedMs(entry) - view.expectedMs(entry.job);
 
   const inOrder = () => {
-    const all = [...entries.values()].map((entry) => ({ entry, slackMs: slackMs(entry) }));
+    const all = waiting.all().map((entry) => ({ entry, slackMs: slackMs(entry) }));
     const retries = all.filter(({ entry }) => entry.job.isRetry);
     const firsts = all.filter(({ entry }) => !entry.job.isRetry);
     const inTime = firsts.filter((item) => item.slackMs >= 0)
@@ -79,18 +63,15 @@
   };
 
   return {
-    add: (job) =>
-      new Promise((settle) => {
-        entries.set(job.id, { job, sinceMs: clock.nowMs(), settle });
-      }),
+    add: waiting.add,
     cancel(jobId) {
-      const entry = entries.get(jobId);
+      const entry = waiting.find(jobId);
       if (entry === undefined) return false;
       leave(entry, view.refuse(present(entry)));
       return true;
     },
     review() {
-      if (entries.size === 0) return;
+      if (waiting.size() === 0) return;
       const fullServices = new Set<string>();
       for (const entry of inOrder()) {
         const { service, excludedIds } = entry.job;
@@ -107,6 +88,6 @@
         if (decision !== undefined) leave(entry, decision);
       }
     },
-    size: () => entries.size,
+    size: waiting.size,
   };
 }
--- a/packages/placement/create_waiting_line.ts
+++ b/packages/placement/create_waiting_line.ts
@@ -1,4 +1,6 @@
 import type { Clock, Millis } from "@jaypass/kernel";
+import { createWaitingJobs } from "./_lib/waiting_jobs.ts";
+import type { WaitingJob } from "./_lib/waiting_jobs.ts";
 import type { EngineChoice } from "./choose_engines.ts";
 import {
   DEADLINE_MARGIN_MS,
@@ -45,12 +47,6 @@
   size(): number;
 }
 
-interface Entry {
-  job: PlacementJob;
-  sinceMs: Millis;
-  settle: (decision: PlacementDecision) => void;
-}
-
 /**
  * Creates the line of long prompts.
  *
@@ -70,20 +66,19 @@
  * const decision = await line.add(job);
  */
 export function createWaitingLine(view: LineView, clock: Clock): WaitingLine {
-  const entries = new Map<string, Entry>();
+  const waiting = createWaitingJobs(clock);
+  const { waitedMs, leftMs, present, leave } = waiting;
 
-  const waitedMs = ({ job, sinceMs }: Entry) => job.elapsedMs + clock.nowMs() - sinceMs;
-  const slackMs = (entry: Entry) =>
+  const slackMs = (entry: WaitingJob) =>
     entry.job.goalMs - waitedMs(entry) - view.leastReadMs(entry.job);
-  const leftMs = ({ job, sinceMs }: Entry) => job.remainingMs - (clock.nowMs() - sinceMs);
-  const deadlineSlackMs = (entry: Entry) => leftMs(entry) - view.leastReadMs(entry.job);
+  const deadlineSlackMs = (entry: WaitingJob) => leftMs(entry) - view.leastReadMs(entry.job);
 
   const isReady = (choice: EngineChoice) =>
     choice.harm === 0 && choice.isOnTime && choice.backlogMs <= READY_BACKLOG_MS;
 
   /** Those that can be in time by urgency, then the late ones, the smallest first. */
   const inOrder = () => {
-    const all = [...entries.values()].map((entry) => ({ entry, slackMs: slackMs(entry) }));
+    const all = waiting.all().map((entry) => ({ entry, slackMs: slackMs(entry) }));
     const inTime = all.filter((item) => item.slackMs >= 0).sort((a, b) => a.slackMs - b.slackMs);
     const late = all.filter((item) => item.slackMs < 0)
       .sort((a, b) => a.entry.job.promptTokens - b.entry.job.promptTokens);
@@ -91,7 +86,7 @@
   };
 
   const shouldSend = (
-    { entry, slackMs }: { entry: Entry; slackMs: Millis },
+    { entry, slackMs }: { entry: WaitingJob; slackMs: Millis },
     choice: EngineChoice,
     isOvertaken: boolean,
   ): boolean => {
@@ -114,27 +109,12 @@
       choice.harm <= LATE_HARM_SHARE * weight;
   };
 
-  /** The job with the time that it has waited, for decisions and their log. */
-  const present = (entry: Entry): PlacementJob => ({
-    ...entry.job,
-    elapsedMs: waitedMs(entry),
-    remainingMs: leftMs(entry),
-  });
-
-  const leave = (entry: Entry, decision: PlacementDecision) => {
-    entries.delete(entry.job.id);
-    entry.settle(decision);
-  };
-
   return {
     isReady,
-    hasRoom: () => entries.size < MAX_WAITING,
-    add: (job) =>
-      new Promise((settle) => {
-        entries.set(job.id, { job, sinceMs: clock.nowMs(), settle });
-      }),
+    hasRoom: () => waiting.size() < MAX_WAITING,
+    add: waiting.add,
     cancel(jobId) {
-      const entry = entries.get(jobId);
+      const entry = waiting.find(jobId);
       if (entry === undefined) return false;
       leave(entry, view.refuse(present(entry), 0));
       return true;
@@ -156,6 +136,6 @@
         } else if (item.slackMs >= 0) isOvertaken = true;
       }
     },
-    size: () => entries.size,
+    size: waiting.size,
   };
 }
