--- a/packages/bench/_lib/pass_engine.ts
+++ b/packages/bench/_lib/pass_engine.ts
@@ -46,9 +46,9 @@
 /**
  * Creates an engine that batches continuously.
  *
- * Its order of reads is that of the users' engines as their days show it: parts of other engines'
- * prompts go before its own prompts, the newest part first, so a long part that comes later holds up
- * an earlier one until it is read (docs/measurements/placement.md).
+ * Parts of other engines' prompts are read before its own prompts, the newest part first, so a long
+ * part that comes later holds up an earlier one until it is read. That order is concluded from logs
+ * (docs/measurements/placement.md).
  *
  * @param queue simulated time
  * @param profile cost figures
@@ -56,7 +56,7 @@
  *
  * @example
  * const engine = createPassEngine(queue, profile);
- * engine.submit({ promptTokens: 5_000, events: 38, urgency: 2, onEvent, onEnd }, []);
+ * engine.submit({ promptTokens: 5_000, events: 40, urgency: 2, onEvent, onEnd }, []);
  */
 export function createPassEngine(queue: EventQueue, profile: EngineProfile): PassEngine {
   const waiting: { request: PassRequest; helpers: readonly PassEngine[] }[] = [];
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -13,7 +13,10 @@
 /** Longest part of a joint read in milliseconds on an engine without writers that it would delay. */
 export const QUIET_PART_MS = 450;
 
-/** Milliseconds of reading up to which a prompt is never split; a part waits for a pass of 45 ms. */
+/**
+ * Milliseconds of reading up to which a prompt is never split. A part waits for a pass of its engine,
+ * which takes about half of that, so splitting a shorter read saves nothing.
+ */
 export const UNDIVIDED_READ_MS = 80;
 
 /** Part of the goal for the first byte that a plan may use; the rest covers queueing and network. */
