--- a/packages/fleet/_lib/json_link.ts
+++ b/packages/fleet/_lib/json_link.ts
@@ -3,11 +3,14 @@
 import type { Millis } from "@jaypass/kernel";
 import { LINK_BUFFER_BYTES } from "../constants.ts";
 import { LinkError } from "../errors.ts";
+import { decodeMessage, encodeMessage } from "./encode_message.ts";
 
 /** A connection that carries JSON objects, one a line. */
 export interface JsonLink<In, Out> {
   /** Sends a message; a link whose peer reads too slowly is closed instead. */
   send(message: Out): void;
+  /** Sends a message that was encoded once for many links. */
+  sendLine(line: string): void;
   /** Messages as they come; ends when the peer closes. */
   messages(): AsyncGenerator<In>;
   /** Closes the connection. */
@@ -34,27 +37,33 @@
   socket.once("close", () => clearTimeout(silence));
   // Errors are seen by the reader; without a listener they would end the process.
   socket.on("error", () => {});
+  const sendLine = (line: string) => {
+    if (socket.destroyed) return;
+    socket.write(line);
+    if (socket.writableLength > LINK_BUFFER_BYTES) {
+      socket.destroy(new LinkError("Peer reads too slowly"));
+    }
+  };
   return {
-    send(message) {
-      if (socket.destroyed) return;
-      socket.write(`${JSON.stringify(message)}\n`);
-      if (socket.writableLength > LINK_BUFFER_BYTES) {
-        socket.destroy(new LinkError("Peer reads too slowly"));
-      }
-    },
+    send: (message) => sendLine(encodeMessage(message)),
+    sendLine,
     messages: () => readMessages<In>(socket, () => silence.refresh()),
     close: () => socket.destroy(),
   };
 }
 
 async function* readMessages<In>(socket: Socket, onChunk: () => void): AsyncGenerator<In> {
-  let rest = "";
+  // Chunks of an unfinished line are joined once it ends: a large table comes in many of them.
+  let parts: string[] = [];
   try {
     for await (const chunk of socket.setEncoding("utf8")) {
       onChunk();
-      const lines = (rest + chunk).split("\n");
-      rest = lines.pop() ?? "";
-      for (const line of lines) yield JSON.parse(line) as In;
+      const [end = "", ...lines] = chunk.split("\n");
+      parts.push(end);
+      for (const line of lines) {
+        yield decodeMessage<In>(parts.join(""));
+        parts = [line];
+      }
     }
   } catch (err) {
     throw new LinkError("Link failed", { cause: err });
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -89,25 +89,21 @@
   let isLeaving = false;
   const isDraining = () => isLeaving;
 
-  const knownHosts = (): HostEntry[] => {
+  let known = [self];
+  const knownHosts = (): HostEntry[] => known;
+  const readKnownHosts = (): HostEntry[] => {
     const others = cache.rows(TABLE.HOSTS)
       .map((row) => JSON.parse(row.value ?? "") as HostEntry)
       .filter((entry) => entry.host !== self.host);
     return [self, ...others];
   };
 
-  const wholeTable = (table: Table): RowBatch => ({
-    revision: cache.revision(table) ?? 0,
-    rows: cache.rows(table),
-    isWhole: cache.revision(table) !== undefined,
-    sinceRevision: undefined,
-  });
-
   /** Merges rows and passes those that changed on. */
   const take = (table: Table, batch: RowBatch, origin: "store" | "member" | "hub") => {
     const sinceRevision = cache.revision(table);
     const changed = cache.apply(table, batch);
     if (changed.length === 0) return;
+    if (table === TABLE.HOSTS) known = readKnownHosts();
     options.onChange(table, changed);
     const revision = cache.revision(table) ?? batch.revision;
     const news: RowBatch = { revision, rows: changed, isWhole: false, sinceRevision };
@@ -119,14 +115,14 @@
     self,
     isDraining,
     desk,
-    snapshot: () => Object.values(TABLE).map((table) => ({ table, batch: wholeTable(table) })),
+    changesSince: (table, revision) => cache.changesSince(table, revision),
     onRows: (table, batch) => take(table, batch, "member"),
     storeAge: () => ({
       ageMs: follower.ageMs(),
       recoveredAgoMs: follower.recoveredAgoMs(),
     }),
     knownHosts,
-    hostRows: () => wholeTable(TABLE.HOSTS),
+    hostRows: () => cache.changesSince(TABLE.HOSTS, undefined),
     isHub: () => hubClient.isHub(),
     clock,
     log,
@@ -139,6 +135,7 @@
     desk,
     knownHosts,
     currentReports: options.currentReports,
+    revision: (table) => cache.revision(table),
     onRows: (table, batch) => take(table, batch, "hub"),
     clock,
     log,
--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
 import type { ExecutionContext } from "ava";
@@ -249,3 +250,31 @@
   const decision = await placing;
   t.is(decision?.decision, `own of ${hub.entry.host} placed by ${standby.entry.host}`);
 });
+
+test("control traffic to a host stays within 2 KB a second while 120 hosts are live", async (t) => {
+  const store = createMemoryStore();
+  const hub = await startHost(t, store, makeEntry(0));
+  const sockets = Array.from({ length: 120 }, (_, index) => {
+    const socket = connect(Number(hub.entry.linkAddress.split(":")[1]), "127.0.0.1");
+    socket.on("error", () => {});
+    const entry = { ...makeEntry(index + 1), linkAddress: "127.0.0.1:1" };
+    socket.write(
+      `${
+        JSON.stringify({ type: "hello", entry, isDraining: false, reports: [], revisions: {} })
+      }\n`,
+    );
+    const pings = setInterval(() => {
+      socket.write(`${JSON.stringify({ type: "ping", isDraining: false })}\n`);
+    }, 300);
+    socket.once("close", () => clearInterval(pings));
+    t.teardown(() => socket.destroy());
+    return socket;
+  });
+  await until(() => hub.fleet.liveHosts().length === 121);
+  let bytes = 0;
+  sockets[0]?.on("data", (chunk: Buffer) => bytes += chunk.length);
+  await wait(1_000);
+  bytes = 0;
+  await wait(2_000);
+  t.true(bytes / 2 <= 2_048, `${bytes / 2} bytes a second`);
+});
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -13,6 +13,7 @@
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubDesk } from "./create_hub_server.ts";
 import type { HubMessage, MemberMessage } from "./messages.ts";
+import { TABLE } from "./types.ts";
 import type { HostEntry, RowBatch, Table } from "./types.ts";
 
 /** Options of {@linkcode createHubClient}. */
@@ -27,6 +28,8 @@
   knownHosts: () => HostEntry[];
   /** Reports on all that runs here, for a hub that is new to it. */
   currentReports: () => Report[];
+  /** Revision of this host's copy of a table; undefined without one. */
+  revision: (table: Table) => number | undefined;
   /** Takes rows that a hub passes on. */
   onRows: (table: Table, batch: RowBatch) => void;
   /** Monotonic time source. */
@@ -84,7 +87,8 @@
   isReady: boolean;
   calls: Map<number, Call<Decision>>;
   timeouts: number;
-  hosts: HostEntry[] | undefined;
+  /** Live hosts by name; undefined before the hub named them. */
+  hosts: Map<string, HostEntry> | undefined;
   /** Monotonic time up to which the hub's rows were fresh. */
   freshMs: Millis;
   recoveredMs: Millis;
@@ -130,9 +134,12 @@
     else if (message.type === "view") {
       const now = clock.nowMs();
       hub.isReady = true;
-      hub.hosts = message.hosts;
       hub.freshMs = now - message.ageMs;
       hub.recoveredMs = now - (message.recoveredAgoMs ?? Infinity);
+    } else if (message.type === "hosts") {
+      hub.hosts ??= new Map();
+      for (const host of message.change.left) hub.hosts.delete(host);
+      for (const entry of message.change.joined) hub.hosts.set(entry.host, entry);
     } else if (message.type === "waiting") hub.calls.get(message.call)?.extend();
     else hub.calls.get(message.call)?.settle(message.decision);
   };
@@ -146,8 +153,15 @@
         silentMs: LINK_SILENT_MS,
       });
       hub.link = link;
-      const isDraining = options.isDraining();
-      link.send({ type: "hello", entry: self, isDraining, reports: options.currentReports() });
+      link.send({
+        type: "hello",
+        entry: self,
+        isDraining: options.isDraining(),
+        reports: options.currentReports(),
+        revisions: Object.fromEntries(
+          Object.values(TABLE).map((table) => [table, options.revision(table)]),
+        ),
+      });
       for await (const message of link.messages()) handleMessage(hub, message);
       throw new Error("Hub closed the link");
     } catch (err) {
@@ -281,7 +295,10 @@
       if (others.length === 0) return undefined;
       return Math.max(...others.map((hub) => clock.nowMs() - hub.recoveredMs));
     },
-    liveHosts: () => readyHubs().find((hub) => hub.hosts !== undefined)?.hosts,
+    liveHosts() {
+      const hosts = readyHubs().find((hub) => hub.hosts !== undefined)?.hosts;
+      return hosts && [...hosts.values()];
+    },
     isHub: () => hubs.has(self.host),
     stop() {
       for (const hub of [...hubs.values()]) closeHub(hub);
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -9,9 +9,12 @@
   LINK_SILENT_MS,
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
+import { encodeMessage } from "./_lib/encode_message.ts";
+import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubMessage, MemberMessage } from "./messages.ts";
+import { TABLE } from "./types.ts";
 import type { HostEntry, RowBatch, Table } from "./types.ts";
 
 /** Decides for the members of a hub. */
@@ -32,8 +35,8 @@
   isDraining: () => boolean;
   /** Decides for the members. */
   desk: HubDesk<Job, Decision, Report>;
-  /** Whole copies of all tables, for a new member. */
-  snapshot: () => { table: Table; batch: RowBatch }[];
+  /** What a copy of a revision of a table lacks, for a new member. */
+  changesSince: (table: Table, revision: number | undefined) => RowBatch;
   /** Takes rows that a member or a caller of this host passes on. */
   onRows: (table: Table, batch: RowBatch) => void;
   /** Contact with the store. */
@@ -93,28 +96,51 @@
   const listLive = () =>
     [...members.values()].filter((member) => !member.isDraining).map((member) => member.entry);
 
+  const listNamed = () => {
+    const others = listLive().filter((entry) => entry.host !== self.host);
+    return options.isDraining() ? others : [self, ...others];
+  };
+  const hostsDiff = createHostsDiff(listNamed);
+
   const describeView = (): HubMessage<Decision> => {
     const { ageMs, recoveredAgoMs } = options.storeAge();
-    const others = listLive().filter((entry) => entry.host !== self.host);
     return {
       type: "view",
       ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : Number.MAX_SAFE_INTEGER,
       recoveredAgoMs: Number.isFinite(recoveredAgoMs) ? Math.round(recoveredAgoMs) : null,
-      hosts: options.isDraining() ? others : [self, ...others],
     };
   };
 
+  const broadcast = (...messages: HubMessage<Decision>[]) => {
+    const lines = messages.map(encodeMessage);
+    for (const { link } of members.values()) for (const line of lines) link.sendLine(line);
+  };
+
+  const batchLines = new Map<Table, { key: string; line: string }>();
+
+  /** The line with what a new member lacks; after a restart of many hosts they lack the same. */
+  const encodeChanges = (table: Table, sinceRevision: number | undefined): string => {
+    const batch = options.changesSince(table, sinceRevision);
+    const key = `${batch.sinceRevision} ${batch.revision}`;
+    const known = batchLines.get(table);
+    if (known?.key === key) return known.line;
+    const line = encodeMessage({ type: "rows", table, batch });
+    batchLines.set(table, { key, line });
+    return line;
+  };
+
   const welcome = (
     message: MemberMessage<Job, Report> & { type: "hello" },
     link: JsonLink<unknown, HubMessage<Decision>>,
   ): Member<Decision> => {
-    const { entry, isDraining, reports } = message;
+    const { entry, isDraining, reports, revisions } = message;
     members.get(entry.host)?.link.close();
     desk.forget(entry.host);
     for (const report of reports) desk.report(entry.host, report);
     const member = { entry, isDraining, link };
     members.set(entry.host, member);
-    for (const { table, batch } of options.snapshot()) link.send({ type: "rows", table, batch });
+    for (const table of Object.values(TABLE)) link.sendLine(encodeChanges(table, revisions[table]));
+    link.send({ type: "hosts", change: { joined: listNamed(), left: [] } });
     link.send(describeView());
     log.info({ member: entry.host, reports: reports.length }, "Member joined");
     return member;
@@ -168,9 +194,8 @@
   const invite = async (entry: HostEntry) => {
     try {
       const socket = await connectSocket(entry.linkAddress, LINK_CONNECT_TIMEOUT_MS);
-      const message = { type: "invite", hosts: options.hostRows() };
       socket.on("error", () => {});
-      socket.end(`${JSON.stringify(message)}\n`);
+      socket.end(encodeMessage({ type: "invite", hosts: options.hostRows() }));
       log.info({ host: entry.host }, "Invited host without a link");
     } catch (err) {
       log.debug({ host: entry.host, err: String(err) }, "Host cannot be invited");
@@ -194,8 +219,9 @@
       tasks.run("send views", async (signal) => {
         while (!signal.aborted) {
           await sleep(VIEW_INTERVAL_MS, signal);
-          const view = describeView();
-          for (const member of members.values()) member.link.send(view);
+          const change = hostsDiff.take();
+          if (change !== undefined) broadcast({ type: "hosts", change });
+          broadcast(describeView());
         }
       });
       tasks.run("invite hosts", async (signal) => {
@@ -213,12 +239,9 @@
       for (const socket of sockets) socket.destroy();
     },
     broadcast(table, batch) {
+      batchLines.delete(table);
       // The view goes first: it says whether the store has just come back.
-      const view = describeView();
-      for (const { link } of members.values()) {
-        link.send(view);
-        link.send({ type: "rows", table, batch });
-      }
+      broadcast(describeView(), { type: "rows", table, batch });
     },
     liveMembers: listLive,
     goneMs(host) {
--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -9,10 +9,17 @@
   revision(table: Table): number | undefined;
   /** Rows of a table that exist. */
   rows(table: Table): Row[];
+  /**
+   * What a copy of a revision lacks: the rows that changed since, or the whole table where removals
+   * since then may be unknown here.
+   */
+  changesSince(table: Table, revision: number | undefined): RowBatch;
 }
 
 interface TableCopy {
   revision: number | undefined;
+  /** Revision from which on every removal is known, since the copy has no gap after it. */
+  completeFrom: number;
   rows: Map<string, Row>;
 }
 
@@ -28,7 +35,9 @@
  */
 export function createRowCache(): RowCache {
   const copies = new Map<Table, TableCopy>(
-    Object.values(TABLE).map((table) => [table, { revision: undefined, rows: new Map() }]),
+    Object.values(TABLE).map((
+      table,
+    ) => [table, { revision: undefined, completeFrom: Infinity, rows: new Map() }]),
   );
   const copyOf = (table: Table): TableCopy => {
     const copy = copies.get(table);
@@ -54,6 +63,9 @@
   const hasGap = (copy: TableCopy, batch: RowBatch): boolean =>
     !batch.isWhole && (copy.revision === undefined || (batch.sinceRevision ?? 0) > copy.revision);
 
+  const listPresent = (table: Table) =>
+    [...copyOf(table).rows.values()].filter((row) => row.value !== undefined);
+
   return {
     apply(table, batch) {
       const copy = copyOf(table);
@@ -61,11 +73,25 @@
         .filter((row) => isNewer(row, copy.rows.get(row.key)));
       const changed = newer.filter((row) => row.value !== copy.rows.get(row.key)?.value);
       for (const row of newer) copy.rows.set(row.key, row);
+      if (batch.isWhole && batch.revision > (copy.revision ?? -Infinity)) {
+        copy.completeFrom = batch.revision;
+      }
       // After a gap the rows are right, but the table still has to be read from the old revision.
       if (!hasGap(copy, batch)) copy.revision = Math.max(copy.revision ?? 0, batch.revision);
       return changed;
     },
     revision: (table) => copyOf(table).revision,
-    rows: (table) => [...copyOf(table).rows.values()].filter((row) => row.value !== undefined),
+    rows: listPresent,
+    changesSince(table, sinceRevision) {
+      const { revision, completeFrom, rows } = copyOf(table);
+      if (revision === undefined) {
+        return { revision: 0, rows: listPresent(table), isWhole: false, sinceRevision: undefined };
+      }
+      if (sinceRevision === undefined || sinceRevision < completeFrom) {
+        return { revision, rows: listPresent(table), isWhole: true, sinceRevision: undefined };
+      }
+      const changed = [...rows.values()].filter((row) => row.version > sinceRevision);
+      return { revision, rows: changed, isWhole: false, sinceRevision };
+    },
   };
 }
--- a/packages/fleet/create_row_cache_test.ts
+++ b/packages/fleet/create_row_cache_test.ts
@@ -59,3 +59,28 @@
   cache.apply(TABLE.SERVERS, whole(10, [row("a", "1", 9)]));
   t.deepEqual(cache.apply(TABLE.SERVERS, changes(10, 12, [row("a", "1", 12)])), []);
 });
+
+test("a copy that lacks some changes gets those alone, removals included", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, [row("a", "1", 9), row("b", "1", 8)]));
+  cache.apply(TABLE.SERVERS, changes(10, 12, [row("a", undefined, 12)]));
+  t.deepEqual(cache.changesSince(TABLE.SERVERS, 10), changes(10, 12, [row("a", undefined, 12)]));
+  t.deepEqual(cache.changesSince(TABLE.SERVERS, 12), changes(12, 12, []));
+});
+
+test("a copy older than the first whole table gets all rows, so that it learns of removals", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, [row("a", "1", 9)]));
+  t.deepEqual(cache.changesSince(TABLE.SERVERS, 7), whole(10, [row("a", "1", 9)]));
+  t.deepEqual(cache.changesSince(TABLE.SERVERS, undefined), whole(10, [row("a", "1", 9)]));
+  // History was lost between 10 and 20: what came and went meanwhile is not known here.
+  cache.apply(TABLE.SERVERS, whole(20, [row("b", "1", 15)]));
+  t.true(cache.changesSince(TABLE.SERVERS, 14).isWhole);
+});
+
+test("a cache without a table names its rows without a claim that they are all", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, changes(15, 20, [row("a", "1", 18)]));
+  const batch = cache.changesSince(TABLE.SERVERS, undefined);
+  t.deepEqual([batch.isWhole, batch.rows.length], [false, 1]);
+});
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -6,9 +6,24 @@
 import type { Millis } from "@jaypass/kernel";
 import type { HostEntry, RowBatch, Table } from "./types.ts";
 
+/** Live hosts that came and went since the message before; the first one of a link names all. */
+export interface HostsChange {
+  /** Hosts that are live now. */
+  joined: HostEntry[];
+  /** Names of hosts that are not live any more. */
+  left: string[];
+}
+
 /** Messages of a host to its hub. `Job` and `Report` are the placement's own. */
 export type MemberMessage<Job, Report> =
-  | { type: "hello"; entry: HostEntry; isDraining: boolean; reports: Report[] }
+  | {
+    type: "hello";
+    entry: HostEntry;
+    isDraining: boolean;
+    reports: Report[];
+    /** Revisions of the tables that the host knows, so that it gets what it lacks. */
+    revisions: Partial<Record<Table, number>>;
+  }
   | { type: "ping"; isDraining: boolean }
   | { type: "place"; call: number; job: Job }
   | { type: "report"; report: Report }
@@ -18,6 +33,7 @@
 /** Messages of a hub to a host. */
 export type HubMessage<Decision> =
   | { type: "rows"; table: Table; batch: RowBatch }
-  | { type: "view"; ageMs: Millis; recoveredAgoMs: Millis | null; hosts: HostEntry[] }
+  | { type: "view"; ageMs: Millis; recoveredAgoMs: Millis | null }
+  | { type: "hosts"; change: HostsChange }
   | { type: "waiting"; call: number }
   | { type: "placed"; call: number; decision: Decision };
