Try a hub that started again at once, not when the lost process may be tried

Neither hub knew what the other had placed; both sent prompts to the same engines, and prompts of 2,000 to 6,000 tokens were expected after 0.4 to 0.6 s. Ruled out: reports that were lost (each hub knew its own members' jobs). Change: what is avoided is a process, not a host; the row of its successor makes it eligible. Test, fails before: 1,790 ms until a restarted hub decides again, under 1,000 ms after.

--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -107,10 +107,10 @@
   return { store, hosts, hub, standby, members };
 }
 
-async function until(condition: () => boolean): Promise<void> {
+async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
   const clock = createClock();
   const endMs = clock.nowMs() + WAIT_MS;
-  while (!condition()) {
+  while (!await condition()) {
     if (clock.nowMs() > endMs) throw new Error("Not reached in time");
     await wait(10);
   }
@@ -278,3 +278,15 @@
   await wait(2_000);
   t.true(bytes / 2 <= 2_048, `${bytes / 2} bytes a second`);
 });
+
+test("a hub that starts again is a hub again before the lost process would be tried", async (t) => {
+  const { store, hub, members: [member] } = await startHosts(t, 4);
+  await hub.kill();
+  await until(() => member?.fleet.liveHosts().length === 3);
+  await startHost(t, store, { ...hub.entry, incarnation: "again" });
+  const clock = createClock();
+  const startMs = clock.nowMs();
+  await until(async () => (await member?.fleet.place("job", TIMEOUTS))?.by === hub.entry.host);
+  // Until then two hubs decide, and neither knows what the other one placed.
+  t.true(clock.nowMs() - startMs < 1_000, `${clock.nowMs() - startMs} ms`);
+});
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -120,7 +120,20 @@
 
   const isSelf = (host: string) => host === self.host;
 
-  const avoid = (host: string) => avoidedUntil.set(host, clock.nowMs() + HUB_AVOID_MS);
+  /** A process that starts in place of one that was lost is another hub, and is tried at once. */
+  const avoidanceKey = ({ host, incarnation }: HostEntry) => `${host} ${incarnation}`;
+
+  const avoid = (entry: HostEntry) =>
+    void avoidedUntil.set(avoidanceKey(entry), clock.nowMs() + HUB_AVOID_MS);
+
+  const isAvoided = (entry: HostEntry): boolean => {
+    const key = avoidanceKey(entry);
+    const untilMs = avoidedUntil.get(key);
+    if (untilMs === undefined) return false;
+    if (untilMs > clock.nowMs()) return true;
+    avoidedUntil.delete(key);
+    return false;
+  };
 
   const closeHub = (hub: Hub) => {
     hubs.delete(hub.entry.host);
@@ -167,7 +180,7 @@
     } catch (err) {
       if (hubs.get(entry.host) !== hub) return;
       log.info({ hub: entry.host, err: String(err) }, "Hub lost");
-      avoid(entry.host);
+      avoid(entry);
       closeHub(hub);
     }
   };
@@ -192,9 +205,8 @@
   };
 
   const review = () => {
-    const now = clock.nowMs();
     const able = options.knownHosts().filter((entry) =>
-      isSelf(entry.host) ? !options.isDraining() : (avoidedUntil.get(entry.host) ?? 0) <= now
+      isSelf(entry.host) ? !options.isDraining() : !isAvoided(entry)
     );
     const chosen = chooseHubs(able);
     order = chosen.map((entry) => entry.host);
@@ -217,7 +229,7 @@
     hub.timeouts += 1;
     log.warn({ hub: hub.entry.host, timeoutMs, timeouts: hub.timeouts }, "Hub did not answer");
     if (hub.timeouts < MAX_TIMEOUTS || hubs.get(hub.entry.host) !== hub) return;
-    avoid(hub.entry.host);
+    avoid(hub.entry);
     closeHub(hub);
   };
 
