Let a few scouts follow a store that no hub reaches, instead of all hosts

Change: eight scouts, the ablest hosts after the hubs, follow while no hub reads the store itself, and tell the hubs; the others count their rows as fresh and begin one after another, 1.5 s later, when no scout succeeds. A host without a configuration follows at once, as does one without a hub. A hub that has just started gets the time for its first read.

--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -25,6 +25,18 @@
 /** Milliseconds without fresh rows from a hub after which a host follows the store itself. */
 export const VIEW_STALE_MS = 1_300;
 
+/**
+ * Hosts that follow the store at once when no hub reaches it. One with a path to the store suffices;
+ * with a third of the hosts cut off, eight are all cut off once in 7,000 times.
+ */
+export const SCOUT_COUNT = 8;
+
+/** Milliseconds beyond VIEW_STALE_MS after which the hosts that are no scouts begin to follow. */
+export const LATE_SCOUT_MS = 1_500;
+
+/** Milliseconds between the beginnings of two such hosts, so that an outage gets few calls. */
+export const LATE_SCOUT_GAP_MS = 100;
+
 /** Milliseconds between two views that a hub sends. */
 export const VIEW_INTERVAL_MS = 300;
 
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -149,7 +149,8 @@
     log,
     metrics,
     tasks,
-    shouldFollow: () => hubClient.isHub() || !hubClient.isViewFresh(),
+    shouldFollow: () => hubClient.shouldFollow(),
+    onServersRead: () => hubClient.sendFresh(),
     revision: (table) => cache.revision(table),
     onBatch: (table, batch) => take(table, batch, "store"),
   });
--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -7,6 +7,7 @@
 import { createFleet } from "./create_fleet.ts";
 import type { Fleet } from "./create_fleet.ts";
 import { chooseHubs } from "./choose_hubs.ts";
+import { rankHubs } from "./rank_hubs.ts";
 import { createMemoryStore } from "./_testing/create_memory_store.ts";
 import type { MemoryStore } from "./_testing/create_memory_store.ts";
 import { TABLE } from "./types.ts";
@@ -229,6 +230,32 @@
   t.true(calls <= 6 * 4 * 2, `${calls} calls of 6 hosts in 2 s`);
 });
 
+test("a store that is down gets no more calls from many hosts than from few", async (t) => {
+  const { store } = await startHosts(t, 40);
+  store.turnedAway.add("all");
+  await wait(1_500);
+  const before = store.calls();
+  await wait(1_000);
+  const calls = store.calls() - before;
+  // Two hubs and eight scouts, each with one call and its back-off of at least half a second.
+  t.true(calls <= 10 * 3, `${calls} calls of 40 hosts in a second`);
+});
+
+test("hosts learn of a change in time when the store turns away both hubs and most scouts", async (t) => {
+  const { store, hosts } = await startHosts(t, 16);
+  for (const { host } of rankHubs(hosts.map(({ entry }) => entry)).slice(0, 8)) {
+    store.turnedAway.add(host);
+  }
+  await wait(3_000);
+  for (const key of ["s1", "s2", "s3"]) {
+    store.write(TABLE.SERVERS, key, "{}");
+    const writtenMs = performance.now();
+    await until(() => hosts.every((host) => keysOf(host).includes(key)));
+    const takenMs = performance.now() - writtenMs;
+    t.true(takenMs < 2_000, `${takenMs} ms`);
+  }
+});
+
 test("a hub that is new to a host hears of all that runs there", async (t) => {
   const { store, hub, members } = await startHosts(t, 4);
   await hub.kill();
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -7,12 +7,13 @@
   LINK_CONNECT_TIMEOUT_MS,
   LINK_SILENT_MS,
   VIEW_INTERVAL_MS,
-  VIEW_STALE_MS,
 } from "./constants.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubDesk } from "./create_hub_server.ts";
 import type { HubMessage, MemberMessage } from "./messages.ts";
+import { mustScout } from "./must_scout.ts";
+import { rankHubs } from "./rank_hubs.ts";
 import { TABLE } from "./types.ts";
 import type { HostEntry, RowBatch, Table } from "./types.ts";
 
@@ -59,8 +60,10 @@
   report(report: Report, options?: { except?: string }): void;
   /** Passes rows on to the hubs. */
   sendRows(table: Table, batch: RowBatch): void;
-  /** True while some other hub passes on fresh rows; a host that is a hub follows the store. */
-  isViewFresh(): boolean;
+  /** Tells the hubs that this host has just read the servers' rows. */
+  sendFresh(): void;
+  /** True while this host has to follow the store itself. */
+  shouldFollow(): boolean;
   /**
    * Milliseconds since the store came back as all other hubs saw it, Infinity when one of them saw
    * no absence; undefined without another hub.
@@ -89,8 +92,12 @@
   timeouts: number;
   /** Live hosts by name; undefined before the hub named them. */
   hosts: Map<string, HostEntry> | undefined;
+  /** Monotonic time of its first view. */
+  sinceMs: Millis;
   /** Monotonic time up to which the hub's rows were fresh. */
   freshMs: Millis;
+  /** Monotonic time at which the hub itself last read the store. */
+  ownReadMs: Millis;
   recoveredMs: Millis;
 }
 
@@ -114,6 +121,7 @@
   type Hub = HubLink<Job, Decision, Report>;
   const { self, desk, clock, log, tasks } = options;
   const hubs = new Map<string, Hub>();
+  let scoutRank = 0;
   const avoidedUntil = new Map<string, Millis>();
   let order: string[] = [];
   let nextCall = 1;
@@ -146,8 +154,11 @@
     if (message.type === "rows") options.onRows(message.table, message.batch);
     else if (message.type === "view") {
       const now = clock.nowMs();
+      if (!hub.isReady) hub.sinceMs = now;
       hub.isReady = true;
-      hub.freshMs = now - message.ageMs;
+      // A hub that has just started gets the time to read the store for the first time.
+      hub.freshMs = Math.max(hub.sinceMs, now - message.ageMs);
+      hub.ownReadMs = Math.max(hub.sinceMs, now - message.ownAgeMs);
       hub.recoveredMs = now - (message.recoveredAgoMs ?? Infinity);
     } else if (message.type === "hosts") {
       hub.hosts ??= new Map();
@@ -193,7 +204,9 @@
       calls: new Map(),
       timeouts: 0,
       hosts: undefined,
+      sinceMs: -Infinity,
       freshMs: -Infinity,
+      ownReadMs: -Infinity,
       recoveredMs: -Infinity,
     };
     hubs.set(entry.host, hub);
@@ -210,6 +223,8 @@
     );
     const chosen = chooseHubs(able);
     order = chosen.map((entry) => entry.host);
+    scoutRank = rankHubs(able).filter(({ host }) => !order.includes(host))
+      .findIndex(({ host }) => isSelf(host));
     for (const hub of [...hubs.values()]) {
       const entry = chosen.find(({ host }) => host === hub.entry.host);
       if (entry?.incarnation === hub.entry.incarnation) continue;
@@ -301,7 +316,19 @@
     sendRows(table, batch) {
       for (const hub of hubs.values()) hub.link?.send({ type: "rows", table, batch });
     },
-    isViewFresh: () => readyHubs().some((hub) => clock.nowMs() - hub.freshMs < VIEW_STALE_MS),
+    sendFresh() {
+      for (const hub of hubs.values()) hub.link?.send({ type: "fresh" });
+    },
+    shouldFollow() {
+      const ready = readyHubs();
+      const isIgnorant = options.revision(TABLE.OPERATORS) === undefined;
+      if (ready.length === 0 || hubs.has(self.host) || isIgnorant) return true;
+      return mustScout({
+        rank: scoutRank,
+        hubAgeMs: clock.nowMs() - Math.max(...ready.map((hub) => hub.ownReadMs)),
+        viewAgeMs: clock.nowMs() - Math.max(...ready.map((hub) => hub.freshMs)),
+      });
+    },
     recoveredAgoMs() {
       const others = readyHubs().filter((hub) => !isSelf(hub.entry.host));
       if (others.length === 0) return undefined;
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -102,11 +102,16 @@
   };
   const hostsDiff = createHostsDiff(listNamed);
 
+  let memberReadMs = -Infinity;
+  const roundAge = (ageMs: Millis) =>
+    Number.isFinite(ageMs) ? Math.round(ageMs) : Number.MAX_SAFE_INTEGER;
+
   const describeView = (): HubMessage<Decision> => {
     const { ageMs, recoveredAgoMs } = options.storeAge();
     return {
       type: "view",
-      ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : Number.MAX_SAFE_INTEGER,
+      ageMs: roundAge(Math.min(ageMs, clock.nowMs() - memberReadMs)),
+      ownAgeMs: roundAge(ageMs),
       recoveredAgoMs: Number.isFinite(recoveredAgoMs) ? Math.round(recoveredAgoMs) : null,
     };
   };
@@ -163,6 +168,7 @@
     if (message.type === "ping") member.isDraining = message.isDraining;
     else if (message.type === "report") desk.report(host, message.report);
     else if (message.type === "rows") options.onRows(message.table, message.batch);
+    else if (message.type === "fresh") memberReadMs = clock.nowMs();
     else if (message.type === "place") answerPlace(member, message.call, message.job);
   };
 
--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -33,6 +33,8 @@
   revision: (table: Table) => number | undefined;
   /** Receives what was read. */
   onBatch: (table: Table, batch: RowBatch) => void;
+  /** Called after the servers' rows were read and what changed was passed on. */
+  onServersRead: () => void;
 }
 
 /** What a host knows of its contact with the store. */
@@ -118,6 +120,7 @@
       });
       onSuccess(table);
       options.onBatch(table, batch);
+      if (table === TABLE.SERVERS) options.onServersRead();
       await sleep(table === TABLE.SERVERS ? SERVERS_POLL_GAP_MS : TABLE_POLL_GAP_MS, signal);
     } catch (err) {
       if (signal.aborted) throw err;
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -28,12 +28,21 @@
   | { type: "place"; call: number; job: Job }
   | { type: "report"; report: Report }
   | { type: "rows"; table: Table; batch: RowBatch }
+  /** The host has just read the servers' rows in the store, and passed on what changed. */
+  | { type: "fresh" }
   | { type: "invite"; hosts: RowBatch };
 
 /** Messages of a hub to a host. */
 export type HubMessage<Decision> =
   | { type: "rows"; table: Table; batch: RowBatch }
-  | { type: "view"; ageMs: Millis; recoveredAgoMs: Millis | null }
+  | {
+    type: "view";
+    /** Time since the hub or one of its members read the servers' rows. */
+    ageMs: Millis;
+    /** Time since the hub itself read them. */
+    ownAgeMs: Millis;
+    recoveredAgoMs: Millis | null;
+  }
   | { type: "hosts"; change: HostsChange }
   | { type: "waiting"; call: number }
   | { type: "placed"; call: number; decision: Decision };
--- /dev/null
+++ b/packages/fleet/must_scout_test.ts
@@ -0,0 +1,27 @@
+import test from "ava";
+import { SCOUT_COUNT } from "./constants.ts";
+import { mustScout } from "./must_scout.ts";
+
+const stale = { hubAgeMs: 1_400, viewAgeMs: 1_400 };
+const fresh = { hubAgeMs: 600, viewAgeMs: 600 };
+
+test("no host follows the store while a hub reads it", (t) => {
+  for (const rank of [0, SCOUT_COUNT, 300]) t.false(mustScout({ rank, ...fresh }));
+});
+
+test("scouts follow as soon as no hub reads it, the others do not yet", (t) => {
+  t.true(mustScout({ rank: SCOUT_COUNT - 1, ...stale }));
+  t.false(mustScout({ rank: SCOUT_COUNT, ...stale }));
+});
+
+test("scouts go on while hubs have their rows from scouts alone", (t) => {
+  t.true(mustScout({ rank: 0, hubAgeMs: 9_000, viewAgeMs: 200 }));
+  t.false(mustScout({ rank: 300, hubAgeMs: 9_000, viewAgeMs: 200 }));
+});
+
+test("the others follow one after another when no scout succeeds", (t) => {
+  const followers = (viewAgeMs: number) =>
+    Array.from({ length: 340 }, (_, rank) => rank)
+      .filter((rank) => mustScout({ rank, hubAgeMs: viewAgeMs, viewAgeMs })).length;
+  t.deepEqual([1_400, 3_000, 5_000, 40_000].map(followers), [8, 11, 31, 340]);
+});
