Send changes of large rows as patches to all hosts

Each change goes to 142 hosts, 60 to 80 KB a host after compression, so a change fills the hub's link for over half a second, and answers wait behind it. Change: a large row goes out as the runs of pieces that it shares with its version before and the pieces that are new; a host whose row has another version asks for whole rows.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -101,13 +101,14 @@
   /** Merges rows and passes those that changed on. */
   const take = (table: Table, batch: RowBatch, origin: "store" | "member" | "hub") => {
     const sinceRevision = cache.revision(table);
+    const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
     const changed = cache.apply(table, batch);
     if (changed.length === 0) return;
     if (table === TABLE.HOSTS) known = readKnownHosts();
     options.onChange(table, changed);
     const revision = cache.revision(table) ?? batch.revision;
     const news: RowBatch = { revision, rows: changed, isWhole: false, sinceRevision };
-    hubServer.broadcast(table, news);
+    hubServer.broadcast(table, news, before);
     if (origin !== "hub") hubClient.sendRows(table, news);
   };
 
@@ -136,6 +137,7 @@
     knownHosts,
     currentReports: options.currentReports,
     revision: (table) => cache.revision(table),
+    findRow: (table, key) => cache.find(table, key),
     onRows: (table, batch) => take(table, batch, "hub"),
     clock,
     log,
--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -256,6 +256,22 @@
   }
 });
 
+test("a large row that changes often is the same on every host, also after a hub was lost", async (t) => {
+  const { store, hosts, hub } = await startHosts(t, 5);
+  const describe = (count: number) =>
+    JSON.stringify(Array.from({ length: 2_000 }, (_, at) => ({ at, count: at < 3 ? count : 0 })));
+  const valueOf = ({ fleet }: TestHost) =>
+    fleet.rows(TABLE.OPERATORS).find(({ key }) => key === "config")?.value;
+  for (let count = 1; count <= 30; count++) {
+    store.write(TABLE.OPERATORS, "config", describe(count));
+    if (count === 15) await hub.kill();
+    await wait(20);
+  }
+  const left = hosts.filter((host) => host !== hub);
+  await until(() => left.every((host) => valueOf(host) === describe(30)));
+  t.pass();
+});
+
 test("a hub that is new to a host hears of all that runs there", async (t) => {
   const { store, hub, members } = await startHosts(t, 4);
   await hub.kill();
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -8,6 +8,7 @@
   LINK_SILENT_MS,
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
+import { unpatchRows } from "./_lib/patch_rows.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubDesk } from "./create_hub_server.ts";
@@ -15,7 +16,7 @@
 import { mustScout } from "./must_scout.ts";
 import { rankHubs } from "./rank_hubs.ts";
 import { TABLE } from "./types.ts";
-import type { HostEntry, RowBatch, Table } from "./types.ts";
+import type { HostEntry, Row, RowBatch, Table } from "./types.ts";
 
 /** Options of {@linkcode createHubClient}. */
 export interface HubClientOptions<Job, Decision, Report> {
@@ -31,6 +32,8 @@
   currentReports: () => Report[];
   /** Revision of this host's copy of a table; undefined without one. */
   revision: (table: Table) => number | undefined;
+  /** Finds a row of this host's copy of a table. */
+  findRow: (table: Table, key: string) => Row | undefined;
   /** Takes rows that a hub passes on. */
   onRows: (table: Table, batch: RowBatch) => void;
   /** Monotonic time source. */
@@ -150,8 +153,16 @@
     hub.calls.clear();
   };
 
+  const takeRows = (hub: Hub, message: HubMessage<Decision> & { type: "rows" }) => {
+    const { table, patches = [] } = message;
+    const batch = unpatchRows(message.batch, patches, (key) => options.findRow(table, key));
+    if (batch !== undefined) return options.onRows(table, batch);
+    log.info({ hub: hub.entry.host, table }, "Patch does not fit; asking for whole rows");
+    hub.link?.send({ type: "want", table, revision: options.revision(table) });
+  };
+
   const handleMessage = (hub: Hub, message: HubMessage<Decision>) => {
-    if (message.type === "rows") options.onRows(message.table, message.batch);
+    if (message.type === "rows") takeRows(hub, message);
     else if (message.type === "view") {
       const now = clock.nowMs();
       if (!hub.isReady) hub.sinceMs = now;
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -10,12 +10,13 @@
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { encodeMessage } from "./_lib/encode_message.ts";
+import { patchRows } from "./_lib/patch_rows.ts";
 import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubMessage, MemberMessage } from "./messages.ts";
 import { TABLE } from "./types.ts";
-import type { HostEntry, RowBatch, Table } from "./types.ts";
+import type { HostEntry, Row, RowBatch, Table } from "./types.ts";
 
 /** Decides for the members of a hub. */
 export interface HubDesk<Job, Decision, Report> {
@@ -61,8 +62,8 @@
   start(): Promise<void>;
   /** Stops listening and closes all links. */
   stop(): void;
-  /** Passes rows on to all members. */
-  broadcast(table: Table, batch: RowBatch): void;
+  /** Passes rows on to all members; `before` has the rows as they were, as far as known. */
+  broadcast(table: Table, batch: RowBatch, before: ReadonlyMap<string, Row | undefined>): void;
   /** Hosts with a link that do not stop. */
   liveMembers(): HostEntry[];
   /** Milliseconds since a host's link ended; 0 while it has one, undefined if it never had. */
@@ -168,7 +169,9 @@
     if (message.type === "ping") member.isDraining = message.isDraining;
     else if (message.type === "report") desk.report(host, message.report);
     else if (message.type === "rows") options.onRows(message.table, message.batch);
-    else if (message.type === "fresh") memberReadMs = clock.nowMs();
+    else if (message.type === "want") {
+      member.link.sendLine(encodeChanges(message.table, message.revision));
+    } else if (message.type === "fresh") memberReadMs = clock.nowMs();
     else if (message.type === "place") answerPlace(member, message.call, message.job);
   };
 
@@ -244,10 +247,12 @@
       server.close();
       for (const socket of sockets) socket.destroy();
     },
-    broadcast(table, batch) {
+    broadcast(table, batch, before) {
       batchLines.delete(table);
+      if (members.size === 0) return;
+      const { rows, patches } = patchRows(batch.rows, before);
       // The view goes first: it says whether the store has just come back.
-      broadcast(describeView(), { type: "rows", table, batch });
+      broadcast(describeView(), { type: "rows", table, batch: { ...batch, rows }, patches });
     },
     liveMembers: listLive,
     goneMs(host) {
--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -9,6 +9,8 @@
   revision(table: Table): number | undefined;
   /** Rows of a table that exist. */
   rows(table: Table): Row[];
+  /** A row of a table, also one that was removed; undefined when it is not known. */
+  find(table: Table, key: string): Row | undefined;
   /**
    * What a copy of a revision lacks: the rows that changed since, or the whole table where removals
    * since then may be unknown here.
@@ -82,6 +84,7 @@
     },
     revision: (table) => copyOf(table).revision,
     rows: listPresent,
+    find: (table, key) => copyOf(table).rows.get(key),
     changesSince(table, sinceRevision) {
       const { revision, completeFrom, rows } = copyOf(table);
       if (revision === undefined) {
