Forget a job at a hub that did not answer in time

A host that gives such an answer up places the job elsewhere; the hub still placed it or let it wait. A job that waited there was counted as running when it left the line, though its host ran it elsewhere or was refused; and the end of a job that both ran and waited only took it out of the line. Either way its reads and memory stayed on engines for as long as the host had a link, so engines looked busy and long prompts waited for them. Change: a host that does not wait any longer tells the hub that the job is cancelled; what a host says of a running job replaces what the hub decided; the end of a job takes it out everywhere.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -25,6 +25,8 @@
   desk: HubDesk<Job, Decision, Report>;
   /** Reports on all that runs here. */
   currentReports: () => Report[];
+  /** The report that ends a job, for a hub that did not answer in time. */
+  describeCancelled: (job: Job) => Report;
   /** Called after rows of a table changed. */
   onChange: (table: Table, changed: Row[]) => void;
   /** Monotonic time source. */
@@ -136,6 +138,7 @@
     desk,
     knownHosts,
     currentReports: options.currentReports,
+    describeCancelled: options.describeCancelled,
     revision: (table) => cache.revision(table),
     findRow: (table, key) => cache.find(table, key),
     onRows: (table, batch) => take(table, batch, "hub"),
--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -71,7 +71,7 @@
     store: store.storeOf(entry.host),
     desk: {
       place: async (host, job) => {
-        if (job === "long") await wait(1_000);
+        if (job === "long" || job === "slow") await wait(1_000);
         if (job === "own" && host === entry.host) await wait(3_000);
         return `${job} of ${host} placed by ${entry.host}`;
       },
@@ -79,6 +79,7 @@
       forget: (host) => void reports.push(`${host} left`),
     },
     currentReports,
+    describeCancelled: (job) => `cancelled ${job}`,
     onChange: () => {},
     clock: createClock(),
     random: Math.random,
@@ -132,6 +133,15 @@
   t.is((await member?.fleet.place("long", TIMEOUTS))?.by, hub.entry.host);
 });
 
+test("a hub that answers too late hears that the job was placed elsewhere", async (t) => {
+  const { hub, standby, members: [member] } = await startHosts(t, 4);
+  const answer = await member?.fleet.place("slow", { answerMs: 100, waitMs: 100 });
+  t.is(answer?.by, undefined);
+  for (const { reports } of [hub, standby]) {
+    await until(() => reports.includes(`${member?.entry.host}: cancelled slow`));
+  }
+});
+
 test("members make no calls to the store while their hubs are fresh", async (t) => {
   const { store } = await startHosts(t, 6);
   await wait(1_500);
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -30,6 +30,8 @@
   knownHosts: () => HostEntry[];
   /** Reports on all that runs here, for a hub that is new to it. */
   currentReports: () => Report[];
+  /** The report that ends a job, for a hub that did not answer in time. */
+  describeCancelled: (job: Job) => Report;
   /** Revision of this host's copy of a table; undefined without one. */
   revision: (table: Table) => number | undefined;
   /** Finds a row of this host's copy of a table. */
@@ -265,6 +267,8 @@
       const startTimer = (timeoutMs: Millis) =>
         setTimeout(() => {
           call.settle(undefined);
+          // The hub may still place the job or let it wait, while it is placed elsewhere.
+          hub.link?.send({ type: "report", report: options.describeCancelled(job) });
           countTimeout(hub, timeoutMs);
         }, timeoutMs);
       let timer = startTimer(timeouts.answerMs);
--- a/packages/forwarding_host/create_placement_client.ts
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -79,9 +79,7 @@
       remember(job, decision, answer?.by);
       return decision;
     },
-    cancel(jobId) {
-      fleet().report({ kind: "finished", jobId, outcome: JOB_OUTCOME.CANCELLED });
-    },
+    cancel: (jobId) => fleet().report(describeCancelledJob({ id: jobId })),
     started(jobId) {
       const entry = running.get(jobId);
       if (entry === undefined || entry.isWriting) return;
@@ -98,3 +96,8 @@
       [...running.values()].map((entry) => ({ kind: "running", running: present(entry) })),
   };
 }
+
+/** Describes the end of a job that its host gave up or places elsewhere. */
+export function describeCancelledJob({ id }: Pick<PlacementJob, "id">): JobReport {
+  return { kind: "finished", jobId: id, outcome: JOB_OUTCOME.CANCELLED };
+}
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -9,7 +9,7 @@
 import type { ClusterView } from "./create_cluster_view.ts";
 import { createDesk } from "./create_desk.ts";
 import { createLoadProbe } from "./create_load_probe.ts";
-import { createPlacementClient } from "./create_placement_client.ts";
+import { createPlacementClient, describeCancelledJob } from "./create_placement_client.ts";
 import type { HostContext } from "./host_context.ts";
 import { SERVICE } from "./service_names.ts";
 import type { Cluster, PlacementFleet } from "./service_names.ts";
@@ -103,6 +103,7 @@
     store: adapter.store,
     desk: createDesk(hubPlacer),
     currentReports: () => placement.currentReports(),
+    describeCancelled: describeCancelledJob,
     onChange: (table, changed) => view.apply(table, changed),
     clock,
     random,
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -245,6 +245,20 @@
 
   const serversOf = (entry: PlacedJob) => [entry.serverId, ...entry.helperIds];
 
+  const stopWaiting = (jobId: string) => {
+    line.cancel(jobId);
+    slotQueue.cancel(jobId);
+  };
+
+  /** Takes a job off the servers that it was counted on. */
+  const discount = (jobId: string): PlacedJob | undefined => {
+    const entry = running.get(jobId);
+    if (entry === undefined) return undefined;
+    running.delete(jobId);
+    for (const id of serversOf(entry)) servers.find(id)?.remove(jobId);
+    return entry;
+  };
+
   const judgeServer = (entry: PlacedJob, outcome: JobOutcome, faultyServerId?: string) => {
     const faulty = servers.find(faultyServerId ?? entry.serverId);
     if (outcome === JOB_OUTCOME.ANSWERED) {
@@ -271,7 +285,10 @@
       line.review();
     },
     adopt(entry) {
-      if (!running.has(entry.job.id)) count(entry);
+      // What its host says of the job goes before what was decided here.
+      stopWaiting(entry.job.id);
+      discount(entry.job.id);
+      count(entry);
     },
     started(jobId) {
       const entry = running.get(jobId);
@@ -280,11 +297,9 @@
       for (const id of serversOf(entry)) servers.find(id)?.markWriting(jobId);
     },
     finished(jobId, outcome, faultyServerId) {
-      if (line.cancel(jobId) || slotQueue.cancel(jobId)) return;
-      const entry = running.get(jobId);
+      stopWaiting(jobId);
+      const entry = discount(jobId);
       if (entry === undefined) return;
-      running.delete(jobId);
-      for (const id of serversOf(entry)) servers.find(id)?.remove(jobId);
       judgeServer(entry, outcome, faultyServerId);
       slotQueue.review();
     },
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -13,6 +13,7 @@
     coldRequestsPerS?: number;
     seed?: string;
     isAlone?: boolean;
+    canWait?: boolean;
   } = {},
 ) {
   const clock = createManualClock();
@@ -21,7 +22,7 @@
     retryLimits: { ratio: 0.2, slack: 10, windowMs: 10_000 },
     coldLimits: { multiplier: 1.5, slack: 5 },
     share: () => options.share ?? 1,
-    canWait: () => false,
+    canWait: () => options.canWait ?? false,
     isAlone: () => options.isAlone ?? false,
     seed: options.seed ?? "",
   });
@@ -30,7 +31,8 @@
     { name: "plain", coldRequestsPerS: 0 },
   ]);
   placer.setServers([...makeServers(options.servers ?? 4)]);
-  return { clock, placer: { ...placer, place: (job: PlacementJob) => placeNow(placer, job) } };
+  const place = (job: PlacementJob) => placeNow(placer, job);
+  return { clock, placer: { ...placer, place, placeLater: placer.place } };
 }
 
 /** Places with a placer that lets no job wait. */
@@ -65,6 +67,22 @@
   t.snapshot(describe(placer.place(job)));
 });
 
+test("a job that waits and was sent by its host meanwhile counts once, until it ends", async (t) => {
+  const { clock, placer } = setUp({ servers: 1, canWait: true });
+  const long = (id: string) =>
+    makeJob({ id, promptTokens: 180_000, goalMs: 4_000, pauseGoalMs: 1_000 });
+  placer.place(long("first"));
+  // The hub lets the job wait, and its host does not hear of it in time.
+  const waiting = placer.placeLater(long("second"));
+  const running = { serverId: "s1", helperIds: [], tickets: [], partMs: 3_900, isWriting: false };
+  placer.adopt({ ...running, job: long("second"), ageMs: 0 });
+  t.is((await waiting).kind, "refused");
+  for (const id of ["first", "second"]) placer.finished(id, JOB_OUTCOME.ANSWERED);
+  clock.advance(100);
+  placer.review();
+  t.is(placer.place(long("third")).kind, "placed");
+});
+
 test("a prompt larger than all engines together is refused at once", (t) => {
   const { placer } = setUp({ servers: 2 });
   const job = makeJob({ promptTokens: 900_000, goalMs: 4_000, pauseGoalMs: 1_000 });
