--- /dev/null
+++ b/packages/fleet/_testing/start_fleet_hosts.ts
@@ -0,0 +1,128 @@
+import { setTimeout as wait } from "node:timers/promises";
+import type { ExecutionContext } from "ava";
+import { createClock, createTaskGroup } from "@jaypass/kernel";
+import type { Logger, Metrics } from "@jaypass/kernel";
+import { chooseHubs } from "../choose_hubs.ts";
+import { createFleet } from "../create_fleet.ts";
+import type { Fleet } from "../create_fleet.ts";
+import { TABLE } from "../types.ts";
+import type { HostEntry } from "../types.ts";
+import { createMemoryStore } from "./create_memory_store.ts";
+import type { MemoryStore } from "./create_memory_store.ts";
+
+/** A fleet whose jobs, decisions and reports are texts. */
+export type TestFleet = Fleet<string, string, string>;
+
+/** A host of a test, in the process of the test. */
+export interface TestHost {
+  entry: HostEntry;
+  fleet: TestFleet;
+  /** Reports that this host got as a hub. */
+  reports: string[];
+  /** Ends the host as a killed process does. */
+  kill(): Promise<void>;
+}
+
+const LOG: Logger = {
+  debug: () => {},
+  info: () => {},
+  warn: () => {},
+  error: (fields, message) => console.error(message, fields),
+  child: () => LOG,
+};
+const METRICS: Metrics = {
+  increment: () => {},
+  gauge: () => {},
+  timing: () => {},
+  counters: () => ({}),
+  close: () => Promise.resolve(),
+};
+
+/** Longest wait of a test for what must come about in about two seconds on an idle machine. */
+const WAIT_MS = 20_000;
+
+/** Bounds on a hub's decision. */
+export const TIMEOUTS = { answerMs: 500, waitMs: 5_000 };
+
+/** Loopback address of this process, so that tests beside each other have all ports. */
+const IP = `127.1.${process.pid >> 8 & 0xff}.${process.pid & 0xff}`;
+
+let nextPort = 20_000;
+
+/** Makes the entry of a host that was not started. */
+export function makeEntry(index: number): HostEntry {
+  return {
+    host: `h${index}`,
+    linkAddress: `${IP}:${nextPort++}`,
+    callerAddress: `h${index}:80`,
+    dataCentre: `dc${index % 2}`,
+    weight: 0.5,
+    incarnation: String(nextPort),
+  };
+}
+
+/** Starts a host; it is killed at the end of the test. */
+export async function startHost(
+  t: ExecutionContext,
+  store: MemoryStore,
+  entry: HostEntry,
+  currentReports: () => string[] = () => [],
+): Promise<TestHost> {
+  const reports: string[] = [];
+  const tasks = createTaskGroup({ onError: (name, err) => t.log(name, err) });
+  const fleet: TestFleet = createFleet({
+    self: entry,
+    store: store.storeOf(entry.host),
+    desk: {
+      place: async (host, job) => {
+        if (job === "long" || job === "slow") await wait(1_000);
+        if (job === "own" && host === entry.host) await wait(3_000);
+        return `${job} of ${host} placed by ${entry.host}`;
+      },
+      report: (host, report) => void reports.push(`${host}: ${report}`),
+      forget: (host) => void reports.push(`${host} left`),
+    },
+    currentReports,
+    describeCancelled: (job) => `cancelled ${job}`,
+    onChange: () => {},
+    clock: createClock(),
+    random: Math.random,
+    log: LOG,
+    metrics: METRICS,
+    tasks,
+  });
+  await fleet.start();
+  const kill = async () => {
+    fleet.stop();
+    await tasks.stop();
+  };
+  t.teardown(kill);
+  return { entry, fleet, reports, kill };
+}
+
+/** Starts hosts that know each other, and tells which of them are hubs. */
+export async function startHosts(t: ExecutionContext, count: number) {
+  const store = createMemoryStore();
+  const entries = Array.from({ length: count }, (_, index) => makeEntry(index));
+  const hosts = await Promise.all(entries.map((entry) => startHost(t, store, entry)));
+  await until(() => hosts.every(({ fleet }) => fleet.liveHosts().length === count));
+  const [first, second] = chooseHubs(entries);
+  const hub = hosts.find(({ entry }) => entry === first);
+  const standby = hosts.find(({ entry }) => entry === second);
+  const members = hosts.filter((host) => host !== hub && host !== standby);
+  if (hub === undefined || standby === undefined) throw new Error("No hubs");
+  return { store, hosts, hub, standby, members };
+}
+
+/** Waits until a condition holds. */
+export async function until(condition: () => boolean | Promise<boolean>): Promise<void> {
+  const clock = createClock();
+  const endMs = clock.nowMs() + WAIT_MS;
+  while (!await condition()) {
+    if (clock.nowMs() > endMs) throw new Error("Not reached in time");
+    await wait(10);
+  }
+}
+
+/** Keys of the servers that a host knows. */
+export const keysOf = ({ fleet }: TestHost) => fleet.rows(TABLE.SERVERS).map(({ key }) => key);
