--- a/packages/fleet/_lib/text_patch.ts
+++ b/packages/fleet/_lib/text_patch.ts
@@ -4,6 +4,9 @@
  */
 export type TextPatch = ([first: number, count: number] | string)[];
 
+/** Part of a text that may be new in its patch; a patch of mostly new text saves little. */
+const MAX_NEW_SHARE = 0.25;
+
 /** Ends of the entries of a list in JSON, at which texts are cut into pieces. */
 const SEPARATOR = "},";
 
@@ -23,7 +26,7 @@
   const basePieces = base.split(SEPARATOR);
   for (const [at, piece] of basePieces.entries()) if (!known.has(piece)) known.set(piece, at);
   const patch: TextPatch = [];
-  let literalLength = 0;
+  let newLength = 0;
   let run: [first: number, count: number] | undefined;
   for (const piece of next.split(SEPARATOR)) {
     if (run !== undefined && basePieces[run[0] + run[1]] === piece) {
@@ -32,10 +35,10 @@
     }
     const at = known.get(piece);
     run = at === undefined ? undefined : [at, 1];
-    if (run === undefined) literalLength += piece.length;
+    if (run === undefined) newLength += piece.length;
     patch.push(run ?? piece);
   }
-  return literalLength > next.length / 4 ? undefined : patch;
+  return newLength > next.length * MAX_NEW_SHARE ? undefined : patch;
 }
 
 /**
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -31,7 +31,10 @@
  */
 export const SCOUT_COUNT = 8;
 
-/** Milliseconds beyond VIEW_STALE_MS after which the hosts that are no scouts begin to follow. */
+/**
+ * Milliseconds beyond VIEW_STALE_MS after which the hosts that are no scouts begin to follow; a call of
+ * a scout is answered or given up before.
+ */
 export const LATE_SCOUT_MS = 1_500;
 
 /** Milliseconds between the beginnings of two such hosts, so that an outage gets few calls. */
