Mend what a read-through of the change found

A variable has a plainer name (the built program is the same but for it) and a comment says what happens.

--- a/packages/fleet/_lib/patch_rows.ts
+++ b/packages/fleet/_lib/patch_rows.ts
@@ -56,7 +56,7 @@
   const rows = [...batch.rows];
   for (const { key, version, baseVersion, patch } of patches) {
     const known = find(key);
-    // Another hub was faster.
+    // The row, or a newer one, came from the other hub already.
     if (known !== undefined && known.version >= version) continue;
     if (known?.value === undefined || known.version !== baseVersion) return undefined;
     rows.push({ key, version, value: applyTextPatch(known.value, patch) });
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -336,8 +336,8 @@
     },
     shouldFollow() {
       const ready = readyHubs();
-      const isIgnorant = options.revision(TABLE.OPERATORS) === undefined;
-      if (ready.length === 0 || hubs.has(self.host) || isIgnorant) return true;
+      const isUnconfigured = options.revision(TABLE.OPERATORS) === undefined;
+      if (ready.length === 0 || hubs.has(self.host) || isUnconfigured) return true;
       return mustScout({
         rank: scoutRank,
         hubAgeMs: clock.nowMs() - Math.max(...ready.map((hub) => hub.ownReadMs)),
