Let the fleet tests' store hold a poll open by time

Cause: the in-memory store of the fleet tests counted a long poll in timer turns of 5 ms.

Change: a poll ends when its table changes or when its time is over.

--- a/packages/fleet/_testing/create_memory_store.ts
+++ b/packages/fleet/_testing/create_memory_store.ts
@@ -1,4 +1,4 @@
-import { setTimeout as wait } from "node:timers/promises";
+import { EventEmitter, once } from "node:events";
 import { HistoryLostError, StoreError } from "../errors.ts";
 import { TABLE } from "../types.ts";
 import type { Row, RowStore, Table } from "../types.ts";
@@ -19,15 +19,14 @@
   calls(): number;
 }
 
-/** Milliseconds between two checks for a change. */
-const CHECK_INTERVAL_MS = 5;
-
 /** Creates an in-memory store with the semantics of the platform's store. */
 export function createMemoryStore(): MemoryStore {
   const tables = new Map<Table, Map<string, Row>>(
     Object.values(TABLE).map((table) => [table, new Map()]),
   );
   const turnedAway = new Set<string>();
+  /** Emits the name of a table whose rows have changed. */
+  const changes = new EventEmitter().setMaxListeners(0);
   let revision = 1;
   let oldest = 0;
   let calls = 0;
@@ -35,11 +34,28 @@
   const put = (table: Table, key: string, value: string | undefined) => {
     revision += 1;
     rowsOf(table).set(key, { key, value, version: revision });
+    changes.emit(table);
   };
   const check = (host: string) => {
     calls += 1;
     if (turnedAway.has(host) || turnedAway.has("all")) throw new StoreError("Call rejected");
   };
+  /** Resolves when the table changes or the time is over. */
+  const waitForChange = async (
+    table: Table,
+    { waitMs, signal }: { waitMs: number; signal: AbortSignal | undefined },
+  ) => {
+    const timeout = new AbortController();
+    const timer = setTimeout(() => timeout.abort(), waitMs);
+    const signals = signal === undefined ? [timeout.signal] : [timeout.signal, signal];
+    try {
+      await once(changes, table, { signal: AbortSignal.any(signals) });
+    } catch (err) {
+      if (!timeout.signal.aborted) throw err;
+    } finally {
+      clearTimeout(timer);
+    }
+  };
   return {
     rejectedHosts: turnedAway,
     write: put,
@@ -55,12 +71,10 @@
       async followTable(table, sinceRevision, { waitMs, signal }) {
         check(host);
         if (sinceRevision < oldest) throw new HistoryLostError("History was discarded");
-        for (let waitedMs = 0; waitedMs < waitMs; waitedMs += CHECK_INTERVAL_MS) {
-          if ([...rowsOf(table).values()].some((row) => row.version > sinceRevision)) break;
-          await wait(CHECK_INTERVAL_MS, undefined, { signal });
-        }
-        const rows = [...rowsOf(table).values()].filter((row) => row.version > sinceRevision);
-        return { revision, rows, isWhole: false, sinceRevision };
+        const changedRows = () =>
+          [...rowsOf(table).values()].filter((row) => row.version > sinceRevision);
+        if (changedRows().length === 0) await waitForChange(table, { waitMs, signal });
+        return { revision, rows: changedRows(), isWhole: false, sinceRevision };
       },
       writeRow(table, key, value) {
         check(host);
