Refuse requests that were granted for an earlier start of a server

Cause: a coordinator learns of the restart of an idle server from its next poll, up to a second later.

Change: grants name the restart counter they are valid for, hosts send it as expectedRestartCount, and a server with another counter refuses the request unexecuted. The coordinator marks the server as cold and does not count the refused requests as suspects of a crash.

Ruled out: shorter polls, which leave the window open.

--- a/packages/admission/_lib/commit_grant.ts
+++ b/packages/admission/_lib/commit_grant.ts
@@ -46,10 +46,11 @@
     requestId: req.requestId,
     pool: pool.name,
     coordinator: options.address,
-    servers: decision.servers.map(({ id, cfg }) => ({
+    servers: decision.servers.map(({ id, cfg, restartCount, isRestartExpected }) => ({
       id,
       url: cfg.url,
       dataCentre: cfg.dataCentre,
+      restartCount: isRestartExpected ? undefined : restartCount,
     })),
     priority: LANES.indexOf(entry.lane),
     lane: entry.lane,
--- a/packages/admission/_lib/end_grant.ts
+++ b/packages/admission/_lib/end_grant.ts
@@ -59,6 +59,23 @@
   else if (first.warmth === "warm") markCold(first, nowMs);
 }
 
+/**
+ * Records the crash that a refusal because of a restart proves.
+ *
+ * The refused request did not run, so it is no suspect, and its reservation must be gone before the
+ * crash is recorded.
+ */
+function recordRestart(pool: PoolState, record: GrantRecord, server: ServerState): void {
+  if (record.crashedServers.has(server.id)) {
+    pool.suspects.retractCrash(record.req.fingerprint);
+    return;
+  }
+  const { restartCount } = record.grant.servers[0]!;
+  if (server.restartCount === restartCount && !server.isRestartExpected) {
+    recordReportedCrash(pool, server);
+  }
+}
+
 /**
  * Ends a grant: frees its slots and memory, and applies its result to the state of the server.
  *
@@ -108,6 +125,9 @@
     }
   }
   pool.suspects.endRun(record.req.fingerprint, record.grant.servers[0]!.id);
+  if (result.outcome === GRANT_OUTCOME.SERVER_RESTARTED && first !== undefined) {
+    recordRestart(pool, record, first);
+  }
   pool.options.metrics.increment("admission.ended", { pool: pool.name, outcome: result.outcome });
   applyResult(pool, record, result);
   return record;
--- a/packages/admission/_lib/suspects.ts
+++ b/packages/admission/_lib/suspects.ts
@@ -27,6 +27,8 @@
   addPossibleCrash(fingerprint: string, serverId: string): void;
   /** Removes a possible crash, because the server has not crashed. */
   removePossibleCrash(fingerprint: string, serverId: string): void;
+  /** Takes back one counted crash, because the fingerprint did not run on the server. */
+  retractCrash(fingerprint: string): void;
   /** Clears a fingerprint after a successful run. */
   clear(fingerprint: string): void;
   /**
@@ -91,6 +93,12 @@
       found.pending.delete(serverId);
       if (found.pending.size + found.crashes === 0) suspicions.delete(fingerprint);
     },
+    retractCrash(fingerprint) {
+      const found = find(fingerprint);
+      if (found === undefined) return;
+      found.crashes = Math.max(0, found.crashes - 1);
+      if (found.pending.size + found.crashes === 0) suspicions.delete(fingerprint);
+    },
     clear(fingerprint) {
       suspicions.delete(fingerprint);
       proven.set(fingerprint, true);
--- a/packages/admission/messages.ts
+++ b/packages/admission/messages.ts
@@ -31,7 +31,12 @@
   requestId: z.string(),
   pool: z.string(),
   coordinator: z.string(),
-  servers: z.array(z.object({ id: z.string(), url: z.string(), dataCentre: z.string() })),
+  servers: z.array(z.object({
+    id: z.string(),
+    url: z.string(),
+    dataCentre: z.string(),
+    restartCount: z.number().optional(),
+  })),
   priority: z.number(),
   lane: z.enum(LANE),
   fencing: z.number(),
--- a/packages/admission/types.ts
+++ b/packages/admission/types.ts
@@ -36,6 +36,8 @@
   NOT_DISPATCHED: "not_dispatched",
   SERVER_DIED: "server_died",
   SERVER_REFUSED: "server_refused",
+  /** The server had restarted since the grant was issued, and refused the request. */
+  SERVER_RESTARTED: "server_restarted",
   CONNECTION_LOST: "connection_lost",
 } as const;
 
@@ -69,6 +71,8 @@
   id: string;
   url: string;
   dataCentre: string;
+  /** Restart counter for which the grant is valid; undefined if it was not known. */
+  restartCount?: number | undefined;
 }
 
 /** Permission to send a request to one server, or the parts of its prompt to several engines. */
--- a/packages/engines/_lib/read_answer.ts
+++ b/packages/engines/_lib/read_answer.ts
@@ -16,6 +16,7 @@
 const CODE_BY_REASON: Record<string, EngineErrorCode> = {
   overloaded: "overloaded",
   stale_fencing: "stale_fencing",
+  restarted: "restarted",
   lost: "died",
 };
 
--- a/packages/engines/create_service_client.ts
+++ b/packages/engines/create_service_client.ts
@@ -90,6 +90,8 @@
       "x-request-id": req.requestId,
       ...(req.key !== undefined && { "idempotency-key": req.key }),
       ...(req.fencing !== undefined && { "fencing-number": String(req.fencing) }),
+      ...(req.expectedRestartCount !== undefined &&
+        { "expected-restart-count": String(req.expectedRestartCount) }),
     },
     body: req.body,
   };
--- a/packages/engines/types.ts
+++ b/packages/engines/types.ts
@@ -24,6 +24,8 @@
   OVERLOADED: "overloaded",
   /** The server refused the request because of a newer fencing number. */
   STALE_FENCING: "stale_fencing",
+  /** The server refused the request because it has restarted; see `expectedRestartCount`. */
+  RESTARTED: "restarted",
   /** The call exceeded its total timeout. */
   TIMEOUT: "timeout",
   /** The answer violates the protocol, for example by a repeated token. */
@@ -53,6 +55,8 @@
   priority: number;
   /** Fencing number of the coordinator's lease. */
   fencing: number;
+  /** The engine refuses the request if its restart counter has another value. */
+  expectedRestartCount?: number;
 }
 
 /** A generated token, or the end of a completion. */
@@ -162,6 +166,8 @@
   key?: string;
   /** Sent as the header `fencing-number`, if set. */
   fencing?: number;
+  /** The server refuses the call if its restart counter has another value. */
+  expectedRestartCount?: number;
 }
 
 /** The answer of a plain service. */
--- a/packages/routing/_lib/call_plain_service.ts
+++ b/packages/routing/_lib/call_plain_service.ts
@@ -121,6 +121,7 @@
           contentType: req.contentType,
           key: req.key === undefined ? undefined : scopeKey(req.workspace, req.key),
           fencing: atMostOnce ? fencing : undefined,
+          expectedRestartCount: server.restartCount,
         }, {
           timeoutMs: req.deadline.remainingMs(),
           signal,
--- a/packages/routing/_lib/prefill_parts.ts
+++ b/packages/routing/_lib/prefill_parts.ts
@@ -35,7 +35,8 @@
       fromToken: i * partTokens,
       toToken: Math.min(promptTokens, (i + 1) * partTokens),
     };
-    await engine.prefill(engineReq, part, options());
+    const partReq = { ...engineReq, expectedRestartCount: server.restartCount };
+    await engine.prefill(partReq, part, options());
     if (i < engineServers.length - 1) kv = await engine.exportKv(attemptId, options());
   }
 }
--- a/packages/routing/_lib/run_attempt.ts
+++ b/packages/routing/_lib/run_attempt.ts
@@ -98,6 +98,7 @@
     maxTokens: req.maxTokens,
     priority: grant.priority,
     fencing: grant.fencing,
+    expectedRestartCount: grant.servers[0]!.restartCount,
   };
 }
 
--- a/packages/routing/types.ts
+++ b/packages/routing/types.ts
@@ -24,6 +24,7 @@
 export const RETRY = {
   SERVER_DIED: "server_died",
   SERVER_REFUSED: "server_refused",
+  SERVER_RESTARTED: "server_restarted",
   CONNECTION_LOST: "connection_lost",
   ANSWER_INVALID: "answer_invalid",
   GRANT_EXPIRED: "grant_expired",
--- a/packages/stand_ins/_lib/create_job.ts
+++ b/packages/stand_ins/_lib/create_job.ts
@@ -13,6 +13,8 @@
   priority: number;
   fencing: number;
   part?: { fromToken: number; toToken: number };
+  /** The request is refused if the restart counter has another value. */
+  expectedRestartCount?: number | undefined;
 }
 
 /** Engine state that a job is created with. */
--- a/packages/stand_ins/_lib/create_service_core.ts
+++ b/packages/stand_ins/_lib/create_service_core.ts
@@ -9,6 +9,7 @@
   operation: string;
   key: string | undefined;
   fencing: number | undefined;
+  expectedRestartCount: number | undefined;
   body: Buffer;
 }
 
@@ -110,6 +111,9 @@
       if (!operation) return refuse("unknown_operation", 404);
       if (faults.refuseAll) return refuse("overloaded", 503);
       if (isStale(call)) return refuse("stale_fencing", 409);
+      if ((call.expectedRestartCount ?? restartCount) !== restartCount) {
+        return refuse("restarted", 409);
+      }
       const concurrency = running.size + 1;
       const cold = isCold();
       if (!cold && concurrency > settings.warmLimit) return refuse("overloaded", 503);
--- a/packages/stand_ins/_lib/serve_engine.ts
+++ b/packages/stand_ins/_lib/serve_engine.ts
@@ -15,6 +15,7 @@
   maxTokens: z.number().int().positive(),
   priority: z.number(),
   fencing: z.number(),
+  expectedRestartCount: z.number().optional(),
 });
 
 const PREFILL = COMPLETION.extend({
@@ -37,6 +38,7 @@
   unknown_model: 404,
   missing_kv: 409,
   duplicate_id: 409,
+  restarted: 409,
 };
 
 /** Services and state that the routes of an engine share. */
@@ -130,6 +132,11 @@
 ): EngineJob | undefined {
   if (!req) return undefined;
   const { core, faults } = context;
+  const { expectedRestartCount } = req;
+  if (expectedRestartCount !== undefined && expectedRestartCount !== core.restartCount()) {
+    refuse(res, "restarted", "not_run", REFUSAL_STATUS.restarted!, req.requestId);
+    return undefined;
+  }
   const outcome: EngineJob | CoreRefusal = faults.refuseAll
     ? { code: "overloaded", ran: false }
     : core.accept(req);
--- a/packages/stand_ins/create_service_stand_in.ts
+++ b/packages/stand_ins/create_service_stand_in.ts
@@ -104,12 +104,12 @@
     const [, kind, name = ""] = /^\/v1\/(operations|fences|results)\/([^/]+)$/
       .exec(req.url ?? "")?.map((part) => decodeURIComponent(part)) ?? [];
     if (kind === "operations" && req.method === "POST") {
-      const fencing = req.headers["fencing-number"];
       return await runOperation(req, res, {
         requestId: String(req.headers["x-request-id"] ?? ""),
         operation: name,
         key: req.headers["idempotency-key"] as string | undefined,
-        fencing: fencing === undefined ? undefined : Number(fencing),
+        fencing: readNumber(req.headers["fencing-number"]),
+        expectedRestartCount: readNumber(req.headers["expected-restart-count"]),
         body,
       });
     }
@@ -135,3 +135,7 @@
     stop: server.stop,
   };
 }
+
+function readNumber(header: string | string[] | undefined): number | undefined {
+  return header === undefined ? undefined : Number(header);
+}
--- a/packages/system_tests/cold_limit_test.ts
+++ b/packages/system_tests/cold_limit_test.ts
@@ -39,3 +39,32 @@
     )),
   );
 });
+
+test("an idle engine that restarts at once gets no more than its cold limit", async (t) => {
+  const system = await startSystem({
+    hosts: 3,
+    engines: 1,
+    services: 1,
+    engine: { coldLimit: 4, warmLimit: 32, coldMs: 4_000 },
+    engineOptions: { restartMs: 0 },
+    speed: { prefillTokensPerSecond: 200_000, msPerOutputToken: 5 },
+  });
+  t.teardown(() => system.stop());
+  const caller = createCaller("school");
+  t.teardown(() => caller.close());
+  const burst = async (label: string, count: number) => {
+    const outcomes = await Promise.all(Array.from({ length: count }, async (_, i) => {
+      const prompt = `${label} ${i}`;
+      const url = system.hosts[i % 3]!.url;
+      const outcome = await caller.complete(url, prompt, { maxTokens: TOKENS, timeoutMs: 20_000 });
+      return findAnswerError(outcome, prompt, TOKENS);
+    }));
+    t.deepEqual(outcomes, Array.from({ length: count }, () => undefined));
+  };
+  await burst("cold", 60);
+  // The coordinator learns of a restart from its next poll, up to a second later.
+  await system.setFaults(system.engines[0]!.url, { crash: true });
+  await burst("after the restart", 60);
+  const [log] = await readEngineLogs(system);
+  t.deepEqual(log?.crashes.map(({ reason }) => reason), ["fault"]);
+});
