Give up engines that are lost in silence

Change: a host watches each server that has a request and sends nothing. When it is silent for longer than expected, or its entry is gone or names another start, the host asks for its status: connection refused, another instance id or another start time mean that the process has ended, and the attempt ends at once. A draining engine whose entry is gone, and a slow one, answer and keep the request. An unreachable one is given up after two checks, only where another server may run the request. Sends to ended processes do not count as attempts. Checks of one engine are shared and made once in 0.8 s.

Ruled out: giving up when the entry goes. Engines that leave without notice serve on for seconds.

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -35,8 +35,8 @@
   metadata: AnswerMetadata;
   /** The exchange with the server, so that it can be cancelled. */
   exchange: Exchange;
-  /** Must be called when the first byte of the body arrives. */
-  onFirstByte: () => void;
+  /** Must be called for each chunk of the body. */
+  onChunk: () => void;
 }
 
 /** Passes answers of servers on to the caller, over all attempts of one request. */
@@ -50,6 +50,8 @@
 /** State of one request over all its attempts. */
 export interface AttemptState {
   sendCount: number;
+  /** Sends to servers whose process has ended since; they do not count as attempts. */
+  lostCount: number;
   connectFailureCount: number;
   mayHaveRun: boolean;
   excludedIds: string[];
--- a/packages/forwarding/_lib/create_plain_handler.ts
+++ b/packages/forwarding/_lib/create_plain_handler.ts
@@ -21,15 +21,16 @@
   request: CallerRequest,
 ): AnswerHandler {
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
-    const { answer, metadata, onFirstByte } = received;
+    const { answer, metadata, onChunk } = received;
     const isSuccess = answer.status >= 200 && answer.status < 300;
     if (metadata.isEncoded || !metadata.isSealed) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
-    onFirstByte();
-    const { chunks, isWhole, rest } = await bufferAnswer(answer);
+    onChunk();
+    const body = reportChunks(answer.body, onChunk);
+    const { chunks, isWhole } = await bufferAnswer(body);
     if (!isWhole) {
-      await streamAnswer(context, request, answer, chunks, rest);
+      await streamAnswer(context, request, answer, chunks, body);
       return { outcome: JOB_OUTCOME.ANSWERED, isDone: true, failure: FAILURE.INTERNAL };
     }
     const deliver = () => {
@@ -52,18 +53,24 @@
   return { handle, resumeAfter: () => undefined };
 }
 
-/** Reads an answer up to the buffer limit; `isWhole` is false if more follows in `rest`. */
-async function bufferAnswer(answer: ServerAnswer) {
+async function* reportChunks(body: AsyncIterable<Buffer>, onChunk: () => void) {
+  for await (const chunk of body) {
+    onChunk();
+    yield chunk;
+  }
+}
+
+/** Reads a body up to the buffer limit; `isWhole` is false if more follows. */
+async function bufferAnswer(body: AsyncGenerator<Buffer>) {
   const chunks: Buffer[] = [];
-  const rest = answer.body[Symbol.asyncIterator]();
   let length = 0;
-  while (true) {
-    const next = await rest.next();
-    if (next.done) return { chunks, isWhole: true, rest };
+  while (length <= MAX_BUFFERED_ANSWER_BYTES) {
+    const next = await body.next();
+    if (next.done) return { chunks, isWhole: true };
     chunks.push(next.value);
     length += next.value.length;
-    if (length > MAX_BUFFERED_ANSWER_BYTES) return { chunks, isWhole: false, rest };
   }
+  return { chunks, isWhole: false };
 }
 
 async function streamAnswer(
@@ -71,14 +78,10 @@
   request: CallerRequest,
   answer: ServerAnswer,
   chunks: Buffer[],
-  rest: AsyncIterator<Buffer>,
+  rest: AsyncIterable<Buffer>,
 ): Promise<void> {
   sendHead(context, request, answer, undefined);
   for (const chunk of chunks) await writeToCaller(request, chunk);
-  while (true) {
-    const next = await rest.next();
-    if (next.done) break;
-    await writeToCaller(request, next.value);
-  }
+  for await (const chunk of rest) await writeToCaller(request, chunk);
   request.res.end();
 }
--- /dev/null
+++ b/packages/forwarding/_lib/create_silence_watch.ts
@@ -0,0 +1,115 @@
+import type { Millis } from "@jaypass/kernel";
+import {
+  MAX_UNREACHABLE_CHECKS,
+  SERVER_CHECK_PERIOD_MS,
+  SILENCE_POLL_MS,
+  SILENCE_SLACK_MS,
+} from "../constants.ts";
+import { SERVER_STATUS } from "../types.ts";
+import type { ForwardingContext, ForwardingServer } from "./request_context.ts";
+
+/** Watch of one exchange with a server. */
+export interface SilenceWatch {
+  /** Must be called when data from the server arrives. */
+  recordData(): void;
+  /** Why the server was given up; undefined while it is not. */
+  givenUpAs(): "lost" | "unreachable" | undefined;
+  /** Ends the watch. */
+  stop(): void;
+}
+
+/** Options of {@linkcode createSilenceWatch}. */
+export interface SilenceWatchOptions {
+  /** Id of the request, for the log. */
+  requestId: string;
+  /** The server that got the request. */
+  server: ForwardingServer;
+  /** Expected time to the first data. */
+  expectedMs: Millis;
+  /** Expected longest time between two pieces of data. */
+  pauseMs: Millis;
+  /** True if the request may be sent to another server although this one may have run it. */
+  isRepeatable: boolean;
+  /** Called when the server is given up. */
+  onGivenUp: () => void;
+}
+
+/**
+ * Watches a server that has got a request and sends nothing.
+ *
+ * Meant for engines that disappear without closing their connections, because their process, host,
+ * data centre or network is gone. A silent engine may also be reading a long prompt, and an engine
+ * that has left the directory may still be answering, so neither is a reason to give up. The server
+ * is checked once it has been silent for longer than expected, or at once when its entry is gone or
+ * names another start. A server whose process has ended is given up. One that is only unreachable
+ * may become reachable again with its answer, so it is given up after several checks in a row, and
+ * only if another server may run the request.
+ *
+ * @param context services of the host
+ * @param options the server and its expected times
+ * @returns the watch, which has started
+ */
+export function createSilenceWatch(
+  context: ForwardingContext,
+  options: SilenceWatchOptions,
+): SilenceWatch {
+  const { clock, log, metrics } = context;
+  const { server, requestId } = options;
+  let silentSinceMs = clock.nowMs();
+  let allowedMs = options.expectedMs + SILENCE_SLACK_MS;
+  let nextCheckMs = -Infinity;
+  let unreachableCount = 0;
+  let givenUpAs: "lost" | "unreachable" | undefined;
+  let isStopped = false;
+
+  const shouldCheck = (nowMs: Millis) => {
+    if (nowMs < nextCheckMs) return false;
+    const isEntryCurrent = context.findServer(server.id)?.bornMs === server.bornMs;
+    return !isEntryCurrent || nowMs - silentSinceMs > allowedMs;
+  };
+
+  const giveUp = (reason: "lost" | "unreachable") => {
+    givenUpAs = reason;
+    clearInterval(timer);
+    log.warn(
+      {
+        requestId,
+        server: server.id,
+        reason,
+        silentMs: Math.round(clock.nowMs() - silentSinceMs),
+        allowedMs: Math.round(allowedMs),
+      },
+      "Giving up a silent server",
+    );
+    options.onGivenUp();
+  };
+
+  const check = async () => {
+    const startMs = clock.nowMs();
+    if (!shouldCheck(startMs)) return;
+    nextCheckMs = startMs + SERVER_CHECK_PERIOD_MS;
+    const status = await context.checkServer(server);
+    metrics.increment("server_check", { status });
+    // Data that arrived during the check shows that the exchange goes on.
+    if (isStopped || givenUpAs !== undefined || silentSinceMs > startMs) return;
+    unreachableCount = status === SERVER_STATUS.UNREACHABLE ? unreachableCount + 1 : 0;
+    if (status === SERVER_STATUS.LOST) giveUp("lost");
+    else if (options.isRepeatable && unreachableCount >= MAX_UNREACHABLE_CHECKS) {
+      giveUp("unreachable");
+    }
+  };
+
+  const timer = setInterval(() => void check(), SILENCE_POLL_MS);
+  return {
+    recordData() {
+      silentSinceMs = clock.nowMs();
+      allowedMs = options.pauseMs + SILENCE_SLACK_MS;
+      unreachableCount = 0;
+    },
+    givenUpAs: () => givenUpAs,
+    stop() {
+      isStopped = true;
+      clearInterval(timer);
+    },
+  };
+}
--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -27,7 +27,7 @@
   let isHeadSent = false;
 
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
-    const { answer, metadata, exchange, onFirstByte } = received;
+    const { answer, metadata, exchange, onChunk } = received;
     if (!metadata.isSealed || metadata.isEncoded) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
@@ -44,7 +44,7 @@
     const streamTimer = createStreamTimer(context, request);
     try {
       for await (const chunk of answer.body) {
-        onFirstByte();
+        onChunk();
         streamTimer.recordChunk();
         stallTimer.restart();
         for (const event of splitter.push(chunk)) {
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -11,6 +11,8 @@
 import type { Exchange } from "../open_exchange.ts";
 import type { Attempt, AttemptResult, AttemptState } from "./attempt.ts";
 import { chooseUrgency } from "./choose_urgency.ts";
+import { createSilenceWatch } from "./create_silence_watch.ts";
+import type { SilenceWatch } from "./create_silence_watch.ts";
 import { isRepeatable } from "./describe_job.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
 
@@ -48,9 +50,18 @@
   request.signal.addEventListener("abort", onAbort, { once: true });
   const firstByteTimer = startFirstByteTimer(context, request, {
     expectedMs: decision.expectedMs,
-    isLast: state.sendCount >= request.route.maxAttempts,
+    isLast: state.sendCount - state.lostCount >= request.route.maxAttempts,
     exchange,
   });
+  const silence = createSilenceWatch(context, {
+    requestId: request.id,
+    server,
+    // Memory that is reserved for a request must not outlast its engine, so that one is checked early.
+    expectedMs: options.reservation === undefined ? decision.expectedMs : 0,
+    pauseMs: request.route.pauseGoalMs,
+    isRepeatable: isRepeatable(request),
+    onGivenUp: exchange.cancel,
+  });
   try {
     const answer = await exchange.answer;
     const metadata = context.codec.readAnswer(answer.status, answer.headers);
@@ -64,16 +75,21 @@
       exchange.cancel();
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
-    const onFirstByte = () => {
+    const onChunk = () => {
       firstByteTimer.clear();
+      silence.recordData();
       context.placement.started(job.id);
     };
-    return await handler.handle({ answer, metadata, exchange, onFirstByte });
+    return await handler.handle({ answer, metadata, exchange, onChunk });
   } catch (err) {
     if (!(err instanceof ExchangeError)) throw err;
-    return classifyExchangeError(request, state, err, firstByteTimer.hasFired());
+    return classifyExchangeError(request, state, err, {
+      isTimedOut: firstByteTimer.hasFired(),
+      givenUpAs: silence.givenUpAs(),
+    });
   } finally {
     firstByteTimer.clear();
+    silence.stop();
     request.signal.removeEventListener("abort", onAbort);
     exchange.cancel();
   }
@@ -83,7 +99,10 @@
   request: CallerRequest,
   state: AttemptState,
   err: ExchangeError,
-  isTimedOut: boolean,
+  { isTimedOut, givenUpAs }: {
+    isTimedOut: boolean;
+    givenUpAs: ReturnType<SilenceWatch["givenUpAs"]>;
+  },
 ): AttemptResult {
   if (err.failure === EXCHANGE_FAILURE.NOT_CONNECTED) {
     state.sendCount -= 1;
@@ -94,6 +113,10 @@
   if (request.signal.aborted) {
     return { outcome: JOB_OUTCOME.CANCELLED, isDone: false, failure: FAILURE.DEADLINE };
   }
+  if (givenUpAs !== undefined) {
+    if (givenUpAs === "lost") state.lostCount += 1;
+    return { outcome: JOB_OUTCOME.SILENT, isDone: false, failure: FAILURE.SERVER_LOST };
+  }
   if (isTimedOut) {
     return { outcome: JOB_OUTCOME.SILENT, isDone: false, failure: FAILURE.SERVER_SILENT };
   }
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -1,14 +1,25 @@
 import type { ServerResponse } from "node:http";
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
-import type { CallerMetadata, Configuration, HeaderCodec, HeaderList, Route } from "../types.ts";
+import type {
+  CallerMetadata,
+  Configuration,
+  HeaderCodec,
+  HeaderList,
+  Route,
+  ServerStatus,
+} from "../types.ts";
 
 /** Id and address of a backend server. */
 export interface ForwardingServer {
   /** Id of the server's incarnation. */
   id: string;
+  /** Service that the server belongs to. */
+  service: string;
   /** IP address and port. */
   address: string;
+  /** Wall-clock time of the server's start, which distinguishes two starts under the same id. */
+  bornMs: number;
 }
 
 /** Chooses servers for requests, locally or through a hub. */
@@ -62,6 +73,8 @@
   findServer: (id: string) => ForwardingServer | undefined;
   /** Finds the id of the server at an address. */
   findServerAt: (address: string) => string | undefined;
+  /** Checks whether the process of a server that sends nothing is still there; never rejects. */
+  checkServer: (server: ForwardingServer) => Promise<ServerStatus>;
   /** Chooses servers for requests. */
   placement: PlacementClient;
   /** Reserves memory on helpers. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -30,6 +30,7 @@
 ): Promise<void> {
   const state: AttemptState = {
     sendCount: 0,
+    lostCount: 0,
     connectFailureCount: 0,
     mayHaveRun: false,
     excludedIds: [],
@@ -157,7 +158,7 @@
   if (request.endMs - context.clock.nowMs() < MIN_RETRY_REMAINING_MS) return false;
   if (state.connectFailureCount >= MAX_CONNECT_FAILURES) return false;
   if (state.sendCount === 0) return true;
-  if (state.sendCount >= request.route.maxAttempts) return false;
+  if (state.sendCount - state.lostCount >= request.route.maxAttempts) return false;
   return result.outcome === JOB_OUTCOME.REJECTED && !state.mayHaveRun
     ? true
     : isRepeatable(request);
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -7,8 +7,8 @@
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import { createForwarder } from "../create_forwarder.ts";
 import { indexConfiguration } from "../index_configuration.ts";
-import { ROUTE_KIND } from "../types.ts";
-import type { HeaderCodec, Route, RouteKind } from "../types.ts";
+import { ROUTE_KIND, SERVER_STATUS } from "../types.ts";
+import type { HeaderCodec, Route, RouteKind, ServerStatus } from "../types.ts";
 
 /** Answers a request that reaches a backend server of a test. */
 export type ServerBehaviour = (req: IncomingMessage, res: ServerResponse, body: string) => void;
@@ -33,6 +33,10 @@
   arrivals: { server: number; body: string; headers: IncomingMessage["headers"] }[];
   /** How the placed jobs ended, in order. */
   outcomes: JobOutcome[];
+  /** Number of checks of servers that sent nothing. */
+  checkCount(): number;
+  /** Number of released memory reservations. */
+  releaseCount(): number;
   /** Makes the host refuse new requests. */
   refuse(): void;
   /** Number of requests in progress. */
@@ -73,6 +77,14 @@
   isPublic?: boolean;
   /** Time that a memory reservation takes; if set, each placement needs a ticket. */
   reservationMs?: number;
+  /** Expected time to the first byte, as stated by placement; 10 ms by default. */
+  expectedMs?: number;
+  /** Target for the longest pause of streams; 100 ms by default. */
+  pauseGoalMs?: number;
+  /** Status of each server, by index; all are alive by default. */
+  serverStatus?: readonly ServerStatus[];
+  /** Start times of the servers now, by index, where they differ from those at the placement. */
+  restartedAtMs?: readonly (number | undefined)[];
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -90,6 +102,9 @@
   );
   const addresses = servers.map(addressOf);
   const outcomes: JobOutcome[] = [];
+  const placedIds = new Set<string>();
+  let checkCount = 0;
+  let releaseCount = 0;
   let isRefusing = false;
   const forwarder = createForwarder({
     clock: createClock(),
@@ -116,7 +131,16 @@
           idleTimeoutMs: 5_000,
         },
       }),
-    findServer: (id) => ({ id, address: addresses[Number(id)] ?? "127.0.0.1:1" }),
+    findServer: (id) => {
+      const restartedAtMs = placedIds.has(id) ? options.restartedAtMs?.[Number(id)] : undefined;
+      placedIds.add(id);
+      const address = addresses[Number(id)] ?? "127.0.0.1:1";
+      return { id, service: "s", address, bornMs: restartedAtMs ?? 1 };
+    },
+    checkServer: ({ id }) => {
+      checkCount += 1;
+      return Promise.resolve(options.serverStatus?.[Number(id)] ?? SERVER_STATUS.ALIVE);
+    },
     findServerAt: () => undefined,
     placement: {
       place: (job) =>
@@ -128,7 +152,7 @@
     reservations: {
       async reserve() {
         await wait(options.reservationMs);
-        return { tickets: new Map(), release: () => {} };
+        return { tickets: new Map(), release: () => void (releaseCount += 1) };
       },
     },
     isRefusing: () => isRefusing,
@@ -141,6 +165,8 @@
     outcomes,
     refuse: () => void (isRefusing = true),
     size: () => forwarder.size(),
+    checkCount: () => checkCount,
+    releaseCount: () => releaseCount,
     async close() {
       for (const server of [front, ...servers]) {
         server.close();
@@ -164,7 +190,7 @@
     helperIds: [],
     tickets: options.reservationMs === undefined ? [] : [{ serverId: "0", tokens: 1 }],
     partMs: 0,
-    expectedMs: 10,
+    expectedMs: options.expectedMs ?? 10,
   };
 }
 
@@ -176,7 +202,7 @@
     kind,
     timeoutMs: options.timeoutMs ?? 5_000,
     goalMs: 50,
-    pauseGoalMs: kind === ROUTE_KIND.STREAMING ? 100 : 0,
+    pauseGoalMs: kind === ROUTE_KIND.STREAMING ? options.pauseGoalMs ?? 100 : 0,
     patienceMs: 5_000,
     priority: 1,
     targets: [{ service: "s", weight: 1 }],
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -28,6 +28,21 @@
 /** Factor of the pause target after which a stream without a new chunk counts as interrupted. */
 export const STALL_TIMEOUT_FACTOR = 5;
 
+/** Silence of a server beyond the expected time after which its process is checked. */
+export const SILENCE_SLACK_MS = 700;
+
+/** Interval at which the silence of servers is looked at; a look costs no message. */
+export const SILENCE_POLL_MS = 250;
+
+/** Shortest time between two checks of a silent server for one request. */
+export const SERVER_CHECK_PERIOD_MS = 1_000;
+
+/**
+ * Unreachable checks in a row after which a repeatable request goes to another server. Engines give
+ * up an unreachable helper after 1.5 s.
+ */
+export const MAX_UNREACHABLE_CHECKS = 2;
+
 /** Time that must remain until the deadline for a retry at another server. */
 export const MIN_RETRY_REMAINING_MS = 100;
 
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -4,7 +4,7 @@
 import type { ExecutionContext } from "ava";
 import { createTestHost, resetConnection } from "./_testing/create_test_host.ts";
 import type { CallOptions, ServerBehaviour, TestHostOptions } from "./_testing/create_test_host.ts";
-import { ROUTE_KIND } from "./types.ts";
+import { ROUTE_KIND, SERVER_STATUS } from "./types.ts";
 
 const SEALED = { Attempt: "a1", Seal: "s" };
 
@@ -170,6 +170,93 @@
   t.snapshot(await runRequest(t, [() => {}, answer("in time")]));
 });
 
+/** Expected time to the first byte that makes the first-byte timeout longer than the tests. */
+const LONG_EXPECTED_MS = 3_000;
+
+const silent: ServerBehaviour = () => {};
+
+const answerAfter = (ms: number, body: string): ServerBehaviour => (_req, res) => {
+  setTimeout(() => res.writeHead(200, SEALED).end(body), ms);
+};
+
+test("a repeatable request leaves a silent server that is lost, also as its last attempt", async (t) => {
+  const options = {
+    expectedMs: LONG_EXPECTED_MS,
+    maxAttempts: 1,
+    restartedAtMs: [2],
+    serverStatus: [SERVER_STATUS.LOST],
+  };
+  const stream: ServerBehaviour = (_req, res) => void res.writeHead(200, SEALED).end(events(1, 2));
+  t.snapshot({
+    idempotent: await runRequest(t, [silent, answer("whole")], {}, options),
+    stream: await runRequest(t, [silent, stream], { kind: ROUTE_KIND.STREAMING }, options),
+  });
+});
+
+test("a non-idempotent request on a lost server fails before its deadline and is not repeated", async (t) => {
+  const call = { kind: ROUTE_KIND.NON_IDEMPOTENT, deadlineMs: 2_900 };
+  const options = { maxAttempts: 2, restartedAtMs: [2], serverStatus: [SERVER_STATUS.LOST] };
+  t.snapshot(await runRequest(t, [silent, answer("twice")], call, options));
+});
+
+test("a stream goes on at another server when its server is lost between two events", async (t) => {
+  const first: ServerBehaviour = (_req, res) => {
+    res.writeHead(200, SEALED).write(events(1, 2));
+  };
+  const rest: ServerBehaviour = (_req, res) => void res.writeHead(200, SEALED).end(events(3, 4));
+  const call = { kind: ROUTE_KIND.STREAMING };
+  const options = {
+    maxAttempts: 1,
+    pauseGoalMs: 1_000,
+    restartedAtMs: [2],
+    serverStatus: [SERVER_STATUS.LOST],
+  };
+  const { result, servers } = await runRequest(t, [first, rest], call, options);
+  t.is(result.body, events(1, 4));
+  t.deepEqual(servers, [0, 1]);
+});
+
+test("a slow server that is alive keeps its request, and is checked once a second at most", async (t) => {
+  const host = await createTestHost([answerAfter(2_800, "slow"), answer("other")], {
+    expectedMs: 700,
+    maxAttempts: 1,
+  });
+  t.teardown(() => host.close());
+  const { body } = await host.call({ deadlineMs: 4_000 });
+  t.deepEqual([body, host.arrivals.length], ["slow", 1]);
+  t.true(host.checkCount() > 0 && host.checkCount() <= 2, `${host.checkCount()} checks`);
+});
+
+test("a request leaves an unreachable server after several checks, but only if it may be repeated", async (t) => {
+  const options = {
+    expectedMs: LONG_EXPECTED_MS,
+    maxAttempts: 2,
+    restartedAtMs: [2],
+    serverStatus: [SERVER_STATUS.UNREACHABLE],
+  };
+  const behaviours = [answerAfter(4_500, "late"), answer("other")];
+  const call = { deadlineMs: 4_900 };
+  t.snapshot({
+    idempotent: await runRequest(t, behaviours, call, options),
+    nonIdempotent: await runRequest(t, behaviours, {
+      ...call,
+      kind: ROUTE_KIND.NON_IDEMPOTENT,
+    }, options),
+  });
+});
+
+test("memory is released when the server of its request is lost", async (t) => {
+  const host = await createTestHost([silent, answer("whole")], {
+    expectedMs: LONG_EXPECTED_MS,
+    reservationMs: 1,
+    serverStatus: [SERVER_STATUS.LOST],
+  });
+  t.teardown(() => host.close());
+  const { body } = await host.call();
+  await wait(50);
+  t.deepEqual([body, host.releaseCount()], ["whole", 2]);
+});
+
 test("a request is cancelled at the server when its caller disconnects", async (t) => {
   let isClosed = false;
   const host = await createTestHost([(_req, res) => {
--- a/packages/forwarding/errors.ts
+++ b/packages/forwarding/errors.ts
@@ -24,6 +24,7 @@
   SERVER_REJECTED: "server_rejected",
   SERVER_BROKE_OFF: "server_broke_off",
   SERVER_SILENT: "server_silent",
+  SERVER_LOST: "server_lost",
   INVALID_ANSWER: "invalid_answer",
   INTERNAL: "internal",
 } as const;
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -147,6 +147,19 @@
   isEncoded: boolean;
 }
 
+/** What a check of a server that sends nothing has found. */
+export const SERVER_STATUS = {
+  /** The server answers, so that it may still work on the request. */
+  ALIVE: "alive",
+  /** The process that got the request has ended. */
+  LOST: "lost",
+  /** No connection or no answer in time. */
+  UNREACHABLE: "unreachable",
+} as const;
+
+/** One of {@linkcode SERVER_STATUS}. */
+export type ServerStatus = typeof SERVER_STATUS[keyof typeof SERVER_STATUS];
+
 /** Header names and values in alternation, as in `rawHeaders` of Node.js. */
 export type HeaderList = string[];
 
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -52,5 +52,11 @@
 /** Time that a placement waits for the load reports of the engines. */
 export const PROBE_TIMEOUT_MS = 80;
 
+/** Time within which a silent server must answer a check. */
+export const SERVER_CHECK_TIMEOUT_MS = 500;
+
+/** Time for which the result of a check is shared by the requests that wait for the server. */
+export const SERVER_CHECK_CACHE_MS = 800;
+
 /** Largest number of engines that one probe asks. */
 export const MAX_PROBED_ENGINES = 16;
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -5,6 +5,7 @@
 import type { Forwarder } from "@jaypass/forwarding";
 import { CONNECTION_CHECK_MS, DIRECTORY_TTL_MS, MAX_HEADER_BYTES } from "./constants.ts";
 import { createReservations } from "./create_reservations.ts";
+import { createServerCheck } from "./create_server_check.ts";
 import type { HostContext } from "./host_context.ts";
 import { listen } from "./_lib/listen.ts";
 import { chooseAddresses } from "./choose_addresses.ts";
@@ -35,6 +36,12 @@
         configuration: () => view.configuration(),
         findServer: (id) => view.findServer(id),
         findServerAt: (address) => view.findServerAt(address),
+        checkServer: createServerCheck({
+          reports: adapter.reports,
+          clock,
+          log,
+          hasStatus: (service) => view.configuration()?.services.get(service)?.engine !== undefined,
+        }),
         placement,
         reservations: createReservations({
           engineMemory: adapter.engineMemory,
--- a/packages/forwarding_host/types.ts
+++ b/packages/forwarding_host/types.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis } from "@jaypass/kernel";
 import type { RowStore } from "@jaypass/fleet";
-import type { HeaderCodec } from "@jaypass/forwarding";
+import type { HeaderCodec, ServerStatus } from "@jaypass/forwarding";
 import type { ColdLimits, EngineReport, RetryLimits } from "@jaypass/placement";
 import type { ConfigurationDocument } from "@jaypass/forwarding";
 
@@ -61,6 +61,11 @@
 export interface EngineReports {
   /** Requests a report; rejects if the engine does not answer in time. */
   read(server: { address: string; serverId: string }, timeoutMs: Millis): Promise<EngineReport>;
+  /** Finds out whether the process of an engine is still there; never rejects. */
+  readStatus(
+    server: { address: string; serverId: string; bornMs: number },
+    timeoutMs: Millis,
+  ): Promise<ServerStatus>;
 }
 
 /** Request and answer formats of the directory and of readiness checks. */
