Close connections of servers that send bytes without end

Cause: the users' pages say that bytes that are no answer may come without end, in a head or a body, until the caller closes. Node.js bounds status lines, headers, chunk extensions and trailers; nothing bounded informational answers, the body of an error answer of a stream, an event without its end, events that repeat earlier ones, or events without ids.

Change: after 16 informational answers, 256 KiB of an error body, of one event or of repeated events, or at the first event without an id, the connection is closed, the server counts as failing, and the request goes to another server where its kind allows that; otherwise the caller gets 502.

The same from the store, from links and from callers is not tested yet.

--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -1,5 +1,5 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
-import { STALL_TIMEOUT_FACTOR } from "../constants.ts";
+import { MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES, STALL_TIMEOUT_FACTOR } from "../constants.ts";
 import { createEventSplitter } from "../create_event_splitter.ts";
 import { FAILURE } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
@@ -25,6 +25,13 @@
   const { route } = request;
   let lastEventId: number | undefined;
   let isHeadSent = false;
+  const invalidAnswer = (reason: string): AttemptResult => {
+    context.log.warn(
+      { requestId: request.id, lastEventId, reason },
+      "Server sent an invalid stream",
+    );
+    return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
+  };
 
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
     const { answer, metadata, exchange, onChunk } = received;
@@ -42,6 +49,7 @@
       exchange.cancel();
     });
     const streamTimer = createStreamTimer(context, request);
+    let repeatedBytes = 0;
     try {
       for await (const chunk of answer.body) {
         onChunk();
@@ -49,13 +57,17 @@
         stallTimer.restart();
         for (const event of splitter.push(chunk)) {
           // A server that resumes a stream may repeat events that the caller has already.
-          if (event.id !== undefined && lastEventId !== undefined && event.id <= lastEventId) {
+          if (event.id === undefined) return invalidAnswer("Event without an id");
+          if (lastEventId !== undefined && event.id <= lastEventId) {
+            repeatedBytes += event.bytes.length;
+            if (repeatedBytes > MAX_EVENT_BYTES) return invalidAnswer("Events are repeated");
             continue;
           }
           sendHeadOnce(received);
           await writeToCaller(request, event.bytes);
-          lastEventId = event.id ?? lastEventId;
+          lastEventId = event.id;
         }
+        if (splitter.rest().length > MAX_EVENT_BYTES) return invalidAnswer("Event is too long");
       }
     } finally {
       stallTimer.clear();
@@ -83,7 +95,12 @@
 
   const handleFailure = async (answer: ServerAnswer): Promise<AttemptResult> => {
     const chunks: Buffer[] = [];
-    for await (const chunk of answer.body) chunks.push(chunk);
+    let length = 0;
+    for await (const chunk of answer.body) {
+      chunks.push(chunk);
+      length += chunk.length;
+      if (length > MAX_BUFFERED_ANSWER_BYTES) return invalidAnswer("Error answer is too long");
+    }
     const deliver = () => {
       if (isHeadSent) return void request.res.destroy();
       const body = Buffer.concat(chunks);
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -13,6 +13,12 @@
 /** Answers that are not streamed are buffered up to this size, so that they can be retried. */
 export const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
+/** Informational answers (status 1xx) of one exchange after which the server counts as faulty. */
+export const MAX_INFORMATIONAL_ANSWERS = 16;
+
+/** Longest event of a stream, and longest sequence of repeated events that is skipped. */
+export const MAX_EVENT_BYTES = 262_144;
+
 /** Total size of the request bodies that a host buffers at a time. */
 export const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
 
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { Millis } from "@jaypass/kernel";
+import { MAX_INFORMATIONAL_ANSWERS } from "./constants.ts";
 import type { HeaderList } from "./types.ts";
 
 /** Methods whose requests usually have no body; an empty one then needs no `Content-Length`. */
@@ -125,6 +126,13 @@
       if (response?.complete === false) bodyError = err;
       reject(createExchangeError(err));
     });
+    let informationalCount = 0;
+    req.on("information", () => {
+      informationalCount += 1;
+      if (informationalCount > MAX_INFORMATIONAL_ANSWERS) {
+        req.destroy(new Error("Too many informational answers"));
+      }
+    });
     req.once("response", (res: IncomingMessage) => {
       // A later socket error is thrown by the body's iteration, or concerns bytes after its end.
       res.on("error", () => {});
