--- a/packages/fleet/_lib/json_link.ts
+++ b/packages/fleet/_lib/json_link.ts
@@ -1,7 +1,7 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Millis } from "@jaypass/kernel";
-import { LINK_MAX_BUFFER_BYTES } from "../constants.ts";
+import { LINK_MAX_BUFFER_BYTES, LINK_MAX_LINE_CHARACTERS } from "../constants.ts";
 import { LinkError } from "../errors.ts";
 import { decodeMessage, encodeMessage } from "./encode_message.ts";
 
@@ -55,14 +55,20 @@
 async function* readMessages<In>(socket: Socket, onChunk: () => void): AsyncGenerator<In> {
   // The chunks of a line are joined only once, at its end, because a large table takes many chunks.
   let parts: string[] = [];
+  let length = 0;
   try {
     for await (const chunk of socket.setEncoding("utf8")) {
       onChunk();
       const [end = "", ...lines] = chunk.split("\n");
       parts.push(end);
+      length += end.length;
       for (const line of lines) {
         yield decodeMessage<In>(parts.join(""));
         parts = [line];
+        length = line.length;
+      }
+      if (length > LINK_MAX_LINE_CHARACTERS) {
+        throw new LinkError("Peer sent a line that is too long");
       }
     }
   } catch (err) {
--- a/packages/fleet/_lib/json_link_test.ts
+++ b/packages/fleet/_lib/json_link_test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import test from "ava";
 import type { ExecutionContext } from "ava";
+import { LINK_MAX_LINE_CHARACTERS } from "../constants.ts";
 import { LinkError } from "../errors.ts";
 import { createJsonLink } from "./json_link.ts";
 
@@ -39,3 +40,19 @@
   for await (const message of link.messages()) seen.push(message.at);
   t.deepEqual(seen, [1, 2]);
 });
+
+test("a link fails when its peer sends a line without end", async (t) => {
+  const [near, far] = await createPair(t);
+  const link = createJsonLink<unknown, unknown>(near, { idleTimeoutMs: 5_000 });
+  far.on("error", () => {});
+  const block = "x".repeat(65_536);
+  const write = () => {
+    while (far.write(block));
+  };
+  far.on("drain", write);
+  write();
+  const err = await t.throwsAsync(() => link.messages().next(), { instanceOf: LinkError });
+  t.is((err?.cause as Error | undefined)?.message, "Peer sent a line that is too long");
+  link.close();
+  t.true(far.bytesWritten < 4 * LINK_MAX_LINE_CHARACTERS, `${far.bytesWritten} bytes`);
+});
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -80,5 +80,11 @@
 /** Milliseconds of failed calls from which a failure of the store counts as an outage. */
 export const OUTAGE_MIN_MS = 800;
 
+/**
+ * Longest line that is read from a link. The longest regular one has the rows of a whole table, which
+ * the sender compresses.
+ */
+export const LINK_MAX_LINE_CHARACTERS = 4 * 1024 * 1024;
+
 /** Bytes that may be buffered on a link before it is closed because its peer reads too slowly. */
 export const LINK_MAX_BUFFER_BYTES = 4 * 1024 * 1024;
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -125,7 +125,7 @@
         services: [{ name: "s", coldRequestsPerS: 0 }],
         workspaces: [{ name: "w1", keys: ["k1"] }],
         limits: {
-          maxHeaderBytes: 16_384,
+          maxHeaderBytes: 8_192,
           maxBodyBytes: 1_000_000,
           headerTimeoutMs: 1_000,
           idleTimeoutMs: 5_000,
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -95,6 +95,9 @@
       retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS,
     });
   }
+  if (countHeaderBytes(req) > configuration.limits.maxHeaderBytes) {
+    throw new ForwardingError(431, FAILURE.HEADERS_TOO_LARGE);
+  }
   const route = matchRoute(configuration, req.headers.host, req.url ?? "/");
   if (route === undefined) throw new ForwardingError(404, FAILURE.UNKNOWN_ROUTE);
   const metadata = context.codec.readCaller(req.rawHeaders);
@@ -107,6 +110,13 @@
   return { metadata, configuration, route, service, workspace };
 }
 
+/** Counts the bytes of the request line and the headers, each with its line end. */
+function countHeaderBytes({ method = "", url = "", rawHeaders }: IncomingMessage): number {
+  const requestLine = `${method} ${url} HTTP/1.1\r\n`.length;
+  // A name or a value is followed by ": " or by a line end.
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, requestLine);
+}
+
 function findWorkspace(
   configuration: Configuration,
   route: Route,
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -314,6 +314,11 @@
   t.snapshot(await runRequest(t, [answer("")], { body: "x".repeat(1_000_001) }));
 });
 
+test("headers longer than the configured limit are refused and sent to no server", async (t) => {
+  const path = `/idempotent/${"x".repeat(8_192)}`;
+  t.snapshot(await runRequest(t, [answer("")], { path }));
+});
+
 test("a stopping host refuses new requests with 503 and sends them to no server", async (t) => {
   const host = await createTestHost([answer("")]);
   t.teardown(() => host.close());
