State by which limit a request ended without floating-point rounding

Cause: the failure at the deadline was derived from endMs - arrivalMs >= timeoutMs. The difference of the two monotonic times can be a rounding error below the timeout, and a route timeout was then logged and answered as the caller's deadline.

Change: the failure is chosen when the limit is computed.

--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
+import type { Failure } from "../errors.ts";
 import type {
   CallerMetadata,
   Configuration,
@@ -111,6 +112,8 @@
   arrivalMs: Millis;
   /** Monotonic time of the deadline. */
   endMs: Millis;
+  /** Failure at the deadline, which states whether the caller or the route has set it. */
+  endFailure: Failure;
   /** Aborted when the caller disconnects or the deadline passes. */
   signal: AbortSignal;
   /** The answer to the caller. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -185,8 +185,7 @@
 }
 
 function createDeadlineError(request: CallerRequest): ForwardingError {
-  const isTimeout = request.endMs - request.arrivalMs >= request.route.timeoutMs;
-  return new ForwardingError(504, isTimeout ? FAILURE.ROUTE_TIMEOUT : FAILURE.DEADLINE);
+  return new ForwardingError(504, request.endFailure);
 }
 
 function createFailureError(
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -160,6 +160,7 @@
     fingerprint: computeFingerprint(req, metadata, body),
     arrivalMs,
     endMs: arrivalMs + timeoutMs,
+    endFailure: timeoutMs < route.timeoutMs ? FAILURE.DEADLINE : FAILURE.ROUTE_TIMEOUT,
     signal: controller.signal,
     res,
   };
