Wake idle hosts less often

Cause: every host checked 20 times a second whether it must read the store and whether it has queued prompts, and 10 times a second filtered and sorted all hosts to choose its hubs, although nothing had changed.

Change: hubs are chosen again only when the hosts, the own state or a deferred hub have changed; the checks of members run every 200 ms.

--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -144,14 +144,7 @@
   const deferRetry = (entry: HostEntry) =>
     void retryAtMs.set(processKey(entry), clock.nowMs() + HUB_RETRY_DELAY_MS);
 
-  const isRetryDeferred = (entry: HostEntry): boolean => {
-    const key = processKey(entry);
-    const untilMs = retryAtMs.get(key);
-    if (untilMs === undefined) return false;
-    if (untilMs > clock.nowMs()) return true;
-    retryAtMs.delete(key);
-    return false;
-  };
+  const isRetryDeferred = (entry: HostEntry): boolean => retryAtMs.has(processKey(entry));
 
   const closeHub = (hub: Hub) => {
     hubs.delete(hub.entry.host);
@@ -239,7 +232,26 @@
     } else tasks.run(`link to hub ${entry.host}`, () => runLink(hub));
   };
 
+  /** State that the current selection was made from; the same state gives the same selection. */
+  let selectedFrom: { hosts: HostEntry[]; isDraining: boolean } | undefined;
+
+  /** Reports whether hosts, this host's own state or the deferred hubs have changed. */
+  const isSelectionOutdated = () => {
+    const hosts = options.knownHosts();
+    const isDraining = options.isDraining();
+    // Each change of the known hosts gives a new list.
+    const isUnchanged = selectedFrom?.hosts === hosts && selectedFrom.isDraining === isDraining;
+    selectedFrom = { hosts, isDraining };
+    return !isUnchanged || retryAtMs.size > 0 || hubOrder.some((host) => !hubs.has(host));
+  };
+
+  const removeExpiredDeferrals = () => {
+    for (const [key, untilMs] of retryAtMs) if (untilMs <= clock.nowMs()) retryAtMs.delete(key);
+  };
+
   const selectHubs = () => {
+    if (!isSelectionOutdated()) return;
+    removeExpiredDeferrals();
     const candidates = options.knownHosts().filter((entry) =>
       isSelf(entry.host) ? !options.isDraining() : !isRetryDeferred(entry)
     );
--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -45,8 +45,11 @@
   recoveredAgoMs(): Millis;
 }
 
-/** Milliseconds between two checks of `shouldFollow` while the host does not read the store. */
-const IDLE_CHECK_MS = 50;
+/**
+ * Milliseconds between two checks of `shouldFollow` while the host does not read the store. Each check
+ * wakes the process, on every host.
+ */
+const IDLE_CHECK_MS = 200;
 
 /**
  * Keeps a host up to date with the tables of the store, with one long-polling task for each table.
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -43,6 +43,9 @@
 /** Log lines per second above which lines below warning level are dropped and counted. */
 export const MAX_LOG_LINES_PER_S = 100;
 
+/** Interval at which a host that is not a hub checks whether it has become one. */
+export const HUB_CHECK_INTERVAL_MS = 200;
+
 /** Interval at which a hub probes the engines while some host has no link to it. */
 export const HUB_PROBE_MS = 1_000;
 
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -4,7 +4,7 @@
 import type { HostEntry } from "@jaypass/fleet";
 import { createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
 import type { PlacementServer } from "@jaypass/placement";
-import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
+import { HUB_CHECK_INTERVAL_MS, HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
 import { createClusterView } from "./create_cluster_view.ts";
 import type { ClusterView } from "./create_cluster_view.ts";
 import { createHubScheduler } from "./create_hub_scheduler.ts";
@@ -113,7 +113,8 @@
   });
   tasks.run("dispatch queued prompts", async (signal) => {
     while (!signal.aborted) {
-      await sleep(QUEUE_CHECK_INTERVAL_MS, signal);
+      // Only hubs have queued prompts. Each check wakes the process, on every host.
+      await sleep(fleet.isHub() ? QUEUE_CHECK_INTERVAL_MS : HUB_CHECK_INTERVAL_MS, signal);
       hubPlacer.dispatchReady();
     }
   });
