Let the periodic work of a host wake it on common ticks

Change: sleepUntilTick waits until the next multiple of an interval, and the periodic tasks use multiples of 300 ms. A failed link to a hub causes a new selection at once instead of at the next review.

--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -50,8 +50,14 @@
  */
 export const FALLBACK_STAGGER_MS = 100;
 
-/** Milliseconds between two view messages of a hub. */
-export const VIEW_INTERVAL_MS = 300;
+/**
+ * Milliseconds between two wake-ups for periodic work of the fleet. The intervals below are multiples
+ * of it.
+ */
+export const FLEET_TICK_MS = 300;
+
+/** Milliseconds between two view messages of a hub, and between two pings of a member. */
+export const VIEW_INTERVAL_MS = FLEET_TICK_MS;
 
 /** Milliseconds without a received message after which a link is closed. */
 export const LINK_IDLE_TIMEOUT_MS = 1_000;
@@ -62,14 +68,14 @@
 /** Milliseconds for which a host that could not be reached is not selected as a hub again. */
 export const HUB_RETRY_DELAY_MS = 2_000;
 
-/** Milliseconds between two selections of the hubs. */
-export const HUB_SELECTION_INTERVAL_MS = 100;
+/** Milliseconds between two reviews of the hubs; a failed link causes a review at once. */
+export const HUB_SELECTION_INTERVAL_MS = FLEET_TICK_MS;
 
 /** Hubs of a host: the primary, which places its jobs, and a standby. */
 export const HUB_COUNT = 2;
 
 /** Milliseconds between two invitations of a hub to a host that has a row but no link. */
-export const INVITE_INTERVAL_MS = 1_000;
+export const INVITE_INTERVAL_MS = 3 * FLEET_TICK_MS;
 
 /** Milliseconds without a link after which a hub removes a host's row. */
 export const HOST_ROW_EXPIRY_MS = 30_000;
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -1,4 +1,4 @@
-import { sleep } from "@jaypass/kernel";
+import { sleep, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, Millis, RandomSource, TaskGroup } from "@jaypass/kernel";
 import {
   HOST_ROW_EXPIRY_MS,
@@ -190,7 +190,7 @@
           log.warn({ err: String(err) }, "Writing host row failed; retrying");
         }
       }
-      await sleep(INVITE_INTERVAL_MS, signal);
+      await sleepUntilTick(INVITE_INTERVAL_MS, { clock, signal });
     }
   };
 
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -1,4 +1,4 @@
-import { sleep } from "@jaypass/kernel";
+import { sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Millis, TaskGroup } from "@jaypass/kernel";
 import { chooseHubs } from "./choose_hubs.ts";
 import {
@@ -208,6 +208,7 @@
       log.info({ hub: entry.host, err: String(err) }, "Link to hub failed");
       deferRetry(entry);
       closeHub(hub);
+      selectHubs();
     }
   };
 
@@ -283,6 +284,7 @@
     if (hub.timeouts < MAX_CONSECUTIVE_TIMEOUTS || hubs.get(hub.entry.host) !== hub) return;
     deferRetry(hub.entry);
     closeHub(hub);
+    selectHubs();
   };
 
   const requestPlacement = (hub: Hub, job: Job, timeouts: PlaceTimeouts) =>
@@ -325,12 +327,12 @@
   tasks.run("review hubs", async (signal) => {
     while (!signal.aborted) {
       selectHubs();
-      await sleep(HUB_SELECTION_INTERVAL_MS, signal);
+      await sleepUntilTick(HUB_SELECTION_INTERVAL_MS, { clock, signal });
     }
   });
   tasks.run("ping hubs", async (signal) => {
     while (!signal.aborted) {
-      await sleep(VIEW_INTERVAL_MS, signal);
+      await sleepUntilTick(VIEW_INTERVAL_MS, { clock, signal });
       const isDraining = options.isDraining();
       for (const hub of hubs.values()) hub.link?.send({ type: "ping", isDraining });
     }
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -1,7 +1,7 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { once } from "node:events";
-import { sleep } from "@jaypass/kernel";
+import { sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Millis, TaskGroup } from "@jaypass/kernel";
 import {
   INVITE_INTERVAL_MS,
@@ -230,7 +230,7 @@
       await once(server, "listening");
       tasks.run("send views", async (signal) => {
         while (!signal.aborted) {
-          await sleep(VIEW_INTERVAL_MS, signal);
+          await sleepUntilTick(VIEW_INTERVAL_MS, { clock, signal });
           const change = hostsDiff.takeChange();
           if (change !== undefined) broadcast({ type: "hosts", change });
           broadcast(describeView());
@@ -238,7 +238,7 @@
       });
       tasks.run("invite hosts", async (signal) => {
         while (!signal.aborted) {
-          await sleep(INVITE_INTERVAL_MS, signal);
+          await sleepUntilTick(INVITE_INTERVAL_MS, { clock, signal });
           if (!options.isHub()) continue;
           const unlinked = options.knownHosts()
             .filter((entry) => entry.host !== self.host && !members.has(entry.host));
--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -1,6 +1,7 @@
-import { sleep } from "@jaypass/kernel";
+import { sleep, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, Millis, RandomSource, TaskGroup } from "@jaypass/kernel";
 import {
+  FLEET_TICK_MS,
   OUTAGE_MIN_MS,
   SERVERS_LONG_POLL_MS,
   SERVERS_POLL_DELAY_MS,
@@ -45,12 +46,6 @@
   recoveredAgoMs(): Millis;
 }
 
-/**
- * Milliseconds between two checks of `shouldFollow` while the host does not read the store. Each check
- * wakes the process, on every host.
- */
-const IDLE_CHECK_MS = 200;
-
 /**
  * Keeps a host up to date with the tables of the store, with one long-polling task for each table.
  * A task is idle while `shouldFollow` returns false.
@@ -140,7 +135,7 @@
     tasks.run(`follow ${table}`, async (signal) => {
       while (!signal.aborted) {
         if (options.shouldFollow() && mayRead(table)) await followOnce(table, signal);
-        else await sleep(IDLE_CHECK_MS, signal);
+        else await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
       }
     });
   }
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { FLEET_TICK_MS } from "@jaypass/fleet";
+
 /** Time within which a hub must answer a placement; an unloaded round trip takes under 5 ms. */
 export const PLACEMENT_TIMEOUT_MS = 60;
 
@@ -38,16 +40,13 @@
 export const RESERVATION_RENEW_MS = 1_000;
 
 /** Interval of the checks for servers that are still missing after a store outage. */
-export const MISSING_SERVER_CHECK_MS = 250;
+export const MISSING_SERVER_CHECK_MS = FLEET_TICK_MS;
 
 /** Log lines per second above which lines below warning level are dropped and counted. */
 export const MAX_LOG_LINES_PER_S = 100;
 
-/** Interval at which a host that is not a hub checks whether it has become one. */
-export const HUB_CHECK_INTERVAL_MS = 200;
-
 /** Interval at which a hub probes the engines while some host has no link to it. */
-export const HUB_PROBE_MS = 1_000;
+export const HUB_PROBE_MS = 3 * FLEET_TICK_MS;
 
 /** Time for which the results of a probe are reused by further placements. */
 export const PROBE_CACHE_MS = 400;
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -1,10 +1,10 @@
-import { sleep } from "@jaypass/kernel";
+import { sleep, sleepUntilTick } from "@jaypass/kernel";
 import type { ServiceDefinition } from "@jaypass/kernel";
-import { createFleet } from "@jaypass/fleet";
+import { createFleet, FLEET_TICK_MS } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
 import { createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
 import type { PlacementServer } from "@jaypass/placement";
-import { HUB_CHECK_INTERVAL_MS, HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
+import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
 import { createClusterView } from "./create_cluster_view.ts";
 import type { ClusterView } from "./create_cluster_view.ts";
 import { createHubScheduler } from "./create_hub_scheduler.ts";
@@ -30,7 +30,7 @@
       await cluster.fleet.start();
       tasks.run("remove missing servers", async (signal) => {
         while (!signal.aborted) {
-          await sleep(MISSING_SERVER_CHECK_MS, signal);
+          await sleepUntilTick(MISSING_SERVER_CHECK_MS, { clock: context.clock, signal });
           cluster.view.removeMissingServers();
         }
       });
@@ -113,14 +113,15 @@
   });
   tasks.run("dispatch queued prompts", async (signal) => {
     while (!signal.aborted) {
-      // Only hubs have queued prompts. Each check wakes the process, on every host.
-      await sleep(fleet.isHub() ? QUEUE_CHECK_INTERVAL_MS : HUB_CHECK_INTERVAL_MS, signal);
+      // Only hubs have queued prompts.
+      if (fleet.isHub()) await sleep(QUEUE_CHECK_INTERVAL_MS, signal);
+      else await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
       hubPlacer.dispatchReady();
     }
   });
   tasks.run("probe load of unlinked hosts", async (signal) => {
     while (!signal.aborted) {
-      await sleep(HUB_PROBE_MS, signal);
+      await sleepUntilTick(HUB_PROBE_MS, { clock, signal });
       // Hosts without a link place requests locally; only the engines' reports show that load.
       if (fleet.isHub() && fleet.unlinkedHostCount() > 0) await probe.refresh();
     }
--- a/packages/kernel/mod.ts
+++ b/packages/kernel/mod.ts
@@ -17,4 +17,5 @@
 export * from "./limit_log_rate.ts";
 export * from "./service_name.ts";
 export * from "./sleep.ts";
+export * from "./sleep_until_tick.ts";
 export * from "./types.ts";
