Review the hubs when the known hosts change

Cause: since the reviews run on ticks of 300 ms, a host that starts was its own hub for up to 300 ms after it had read the other hosts (100 ms before).

Change: the first read of the hosts causes a review at once, later changes one after 50 ms.

--- a/packages/fleet/_testing/start_fleet_hosts.ts
+++ b/packages/fleet/_testing/start_fleet_hosts.ts
@@ -6,7 +6,7 @@
 import { createFleet } from "../create_fleet.ts";
 import type { Fleet } from "../create_fleet.ts";
 import { TABLE } from "../types.ts";
-import type { HostEntry } from "../types.ts";
+import type { HostEntry, Table } from "../types.ts";
 import { createMemoryStore } from "./create_memory_store.ts";
 import type { MemoryStore } from "./create_memory_store.ts";
 
@@ -67,6 +67,7 @@
   store: MemoryStore,
   entry: HostEntry,
   currentReports: () => string[] = () => [],
+  onChange: (table: Table, fleet: TestFleet) => void = () => {},
 ): Promise<TestHost> {
   const reports: string[] = [];
   const tasks = createTaskGroup({ onError: (name, err) => t.log(name, err) });
@@ -84,7 +85,7 @@
     },
     currentReports,
     createCancelReport: (job) => `cancelled ${job}`,
-    onChange: () => {},
+    onChange: (table) => onChange(table, fleet),
     clock: createClock(),
     random: Math.random,
     log: LOG,
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -68,7 +68,13 @@
 /** Milliseconds for which a host that could not be reached is not selected as a hub again. */
 export const HUB_RETRY_DELAY_MS = 2_000;
 
-/** Milliseconds between two reviews of the hubs; a failed link causes a review at once. */
+/**
+ * Milliseconds from a change of the known hosts to the review of the hubs, so that the rows of hosts
+ * that start together cause one review.
+ */
+export const HUB_REVIEW_DELAY_MS = 50;
+
+/** Milliseconds between two reviews of the hubs without a change or a failed link. */
 export const HUB_SELECTION_INTERVAL_MS = FLEET_TICK_MS;
 
 /** Hubs of a host: the primary, which places its jobs, and a standby. */
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -107,7 +107,10 @@
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
     const changed = cache.apply(table, batch);
     if (changed.length === 0) return;
-    if (table === TABLE.HOSTS) known = readKnownHosts();
+    if (table === TABLE.HOSTS) {
+      known = readKnownHosts();
+      hubClient.reviewHubs({ isFirstRead: sinceRevision === undefined });
+    }
     options.onChange(table, changed);
     const revision = cache.revision(table) ?? batch.revision;
     const changes: RowBatch = { revision, rows: changed, isWhole: false, sinceRevision };
--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -181,3 +181,17 @@
   // Until then two hubs place jobs, and neither knows the placements of the other.
   t.true(clock.nowMs() - startMs < 1_000, `${clock.nowMs() - startMs} ms`);
 });
+
+test("a host that starts is no hub of its own as soon as it has read the hosts", async (t) => {
+  const { store, members: [member] } = await startHosts(t, 4);
+  if (member === undefined) return t.fail();
+  await member.kill();
+  const wasHub: boolean[] = [];
+  const entry = { ...member.entry, incarnation: "again" };
+  await startHost(t, store, entry, () => [], (table, fleet) => {
+    if (table === TABLE.HOSTS) wasHub.push(fleet.isHub());
+  });
+  await waitUntil(() => wasHub.length > 0);
+  // Until then the host places its requests without knowing those of the others.
+  t.deepEqual(wasHub[0], false);
+});
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -3,6 +3,7 @@
 import { chooseHubs } from "./choose_hubs.ts";
 import {
   HUB_RETRY_DELAY_MS,
+  HUB_REVIEW_DELAY_MS,
   HUB_SELECTION_INTERVAL_MS,
   LINK_CONNECT_TIMEOUT_MS,
   LINK_IDLE_TIMEOUT_MS,
@@ -65,6 +66,8 @@
   report(report: Report, options?: { except?: string }): void;
   /** Sends changed rows to the hubs. */
   sendRows(table: Table, batch: RowBatch): void;
+  /** Reviews the hubs after a change of the known hosts, at once after the first read of them. */
+  reviewHubs(options: { isFirstRead: boolean }): void;
   /** Tells the hubs that this host has just read the servers table. */
   notifyServersRead(): void;
   /** True while this host has to read the store itself. */
@@ -135,6 +138,7 @@
   const retryAtMs = new Map<string, Millis>();
   let hubOrder: string[] = [];
   let nextCallNumber = 1;
+  let reviewTimer: NodeJS.Timeout | undefined;
 
   const isSelf = (host: string) => host === self.host;
 
@@ -358,6 +362,13 @@
     sendRows(table, batch) {
       for (const hub of hubs.values()) hub.link?.send({ type: "rows", table, batch });
     },
+    reviewHubs({ isFirstRead }) {
+      if (isFirstRead) return selectHubs();
+      reviewTimer ??= setTimeout(() => {
+        reviewTimer = undefined;
+        selectHubs();
+      }, HUB_REVIEW_DELAY_MS);
+    },
     notifyServersRead() {
       for (const hub of hubs.values()) hub.link?.send({ type: "fresh" });
     },
@@ -382,6 +393,7 @@
     },
     isHub: () => hubs.has(self.host),
     stop() {
+      clearTimeout(reviewTimer);
       for (const hub of [...hubs.values()]) closeHub(hub);
     },
   };
