Count a long prompt as urgent by the time that it needs under load

Where only few engines may be taken, the prefill takes several times as long.

Change: the expected time of the best current choice counts, if that is longer.

--- a/packages/placement/create_long_prompt_queue.ts
+++ b/packages/placement/create_long_prompt_queue.ts
@@ -101,8 +101,9 @@
     if (isReady(choice)) return true;
     if (choice.expectedMs > remainingMs(entry)) return false;
     const weight = computeWeight(entry.job);
-    const isDeadlineClose =
-      deadlineSlackMs(entry) <= DEADLINE_MARGIN_MS + callbacks.minPrefillMs(entry.job);
+    // Under load, the engines that may be taken need several times the shortest time.
+    const neededMs = Math.max(choice.expectedMs, 2 * callbacks.minPrefillMs(entry.job));
+    const isDeadlineClose = remainingMs(entry) <= DEADLINE_MARGIN_MS + neededMs;
     if (isDeadlineClose) return choice.delayCost <= URGENT_MAX_DELAY_COST_SHARE * weight;
     const latenessCost = LATE_COST_SHARE * weight;
     if (slackMs >= 0) {
--- a/packages/placement/create_long_prompt_queue_test.ts
+++ b/packages/placement/create_long_prompt_queue_test.ts
@@ -87,6 +87,31 @@
   t.true((placedAtMs[0] ?? Infinity) <= 13_000, String(placedAtMs[0]));
 });
 
+test("a late prompt is placed while its answer can still arrive, if few engines may be taken", async (t) => {
+  const { place, placer, clock, review } = setUp(8);
+  // Streams on all engines but two would miss their pause goals beside a part of the long prompt.
+  for (let server = 1; server <= 6; server++) {
+    const excludedIds = makeServers(8).map(({ id }) => id).filter((id) => id !== `s${server}`);
+    for (let count = 0; count < 6; count++) {
+      const id = `writer${server}.${count}`;
+      place(makeJob({ id, promptTokens: 20_000, excludedIds, pauseGoalMs: 100 }));
+      placer.started(id);
+    }
+  }
+  const taken = makeJob({ id: "taken", promptTokens: 300_000, ...GOALS, excludedIds: [] });
+  place(taken);
+  place(makeJob({ id: "late", promptTokens: 300_000, ...GOALS, elapsedMs: 5_000 }));
+  const startMs = clock.nowMs();
+  while (
+    !(await review()).some((id) => id.startsWith("late")) && clock.nowMs() < startMs + 15_000
+  ) {
+    clock.advance(50);
+    if (clock.nowMs() === startMs + 2_500) placer.finished("taken", JOB_OUTCOME.ANSWERED);
+  }
+  t.true((await review()).includes("late"), String(await review()));
+  t.log(clock.nowMs() - startMs);
+});
+
 test("a prompt that cannot be prefilled before its deadline is refused at once", async (t) => {
   const { place, review } = setUp(2);
   t.is(place(makeJob({ id: "late", promptTokens: 180_000, remainingMs: 500 })), "at once");
