Keep short prompts from engines that cannot answer before their callers leave

Cause: a short prompt was sent to the best engine with a free slot even when its first byte was expected after the caller's patience.

Change: such a prompt waits for any other engine and is refused, not run, once none can answer in time. One review of the slot queue tries at most 8 prompts of a service in vain, because each try looks at all engines.

Measured: two new tests fail before and pass after.

--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -119,6 +119,12 @@
 /** Milliseconds kept before the deadline of a late prompt in addition to its prefill and answer. */
 export const DEADLINE_MARGIN_MS = 2_500;
 
+/**
+ * Queued prompts of a service that are tried in vain in one review of the slot queue. Each try looks at
+ * all engines of the service.
+ */
+export const MAX_VAIN_TRIES = 8;
+
 /** Interval in milliseconds at which queued prompts are checked. */
 export const QUEUE_CHECK_INTERVAL_MS = 50;
 
--- a/packages/placement/create_long_prompt_queue_test.ts
+++ b/packages/placement/create_long_prompt_queue_test.ts
@@ -177,3 +177,24 @@
   placer.finished("w1", JOB_OUTCOME.ANSWERED);
   t.true((await review()).includes("short"));
 });
+
+/** A prompt whose prefill on one engine takes about 3.1 s. */
+const ENGINE_FILLING = { promptTokens: 160_000, ...GOALS };
+
+test("a short prompt waits rather than for a prefill that outlasts its caller's patience", async (t) => {
+  const { place, placer, clock, review } = setUp(1);
+  place(makeJob({ id: "long", ...ENGINE_FILLING }));
+  t.is(place(makeJob({ id: "short", remainingMs: 2_000 })), "waits");
+  clock.advance(1_500);
+  t.deepEqual(await review(), ["long"]);
+  placer.finished("long", JOB_OUTCOME.CANCELLED);
+  t.deepEqual(await review(), ["long", "short"]);
+});
+
+test("a short prompt is refused when no engine can answer before its caller leaves", async (t) => {
+  const { place, clock, review } = setUp(1);
+  place(makeJob({ id: "long", ...ENGINE_FILLING }));
+  place(makeJob({ id: "short", remainingMs: 2_000 }));
+  clock.advance(1_950);
+  t.deepEqual(await review(), ["long", "short unservable"]);
+});
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -168,14 +168,15 @@
 
   /**
    * Places a prompt on an engine with a free slot. A prompt that would be late there waits for a
-   * slot of another engine as long as it could still meet its goal there.
+   * slot of another engine as long as it could still meet its goal there, and one whose caller would
+   * leave before the first byte waits for any other engine.
    */
   const dispatchToSlot = (job: PlacementJob): PlacementDecision | undefined => {
     const available = registry.listAvailable(job);
     const free = available.filter(hasFreeSlot);
     if (free.length === 0) return undefined;
     const choice = choose(job, free, { waitedMs: job.elapsedMs, remainingMs: job.remainingMs });
-    if (choice === undefined) return undefined;
+    if (choice === undefined || choice.expectedMs > job.remainingMs) return undefined;
     const canMeetGoal = job.elapsedMs + slotToFirstByteMs(job) <= job.goalMs;
     const hasFullEngines = free.length < available.length;
     if (!choice.isOnTime && canMeetGoal && hasFullEngines) return undefined;
--- a/packages/placement/create_slot_queue.ts
+++ b/packages/placement/create_slot_queue.ts
@@ -1,6 +1,7 @@
 import type { Clock, Millis } from "@jaypass/kernel";
 import { createWaitingJobs } from "./_lib/create_waiting_jobs.ts";
 import type { WaitingJob } from "./_lib/create_waiting_jobs.ts";
+import { MAX_VAIN_TRIES } from "./constants.ts";
 import type { PlacementDecision, PlacementJob } from "./types.ts";
 
 /** Functions through which the queue reads engine state and decides on jobs. */
@@ -74,6 +75,7 @@
     dispatchReady() {
       if (waiting.size() === 0) return;
       const fullServices = new Set<string>();
+      const vainTries = new Map<string, number>();
       for (const entry of sortByPriority()) {
         const { service, excludedIds } = entry.job;
         if (remainingMs(entry) <= callbacks.expectedMs(entry.job)) {
@@ -86,7 +88,13 @@
           continue;
         }
         const decision = callbacks.dispatch(currentJob(entry));
-        if (decision !== undefined) settle(entry, decision);
+        if (decision !== undefined) {
+          settle(entry, decision);
+          continue;
+        }
+        const tries = (vainTries.get(service) ?? 0) + 1;
+        vainTries.set(service, tries);
+        if (tries >= MAX_VAIN_TRIES) fullServices.add(service);
       }
     },
     size: waiting.size,
