Bound the time of a review of waiting prompts

Change: the values by which engines are compared are kept until the load changes or 5 ms have passed; a split without cost ends the search; a review of long prompts tries at most 8 in vain, the first 4 each time and the others in turn. measure_placement_cost is a command of the bench package.

--- a/packages/bench/main.ts
+++ b/packages/bench/main.ts
@@ -7,6 +7,7 @@
 import { createPolicyTarget, POLICIES, type Policy } from "./create_policy_target.ts";
 import { drive, type DriveOptions } from "./drive.ts";
 import { makeWorkload } from "./make_workload.ts";
+import { measurePlacementCost } from "./measure_placement_cost.ts";
 import { measureLatency } from "./measure_latency.ts";
 import { measureThroughput } from "./measure_throughput.ts";
 import { type Profile, PROFILES } from "./profiles.ts";
@@ -148,9 +149,26 @@
   },
 });
 
+const placementCost = command({
+  name: "placement-cost",
+  description:
+    "Measures the time of the placer's decisions in simulated loads, by number of engines",
+  args: {
+    engines: stringOption("engines", "50,112,300,940"),
+    seconds: numberOption("seconds", 5),
+    factor: numberOption("factor", 1),
+    seed: numberOption("seed", 1),
+  },
+  handler: async ({ engines, seconds, factor, seed }) => {
+    for (const count of engines.split(",").map(Number)) {
+      print(await measurePlacementCost(count, { seed, factor, lengthMs: seconds * 1_000 }));
+    }
+  },
+});
+
 function print(result: object): void {
   process.stdout.write(JSON.stringify(result, null, 2) + "\n");
 }
 
-const cmds = { load, latency, throughput, drive: driver };
+const cmds = { load, latency, throughput, drive: driver, "placement-cost": placementCost };
 await run(subcommands({ name: "bench", cmds }), process.argv.slice(2));
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -16,7 +16,7 @@
   USABLE_MEMORY_SHARE,
 } from "./constants.ts";
 import { computeWeight } from "./compute_weight.ts";
-import type { PendingPrefill, ServerLoad } from "./create_server_load.ts";
+import type { LoadSnapshot, PendingPrefill, ServerLoad } from "./create_server_load.ts";
 import type { EngineProfile, PlacementJob, TicketPlan } from "./types.ts";
 import { computePrefillDelayCost } from "./compute_prefill_delay_cost.ts";
 
@@ -43,6 +43,10 @@
 /** Load of an engine at the time of the choice. */
 interface Candidate {
   load: ServerLoad;
+  /** Requests that the engine answers. */
+  requests: number;
+  /** Short ones of these. */
+  shortRequests: number;
   passMs: Millis;
   slotWaitMs: Millis;
   /** Longest prefill that makes no decoding request late. */
@@ -114,24 +118,30 @@
 }
 
 function toCandidate(load: ServerLoad, profile: EngineProfile): Candidate {
-  const passMs = load.passMs();
+  const snapshot = load.snapshot();
+  const { requests, shortRequests, passMs, headroomMs, backlogMs, pendingPrefills } = snapshot;
   return {
     load,
+    requests,
+    shortRequests,
     passMs,
-    headroomMs: load.prefillHeadroomMs(),
-    backlogMs: load.prefillBacklogMs(),
-    slotWaitMs: computeSlotWait(load, profile, passMs),
-    decoding: load.decodingRequests(),
-    onTimeWeight: load.onTimeWeight(),
-    pendingPrefills: load.pendingPrefills(),
-    freeTokens: profile.memoryTokens * USABLE_MEMORY_SHARE - load.memoryTokens(),
+    headroomMs,
+    backlogMs,
+    slotWaitMs: computeSlotWait(snapshot, load.server.slots, profile),
+    decoding: snapshot.decodingRequests,
+    onTimeWeight: snapshot.onTimeWeight,
+    pendingPrefills,
+    freeTokens: profile.memoryTokens * USABLE_MEMORY_SHARE - snapshot.memoryTokens,
   };
 }
 
 /** Returns the expected milliseconds until the engine has a free slot. */
-function computeSlotWait(load: ServerLoad, profile: EngineProfile, passMs: Millis): Millis {
-  const { slots } = load.server;
-  const ahead = load.requests() - slots + 1;
+function computeSlotWait(
+  { requests, passMs }: LoadSnapshot,
+  slots: number,
+  profile: EngineProfile,
+): Millis {
+  const ahead = requests - slots + 1;
   if (ahead <= 0) return 0;
   const answerMs = profile.usualAnswerTokens / profile.stepsPerPass * passMs;
   return ahead * answerMs / slots;
@@ -142,14 +152,14 @@
  * prefill does not occupy the slots that short prompts need next.
  */
 function excludeReservedEngines(candidates: Candidate[]): Candidate[] {
-  const short = candidates.reduce((sum, { load }) => sum + load.shortRequests(), 0);
+  const short = candidates.reduce((sum, { shortRequests }) => sum + shortRequests, 0);
   const usableSlots = Math.max(1, (candidates[0]?.load.server.slots ?? 1) - SPARE_SLOTS);
   const needed = Math.ceil(
     (short * SHORT_PROMPT_GROWTH_FACTOR + RESERVED_FREE_SLOTS) / usableSlots,
   );
   const reserved = Math.min(needed, candidates.length - 1);
   return [...candidates].sort((a, b) =>
-    b.load.shortRequests() - a.load.shortRequests() || b.onTimeWeight - a.onTimeWeight
+    b.shortRequests - a.shortRequests || b.onTimeWeight - a.onTimeWeight
   ).slice(reserved);
 }
 
@@ -161,8 +171,8 @@
   prefillMs: Millis,
 ): EngineChoice | undefined {
   const limitMs = job.goalMs * FIRST_BYTE_GOAL_SHARE - options.waitedMs;
-  const fitting = candidates.filter(({ headroomMs, backlogMs, passMs, load }) =>
-    load.requests() < load.server.slots - SPARE_SLOTS &&
+  const fitting = candidates.filter(({ headroomMs, backlogMs, passMs, load, requests }) =>
+    requests < load.server.slots - SPARE_SLOTS &&
     headroomMs >= prefillMs && prefillMs + backlogMs <= job.pauseGoalMs &&
     backlogMs + prefillMs + passMs <= limitMs
   );
@@ -212,6 +222,8 @@
     if (choice === undefined) continue;
     const cost = choice.delayCost + computeLatenessCost(job, choice, options);
     if (best === undefined || cost < best.cost) best = { choice, cost };
+    // More engines cannot cost less than nothing.
+    if (cost === 0) break;
   }
   return best?.choice;
 }
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -120,8 +120,8 @@
 export const DEADLINE_MARGIN_MS = 2_500;
 
 /**
- * Queued prompts of a service that are tried in vain in one review of the slot queue. Each try looks at
- * all engines of the service.
+ * Queued prompts that are tried in vain in one review of a queue. Each try looks at all engines of the
+ * service.
  */
 export const MAX_VAIN_TRIES = 8;
 
--- a/packages/placement/create_long_prompt_queue.ts
+++ b/packages/placement/create_long_prompt_queue.ts
@@ -11,6 +11,7 @@
   LATE_PART_MAX_FACTOR,
   LATE_PART_MAX_MS,
   MAX_QUEUED_PROMPTS,
+  MAX_VAIN_TRIES,
   READY_MAX_BACKLOG_MS,
   URGENT_MAX_DELAY_COST_SHARE,
 } from "./constants.ts";
@@ -33,6 +34,20 @@
   refuse(job: PlacementJob, retryAfterMs: Millis): PlacementDecision;
 }
 
+/** A waiting prompt and its times at one review. */
+interface WaitingPrompt {
+  entry: WaitingJob;
+  /** Milliseconds in which all engines together would prefill it if idle. */
+  minPrefillMs: Millis;
+  /** Milliseconds before its goal at which such a prefill must start; negative if it is late. */
+  slackMs: Millis;
+  /** The same before its deadline. */
+  deadlineSlackMs: Millis;
+}
+
+/** Prompts that each review tries first; the remaining tries go to the others in turn. */
+const FIRST_TRIES = 4;
+
 /** Queue of long prompts that wait for idle engines. */
 export interface LongPromptQueue {
   /** Reports whether the prompt should be placed with this choice at once. */
@@ -73,11 +88,19 @@
 ): LongPromptQueue {
   const waiting = createWaitingJobs(clock);
   const { waitedMs, remainingMs, currentJob, settle } = waiting;
+  let nextStart = 0;
 
-  const slackMs = (entry: WaitingJob) =>
-    entry.job.goalMs - waitedMs(entry) - callbacks.minPrefillMs(entry.job);
-  const deadlineSlackMs = (entry: WaitingJob) =>
-    remainingMs(entry) - callbacks.minPrefillMs(entry.job);
+  /** Describes the waiting prompts now. */
+  const describeWaiting = (): WaitingPrompt[] =>
+    waiting.list().map((entry) => {
+      const minPrefillMs = callbacks.minPrefillMs(entry.job);
+      return {
+        entry,
+        minPrefillMs,
+        slackMs: entry.job.goalMs - waitedMs(entry) - minPrefillMs,
+        deadlineSlackMs: remainingMs(entry) - minPrefillMs,
+      };
+    });
 
   const isReady = (choice: EngineChoice) =>
     choice.delayCost === 0 && choice.isOnTime && choice.backlogMs <= READY_MAX_BACKLOG_MS;
@@ -85,8 +108,7 @@
   /**
    * Sorts prompts that can meet their goals by slack, then late prompts by size, smallest first.
    */
-  const sortByPriority = () => {
-    const all = waiting.list().map((entry) => ({ entry, slackMs: slackMs(entry) }));
+  const sortByPriority = (all: readonly WaitingPrompt[]): WaitingPrompt[] => {
     const inTime = all.filter((item) => item.slackMs >= 0).sort((a, b) => a.slackMs - b.slackMs);
     const late = all.filter((item) => item.slackMs < 0)
       .sort((a, b) => a.entry.job.promptTokens - b.entry.job.promptTokens);
@@ -94,7 +116,7 @@
   };
 
   const shouldDispatch = (
-    { entry, slackMs }: { entry: WaitingJob; slackMs: Millis },
+    { entry, slackMs, deadlineSlackMs, minPrefillMs }: WaitingPrompt,
     choice: EngineChoice,
     hasOnTimeAhead: boolean,
   ): boolean => {
@@ -102,7 +124,7 @@
     if (choice.expectedMs > remainingMs(entry)) return false;
     const weight = computeWeight(entry.job);
     // Under load, the engines that may be taken need several times the shortest time.
-    const neededMs = Math.max(choice.expectedMs, 2 * callbacks.minPrefillMs(entry.job));
+    const neededMs = Math.max(choice.expectedMs, 2 * minPrefillMs);
     const isDeadlineClose = remainingMs(entry) <= DEADLINE_MARGIN_MS + neededMs;
     if (isDeadlineClose) return choice.delayCost <= URGENT_MAX_DELAY_COST_SHARE * weight;
     const latenessCost = LATE_COST_SHARE * weight;
@@ -111,14 +133,43 @@
     }
     const maxPartMs = Math.max(
       LATE_PART_MAX_MS,
-      LATE_PART_MAX_FACTOR * callbacks.minPrefillMs(entry.job),
-      LATE_PART_DEADLINE_SHARE * deadlineSlackMs(entry),
+      LATE_PART_MAX_FACTOR * minPrefillMs,
+      LATE_PART_DEADLINE_SHARE * deadlineSlackMs,
     );
     return !hasOnTimeAhead && choice.backlogMs <= READY_MAX_BACKLOG_MS &&
       choice.partMs <= maxPartMs &&
       choice.delayCost <= LATE_MAX_DELAY_COST_SHARE * weight;
   };
 
+  /** Refuses the prompts that can no longer be answered; returns the others in their order. */
+  const refuseUnservable = (sorted: readonly WaitingPrompt[]): WaitingPrompt[] => {
+    const backlogs = new Map<string, Millis>();
+    let aheadMs = 0;
+    return sorted.filter(({ entry, minPrefillMs, deadlineSlackMs }) => {
+      const { service } = entry.job;
+      const backlogMs = backlogs.get(service) ?? callbacks.backlogMs(entry.job);
+      backlogs.set(service, backlogMs);
+      const precedingMs = aheadMs + backlogMs;
+      if (deadlineSlackMs < precedingMs) {
+        settle(entry, callbacks.refuse(currentJob(entry), precedingMs));
+        return false;
+      }
+      aheadMs += minPrefillMs;
+      return true;
+    });
+  };
+
+  /**
+   * Moves the prompts that an earlier review did not get to ahead of the others, except for the first
+   * ones, so that each prompt is tried every few reviews.
+   */
+  const rotate = (servable: readonly WaitingPrompt[]): WaitingPrompt[] => {
+    const first = servable.slice(0, FIRST_TRIES);
+    const rest = servable.slice(FIRST_TRIES);
+    const start = rest.length === 0 ? 0 : nextStart % rest.length;
+    return [...first, ...rest.slice(start), ...rest.slice(0, start)];
+  };
+
   return {
     isReady,
     hasRoom: () => waiting.size() < MAX_QUEUED_PROMPTS,
@@ -130,21 +181,22 @@
       return true;
     },
     dispatchReady() {
+      if (waiting.size() === 0) return;
+      const servable = refuseUnservable(sortByPriority(describeWaiting()));
       let hasOnTimeAhead = false;
-      let aheadMs = 0;
-      for (const item of sortByPriority()) {
+      let vainTries = 0;
+      for (const item of rotate(servable)) {
+        if (vainTries >= MAX_VAIN_TRIES) break;
         const { entry } = item;
-        const precedingMs = aheadMs + callbacks.backlogMs(entry.job);
-        if (deadlineSlackMs(entry) < precedingMs) {
-          settle(entry, callbacks.refuse(currentJob(entry), precedingMs));
-          continue;
-        }
-        aheadMs += callbacks.minPrefillMs(entry.job);
         const choice = callbacks.choose(entry.job, waitedMs(entry), remainingMs(entry));
         if (choice !== undefined && shouldDispatch(item, choice, hasOnTimeAhead)) {
           settle(entry, callbacks.dispatch(currentJob(entry), choice));
-        } else if (item.slackMs >= 0) hasOnTimeAhead = true;
+          continue;
+        }
+        vainTries += 1;
+        if (item.slackMs >= 0) hasOnTimeAhead = true;
       }
+      nextStart += MAX_VAIN_TRIES - FIRST_TRIES;
     },
     size: waiting.size,
   };
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -143,7 +143,7 @@
     minPrefillMs,
     backlogMs(job) {
       const usable = registry.listUsable(job);
-      const totalMs = usable.reduce((sum, load) => sum + load.prefillBacklogMs(), 0);
+      const totalMs = usable.reduce((sum, load) => sum + load.snapshot().backlogMs, 0);
       return totalMs / Math.max(1, usable.length);
     },
     dispatch,
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -17,6 +17,9 @@
 /** Window over which the limit of cold servers applies, from the engine protocol. */
 const COLD_WINDOW_MS = 1_000;
 
+/** Time in which the values of an unchanged load change too little to matter. */
+const SNAPSHOT_VALID_MS = 5;
+
 /** Share of a prefill that is assumed to remain when it takes longer than expected. */
 const OVERDUE_SHARE = 0.1;
 
@@ -58,6 +61,28 @@
   weight: number;
 }
 
+/** The values of a load by which engines are compared, at one time. */
+export interface LoadSnapshot {
+  /** See {@linkcode ServerLoad.requests}. */
+  requests: number;
+  /** See {@linkcode ServerLoad.shortRequests}. */
+  shortRequests: number;
+  /** See {@linkcode ServerLoad.decodingRequests}. */
+  decodingRequests: number;
+  /** See {@linkcode ServerLoad.onTimeWeight}. */
+  onTimeWeight: number;
+  /** See {@linkcode ServerLoad.pendingPrefills}. */
+  pendingPrefills: PendingPrefill[];
+  /** See {@linkcode ServerLoad.prefillBacklogMs}. */
+  backlogMs: Millis;
+  /** See {@linkcode ServerLoad.passMs}. */
+  passMs: Millis;
+  /** See {@linkcode ServerLoad.prefillHeadroomMs}. */
+  headroomMs: Millis;
+  /** See {@linkcode ServerLoad.memoryTokens}. */
+  memoryTokens: number;
+}
+
 /** Load of one server, known from the requests that were sent to it and from its reports. */
 export interface ServerLoad {
   /** Current entry of the server. */
@@ -66,6 +91,11 @@
   setProfile(profile: EngineProfile | undefined): void;
   /** Applies the server's own load report, which includes requests that other hosts placed. */
   applyReport(report: EngineReport): void;
+  /**
+   * Returns the values by which engines are compared. They are computed again after each change of the
+   * load, and otherwise at most every few milliseconds, since each decision compares all engines.
+   */
+  snapshot(): LoadSnapshot;
   /** Adds a job or a part of it. */
   add(job: PlacementJob, part: LoadPart): void;
   /** Counts a sent request towards the limit of cold servers. */
@@ -128,6 +158,7 @@
   let foreign = { requests: 0, tokens: 0, untilMs: -Infinity };
   let failures = 0;
   let suspectUntilMs = -Infinity;
+  let cached: { snapshot: LoadSnapshot; atMs: Millis } | undefined;
 
   const listShares = () => [...shares.values()];
   const foreignRequestCount = () => clock.nowMs() < foreign.untilMs ? foreign.requests : 0;
@@ -187,10 +218,29 @@
 
   const load: ServerLoad = {
     server,
-    setProfile: (next) => {
+    setProfile(next) {
+      cached = undefined;
       profile = next;
     },
+    snapshot() {
+      const nowMs = clock.nowMs();
+      if (cached !== undefined && nowMs - cached.atMs < SNAPSHOT_VALID_MS) return cached.snapshot;
+      const snapshot: LoadSnapshot = {
+        requests: load.requests(),
+        shortRequests: load.shortRequests(),
+        decodingRequests: load.decodingRequests(),
+        onTimeWeight: load.onTimeWeight(),
+        pendingPrefills: load.pendingPrefills(),
+        backlogMs: load.prefillBacklogMs(),
+        passMs: load.passMs(),
+        headroomMs: load.prefillHeadroomMs(),
+        memoryTokens: load.memoryTokens(),
+      };
+      cached = { snapshot, atMs: nowMs };
+      return snapshot;
+    },
     applyReport({ running, queued, usedTokens }) {
+      cached = undefined;
       foreign = {
         requests: Math.max(0, running + queued - ownRequestCount()),
         tokens: Math.max(0, usedTokens - ownTokens()),
@@ -198,6 +248,7 @@
       };
     },
     add(job, { ageMs = 0, ...part }) {
+      cached = undefined;
       shares.set(job.id, {
         job,
         ...part,
@@ -208,10 +259,14 @@
     },
     countSend: () => sends.add(),
     markDecoding(jobId) {
+      cached = undefined;
       const share = shares.get(jobId);
       if (share !== undefined) share.isDecoding = true;
     },
-    remove: (jobId) => void shares.delete(jobId),
+    remove(jobId) {
+      cached = undefined;
+      shares.delete(jobId);
+    },
     size: () => shares.size,
     requests: () => ownRequestCount() + foreignRequestCount(),
     shortRequests: () =>
@@ -236,6 +291,7 @@
       );
     },
     markDelayed() {
+      cached = undefined;
       for (const share of streamingShares()) share.isDelayed = true;
     },
     prefillBacklogMs,
