--- a/packages/routing/_lib/call_plain_service.ts
+++ b/packages/routing/_lib/call_plain_service.ts
@@ -84,7 +84,14 @@
     resolution,
     prepare: () => prepareCall({ req, context, exclude: [], attempt: attempt++, atMostOnce: true }),
     resolve: (fencing, signal) =>
-      resolveUnknownCall({ service: req.service, key, resolution, fencing, signal }, context),
+      resolveUnknownCall({
+        service: req.service,
+        // The key under which the service has stored the call.
+        key: scopeKey(req.workspace, key),
+        resolution,
+        fencing,
+        signal,
+      }, context),
   }, req.deadline.signal);
 }
 
--- a/packages/routing/_lib/run_completion.ts
+++ b/packages/routing/_lib/run_completion.ts
@@ -81,6 +81,7 @@
         { requestId: req.requestId, attempt: n, retry, err },
         "Attempt of model request failed",
       );
+      if (n === MAX_ATTEMPTS - 1) break;
       if (!context.retryBudget.tryWithdraw(req.workspace)) {
         return failWith(err, FAILURE.RETRY_BUDGET);
       }
--- a/packages/routing/_lib/serve_resume.ts
+++ b/packages/routing/_lib/serve_resume.ts
@@ -15,7 +15,12 @@
 interface ResumeMessage {
   index?: number;
   texts?: string[];
-  end?: { reason?: string; ran?: "not_run" | "unknown" | "ran"; message?: string };
+  end?: {
+    reason?: string;
+    ran?: "not_run" | "unknown" | "ran";
+    message?: string;
+    retryAfterMs?: number | undefined;
+  };
 }
 
 /**
@@ -43,6 +48,7 @@
     yield { end: {} };
   } catch (err) {
     if (!(err instanceof RequestError)) throw err;
-    yield { end: { reason: err.reason, ran: err.ran, message: err.message } };
+    const { reason, ran, message, retryAfterMs } = err;
+    yield { end: { reason, ran, message, retryAfterMs } };
   }
 }
--- a/packages/routing/create_router_test.ts
+++ b/packages/routing/create_router_test.ts
@@ -51,6 +51,8 @@
   const caller = await runRequest(testRouter);
   t.deepEqual(caller, { tokens: [], outcome: "engine_failed ran" });
   t.is(testRouter.trace.sent.length, 4);
+  // The last failure is not followed by a retry and must not use the retry budget.
+  t.is(testRouter.trace.counters["retry server_died"], 3);
 });
 
 test("a request fails at its deadline and is cancelled on its engine", async (t) => {
