Place due long prompts only where they make no others late

Cause: since a long prompt counted as urgent by the expected time of its choice, and an urgent one may make others late for up to half of its weight.

Change: the urgent share holds again only by the earlier rule. A late prompt whose choice is due is placed at once if that makes at most a tenth of its weight late, as any late prompt may, however long its parts.

--- a/packages/placement/create_long_prompt_queue.ts
+++ b/packages/placement/create_long_prompt_queue.ts
@@ -123,14 +123,16 @@
     if (isReady(choice)) return true;
     if (choice.expectedMs > remainingMs(entry)) return false;
     const weight = computeWeight(entry.job);
-    // Under load, the engines that may be taken need several times the shortest time.
-    const neededMs = Math.max(choice.expectedMs, 2 * minPrefillMs);
-    const isDeadlineClose = remainingMs(entry) <= DEADLINE_MARGIN_MS + neededMs;
+    const isDeadlineClose = deadlineSlackMs <= DEADLINE_MARGIN_MS + minPrefillMs;
     if (isDeadlineClose) return choice.delayCost <= URGENT_MAX_DELAY_COST_SHARE * weight;
     const latenessCost = LATE_COST_SHARE * weight;
     if (slackMs >= 0) {
       return slackMs <= DISPATCH_SLACK_MS && choice.isOnTime && choice.delayCost < latenessCost;
     }
+    // Under load, the engines that may be taken need several times the shortest time. The prompt must
+    // not wait any longer then, but short prompts must not become late for it either.
+    const isChoiceDue = remainingMs(entry) <= DEADLINE_MARGIN_MS + choice.expectedMs;
+    if (isChoiceDue) return choice.delayCost <= LATE_MAX_DELAY_COST_SHARE * weight;
     const maxPartMs = Math.max(
       LATE_PART_MAX_MS,
       LATE_PART_MAX_FACTOR * minPrefillMs,
