Try more of the waiting long prompts in the order of their priority

Cause: a review tried 4 long prompts in their order and 4 more in turn, so that with a dozen waiting the larger late ones could take engines before the smaller.

Change: 12 in their order and 4 in turn.

--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -120,11 +120,14 @@
 export const DEADLINE_MARGIN_MS = 2_500;
 
 /**
- * Queued prompts that are tried in vain in one review of a queue. Each try looks at all engines of the
- * service.
+ * Queued short prompts of a service that are tried in vain in one review. Each try looks at all engines
+ * of the service.
  */
 export const MAX_VAIN_TRIES = 8;
 
+/** The same limit for long prompts, of which fewer wait. */
+export const MAX_LONG_VAIN_TRIES = 16;
+
 /** Interval in milliseconds at which queued prompts are checked. */
 export const QUEUE_CHECK_INTERVAL_MS = 50;
 
--- a/packages/placement/create_long_prompt_queue.ts
+++ b/packages/placement/create_long_prompt_queue.ts
@@ -10,8 +10,8 @@
   LATE_PART_DEADLINE_SHARE,
   LATE_PART_MAX_FACTOR,
   LATE_PART_MAX_MS,
+  MAX_LONG_VAIN_TRIES,
   MAX_QUEUED_PROMPTS,
-  MAX_VAIN_TRIES,
   READY_MAX_BACKLOG_MS,
   URGENT_MAX_DELAY_COST_SHARE,
 } from "./constants.ts";
@@ -45,8 +45,11 @@
   deadlineSlackMs: Millis;
 }
 
-/** Prompts that each review tries first; the remaining tries go to the others in turn. */
-const FIRST_TRIES = 4;
+/**
+ * Prompts that each review tries first, in the order of their priority; the remaining tries go to the
+ * others in turn.
+ */
+const FIRST_TRIES = 12;
 
 /** Queue of long prompts that wait for idle engines. */
 export interface LongPromptQueue {
@@ -188,7 +191,7 @@
       let hasOnTimeAhead = false;
       let vainTries = 0;
       for (const item of rotate(servable)) {
-        if (vainTries >= MAX_VAIN_TRIES) break;
+        if (vainTries >= MAX_LONG_VAIN_TRIES) break;
         const { entry } = item;
         const choice = callbacks.choose(entry.job, waitedMs(entry), remainingMs(entry));
         if (choice !== undefined && shouldDispatch(item, choice, hasOnTimeAhead)) {
@@ -198,7 +201,7 @@
         vainTries += 1;
         if (item.slackMs >= 0) hasOnTimeAhead = true;
       }
-      nextStart += MAX_VAIN_TRIES - FIRST_TRIES;
+      nextStart += MAX_LONG_VAIN_TRIES - FIRST_TRIES;
     },
     size: waiting.size,
   };
