--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -240,25 +240,24 @@
   /** State that the current selection was made from; the same state gives the same selection. */
   let selectedFrom: { hosts: HostEntry[]; isDraining: boolean } | undefined;
 
-  /** Reports whether hosts, this host's own state or the deferred hubs have changed. */
-  const isSelectionOutdated = () => {
-    const hosts = options.knownHosts();
-    const isDraining = options.isDraining();
+  /** Reports whether a selection from this state would give the selected hubs again. */
+  const isSelectionCurrent = (hosts: HostEntry[], isDraining: boolean) =>
     // Each change of the known hosts gives a new list.
-    const isUnchanged = selectedFrom?.hosts === hosts && selectedFrom.isDraining === isDraining;
-    selectedFrom = { hosts, isDraining };
-    return !isUnchanged || retryAtMs.size > 0 || hubOrder.some((host) => !hubs.has(host));
-  };
+    selectedFrom?.hosts === hosts && selectedFrom.isDraining === isDraining &&
+    retryAtMs.size === 0 && hubOrder.every((host) => hubs.has(host));
 
   const removeExpiredDeferrals = () => {
     for (const [key, untilMs] of retryAtMs) if (untilMs <= clock.nowMs()) retryAtMs.delete(key);
   };
 
   const selectHubs = () => {
-    if (!isSelectionOutdated()) return;
+    const hosts = options.knownHosts();
+    const isDraining = options.isDraining();
+    if (isSelectionCurrent(hosts, isDraining)) return;
+    selectedFrom = { hosts, isDraining };
     removeExpiredDeferrals();
-    const candidates = options.knownHosts().filter((entry) =>
-      isSelf(entry.host) ? !options.isDraining() : !isRetryDeferred(entry)
+    const candidates = hosts.filter((entry) =>
+      isSelf(entry.host) ? !isDraining : !isRetryDeferred(entry)
     );
     const selected = chooseHubs(candidates);
     hubOrder = selected.map((entry) => entry.host);
