Let prompts wait for the link to a hub

Cause: a host that has just started or lost its hubs placed prompts alone until a link to a hub was ready. After a restart of all hosts the first prompts of all of them met on the same engines.

Change: while a link is being established, a prompt waits for it for up to 150 ms and 0.3 of its goal. Requests of plain services do not wait.

--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -195,3 +195,17 @@
   // Until then the host places its requests without knowing those of the others.
   t.deepEqual(wasHub[0], false);
 });
+
+test("a host that has just read the hosts has its job placed by the hub, not alone", async (t) => {
+  const { store, hub, members: [member] } = await startHosts(t, 4);
+  if (member === undefined) return t.fail();
+  await member.kill();
+  const placing: Promise<{ by: string } | undefined>[] = [];
+  const entry = { ...member.entry, incarnation: "again" };
+  await startHost(t, store, entry, () => [], (table, fleet) => {
+    if (table !== TABLE.HOSTS || placing.length > 0) return;
+    placing.push(fleet.place("job", { ...TIMEOUTS, linkMs: 5_000 }));
+  });
+  await waitUntil(() => placing.length > 0);
+  t.is((await placing[0])?.by, hub.entry.host);
+});
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -49,6 +49,8 @@
 
 /** How long a host waits for the decision of a hub. */
 export interface PlaceTimeouts {
+  /** Milliseconds to wait for a hub while no link to one is established; 0 by default. */
+  linkMs?: Millis;
   /** Milliseconds until the hub has to send a decision or queue the job. */
   answerMs: Millis;
   /** Milliseconds until the hub has to send a decision, once it has queued the job. */
@@ -138,6 +140,7 @@
   const retryAtMs = new Map<string, Millis>();
   let hubOrder: string[] = [];
   let nextCallNumber = 1;
+  const linkWaiters = new Set<() => void>();
   let reviewTimer: NodeJS.Timeout | undefined;
 
   const isSelf = (host: string) => host === self.host;
@@ -150,8 +153,26 @@
 
   const isRetryDeferred = (entry: HostEntry): boolean => retryAtMs.has(processKey(entry));
 
+  /** Continues the placements that wait for a hub. */
+  const notifyLinkWaiters = () => {
+    for (const proceed of [...linkWaiters]) proceed();
+  };
+
+  /** Resolves when a hub is ready, a link has failed or the time is over. */
+  const waitForLink = (timeoutMs: Millis) =>
+    new Promise<void>((resolve) => {
+      const proceed = () => {
+        clearTimeout(timer);
+        linkWaiters.delete(proceed);
+        resolve();
+      };
+      const timer = setTimeout(proceed, timeoutMs);
+      linkWaiters.add(proceed);
+    });
+
   const closeHub = (hub: Hub) => {
     hubs.delete(hub.entry.host);
+    notifyLinkWaiters();
     hub.link?.close();
     for (const call of [...hub.pendingPlacements.values()]) call.settle(undefined);
     hub.pendingPlacements.clear();
@@ -172,8 +193,11 @@
     if (message.type === "rows") applyRows(hub, message);
     else if (message.type === "view") {
       const now = clock.nowMs();
-      if (!hub.isReady) hub.firstViewAtMs = now;
-      hub.isReady = true;
+      if (!hub.isReady) {
+        hub.firstViewAtMs = now;
+        hub.isReady = true;
+        notifyLinkWaiters();
+      }
       // Rows count as fresh at the first view, so that a hub that has just started has time to read
       // the store.
       hub.viewFreshAtMs = Math.max(hub.firstViewAtMs, now - message.ageMs);
@@ -343,6 +367,7 @@
 
   return {
     async place(job, timeouts) {
+      if (readyHubs().length === 0 && hubs.size > 0) await waitForLink(timeouts.linkMs ?? 0);
       for (const hub of readyHubs()) {
         const { host } = hub.entry;
         const decision =
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -9,6 +9,12 @@
 /** Time within which a hub must answer a placement; an unloaded round trip takes under 5 ms. */
 export const PLACEMENT_TIMEOUT_MS = 60;
 
+/** Longest time that a prompt waits for a link to a hub; a link takes under 20 ms. */
+export const MAX_LINK_WAIT_MS = 150;
+
+/** The same limit as a share of the prompt's first-byte goal. */
+export const LINK_WAIT_GOAL_SHARE = 0.3;
+
 /** Time for which callers may cache an answer of the directory. */
 export const DIRECTORY_TTL_MS = 2_000;
 
--- a/packages/forwarding_host/create_placement_client.ts
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -3,7 +3,7 @@
 import type { PlacementClient } from "@jaypass/forwarding";
 import { JOB_OUTCOME } from "@jaypass/placement";
 import type { PlacementDecision, PlacementJob, Placer, RunningJob } from "@jaypass/placement";
-import { PLACEMENT_TIMEOUT_MS } from "./constants.ts";
+import { LINK_WAIT_GOAL_SHARE, MAX_LINK_WAIT_MS, PLACEMENT_TIMEOUT_MS } from "./constants.ts";
 import type { JobReport } from "./create_hub_scheduler.ts";
 
 /** Options of {@linkcode createPlacementClient}. */
@@ -70,6 +70,7 @@
       const answer = await fleet().place(job, {
         answerMs: PLACEMENT_TIMEOUT_MS,
         waitMs: job.remainingMs,
+        linkMs: computeLinkWaitMs(job),
       });
       if (answer === undefined) {
         metrics.increment("placement", { by: "host" });
@@ -98,6 +99,17 @@
   };
 }
 
+/**
+ * Computes how long a job waits for a link to a hub that is being established.
+ *
+ * After a restart of all hosts, each would otherwise place the first prompts without knowing those of
+ * the others, and they would meet on the same engines. Requests of plain services do not wait, because
+ * their servers reject what they cannot take.
+ */
+function computeLinkWaitMs({ promptTokens, goalMs }: PlacementJob): Millis {
+  return promptTokens === 0 ? 0 : Math.min(MAX_LINK_WAIT_MS, goalMs * LINK_WAIT_GOAL_SHARE);
+}
+
 /** Creates the report that a host cancelled a job or has it placed by another hub. */
 export function createCancelReport({ id }: Pick<PlacementJob, "id">): JobReport {
   return { kind: "finished", jobId: id, outcome: JOB_OUTCOME.CANCELLED };
