Share the simulated load of the placement test and of placement-cost

The same engines and kinds of prompts stood twice. The test's load is the same as before; the cost command has 0.035 long prompts a second and engine instead of 0.036. The two played loads keep their targets.

--- a/packages/bench/measure_placement_cost.ts
+++ b/packages/bench/measure_placement_cost.ts
@@ -1,5 +1,6 @@
+import { createPromptLoad } from "./_lib/create_prompt_load.ts";
 import { createPlacerPolicy, simulatePlacement } from "./simulate_placement.ts";
-import type { PlacementLoad, PlacementPolicy, PromptKind } from "./simulate_placement.ts";
+import type { PlacementPolicy } from "./simulate_placement.ts";
 
 /** Cost of the decisions of one simulated load. */
 export interface PlacementCost {
@@ -23,43 +24,6 @@
   factor: number;
 }
 
-/** Rates per engine, in requests per second. */
-const KINDS: readonly PromptKind[] = [
-  {
-    name: "short",
-    promptTokens: 5_000,
-    perSecond: 1.4,
-    events: 40,
-    goalMs: 300,
-    pauseGoalMs: 250,
-    abandonAfterMs: 2_000,
-    urgency: 2,
-    lateCreditShare: 0.25,
-  },
-  {
-    name: "middle",
-    promptTokens: 45_000,
-    perSecond: 0.08,
-    events: 24,
-    goalMs: 1_500,
-    pauseGoalMs: 600,
-    abandonAfterMs: 6_000,
-    urgency: 5,
-    lateCreditShare: 0.25,
-  },
-  {
-    name: "long",
-    promptTokens: 180_000,
-    perSecond: 0.036,
-    events: 20,
-    goalMs: 4_000,
-    pauseGoalMs: 1_000,
-    abandonAfterMs: 15_000,
-    urgency: 6,
-    lateCreditShare: 0.25,
-  },
-];
-
 /**
  * Measures what the decisions of one placer cost in a simulated load that grows with the engines.
  *
@@ -74,25 +38,8 @@
   engines: number,
   { seed, lengthMs, factor }: PlacementCostOptions,
 ): Promise<PlacementCost> {
-  const load: PlacementLoad = {
-    engines,
-    seed,
-    phases: [{ lengthMs, factors: Object.fromEntries(KINDS.map(({ name }) => [name, factor])) }],
-    kinds: KINDS.map((kind) => ({ ...kind, perSecond: kind.perSecond * engines })),
-    profile: {
-      slots: 10,
-      memoryTokens: 400_000,
-      stepMs: 1.3,
-      perWriterMs: 0.001,
-      contextMsPerThousand: 0.002,
-      readTokensPerMs: 150,
-      pairMsPerMillion: 0.16,
-      stepsPerPass: 32,
-      chunkTokens: 2_048,
-      usualPromptTokens: 11_000,
-      usualAnswerTokens: 1_250,
-    },
-  };
+  const kindFactors = { short: factor, middle: factor, long: factor };
+  const load = createPromptLoad(engines, { seed, phases: [{ lengthMs, factors: kindFactors }] });
   let totalMs = 0;
   let longestCallMs = 0;
   const timed = <T>(action: () => T): T => {
--- a/packages/bench/simulate_placement_test.ts
+++ b/packages/bench/simulate_placement_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { createPromptLoad } from "./_lib/create_prompt_load.ts";
 import { createLeastOutstandingPolicy, createRandomTwoPolicy } from "./placement_baselines.ts";
 import { createPlacerPolicy, simulatePlacement } from "./simulate_placement.ts";
 import type { LoadPhase, PlacementLoad, PlacementPolicy } from "./simulate_placement.ts";
@@ -25,69 +26,13 @@
   { lengthMs: 6_000, factors: {} },
 ];
 
-function createLoad(phases: readonly LoadPhase[], seed: number): PlacementLoad {
-  return {
-    engines: ENGINES,
-    profile: {
-      slots: 10,
-      memoryTokens: 400_000,
-      stepMs: 1.3,
-      perWriterMs: 0.001,
-      contextMsPerThousand: 0.002,
-      readTokensPerMs: 150,
-      pairMsPerMillion: 0.16,
-      stepsPerPass: 32,
-      chunkTokens: 2_048,
-      usualPromptTokens: 11_000,
-      usualAnswerTokens: 1_250,
-    },
-    seed,
-    phases: [...phases, ...phases, ...phases],
-    kinds: [
-      {
-        name: "short",
-        promptTokens: 5_000,
-        perSecond: 1.4 * ENGINES,
-        events: 40,
-        goalMs: 300,
-        pauseGoalMs: 250,
-        abandonAfterMs: 2_000,
-        urgency: 2,
-        lateCreditShare: 0.25,
-      },
-      {
-        name: "middle",
-        promptTokens: 45_000,
-        perSecond: 0.08 * ENGINES,
-        events: 24,
-        goalMs: 1_500,
-        pauseGoalMs: 600,
-        abandonAfterMs: 6_000,
-        urgency: 5,
-        lateCreditShare: 0.25,
-      },
-      {
-        name: "long",
-        promptTokens: 180_000,
-        perSecond: 0.035 * ENGINES,
-        events: 20,
-        goalMs: 4_000,
-        pauseGoalMs: 1_000,
-        abandonAfterMs: 15_000,
-        urgency: 6,
-        lateCreditShare: 0.25,
-      },
-    ],
-  };
-}
-
 type CreatePolicy = (load: PlacementLoad, nowMs: () => number) => PlacementPolicy;
 
 /** Simulates the load for each seed and returns the mean credit of each kind. */
 async function simulate(phases: readonly LoadPhase[], createPolicy: CreatePolicy) {
   const credit: Record<string, number> = { short: 0, middle: 0, long: 0 };
   for (const seed of SEEDS) {
-    const load = createLoad(phases, seed);
+    const load = createPromptLoad(ENGINES, { seed, phases: [...phases, ...phases, ...phases] });
     const results = await simulatePlacement(load, (nowMs) => createPolicy(load, nowMs));
     for (const [kind, result] of results) credit[kind]! += result.credit / SEEDS.length;
   }
