--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -43,10 +43,7 @@
 /** Shortest time between two checks of a silent server for one request. */
 export const SERVER_CHECK_PERIOD_MS = 1_000;
 
-/**
- * Unreachable checks in a row after which a repeatable request goes to another server. Engines give
- * up an unreachable helper after 1.5 s.
- */
+/** Unreachable checks in a row after which a repeatable request goes to another server. */
 export const MAX_UNREACHABLE_CHECKS = 2;
 
 /** Time that must remain until the deadline for a retry at another server. */
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -9,7 +9,7 @@
 /** Time within which a hub must answer a placement; an unloaded round trip takes under 5 ms. */
 export const PLACEMENT_TIMEOUT_MS = 60;
 
-/** Longest time that a prompt waits for a link to a hub; a link takes under 20 ms. */
+/** Longest time that a prompt waits for a link to a hub that is being established. */
 export const MAX_LINK_WAIT_MS = 150;
 
 /** The same limit as a share of the prompt's first-byte goal. */
