Log and count the requests that a stopping host takes, refuses and cuts off

Change: no logic. A stopping host logs each request that it takes with the time since the signal, the time left and whether the connection was kept; refusals during a stop have the same time and connection; at the exit each request in progress gets a warning with its age, when it was taken, whether it was sent to a server and whether its answer had begun. jaypass_stop_request_total{result} counts taken, refused and cut, although no scrape can read cut, which is counted as the process exits. The lines of the start and the end of a stop have the number of open connections.

--- /dev/null
+++ b/packages/forwarding/_lib/create_stop_monitor.ts
@@ -0,0 +1,116 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
+import type { HeaderCodec } from "../types.ts";
+import type { AttemptState } from "./attempt.ts";
+import type { StopTime } from "./request_context.ts";
+
+/** A request in progress. */
+export interface MonitoredRequest {
+  /** Request as received. */
+  req: IncomingMessage;
+  /** Answer to the caller. */
+  res: ServerResponse;
+  /** Monotonic time at which the headers had arrived. */
+  arrivalMs: Millis;
+  /** True if the caller had sent another request on the same connection before. */
+  isOnKeptConnection: boolean;
+  /** Name of the route; undefined until the route is known. */
+  route: string | undefined;
+  /** State of the attempts; undefined until the first one. */
+  attempts: Readonly<AttemptState> | undefined;
+}
+
+/** Logs and counts the requests of a stopping host. */
+export interface StopMonitor {
+  /** Registers a request that arrives. */
+  add(req: IncomingMessage, res: ServerResponse): MonitoredRequest;
+  /** Records that a request is accepted on a route. */
+  accepted(request: MonitoredRequest, route: string): void;
+  /** Records that a request is refused because the host is stopping. */
+  refused(): void;
+  /** Unregisters a request that has ended. */
+  remove(request: MonitoredRequest): void;
+  /** Log fields that place a request in the stop; empty before the stop. */
+  describe(request: MonitoredRequest): { sinceSignalMs?: Millis; isOnKeptConnection?: boolean };
+  /** Logs each request in progress as cut off, for a host that exits now. */
+  reportCut(): void;
+}
+
+/**
+ * Creates the monitor of a host's requests, which writes nothing before the host is stopping.
+ *
+ * @param options clock, progress of the stop, log, metrics and the codec of headers
+ * @returns the monitor
+ */
+export function createStopMonitor(options: {
+  clock: Clock;
+  stopTime: () => StopTime | undefined;
+  log: Logger;
+  metrics: Metrics;
+  codec: HeaderCodec;
+}): StopMonitor {
+  const { clock, stopTime, log, metrics, codec } = options;
+  const inProgress = new Set<MonitoredRequest>();
+  const usedSockets = new WeakSet<Socket>();
+  const count = (result: "taken" | "refused" | "cut") =>
+    metrics.increment("stop_request", { result });
+  const readId = ({ req }: MonitoredRequest) => codec.readCaller(req.rawHeaders).attemptId;
+
+  const logCut = (request: MonitoredRequest, { elapsedMs }: StopTime) => {
+    const ageMs = clock.nowMs() - request.arrivalMs;
+    log.warn({
+      requestId: readId(request),
+      route: request.route,
+      ageMs: Math.round(ageMs),
+      // Negative for a request that arrived before the signal.
+      sinceSignalMs: Math.round(elapsedMs - ageMs),
+      isOnKeptConnection: request.isOnKeptConnection,
+      isPassedOn: (request.attempts?.sendCount ?? 0) > 0,
+      hasBegun: request.res.headersSent,
+    }, "Request cut off by the exit of the host");
+    count("cut");
+  };
+
+  return {
+    add(req, res) {
+      const request: MonitoredRequest = {
+        req,
+        res,
+        arrivalMs: clock.nowMs(),
+        isOnKeptConnection: usedSockets.has(req.socket),
+        route: undefined,
+        attempts: undefined,
+      };
+      usedSockets.add(req.socket);
+      inProgress.add(request);
+      return request;
+    },
+    accepted(request, route) {
+      request.route = route;
+      const time = stopTime();
+      if (time === undefined) return;
+      log.info({
+        requestId: readId(request),
+        route,
+        sinceSignalMs: Math.round(time.elapsedMs),
+        remainingMs: Math.round(time.remainingMs),
+        isOnKeptConnection: request.isOnKeptConnection,
+      }, "Request taken by a stopping host");
+      count("taken");
+    },
+    refused: () => count("refused"),
+    remove: (request) => void inProgress.delete(request),
+    describe(request) {
+      const time = stopTime();
+      if (time === undefined) return {};
+      const { isOnKeptConnection } = request;
+      return { sinceSignalMs: Math.round(time.elapsedMs), isOnKeptConnection };
+    },
+    reportCut() {
+      const time = stopTime();
+      if (time === undefined) return;
+      for (const request of inProgress) logCut(request, time);
+    },
+  };
+}
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { Failure } from "../errors.ts";
+import type { AttemptState } from "./attempt.ts";
 import type {
   CallerMetadata,
   Configuration,
@@ -84,6 +85,16 @@
   isRefusing: () => boolean;
   /** True while connections are closed after their current request. */
   isClosing: () => boolean;
+  /** Progress of the host's graceful stop; undefined before its start. */
+  stopTime: () => StopTime | undefined;
+}
+
+/** Progress of a host's graceful stop. */
+export interface StopTime {
+  /** Milliseconds since the signal. */
+  elapsedMs: Millis;
+  /** Milliseconds until the host exits whether or not requests are in progress. */
+  remainingMs: Millis;
 }
 
 /** A completely received request of a caller. */
@@ -118,4 +129,6 @@
   signal: AbortSignal;
   /** The answer to the caller. */
   res: ServerResponse;
+  /** Called with the attempts when they begin; the state changes as they go on. */
+  onAttempts: (state: Readonly<AttemptState>) => void;
 }
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -36,6 +36,7 @@
     excludedIds: [],
     last: undefined,
   };
+  request.onAttempts(state);
   while (true) {
     const job = describeJob(context, request, state, handler);
     const decision = await placeUnlessAborted(context, request, job);
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -1,6 +1,6 @@
 import { once } from "node:events";
 import { createServer, request } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Agent, IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import { createClock } from "@jaypass/kernel";
@@ -9,6 +9,7 @@
 import { indexConfiguration } from "../index_configuration.ts";
 import { ROUTE_KIND, SERVER_STATUS } from "../types.ts";
 import type { HeaderCodec, Route, RouteKind, ServerStatus } from "../types.ts";
+import type { StopTime } from "../_lib/request_context.ts";
 
 /** Answers a request that reaches a backend server of a test. */
 export type ServerBehaviour = (req: IncomingMessage, res: ServerResponse, body: string) => void;
@@ -39,6 +40,14 @@
   releaseCount(): number;
   /** Makes the host refuse new requests. */
   refuse(): void;
+  /** Sets the progress of a graceful stop, and makes connections close after their requests. */
+  setStopTime(time: StopTime): void;
+  /** Logs the requests in progress as cut off. */
+  reportCut(): void;
+  /** Log lines, in order. */
+  lines: { level: "info" | "warn"; fields: object; message: string }[];
+  /** Counters by name and labels, and numbers of recorded timings by name. */
+  counters: Record<string, number>;
   /** Number of requests in progress. */
   size(): number;
   /** Closes the host and its servers. */
@@ -55,6 +64,8 @@
   key?: string;
   /** Milliseconds after which the caller closes its connection. */
   leaveAfterMs?: number;
+  /** Agent that keeps connections; by default each call has its own connection. */
+  agent?: Agent;
 }
 
 const SILENT_LOG = {
@@ -106,14 +117,24 @@
   let checkCount = 0;
   let releaseCount = 0;
   let isRefusing = false;
+  let stopTime: StopTime | undefined;
+  const lines: TestHost["lines"] = [];
+  const counters: TestHost["counters"] = {};
   const forwarder = createForwarder({
     clock: createClock(),
     random: () => 0.5,
-    log: SILENT_LOG,
+    log: {
+      ...SILENT_LOG,
+      info: (fields, message) => void lines.push({ level: "info", fields, message }),
+      warn: (fields, message) => void lines.push({ level: "warn", fields, message }),
+    },
     metrics: {
-      increment: () => {},
+      increment: (name, tags = {}) => {
+        const key = [name, ...Object.values(tags)].join(" ");
+        counters[key] = (counters[key] ?? 0) + 1;
+      },
       gauge: () => {},
-      timing: () => {},
+      timing: (name) => void (counters[name] = (counters[name] ?? 0) + 1),
       counters: () => ({}),
       close: () => Promise.resolve(),
     },
@@ -156,7 +177,8 @@
       },
     },
     isRefusing: () => isRefusing,
-    isClosing: () => isRefusing,
+    isClosing: () => isRefusing || stopTime !== undefined,
+    stopTime: () => stopTime,
   });
   const front = await listen(createServer((req, res) => void forwarder.handle(req, res)));
   return {
@@ -164,6 +186,10 @@
     arrivals,
     outcomes,
     refuse: () => void (isRefusing = true),
+    setStopTime: (time) => void (stopTime = time),
+    reportCut: () => forwarder.reportCut(),
+    lines,
+    counters,
     size: () => forwarder.size(),
     checkCount: () => checkCount,
     releaseCount: () => releaseCount,
@@ -289,7 +315,7 @@
     };
     const req = request(`http://${address}${call.path ?? `/${kind}/1`}`, {
       method: call.method ?? "POST",
-      agent: false,
+      agent: call.agent ?? false,
       headers: {
         Host: "a.example",
         Attempt: "a1",
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -10,6 +10,8 @@
 import { runAttempts } from "./_lib/run_attempts.ts";
 import { sendFailure } from "./_lib/send_failure.ts";
 import { createPlainHandler } from "./_lib/create_plain_handler.ts";
+import { createStopMonitor } from "./_lib/create_stop_monitor.ts";
+import type { MonitoredRequest, StopMonitor } from "./_lib/create_stop_monitor.ts";
 import { createStreamHandler } from "./_lib/create_stream_handler.ts";
 import { matchRoute } from "./match_route.ts";
 import { ROUTE_KIND } from "./types.ts";
@@ -21,6 +23,8 @@
   handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
   /** Number of requests in progress. */
   size(): number;
+  /** Logs and counts the requests in progress as cut off, for a stopping host that exits now. */
+  reportCut(): void;
 }
 
 /** Route, target service and workspace of an authorized request. */
@@ -47,17 +51,23 @@
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
   const memory = createBodyMemoryBudget(MAX_BUFFERED_BODY_BYTES);
+  const monitor = createStopMonitor(context);
   let size = 0;
 
-  const serve = async (req: IncomingMessage, res: ServerResponse) => {
+  const serve = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    monitored: MonitoredRequest,
+  ) => {
     const arrivalMs = context.clock.nowMs();
     const resolved = resolveRequest(context, req);
+    monitor.accepted(monitored, resolved.route.name);
     const body = await readBody(req, {
       maxBytes: resolved.configuration.limits.maxBodyBytes,
       memory,
     });
     try {
-      await forward(context, { req, res, resolved, body, arrivalMs });
+      await forward(context, { req, res, resolved, body, arrivalMs, monitored });
     } finally {
       releaseBody(memory, body);
     }
@@ -66,15 +76,18 @@
   return {
     async handle(req, res) {
       size += 1;
+      const monitored = monitor.add(req, res);
       try {
-        await serve(req, res);
+        await serve(req, res, monitored);
       } catch (err) {
-        answerWithFailure(context, req, res, err);
+        answerWithFailure(context, { req, res, err, monitor, monitored });
       } finally {
         size -= 1;
+        monitor.remove(monitored);
       }
     },
     size: () => size,
+    reportCut: () => monitor.reportCut(),
   };
 }
 
@@ -134,10 +147,11 @@
   resolved: ResolvedRequest;
   body: Buffer;
   arrivalMs: number;
+  monitored: MonitoredRequest;
 }
 
 async function forward(context: ForwardingContext, options: ForwardOptions): Promise<void> {
-  const { req, res, resolved, body, arrivalMs } = options;
+  const { req, res, resolved, body, arrivalMs, monitored } = options;
   const { metadata, route, service, workspace } = resolved;
   const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
   const controller = new AbortController();
@@ -163,6 +177,7 @@
     endFailure: timeoutMs < route.timeoutMs ? FAILURE.DEADLINE : FAILURE.ROUTE_TIMEOUT,
     signal: controller.signal,
     res,
+    onAttempts: (state) => void (monitored.attempts = state),
   };
   const handler = route.kind === ROUTE_KIND.STREAMING
     ? createStreamHandler(context, request)
@@ -189,9 +204,13 @@
 /** Answers with a failure, or closes the connection if an answer has been started already. */
 function answerWithFailure(
   context: ForwardingContext,
-  req: IncomingMessage,
-  res: ServerResponse,
-  err: unknown,
+  { req, res, err, monitor, monitored }: {
+    req: IncomingMessage;
+    res: ServerResponse;
+    err: unknown;
+    monitor: StopMonitor;
+    monitored: MonitoredRequest;
+  },
 ): void {
   const failure = err instanceof ForwardingError
     ? err
@@ -202,11 +221,13 @@
     reason: failure.reason,
     hasBegun: res.headersSent,
     hasCallerLeft: res.destroyed,
+    ...monitor.describe(monitored),
     err: failure.cause,
   };
   if (failure.reason === FAILURE.INTERNAL) context.log.error(fields, "Request failed");
   else context.log.info(fields, "Request not served");
   context.metrics.increment("refusal", { reason: failure.reason });
+  if (failure.reason === FAILURE.STOPPING) monitor.refused();
   if (res.destroyed) return;
   if (res.headersSent) res.destroy();
   else sendFailure(context, req, res, failure);
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -19,4 +19,5 @@
   PlacementClient,
   Reservation,
   ReservationClient,
+  StopTime,
 } from "./_lib/request_context.ts";
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -1,3 +1,4 @@
+import type { StopTime } from "@jaypass/forwarding";
 import type { Clock, Millis } from "@jaypass/kernel";
 import {
   DIRECTORY_TTL_FACTOR,
@@ -18,6 +19,8 @@
   isRefusing(): boolean;
   /** Reports whether the process should exit, given the number of requests in progress. */
   isDone(requests: number): boolean;
+  /** Progress of the stop; undefined before its start. */
+  time(): StopTime | undefined;
 }
 
 /**
@@ -51,5 +54,10 @@
       startMs !== undefined &&
       (elapsedMs() >= graceMs - STOP_MARGIN_MS ||
         (requests === 0 && elapsedMs() >= directoryExpiryMs)),
+    time: () =>
+      startMs === undefined ? undefined : {
+        elapsedMs: elapsedMs(),
+        remainingMs: graceMs - STOP_MARGIN_MS - elapsedMs(),
+      },
   };
 }
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -25,3 +25,20 @@
   seen.push(look(1));
   t.snapshot(seen);
 });
+
+// Guards against reports of a stop that count from another time than the signal.
+test("the progress of a stop counts from its start to the exit before its forced end", (t) => {
+  let nowMs = 1_000;
+  const stop = createStopState({
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    graceMs: 8_000,
+  });
+  t.is(stop.time(), undefined);
+  stop.begin();
+  t.deepEqual(stop.time(), { elapsedMs: 0, remainingMs: 7_500 });
+  nowMs = 4_900;
+  stop.begin();
+  t.deepEqual(stop.time(), { elapsedMs: 3_900, remainingMs: 3_600 });
+  nowMs = 8_550;
+  t.deepEqual(stop.time(), { elapsedMs: 7_550, remainingMs: -50 });
+});
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -10,7 +10,7 @@
 import { listen } from "./_lib/listen.ts";
 import { chooseAddresses } from "./choose_addresses.ts";
 import { SERVICE } from "./service_names.ts";
-import type { Cluster } from "./service_names.ts";
+import type { Cluster, PublicServers } from "./service_names.ts";
 import type { StopState } from "./create_stop_state.ts";
 
 /**
@@ -50,6 +50,7 @@
         }),
         isRefusing: () => stop.isRefusing(),
         isClosing: () => stop.isStopping(),
+        stopTime: () => stop.time(),
       });
       return { service: forwarder };
     },
@@ -62,7 +63,7 @@
  * @param context settings, platform adapter, clock, log and metrics
  * @returns the definition
  */
-export function definePublicServers(context: HostContext): ServiceDefinition<undefined> {
+export function definePublicServers(context: HostContext): ServiceDefinition<PublicServers> {
   const { settings } = context;
   return {
     name: SERVICE.PUBLIC_SERVERS,
@@ -71,17 +72,19 @@
       const cluster = lookup(SERVICE.CLUSTER);
       const stop = lookup(SERVICE.STOP_STATE);
       const forwarder = lookup(SERVICE.FORWARDER);
+      const callerServer = createCallerServer(cluster, forwarder);
       const servers: [Server, string | undefined][] = [
-        [createCallerServer(cluster, forwarder), settings.callerAddress],
+        [callerServer, settings.callerAddress],
         [createReadinessServer(context, cluster, stop), settings.readinessAddress],
         [createDirectoryServer(context, cluster), settings.directoryAddress],
         [createMetricsServer(context), settings.metricsAddress],
       ];
+      const callerConnectionCount = countConnections(callerServer);
       for (const [server, address] of servers) {
         if (address !== undefined) await listen(server, address);
       }
       return {
-        service: undefined,
+        service: { callerConnectionCount },
         stop() {
           for (const [server] of servers) {
             server.close();
@@ -94,6 +97,16 @@
   };
 }
 
+/** Counts a server's open connections; returns a function that reads their number. */
+function countConnections(server: Server): () => number {
+  let count = 0;
+  server.on("connection", (socket) => {
+    count += 1;
+    socket.once("close", () => void (count -= 1));
+  });
+  return () => count;
+}
+
 function createCallerServer(cluster: Cluster, forwarder: Forwarder): Server {
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -18,16 +18,22 @@
   const signal = await waitForSignal();
   const stop = kernel.lookup(SERVICE.STOP_STATE);
   const forwarder = kernel.lookup(SERVICE.FORWARDER);
+  const { callerConnectionCount } = kernel.lookup(SERVICE.PUBLIC_SERVERS);
   stop.begin();
   log.info(
-    { signal, requests: forwarder.size() },
+    { signal, requests: forwarder.size(), connections: callerConnectionCount() },
     "Host stopping; waiting for its requests to end",
   );
   const left = kernel.lookup(SERVICE.CLUSTER).fleet.leave();
   while (!stop.isDone(forwarder.size())) await sleep(STOP_CHECK_MS);
-  log.info({ requests: forwarder.size() }, "Host stopped");
+  log.info(
+    { requests: forwarder.size(), connections: callerConnectionCount() },
+    "Host stopped",
+  );
   // Does not wait long for the store to remove the host's row, since a hub may remove it as well.
   await Promise.race([left, sleep(STOP_CHECK_MS)]);
+  // Requests may still end during the wait above, so the report comes last.
+  forwarder.reportCut();
 }
 
 function waitForSignal(): Promise<string> {
--- a/packages/forwarding_host/service_names.ts
+++ b/packages/forwarding_host/service_names.ts
@@ -17,9 +17,15 @@
   STOP_STATE: serviceName<StopState>("stop-state"),
   CLUSTER: serviceName<Cluster>("cluster"),
   FORWARDER: serviceName<Forwarder>("forwarder"),
-  PUBLIC_SERVERS: serviceName<undefined>("public-servers"),
+  PUBLIC_SERVERS: serviceName<PublicServers>("public-servers"),
 } as const;
 
+/** Servers for callers, readiness checks, the directory and metrics. */
+export interface PublicServers {
+  /** Number of open connections of callers, idle ones included. */
+  callerConnectionCount(): number;
+}
+
 /** Fleet, cluster view and placement, which depend on one another. */
 export interface Cluster {
   /** Connections to the store and the other hosts. */
