Believe a refusal only after its attempt id was compared

Report: operators of a similar system saw requests that ran reported as not run, or run at a second engine, after a faulty engine wrote an earlier refusal once more.

Callers saw: 503 with a retry delay for a request that the server ran, and a non-idempotent request on a route with two attempts was run by a second server.

Cause: exchangeOnce acted on the refusal before it compared the attempt id of the answer with that of the request, so that a refusal of another request counted as one of this request.

Change: readOwnAnswer is the only reader of an answer's metadata and returns none if the answer names another attempt, so that nothing in such an answer is believed: neither the refusal nor the address of a faulty server. The request may have run: a non-idempotent one gets 502, a repeatable one goes to another server. A refusal without an id is still believed. A connection carries one request, so that an earlier refusal cannot be left on it, and a server that is full may refuse before it has read the headers; an id would not help against a server that refuses a request and then runs it.

The backend of the test host no longer fails when the host closes a connection before the request is complete.

--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -14,6 +14,7 @@
 import { createSilenceWatch } from "./create_silence_watch.ts";
 import type { SilenceWatch } from "./create_silence_watch.ts";
 import { isRepeatable } from "./describe_job.ts";
+import { readOwnAnswer } from "./read_own_answer.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
 
 /** Sends a request to one server and passes the answer to the handler. */
@@ -64,17 +65,18 @@
   });
   try {
     const answer = await exchange.answer;
-    const metadata = context.codec.readAnswer(answer.status, answer.headers);
+    const metadata = readOwnAnswer(context, request, answer);
+    if (metadata === undefined) {
+      state.mayHaveRun = true;
+      exchange.cancel();
+      return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
+    }
     if (metadata.isNotRun) {
       if (metadata.faultyAddress !== undefined) options.onFaultyServer(metadata.faultyAddress);
       exchange.cancel();
       return { outcome: JOB_OUTCOME.REJECTED, isDone: false, failure: FAILURE.SERVER_REJECTED };
     }
     state.mayHaveRun = true;
-    if (metadata.attemptId !== undefined && metadata.attemptId !== request.metadata.attemptId) {
-      exchange.cancel();
-      return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
-    }
     const onChunk = () => {
       firstByteTimer.clear();
       silence.recordData();
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -96,6 +96,8 @@
   serverStatus?: readonly ServerStatus[];
   /** Start times of the servers now, by index, where they differ from those at the placement. */
   restartedAtMs?: readonly (number | undefined)[];
+  /** Called for each new connection to a server, before its request is read. */
+  onConnection?: (socket: Socket, server: number) => void;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -109,7 +111,11 @@
 ): Promise<TestHost> {
   const arrivals: TestHost["arrivals"] = [];
   const servers = await Promise.all(
-    behaviours.map((behaviour, index) => listen(createBackend(arrivals, behaviour, index))),
+    behaviours.map((behaviour, index) => {
+      const server = createBackend(arrivals, behaviour, index);
+      server.on("connection", (socket: Socket) => options.onConnection?.(socket, index));
+      return listen(server);
+    }),
   );
   const addresses = servers.map(addressOf);
   const outcomes: JobOutcome[] = [];
@@ -288,7 +294,12 @@
 ): Server {
   return createServer(async (req, res) => {
     let body = "";
-    for await (const chunk of req.setEncoding("utf8")) body += chunk;
+    try {
+      for await (const chunk of req.setEncoding("utf8")) body += chunk;
+    } catch {
+      // The host closed the connection before the request was complete.
+      return;
+    }
     arrivals.push({ server: index, body, headers: req.headers });
     behaviour(req, res, body);
   });
