Resolve unknown calls on new connections to the service

Report: a faulty server writes an earlier answer once more on a kept connection.

Callers saw: with the resolution "fence", a repeated `no_result` of another key was taken as proof that the call had not run. The ledger then records it as not run, and the next attempt runs it a second time, since a service need not suppress repeats of a key. A repeated confirmation of a lower fencing number was taken as that of the higher one, so that an earlier attempt could still run.

Cause: lookup and raiseFence used kept connections, and their answers do not tell a repeated one apart: `no_result` names no key, and a confirmation names the key but not the number.

Change: both use a new connection for each call, as calls do that may not be repeated. A repeated answer cannot be left on it. The calls are rare: they follow only an unknown outcome.

Evidence: "a repeated answer that a key has no result does not hide the result of another key" and "a repeated confirmation of a fencing number does not confirm another one" failed before (undefined instead of the result; no error) and pass now. That the ledger runs the call again was read in the code, not run. "a repeated refusal on a kept connection does not prove that the next request did not run" passed before too: a refusal that names another request or none leaves the outcome unknown.

--- a/packages/engines/create_service_client.ts
+++ b/packages/engines/create_service_client.ts
@@ -52,13 +52,19 @@
         headers: { "content-type": "application/json" },
         body: JSON.stringify({ fencing }),
       };
-      // The key serves as the request id, so that an answer to another request is detected.
-      await connections.run(req, callOptions, (exchange) => readJson(exchange, CONFIRMATION, key));
+      // The key serves as the request id, so that an answer to another key is detected. A new
+      // connection holds no earlier answer to the same key.
+      await connections.runFresh(
+        req,
+        callOptions,
+        (exchange) => readJson(exchange, CONFIRMATION, key),
+      );
     },
     async lookup(key, callOptions) {
       const path = `/v1/results/${encodeURIComponent(key)}`;
       try {
-        const stored = await connections.run(
+        // An answer without a result names no key. A new connection holds no earlier answer.
+        const stored = await connections.runFresh(
           { method: "GET", path },
           callOptions,
           (exchange) => readJson(exchange, STORED_RESULT),
--- a/packages/engines/create_service_client_test.ts
+++ b/packages/engines/create_service_client_test.ts
@@ -4,6 +4,8 @@
 import test from "ava";
 import type { ExecutionContext } from "ava";
 import { createHash } from "node:crypto";
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { createServiceClient, EngineError } from "./mod.ts";
 import type { ServiceRequest } from "./mod.ts";
 
@@ -118,3 +120,80 @@
   await client.call(booking("a", { fencing: 1 }), CALL);
   t.is(service.log().effects["key a"]?.length, 1);
 });
+
+/**
+ * Starts a server that answers each request, and writes the first answer of a connection once more
+ * before each later one.
+ */
+async function startRepeating(t: ExecutionContext, answers: Record<string, string>) {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    let repeated = "";
+    sockets.push(socket);
+    socket.on("error", () => {});
+    socket.setEncoding("utf8").on("data", (text: string) => {
+      const id = /^x-request-id: (.*)\r$/m.exec(text)?.[1] ?? text.split(" HTTP")[0] ?? "";
+      const answer = answers[id] ?? "";
+      socket.write(repeated + answer);
+      if (repeated === "") repeated = answer;
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const client = createServiceClient(url, {
+    clock: createClock(),
+    metrics: createMetrics({ tags: {} }),
+  });
+  t.teardown(async () => {
+    await client.close();
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return { client, sockets };
+}
+
+const KEPT = { timeoutMs: 2_000 };
+
+const json = (status: number, body: unknown, header = "") => {
+  const text = JSON.stringify(body);
+  return `HTTP/1.1 ${status} x\r\n${header}content-length: ${text.length}\r\n\r\n${text}`;
+};
+
+/** Waits until a connection whose answer is complete may be used again. */
+const waitForIdle = () => new Promise((resolve) => setTimeout(resolve, 50));
+
+test("a repeated answer that a key has no result does not hide the result of another key", async (t) => {
+  const stored = { key: "b", requestId: "r", status: 200, contentType: "", body: "" };
+  const { client } = await startRepeating(t, {
+    "GET /v1/results/a": json(404, { error: { code: "no_result", ran: "unknown" } }),
+    "GET /v1/results/b": json(200, { ...stored, restartCount: 0 }),
+  });
+  t.is(await client.lookup("a", KEPT), undefined);
+  await waitForIdle();
+  t.is((await client.lookup("b", KEPT))?.requestId, "r");
+});
+
+test("a repeated confirmation of a fencing number does not confirm another one", async (t) => {
+  const answers = { "PUT /v1/fences/a": json(200, { requestId: "a" }) };
+  const { client } = await startRepeating(t, answers);
+  await client.raiseFence("a", 1, KEPT);
+  await waitForIdle();
+  const error = { code: "stale_fencing", ran: "not_run", requestId: "a" };
+  answers["PUT /v1/fences/a"] = json(409, { error });
+  t.is(await failure(t, client.raiseFence("a", 2, KEPT)), "stale_fencing not_run");
+});
+
+test("a repeated refusal on a kept connection does not prove that the next request did not run", async (t) => {
+  const error = { code: "overloaded", ran: "not_run" };
+  const cases = [["a", "crossed unknown"], [undefined, "overloaded unknown"]] as const;
+  for (const [requestId, expected] of cases) {
+    const { client, sockets } = await startRepeating(t, {
+      a: json(503, { error: { ...error, requestId } }, "x-refused: overloaded\r\n"),
+      b: json(200, {}, "x-request-id: b\r\n"),
+    });
+    await failure(t, client.call(booking("a"), KEPT));
+    await waitForIdle();
+    t.is(await failure(t, client.call(booking("b"), KEPT)), expected);
+    t.is(sockets.length, 1);
+  }
+});
