Do not take a refusal of a call without an id as proof that it did not run

Report: a faulty server writes an earlier refusal once more on a kept connection.

Callers saw: an order to an engine failed with `ran: "not_run"` when the refusal of an earlier call was left on the connection.

Cause: readRefusal counted each refusal as naming the request when the call has no id, as orders, load reports and lists of requests have none, although the protocol requires the name.

Change: only a refusal that names the request of its call proves that the request did not run. The reason and the code of the error are the same as before.

Evidence: "a refusal of a call without an id does not prove that the call did not run" failed before ("not_run") and passes now; the tests of packages/engines pass (36).

--- a/packages/engines/_lib/read_answer.ts
+++ b/packages/engines/_lib/read_answer.ts
@@ -49,7 +49,8 @@
 
 /**
  * Reads a refusal and converts it to an error. A refusal proves that the request did not run only
- * if it names this request, because a refusal of another request says nothing about this one.
+ * if it names this request, because a refusal of another request says nothing about this one. A
+ * call without an id therefore never counts as not run once it was written.
  */
 export async function readRefusal(exchange: Exchange, requestId?: string): Promise<EngineError> {
   const { status } = await exchange.head();
@@ -59,7 +60,7 @@
   if (requestId !== undefined && answeredId !== undefined && answeredId !== requestId) {
     return crossedError(answeredId);
   }
-  const isNamed = requestId === undefined || answeredId === requestId;
+  const isNamed = requestId !== undefined && answeredId === requestId;
   return new EngineError(`Refused by the server: "${reason}"`, {
     code: CODE_BY_REASON[reason] ?? "rejected",
     ran: ran === "not_run" && !isNamed ? "unknown" : ran,
--- a/packages/engines/create_engine_client_test.ts
+++ b/packages/engines/create_engine_client_test.ts
@@ -203,6 +203,17 @@
   }
 });
 
+test("a refusal of a call without an id does not prove that the call did not run", async (t) => {
+  const body = JSON.stringify({ error: { code: "stale_fencing", ran: "not_run" } });
+  const client = await startRaw(
+    t,
+    (write) => write(`HTTP/1.1 409 Stale\r\ncontent-length: ${body.length}\r\n\r\n${body}`),
+  );
+  const order = { kind: "set_version", name: "default", version: "2", fencing: 1 } as const;
+  const err = await t.throwsAsync<EngineError>(() => client.order(order, CALL));
+  t.deepEqual([err?.code, err?.ran], ["stale_fencing", "unknown"]);
+});
+
 test("a throwing beforeSend and an already aborted signal prevent the send", async (t) => {
   const { engine, client } = await start(t);
   const cause = new Error("Dispatch window passed");
