Keep an unknown outcome of a service call when a later attempt is refused

Found while checking where an answer is taken as "not run".

Callers saw: an idempotent call whose first attempt may have run, and whose second attempt was refused by a server or by admission, failed with `ran: "not_run"`, which guarantees that it did not run.

Cause: the error of the last attempt decided alone what the caller was told.

Change: callIdempotent remembers whether an attempt may have run; the error then says `unknown`. The reason and the retry delay are those of the last attempt, as before.

Evidence: "a call whose first attempt may have run is not reported as not run after a refusal" failed before ("not_run" instead of "unknown") and passes now; it also checks that `not_run` remains if all attempts were refused.

--- a/packages/routing/_lib/call_plain_service.ts
+++ b/packages/routing/_lib/call_plain_service.ts
@@ -46,18 +46,25 @@
 async function callIdempotent(req: PlainRequest, context: RouterContext): Promise<CallResult> {
   const exclude: string[] = [];
   let lastErr: unknown;
+  let mayHaveRun = false;
   for (let n = 0; n < MAX_ATTEMPTS; n++) {
-    const prepared = await prepareCall({ req, context, exclude, attempt: n });
+    let prepared: Awaited<ReturnType<typeof prepareCall>>;
+    try {
+      prepared = await prepareCall({ req, context, exclude, attempt: n });
+    } catch (err) {
+      throw toRequestError(err, req, { mayHaveRun });
+    }
     try {
       return await prepared.send(0, req.deadline.signal);
     } catch (err) {
       lastErr = err;
+      mayHaveRun ||= !(err instanceof EngineError && err.ran === RAN.NOT_RUN);
       if (req.deadline.isExpired() || !context.retryBudget.tryWithdraw(req.workspace)) break;
       context.metrics.increment("retry", { reason: classifyAttemptError(err).retry });
       exclude.push(prepared.server);
     }
   }
-  throw lastErr;
+  throw toRequestError(lastErr, req, { mayHaveRun });
 }
 
 function callThroughLedger(
@@ -178,11 +185,20 @@
   };
 }
 
-function toRequestError(err: unknown, req: PlainRequest): unknown {
+/**
+ * Converts an error of the last attempt; `mayHaveRun` states that an attempt of the call may have
+ * run, which a refusal of a later attempt does not change.
+ */
+function toRequestError(err: unknown, req: PlainRequest, { mayHaveRun = false } = {}): unknown {
   if (err instanceof RequestError) return err;
   const message = err instanceof Error ? err.message : String(err);
   const createError = (reason: string, ran: Ran, retryAfterMs?: number) =>
-    new RequestError(message, { reason, ran, retryAfterMs, cause: err });
+    new RequestError(message, {
+      reason,
+      ran: mayHaveRun && ran === RAN.NOT_RUN ? RAN.UNKNOWN : ran,
+      retryAfterMs,
+      cause: err,
+    });
   if (err instanceof CallError) return createError(err.reason, err.ran, err.retryAfterMs);
   if (err instanceof AdmissionRefusedError) {
     return createError(err.reason, RAN.NOT_RUN, err.retryAfterMs);
