Do not pass on a server's status that means "not run" without that statement

Found while checking where an answer is taken as "not run".

Callers saw: a server's sealed answer with status 408, 421, 429 or 503 for the request was passed on, although only the header for it states that the request was not run.

Cause: the handlers pass on a server's own error answer whatever its status.

Change: such an answer counts as one of a request that may have run: 502 for a non-idempotent request, another server for a repeatable one. It ends the attempt as failed, which counts no crash for the quarantine. Other error answers, such as 500 and 400, are passed on as before.

Evidence: the four tests "an answer with status ... that does not state that the request was not run is not passed on as such" failed before (the server's status instead of 502) and pass now.

--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -5,6 +5,7 @@
   FIRST_BYTE_EXPECTED_FACTOR,
   FIRST_BYTE_GOAL_FACTOR,
   MIN_FIRST_BYTE_TIMEOUT_MS,
+  NOT_RUN_STATUSES,
 } from "../constants.ts";
 import { FAILURE } from "../errors.ts";
 import { EXCHANGE_FAILURE, ExchangeError, openExchange } from "../open_exchange.ts";
@@ -77,6 +78,9 @@
       return { outcome: JOB_OUTCOME.REJECTED, isDone: false, failure: FAILURE.SERVER_REJECTED };
     }
     state.mayHaveRun = true;
+    if (NOT_RUN_STATUSES.has(answer.status)) {
+      return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure: FAILURE.INVALID_ANSWER };
+    }
     const onChunk = () => {
       firstByteTimer.clear();
       silence.recordData();
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -16,6 +16,12 @@
 /** Informational answers (status 1xx) of one exchange after which the server counts as faulty. */
 export const MAX_INFORMATIONAL_ANSWERS = 16;
 
+/**
+ * Statuses that guarantee a caller that its request has not run and will not run. A server's own
+ * answer with one of them is not passed on unless it states that the request was not run.
+ */
+export const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Longest event of a stream, and longest sequence of repeated events that is skipped. */
 export const MAX_EVENT_BYTES = 262_144;
 
--- a/packages/forwarding/stale_refusal_test.ts
+++ b/packages/forwarding/stale_refusal_test.ts
@@ -104,3 +104,18 @@
     t.deepEqual([status, body, sockets.size], [200, "own", n]);
   }
 });
+
+for (const status of [408, 421, 429, 503]) {
+  test(`an answer with status ${status} that does not state that the request was not run is not passed on as such`, async (t) => {
+    for (const kind of [ROUTE_KIND.NON_IDEMPOTENT, ROUTE_KIND.STREAMING]) {
+      const unmarked: ServerBehaviour = (_req, res) => {
+        res.writeHead(status, { Attempt: "a1", Seal: "s" }).end("ran");
+      };
+      const host = await createTestHost([unmarked, unmarked], { maxAttempts: 2 });
+      t.teardown(() => host.close());
+      const result = await host.call({ kind });
+      t.deepEqual([result.status, result.retryAfter], [502, undefined]);
+      t.is(host.arrivals.length, kind === ROUTE_KIND.NON_IDEMPOTENT ? 1 : 2);
+    }
+  });
+}
