Take a request during a stop only if its answer can end before the host does

Callers saw: a prompt that a host took 3.9 s after its SIGTERM was cut off in the middle of its answer at 7.5 s, when the host exited (LOST). The limit for new requests was a share of the grace period (55 in 100) and did not depend on how long the answer takes; a prompt that waited for an engine when the signal came was not looked at again at all.

A host that stops now knows when it ends, and asks that of each request: when it arrives, while it waits for an engine, and before it is sent to a server. A request whose deadline is before the end is always taken. One that may last longer is taken only while callers may hold a valid answer of the directory that names the host, and only if the longest likely answer, at the pace of a full engine, ends in time. Others are refused as not run, at once.

--- a/packages/forwarding/_lib/create_stop_monitor_test.ts
+++ b/packages/forwarding/_lib/create_stop_monitor_test.ts
@@ -67,7 +67,6 @@
 test("a request that a stopping host refuses is logged with its time, and counted", async (t) => {
   const host = await startHost(t, answerAtOnce);
   host.setStopTime({ elapsedMs: 5_000, remainingMs: 2_500 });
-  host.refuse();
   t.is((await host.call()).status, 503);
   t.like(linesOf(host, "Request not served")[0]?.fields, {
     requestId: "a1",
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -57,6 +57,24 @@
   release(): void;
 }
 
+/** Progress of a host's graceful stop. */
+export interface StopTime {
+  /** Milliseconds since the signal. */
+  elapsedMs: Millis;
+  /** Milliseconds until the host exits whether or not requests are in progress. */
+  remainingMs: Millis;
+}
+
+/** The graceful stop of the host. */
+export interface HostStop {
+  /** Aborted when the stop begins. */
+  signal: AbortSignal;
+  /** Progress of the stop; undefined before it begins. */
+  time(): StopTime | undefined;
+  /** True while callers may hold an unexpired answer of the directory that names this host. */
+  isListed(): boolean;
+}
+
 /** Services and state of the host that forwarding uses. */
 export interface ForwardingContext {
   /** Monotonic time source. */
@@ -81,20 +99,8 @@
   placement: PlacementClient;
   /** Reserves memory on helpers. */
   reservations: ReservationClient;
-  /** True while new requests are refused because the host is stopping. */
-  isRefusing: () => boolean;
-  /** True while connections are closed after their current request. */
-  isClosing: () => boolean;
-  /** Progress of the host's graceful stop; undefined before its start. */
-  stopTime: () => StopTime | undefined;
-}
-
-/** Progress of a host's graceful stop. */
-export interface StopTime {
-  /** Milliseconds since the signal. */
-  elapsedMs: Millis;
-  /** Milliseconds until the host exits whether or not requests are in progress. */
-  remainingMs: Millis;
+  /** The graceful stop, during which connections are closed after their current request. */
+  stop: HostStop;
 }
 
 /** A completely received request of a caller. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -10,6 +10,7 @@
 import { describeJob, isRepeatable } from "./describe_job.ts";
 import { exchangeOnce } from "./exchange_once.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
+import { canStart, watchLatestStart } from "./stop_limit.ts";
 
 /**
  * Sends a request to one server after another until one answers or no further attempt is allowed.
@@ -39,16 +40,20 @@
   request.onAttempts(state);
   while (true) {
     const job = describeJob(context, request, state, handler);
-    const decision = await placeUnlessAborted(context, request, job);
-    if (decision === undefined) throw createDeadlineError(request);
+    // A stream that has begun goes on during a stop, since its caller cannot start it again.
+    const isStoppable = handler.resumeAfter() === undefined;
+    const decision = await placeUnlessAborted(context, request, job, { isStoppable });
+    if (decision === undefined) throw createAbortError(request, state);
     if (decision.kind === "refused") {
       if (deliverLastFailure(state)) return;
       throw createRefusalError(state, decision);
     }
     const server = context.findServer(decision.serverId);
-    if (request.signal.aborted || server === undefined) {
+    const isTooLate = isStoppable &&
+      !canStart(context, request, { firstByteMs: decision.expectedMs });
+    if (request.signal.aborted || isTooLate || server === undefined) {
       context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
-      if (request.signal.aborted) throw createDeadlineError(request);
+      if (request.signal.aborted || isTooLate) throw createAbortError(request, state);
       state.excludedIds.push(decision.serverId);
       state.connectFailureCount += 1;
       if (state.connectFailureCount >= MAX_CONNECT_FAILURES) throw createNoServerError(state);
@@ -80,11 +85,15 @@
   }
 }
 
-/** Places a job; undefined if the caller leaves or its deadline passes before the decision. */
+/**
+ * Places a job; undefined if the caller leaves, its deadline passes, or the host stops so soon that
+ * the request cannot be answered any more, before the decision.
+ */
 async function placeUnlessAborted(
   context: ForwardingContext,
   request: CallerRequest,
   job: PlacementJob,
+  { isStoppable }: { isStoppable: boolean },
 ): Promise<PlacementDecision | undefined> {
   const { signal } = request;
   if (signal.aborted) return undefined;
@@ -93,9 +102,11 @@
     onAbort = () => resolve(undefined);
     signal.addEventListener("abort", onAbort, { once: true });
   });
+  const endWatch = isStoppable ? watchLatestStart(context, request, onAbort) : () => {};
   const pendingDecision = context.placement.place(job);
   const decision = await Promise.race([pendingDecision, aborted]);
   signal.removeEventListener("abort", onAbort);
+  endWatch();
   if (decision !== undefined) return decision;
   context.placement.cancel(job.id);
   // The job may be placed before the cancellation takes effect, and must then be ended as well.
@@ -185,6 +196,13 @@
   return new ForwardingError(503, FAILURE.NO_SERVER, { retryAfterMs: REJECTED_RETRY_AFTER_MS });
 }
 
+/** Creates the error of a request that is given up before it is sent to the next server. */
+function createAbortError(request: CallerRequest, state: AttemptState): ForwardingError {
+  if (request.signal.aborted) return createDeadlineError(request);
+  if (state.mayHaveRun) return new ForwardingError(502, FAILURE.STOPPING);
+  return new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
+}
+
 function createDeadlineError(request: CallerRequest): ForwardingError {
   return new ForwardingError(504, request.endFailure);
 }
--- a/packages/forwarding/_lib/send_failure.ts
+++ b/packages/forwarding/_lib/send_failure.ts
@@ -25,7 +25,7 @@
     headers.push(context.codec.retryAfterName, String(failure.retryAfterMs / MILLIS_PER_SECOND));
   }
   const hasUnreadBody = !req.complete;
-  if (context.isClosing() || hasUnreadBody) headers.push("Connection", "close");
+  if (context.stop.signal.aborted || hasUnreadBody) headers.push("Connection", "close");
   res.writeHead(failure.status, headers);
   res.end(body);
 }
--- /dev/null
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -0,0 +1,69 @@
+import type { Millis } from "@jaypass/kernel";
+import { computeAnswerMs } from "../compute_answer_ms.ts";
+import { computeLatestStartMs } from "../compute_latest_start_ms.ts";
+import type { CallerRequest, ForwardingContext } from "./request_context.ts";
+
+/** The parts of a request that decide whether its answer can end before the host does. */
+export type StoppableRequest = Pick<CallerRequest, "endMs" | "metadata" | "service">;
+
+/**
+ * Reports whether a host may take a new request.
+ *
+ * During a stop, a request is taken if its deadline is before the end of the host. One that may last
+ * longer is taken only from callers that cannot know of the stop yet, and only if its answer is
+ * expected to end in time. All others are refused, so that their callers try another host at once.
+ */
+export function canTakeRequest(context: ForwardingContext, request: StoppableRequest): boolean {
+  const stopTime = context.stop.time();
+  if (stopTime === undefined) return true;
+  const isShort = request.endMs <= context.clock.nowMs() + stopTime.remainingMs;
+  return isShort || (context.stop.isListed() && canStart(context, request));
+}
+
+/** Reports whether the answer of a request that is sent now is expected to end before the host. */
+export function canStart(
+  context: ForwardingContext,
+  request: StoppableRequest,
+  options: { firstByteMs?: Millis } = {},
+): boolean {
+  return context.clock.nowMs() <= latestStartMs(context, request, options);
+}
+
+/**
+ * Calls a function once a waiting request could not be answered before the end of the host, also
+ * if the host starts to stop during the wait.
+ *
+ * @returns the function that ends the watch
+ */
+export function watchLatestStart(
+  context: ForwardingContext,
+  request: StoppableRequest,
+  onTooLate: () => void,
+): () => void {
+  const { signal } = context.stop;
+  let timer: NodeJS.Timeout | undefined;
+  const startTimer = () => {
+    const waitMs = latestStartMs(context, request) - context.clock.nowMs();
+    if (waitMs < Infinity) timer = setTimeout(onTooLate, Math.max(0, waitMs));
+  };
+  if (signal.aborted) startTimer();
+  else signal.addEventListener("abort", startTimer, { once: true });
+  return () => {
+    clearTimeout(timer);
+    signal.removeEventListener("abort", startTimer);
+  };
+}
+
+function latestStartMs(
+  context: ForwardingContext,
+  { endMs, metadata, service }: StoppableRequest,
+  options: { firstByteMs?: Millis } = {},
+): Millis {
+  const stopTime = context.stop.time();
+  if (stopTime === undefined) return Infinity;
+  const profile = context.configuration()?.services.get(service)?.engine;
+  // How long a call to a plain service takes is unknown, so that only its deadline bounds it.
+  const answerMs = profile === undefined ? Infinity : computeAnswerMs(metadata, profile, options);
+  const hostEndMs = context.clock.nowMs() + stopTime.remainingMs;
+  return computeLatestStartMs({ endMs, answerMs }, hostEndMs);
+}
--- a/packages/forwarding/_lib/write_to_caller.ts
+++ b/packages/forwarding/_lib/write_to_caller.ts
@@ -20,7 +20,7 @@
 ): void {
   const headers = context.codec.writeCallerAnswer(answer.headers);
   if (length !== undefined) headers.push("Content-Length", String(length));
-  if (context.isClosing()) headers.push("Connection", "close");
+  if (context.stop.signal.aborted) headers.push("Connection", "close");
   request.res.writeHead(answer.status, answer.statusText, headers);
 }
 
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -4,7 +4,12 @@
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import { createClock } from "@jaypass/kernel";
-import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
+import type {
+  EngineProfile,
+  JobOutcome,
+  PlacementDecision,
+  PlacementJob,
+} from "@jaypass/placement";
 import { createForwarder } from "../create_forwarder.ts";
 import { indexConfiguration } from "../index_configuration.ts";
 import { ROUTE_KIND, SERVER_STATUS } from "../types.ts";
@@ -38,9 +43,9 @@
   checkCount(): number;
   /** Number of released memory reservations. */
   releaseCount(): number;
-  /** Makes the host refuse new requests. */
-  refuse(): void;
-  /** Sets the progress of a graceful stop, and makes connections close after their requests. */
+  /** Starts the graceful stop of the host, which ends after `remainingMs`. */
+  stop(options: { remainingMs: number; isListed?: boolean }): void;
+  /** Starts the graceful stop of the host, and sets its progress, which stays as it is. */
   setStopTime(time: StopTime): void;
   /** Logs the requests in progress as cut off. */
   reportCut(): void;
@@ -62,6 +67,8 @@
   path?: string;
   deadlineMs?: number;
   key?: string;
+  /** Maximum length of the answer. */
+  answerTokens?: number;
   /** Milliseconds after which the caller closes its connection. */
   leaveAfterMs?: number;
   /** Agent that keeps connections; by default each call has its own connection. */
@@ -98,6 +105,10 @@
   restartedAtMs?: readonly (number | undefined)[];
   /** Called for each new connection to a server, before its request is read. */
   onConnection?: (socket: Socket, server: number) => void;
+  /** Time that each placement takes. */
+  placementMs?: number;
+  /** Cost model of the servers, if they run a model. */
+  engine?: EngineProfile;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -122,12 +133,14 @@
   const placedIds = new Set<string>();
   let checkCount = 0;
   let releaseCount = 0;
-  let isRefusing = false;
-  let stopTime: StopTime | undefined;
+  const clock = createClock();
+  const stopping = new AbortController();
+  let readStopTime: () => StopTime | undefined = () => undefined;
+  let isListed = true;
   const lines: TestHost["lines"] = [];
   const counters: TestHost["counters"] = {};
   const forwarder = createForwarder({
-    clock: createClock(),
+    clock,
     random: () => 0.5,
     log: {
       ...SILENT_LOG,
@@ -149,7 +162,7 @@
       options.hasNoConfiguration ? undefined : indexConfiguration({
         version: 1,
         routes: Object.values(ROUTE_KIND).map((kind) => makeRoute(kind, options)),
-        services: [{ name: "s", coldRequestsPerS: 0 }],
+        services: [{ name: "s", coldRequestsPerS: 0, engine: options.engine }],
         workspaces: [{ name: "w1", keys: ["k1"] }],
         limits: {
           maxHeaderBytes: 8_192,
@@ -170,8 +183,10 @@
     },
     findServerAt: () => undefined,
     placement: {
-      place: (job) =>
-        Promise.resolve(options.refusal ?? placeNext(job, behaviours.length, options)),
+      async place(job) {
+        if (options.placementMs !== undefined) await wait(options.placementMs);
+        return options.refusal ?? placeNext(job, behaviours.length, options);
+      },
       cancel: () => {},
       started: () => {},
       finished: (_jobId, outcome) => void outcomes.push(outcome),
@@ -182,17 +197,25 @@
         return { tickets: new Map(), release: () => void (releaseCount += 1) };
       },
     },
-    isRefusing: () => isRefusing,
-    isClosing: () => isRefusing || stopTime !== undefined,
-    stopTime: () => stopTime,
+    stop: { signal: stopping.signal, time: () => readStopTime(), isListed: () => isListed },
   });
   const front = await listen(createServer((req, res) => void forwarder.handle(req, res)));
   return {
     call: (call = {}) => callHost(addressOf(front), call),
     arrivals,
     outcomes,
-    refuse: () => void (isRefusing = true),
-    setStopTime: (time) => void (stopTime = time),
+    stop({ remainingMs, isListed: isStillListed = false }) {
+      const startMs = clock.nowMs();
+      const elapsedMs = () => clock.nowMs() - startMs;
+      readStopTime = () => ({ elapsedMs: elapsedMs(), remainingMs: remainingMs - elapsedMs() });
+      isListed = isStillListed;
+      stopping.abort();
+    },
+    setStopTime(time) {
+      readStopTime = () => time;
+      isListed = false;
+      stopping.abort();
+    },
     reportCut: () => forwarder.reportCut(),
     lines,
     counters,
@@ -255,7 +278,7 @@
     key: find(headers, "key"),
     lastEventId: undefined,
     promptTokens: 0,
-    maxAnswerTokens: 0,
+    maxAnswerTokens: Number(find(headers, "answer-tokens") ?? 0),
     estimatedAnswerTokens: undefined,
   }),
   writeServerRequest: (headers, metadata) => [
@@ -332,6 +355,7 @@
         Attempt: "a1",
         Key: call.key ?? "k1",
         Deadline: String(call.deadlineMs ?? 3_000),
+        "Answer-Tokens": String(call.answerTokens ?? 0),
       },
     }, (res) => {
       result.status = res.statusCode ?? 0;
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -52,6 +52,9 @@
 /** Unreachable checks in a row after which a repeatable request goes to another server. */
 export const MAX_UNREACHABLE_CHECKS = 2;
 
+/** Multiple of a caller's estimate that the length of its answer rarely exceeds. */
+export const ANSWER_ESTIMATE_FACTOR = 3;
+
 /** Time that must remain until the deadline for a retry at another server. */
 export const MIN_RETRY_REMAINING_MS = 100;
 
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -1,5 +1,6 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Millis } from "@jaypass/kernel";
 import { MAX_BUFFERED_BODY_BYTES, NO_CONFIGURATION_RETRY_AFTER_MS } from "./constants.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { FAILURE, ForwardingError } from "./errors.ts";
@@ -9,6 +10,7 @@
 import type { CallerRequest, ForwardingContext } from "./_lib/request_context.ts";
 import { runAttempts } from "./_lib/run_attempts.ts";
 import { sendFailure } from "./_lib/send_failure.ts";
+import { canTakeRequest } from "./_lib/stop_limit.ts";
 import { createPlainHandler } from "./_lib/create_plain_handler.ts";
 import { createStopMonitor } from "./_lib/create_stop_monitor.ts";
 import type { MonitoredRequest, StopMonitor } from "./_lib/create_stop_monitor.ts";
@@ -34,6 +36,8 @@
   route: Route;
   service: string;
   workspace: string | undefined;
+  /** Time from the arrival to the deadline, which the route or the caller sets. */
+  timeoutMs: Millis;
 }
 
 /** Length of a fingerprint, by which repeats of the same request are recognized. */
@@ -51,7 +55,7 @@
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
   const memory = createBodyMemoryBudget(MAX_BUFFERED_BODY_BYTES);
-  const monitor = createStopMonitor(context);
+  const monitor = createStopMonitor({ ...context, stopTime: () => context.stop.time() });
   let size = 0;
 
   const serve = async (
@@ -60,7 +64,7 @@
     monitored: MonitoredRequest,
   ) => {
     const arrivalMs = context.clock.nowMs();
-    const resolved = resolveRequest(context, req);
+    const resolved = resolveRequest(context, req, arrivalMs);
     monitor.accepted(monitored, resolved.route.name);
     const body = await readBody(req, {
       maxBytes: resolved.configuration.limits.maxBodyBytes,
@@ -101,7 +105,11 @@
  * The checks come in the order in which the host can state their result truthfully: an unknown
  * route or key can be reported only with a configuration, and a stopping host still reports both.
  */
-function resolveRequest(context: ForwardingContext, req: IncomingMessage): ResolvedRequest {
+function resolveRequest(
+  context: ForwardingContext,
+  req: IncomingMessage,
+  arrivalMs: Millis,
+): ResolvedRequest {
   const configuration = context.configuration();
   if (configuration === undefined) {
     throw new ForwardingError(503, FAILURE.NO_CONFIGURATION, {
@@ -115,12 +123,13 @@
   if (route === undefined) throw new ForwardingError(404, FAILURE.UNKNOWN_ROUTE);
   const metadata = context.codec.readCaller(req.rawHeaders);
   const workspace = findWorkspace(configuration, route, metadata);
-  if (context.isRefusing()) {
-    throw new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
-  }
   const service = chooseTarget(route, context.random);
   if (service === undefined) throw new ForwardingError(503, FAILURE.NO_SERVER);
-  return { metadata, configuration, route, service, workspace };
+  const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
+  if (!canTakeRequest(context, { endMs: arrivalMs + timeoutMs, metadata, service })) {
+    throw new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
+  }
+  return { metadata, configuration, route, service, workspace, timeoutMs };
 }
 
 /** Counts the bytes of the request line and the headers, each with its line end. */
@@ -146,14 +155,13 @@
   res: ServerResponse;
   resolved: ResolvedRequest;
   body: Buffer;
-  arrivalMs: number;
+  arrivalMs: Millis;
   monitored: MonitoredRequest;
 }
 
 async function forward(context: ForwardingContext, options: ForwardOptions): Promise<void> {
   const { req, res, resolved, body, arrivalMs, monitored } = options;
-  const { metadata, route, service, workspace } = resolved;
-  const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
+  const { metadata, route, service, workspace, timeoutMs } = resolved;
   const controller = new AbortController();
   const remainingMs = arrivalMs + timeoutMs - context.clock.nowMs();
   const timer = setTimeout(() => controller.abort(), remainingMs);
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -322,7 +322,7 @@
 test("a stopping host refuses new requests with 503 and sends them to no server", async (t) => {
   const host = await createTestHost([answer("")]);
   t.teardown(() => host.close());
-  host.refuse();
+  host.stop({ remainingMs: 0 });
   t.snapshot({ result: await host.call(), arrivals: host.arrivals.length });
 });
 
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -6,6 +6,8 @@
 
 export * from "./choose_target.ts";
 export * from "./constants.ts";
+export * from "./compute_answer_ms.ts";
+export * from "./compute_latest_start_ms.ts";
 export * from "./create_event_splitter.ts";
 export * from "./create_forwarder.ts";
 export * from "./errors.ts";
@@ -16,6 +18,7 @@
 export type {
   ForwardingContext,
   ForwardingServer,
+  HostStop,
   PlacementClient,
   Reservation,
   ReservationClient,
--- /dev/null
+++ b/packages/forwarding/stop_test.ts
@@ -0,0 +1,74 @@
+import { setTimeout as wait } from "node:timers/promises";
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { createTestHost } from "./_testing/create_test_host.ts";
+import type { ServerBehaviour, TestHostOptions } from "./_testing/create_test_host.ts";
+import { ROUTE_KIND } from "./types.ts";
+
+const SEALED = { Attempt: "a1", Seal: "s" };
+
+const answer: ServerBehaviour = (_req, res) => void res.writeHead(200, SEALED).end("done");
+
+/** An engine that decodes a token a millisecond. */
+const ENGINE = {
+  slots: 1,
+  memoryTokens: 100_000,
+  stepMs: 1,
+  perWriterMs: 0,
+  contextMsPerThousand: 0,
+  readTokensPerMs: 100,
+  pairMsPerMillion: 0,
+  stepsPerPass: 10,
+  chunkTokens: 2_000,
+  usualPromptTokens: 1_000,
+  usualAnswerTokens: 100,
+};
+
+async function startHost(t: ExecutionContext, options: TestHostOptions = {}) {
+  const host = await createTestHost([answer, answer], options);
+  t.teardown(() => host.close());
+  return host;
+}
+
+test("a stopping host serves a request whose deadline is before its end", async (t) => {
+  const host = await startHost(t);
+  host.stop({ remainingMs: 2_000 });
+  const call = { kind: ROUTE_KIND.NON_IDEMPOTENT, deadlineMs: 1_500 };
+  t.is((await host.call(call)).status, 200);
+});
+
+test("a call of unknown length that may outlast a stopping host is refused as not run", async (t) => {
+  const host = await startHost(t);
+  host.stop({ remainingMs: 2_000, isListed: true });
+  const call = { kind: ROUTE_KIND.NON_IDEMPOTENT, deadlineMs: 3_000 };
+  t.snapshot({ result: await host.call(call), arrivals: host.arrivals.length });
+});
+
+test("a stopping host takes a prompt only if its answer is expected to end in time", async (t) => {
+  const host = await startHost(t, { engine: ENGINE });
+  host.stop({ remainingMs: 2_000, isListed: true });
+  const call = (answerTokens: number) => host.call({ kind: ROUTE_KIND.STREAMING, answerTokens });
+  t.snapshot({ short: await call(1_000), long: await call(2_500), arrivals: host.arrivals.length });
+});
+
+test("a stopping host refuses prompts of callers that use an expired directory answer", async (t) => {
+  const host = await startHost(t, { engine: ENGINE });
+  host.stop({ remainingMs: 2_000 });
+  const result = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 100 });
+  t.snapshot({ result, arrivals: host.arrivals.length });
+});
+
+test("a prompt that is placed too late during a stop is refused and not sent", async (t) => {
+  const host = await startHost(t, { engine: ENGINE, placementMs: 5_000 });
+  const call = host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
+  await wait(50);
+  host.stop({ remainingMs: 1_200, isListed: true });
+  t.snapshot({ result: await call, arrivals: host.arrivals.length });
+});
+
+test("a prompt whose engine is expected to answer late is not sent during a stop", async (t) => {
+  const host = await startHost(t, { engine: ENGINE, expectedMs: 1_500 });
+  host.stop({ remainingMs: 2_000, isListed: true });
+  const result = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
+  t.snapshot({ result, arrivals: host.arrivals.length, outcomes: host.outcomes });
+});
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -24,8 +24,8 @@
 /** Largest number of addresses in an answer of the directory. */
 export const MAX_DIRECTORY_ADDRESSES = 64;
 
-/** Part of the grace period after which new requests are refused, so that running ones can end. */
-export const REFUSE_AFTER_SHARE = 0.55;
+/** Time from the start of a stop until the directories of all hosts omit the host. */
+export const LEAVE_PROPAGATION_MS = 2 * FLEET_TICK_MS;
 
 /** Time before the forced end of the process at which a stopping host exits by itself. */
 export const STOP_MARGIN_MS = 500;
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -1,34 +1,26 @@
-import type { StopTime } from "@jaypass/forwarding";
 import type { Clock, Millis } from "@jaypass/kernel";
+import type { HostStop } from "@jaypass/forwarding";
 import {
   DIRECTORY_TTL_FACTOR,
   DIRECTORY_TTL_MS,
-  REFUSE_AFTER_SHARE,
+  LEAVE_PROPAGATION_MS,
   STOP_MARGIN_MS,
 } from "./constants.ts";
 
 /** Phase of a host's graceful stop. */
-export interface StopState {
+export interface StopState extends HostStop {
   /** Starts the graceful stop. */
   begin(): void;
-  /**
-   * True from the start of the stop: the host is not ready and closes connections after requests.
-   */
-  isStopping(): boolean;
-  /** True once new requests are refused. */
-  isRefusing(): boolean;
   /** Reports whether the process should exit, given the number of requests in progress. */
   isDone(requests: number): boolean;
-  /** Progress of the stop; undefined before its start. */
-  time(): StopTime | undefined;
 }
 
 /**
  * Creates the state of a host's graceful stop.
  *
- * A stopping host continues to serve until callers have a newer answer of the directory. Late in
- * the grace period it refuses new requests, which callers then send to another host, so that the
- * running ones can end.
+ * A stopping host is not ready and closes connections after requests. It stays until callers have a
+ * newer answer of the directory and its requests have ended, at most until shortly before the forced
+ * end of the process.
  *
  * @param options clock, and the time between the signal and the forced end of the process
  * @returns the state
@@ -38,26 +30,24 @@
  */
 export function createStopState(options: { clock: Clock; graceMs: Millis }): StopState {
   const { clock, graceMs } = options;
+  const controller = new AbortController();
+  const longestStopMs = graceMs - STOP_MARGIN_MS;
+  const directoryExpiryMs = Math.min(DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR, longestStopMs);
   let startMs: Millis | undefined;
   const elapsedMs = () => startMs === undefined ? 0 : clock.nowMs() - startMs;
-  const directoryExpiryMs = Math.min(
-    DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR,
-    graceMs - STOP_MARGIN_MS,
-  );
   return {
+    signal: controller.signal,
     begin() {
       startMs ??= clock.nowMs();
+      controller.abort();
     },
-    isStopping: () => startMs !== undefined,
-    isRefusing: () => startMs !== undefined && elapsedMs() >= graceMs * REFUSE_AFTER_SHARE,
+    time: () =>
+      startMs === undefined
+        ? undefined
+        : { elapsedMs: elapsedMs(), remainingMs: longestStopMs - elapsedMs() },
+    isListed: () => elapsedMs() <= LEAVE_PROPAGATION_MS + DIRECTORY_TTL_MS,
     isDone: (requests) =>
       startMs !== undefined &&
-      (elapsedMs() >= graceMs - STOP_MARGIN_MS ||
-        (requests === 0 && elapsedMs() >= directoryExpiryMs)),
-    time: () =>
-      startMs === undefined ? undefined : {
-        elapsedMs: elapsedMs(),
-        remainingMs: graceMs - STOP_MARGIN_MS - elapsedMs(),
-      },
+      (elapsedMs() >= longestStopMs || (requests === 0 && elapsedMs() >= directoryExpiryMs)),
   };
 }
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { createStopState } from "./create_stop_state.ts";
 
-test("a stopping host serves on, then refuses requests, and exits before its forced end", (t) => {
+test("a stopping host exits once the directory answers that name it have expired, or before its forced end", (t) => {
   let nowMs = 0;
   const stop = createStopState({
     clock: { nowMs: () => nowMs, wallMs: () => nowMs },
@@ -9,20 +9,22 @@
   });
   const look = (requests: number) => ({
     at: nowMs,
-    stopping: stop.isStopping(),
-    refusing: stop.isRefusing(),
+    requests,
+    stopping: stop.signal.aborted,
+    listed: stop.isListed(),
     done: stop.isDone(requests),
   });
   const seen = [look(0)];
+  nowMs = 100;
   stop.begin();
-  for (const at of [100, 3_000, 5_000, 6_500]) {
+  for (const at of [100, 2_700, 2_800, 6_000, 6_100]) {
     nowMs = at;
     seen.push(look(0));
   }
-  nowMs = 7_000;
-  seen.push(look(1));
-  nowMs = 7_600;
-  seen.push(look(1));
+  for (const at of [7_000, 7_599, 7_600]) {
+    nowMs = at;
+    seen.push(look(1));
+  }
   t.snapshot(seen);
 });
 
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -48,9 +48,7 @@
           log,
           tasks: lookup(SERVICE.TASKS),
         }),
-        isRefusing: () => stop.isRefusing(),
-        isClosing: () => stop.isStopping(),
-        stopTime: () => stop.time(),
+        stop,
       });
       return { service: forwarder };
     },
@@ -126,7 +124,7 @@
 
 function createReadinessServer(context: HostContext, cluster: Cluster, stop: StopState): Server {
   return createServer((req, res) => {
-    const isReady = !stop.isStopping() && cluster.view.configuration() !== undefined;
+    const isReady = !stop.signal.aborted && cluster.view.configuration() !== undefined;
     const isCall = context.adapter.publicCalls.isReadinessCall(req.method ?? "", req.url ?? "");
     sendText(res, isCall ? (isReady ? 200 : 503) : 404, "");
   });
