Pass on only the next events of a stream that broke off

After the first events of a stream had reached its caller and the connection to the server broke, any answer with a status of 2xx from the next server counted as the rest of the stream.

The same happened with a first server that ended its stream within an event.

Cause: bytes after the last blank line were passed on as they were, the end of the body was taken for the end of the stream whatever came before, and event ids were only checked for repeats.

Now the head of an answer can be sent once, in one place (create_caller_answer.ts). After that, a server's answer is used only if it has a status of 2xx and each new event has the id after the last one; an incomplete event at the end, or an end without any new event, breaks off the attempt. Further servers are tried as after any other broken attempt, also after a status of 4xx, and then the connection is closed without the end of the body. A stream that begins with text/event-stream must not end within its first event either.

A stream that broke off after its last event can't be told from one whose next server has lost the rest, so its connection is closed as well. Such an answer doesn't count against its server.

--- a/packages/forwarding/_lib/create_plain_handler.ts
+++ b/packages/forwarding/_lib/create_plain_handler.ts
@@ -3,9 +3,10 @@
 import { FAILURE } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
 import { ROUTE_KIND } from "../types.ts";
-import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import type { AnswerHandler, AttemptResult, ReceivedAnswer } from "./attempt.ts";
-import { sendHead, writeToCaller } from "./write_to_caller.ts";
+import { createCallerAnswer } from "./create_caller_answer.ts";
+import type { CallerAnswer } from "./create_caller_answer.ts";
+import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /**
  * Creates the handler of answers that are not streams of events. An answer is buffered until it is
@@ -20,6 +21,7 @@
   context: ForwardingContext,
   request: CallerRequest,
 ): AnswerHandler {
+  const callerAnswer = createCallerAnswer(context, request);
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
     const { answer, metadata, onChunk } = received;
     const isSuccess = answer.status >= 200 && answer.status < 300;
@@ -30,14 +32,10 @@
     const body = reportChunks(answer.body, onChunk);
     const { chunks, isWhole } = await bufferAnswer(body);
     if (!isWhole) {
-      await streamAnswer(context, request, answer, chunks, body);
+      await streamAnswer(callerAnswer, answer, chunks, body);
       return { outcome: JOB_OUTCOME.ANSWERED, isDone: true, failure: FAILURE.INTERNAL };
     }
-    const deliver = () => {
-      const body = Buffer.concat(chunks);
-      sendHead(context, request, answer, body.length);
-      request.res.end(body);
-    };
+    const deliver = () => callerAnswer.send(answer, Buffer.concat(chunks));
     if (answer.status >= 500 && request.route.kind === ROUTE_KIND.IDEMPOTENT) {
       return {
         outcome: JOB_OUTCOME.FAILED,
@@ -74,14 +72,13 @@
 }
 
 async function streamAnswer(
-  context: ForwardingContext,
-  request: CallerRequest,
+  callerAnswer: CallerAnswer,
   answer: ServerAnswer,
   chunks: Buffer[],
   rest: AsyncIterable<Buffer>,
 ): Promise<void> {
-  sendHead(context, request, answer, undefined);
-  for (const chunk of chunks) await writeToCaller(request, chunk);
-  for await (const chunk of rest) await writeToCaller(request, chunk);
-  request.res.end();
+  callerAnswer.begin(answer);
+  for (const chunk of chunks) await callerAnswer.write(chunk);
+  for await (const chunk of rest) await callerAnswer.write(chunk);
+  callerAnswer.end();
 }
--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -1,18 +1,22 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
+import type { JobOutcome } from "@jaypass/placement";
 import { MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES, STALL_TIMEOUT_FACTOR } from "../constants.ts";
 import { createEventSplitter } from "../create_event_splitter.ts";
 import { FAILURE } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
-import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import type { AnswerHandler, AttemptResult, ReceivedAnswer } from "./attempt.ts";
-import { sendHead, writeToCaller } from "./write_to_caller.ts";
+import { createCallerAnswer } from "./create_caller_answer.ts";
+import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /**
  * Creates the handler of event streams.
  *
  * Only complete events are passed on, so that an interrupted stream can resume at another server
- * after the last event that the caller received. The connection of a stream that cannot resume is
- * closed without the end of the body, so that the caller does not take the answer for complete.
+ * after the last event that the caller received. Once the head is sent, a server's answer counts
+ * only if it continues the stream, with events whose ids follow the last one. An answer without such
+ * an event is no continuation, since it does not show that the last event was the end of the stream.
+ * The connection of a stream that cannot resume is closed without the end of the body, so that the
+ * caller does not take the answer for complete.
  *
  * @param context services of the host
  * @param request the caller's request
@@ -23,14 +27,17 @@
   request: CallerRequest,
 ): AnswerHandler {
   const { route } = request;
+  const callerAnswer = createCallerAnswer(context, request);
   let lastEventId: number | undefined;
-  let isHeadSent = false;
-  const invalidAnswer = (reason: string): AttemptResult => {
+  const invalidAnswer = (
+    reason: string,
+    outcome: JobOutcome = JOB_OUTCOME.BROKEN,
+  ): AttemptResult => {
     context.log.warn(
       { requestId: request.id, lastEventId, reason },
       "Server sent an invalid stream",
     );
-    return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
+    return { outcome, isDone: false, failure: FAILURE.INVALID_ANSWER };
   };
 
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
@@ -38,7 +45,11 @@
     if (!metadata.isSealed || metadata.isEncoded) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
+    const isContinuation = callerAnswer.hasBegun();
     const isSuccess = answer.status >= 200 && answer.status < 300;
+    if (!isSuccess && isContinuation) {
+      return invalidAnswer("Error answer does not continue the stream", JOB_OUTCOME.FAILED);
+    }
     if (!isSuccess) return await handleFailure(answer);
     const splitter = createEventSplitter();
     const stallTimer = createStallTimer(route.pauseGoalMs * STALL_TIMEOUT_FACTOR, () => {
@@ -50,6 +61,7 @@
     });
     const streamTimer = createStreamTimer(context, request);
     let repeatedBytes = 0;
+    let hasNewEvent = false;
     try {
       for await (const chunk of answer.body) {
         onChunk();
@@ -63,19 +75,30 @@
             if (repeatedBytes > MAX_EVENT_BYTES) return invalidAnswer("Events are repeated");
             continue;
           }
-          sendHeadOnce(received);
-          await writeToCaller(request, event.bytes);
+          // The ids of the first server's events are its own; later ones must go on from them.
+          if (isContinuation && lastEventId !== undefined && event.id !== lastEventId + 1) {
+            return invalidAnswer("Events are missing");
+          }
+          hasNewEvent = true;
+          beginOnce(answer);
           lastEventId = event.id;
+          await callerAnswer.write(event.bytes);
         }
         if (splitter.rest().length > MAX_EVENT_BYTES) return invalidAnswer("Event is too long");
       }
     } finally {
       stallTimer.clear();
     }
-    sendHeadOnce(received);
+    if (isContinuation && !hasNewEvent) {
+      return invalidAnswer("No event follows the last one", JOB_OUTCOME.FAILED);
+    }
     const rest = splitter.rest();
-    if (rest.length > 0) await writeToCaller(request, rest);
-    request.res.end();
+    if (rest.length > 0 && (callerAnswer.hasBegun() || isEventStream(answer))) {
+      return invalidAnswer("Stream ends within an event");
+    }
+    beginOnce(answer);
+    if (rest.length > 0) await callerAnswer.write(rest);
+    callerAnswer.end();
     return {
       outcome: JOB_OUTCOME.ANSWERED,
       isDone: true,
@@ -85,10 +108,9 @@
   };
 
   /** Sends the head once: a resumed stream keeps the headers of its first server. */
-  const sendHeadOnce = ({ answer }: ReceivedAnswer) => {
-    if (isHeadSent) return;
-    isHeadSent = true;
-    sendHead(context, request, answer, undefined);
+  const beginOnce = (answer: ServerAnswer) => {
+    if (callerAnswer.hasBegun()) return;
+    callerAnswer.begin(answer);
     const waitMs = context.clock.nowMs() - request.arrivalMs;
     context.metrics.timing("first_event_ms", waitMs, { route: route.name });
   };
@@ -101,12 +123,7 @@
       length += chunk.length;
       if (length > MAX_BUFFERED_ANSWER_BYTES) return invalidAnswer("Error answer is too long");
     }
-    const deliver = () => {
-      if (isHeadSent) return void request.res.destroy();
-      const body = Buffer.concat(chunks);
-      sendHead(context, request, answer, body.length);
-      request.res.end(body);
-    };
+    const deliver = () => callerAnswer.send(answer, Buffer.concat(chunks));
     if (answer.status >= 500) {
       const failure = FAILURE.SERVER_BROKE_OFF;
       return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure, deliver };
@@ -118,6 +135,14 @@
   return { handle, resumeAfter: () => lastEventId };
 }
 
+/** Reports whether the headers of an answer state that its body is a stream of events. */
+function isEventStream({ headers }: ServerAnswer): boolean {
+  return headers.some((value, at) =>
+    at % 2 === 1 && headers[at - 1]?.toLowerCase() === "content-type" &&
+    value.trim().toLowerCase().startsWith("text/event-stream")
+  );
+}
+
 /** Measures the arrival times of the chunks of a stream. */
 function createStreamTimer(context: ForwardingContext, request: CallerRequest) {
   let firstMs: number | undefined;
