Try no other server once a part of a large answer is sent

A large answer that is not a stream is passed on as it arrives. When its server broke off, an idempotent request was sent to a second server, although nothing could follow the part that the caller had.

Seen, by the new test on the code before: callers got the part and a closed connection, never bytes of the second answer. The request ran a second time for nothing, up to the deadline if the second server was slow, and was logged as an internal error (ERR_HTTP_HEADERS_SENT), which was all that kept the two answers apart.

Cause: only the outcome of an attempt decided on a retry, and not whether the answer had begun. Now the handler states whether another server can continue the answer: always for a stream, and before the head is sent for others.

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -45,6 +45,8 @@
   handle(answer: ReceivedAnswer): Promise<AttemptResult>;
   /** Id of the event after which the next server must resume; undefined before the first one. */
   resumeAfter(): number | undefined;
+  /** False once the caller has a part of an answer that no other server can continue. */
+  canContinue(): boolean;
 }
 
 /** State of one request over all its attempts. */
--- a/packages/forwarding/_lib/create_plain_handler.ts
+++ b/packages/forwarding/_lib/create_plain_handler.ts
@@ -11,7 +11,7 @@
 /**
  * Creates the handler of answers that are not streams of events. An answer is buffered until it is
  * complete, so that the request can be retried if the answer is truncated; a large answer is passed
- * on as it arrives.
+ * on as it arrives, and no other server is tried once its head is sent.
  *
  * @param context services of the host
  * @param request the caller's request
@@ -48,7 +48,11 @@
     const outcome = isSuccess ? JOB_OUTCOME.ANSWERED : JOB_OUTCOME.FAILED;
     return { outcome, isDone: true, failure: FAILURE.INTERNAL };
   };
-  return { handle, resumeAfter: () => undefined };
+  return {
+    handle,
+    resumeAfter: () => undefined,
+    canContinue: () => !callerAnswer.hasBegun(),
+  };
 }
 
 async function* reportChunks(body: AsyncIterable<Buffer>, onChunk: () => void) {
--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -132,7 +132,7 @@
     return { outcome: JOB_OUTCOME.FAILED, isDone: true, failure: FAILURE.INTERNAL };
   };
 
-  return { handle, resumeAfter: () => lastEventId };
+  return { handle, resumeAfter: () => lastEventId, canContinue: () => true };
 }
 
 /** Reports whether the headers of an answer state that its body is a stream of events. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -17,7 +17,7 @@
  *
  * A request that must be executed at most once is not sent again unless every server that received
  * it stated that it did not execute it. Status 503 is answered only if that holds or if nothing was
- * sent.
+ * sent. Once a part of an answer was sent to the caller, only servers that can continue it are tried.
  *
  * @param context services of the host
  * @param request the caller's request
@@ -77,7 +77,7 @@
     if (result.isDone) return;
     state.last = result;
     state.excludedIds.push(server.id);
-    if (!mayRetry(context, request, state, result)) {
+    if (!handler.canContinue() || !mayRetry(context, request, state, result)) {
       if (deliverLastFailure(state)) return;
       throw createFailureError(request, state, result);
     }
--- a/packages/forwarding/broken_off_answer_test.ts
+++ b/packages/forwarding/broken_off_answer_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { createTestHost, resetConnection } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour, TestHost, TestHostOptions } from "./_testing/create_test_host.ts";
+import { MAX_BUFFERED_ANSWER_BYTES } from "./constants.ts";
 import { ROUTE_KIND } from "./types.ts";
 
 const SEALED = { Attempt: "a1", Seal: "s" };
@@ -209,3 +210,26 @@
     }),
   );
 });
+
+test("a large answer that broke off is not followed by another server's answer", async (t) => {
+  const part = "x".repeat(MAX_BUFFERED_ANSWER_BYTES + 1);
+  const run = async (next: ServerBehaviour) => {
+    const host = await createTestHost([breakOffAfter(part), next], LIMITS);
+    try {
+      const { status, body, isComplete } = await host.call();
+      const servers = host.arrivals.map(({ server }) => server).join(" ");
+      return { status, length: body.length, isComplete, servers, outcomes: host.outcomes };
+    } finally {
+      await host.close();
+    }
+  };
+  t.snapshot(
+    await describeCases({
+      "200": () => run(answer(200, "whole")),
+      "200, large": () => run(answer(200, `${part}${part}`)),
+      "400": () => run(answer(400, TEXT)),
+      "500": () => run(answer(500, TEXT)),
+      "500, not sealed": () => run(answer(500, TEXT, UNSEALED)),
+    }),
+  );
+});
