Reset the connection of an answer that broke off for callers of HTTP/1.0

HTTP/1.0 has no chunks, so the caller takes the end of the connection for the end of the body. A stream or a large answer that could not be completed was broken off by closing the connection.

Seen, by the new test on the code before: such callers got a normal end after a part of the answer, as after a complete one. Callers of HTTP/1.1 were not affected. Whether callers of HTTP/1.0 exist is not known.

Now these connections are reset, which callers see as an error. Where a host process dies, its kernel closes the connections, and nothing is done there.

Evidence: the test for HTTP/1.0 in broken_off_answer_test failed before in both cases (closed) and passes now (reset); a complete stream is still ended by a normal close.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -53,6 +53,8 @@
   lines: { level: "info" | "warn"; fields: object; message: string }[];
   /** Counters by name and labels, and numbers of recorded timings by name. */
   counters: Record<string, number>;
+  /** IP address and port for callers. */
+  address: string;
   /** Number of requests in progress. */
   size(): number;
   /** Closes the host and its servers. */
@@ -219,6 +221,7 @@
     reportCut: () => forwarder.reportCut(),
     lines,
     counters,
+    address: addressOf(front),
     size: () => forwarder.size(),
     checkCount: () => checkCount,
     releaseCount: () => releaseCount,
--- a/packages/forwarding/broken_off_answer_test.ts
+++ b/packages/forwarding/broken_off_answer_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import test from "ava";
 import { createTestHost, resetConnection } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour, TestHost, TestHostOptions } from "./_testing/create_test_host.ts";
@@ -97,7 +98,7 @@
 ) {
   const [first, ...others] = behaviours;
   const host: TestHost = await createTestHost([(req, res, body) => {
-    if (isStopping) host.refuse();
+    if (isStopping) host.stop({ remainingMs: 0 });
     first?.(req, res, body);
   }, ...others], { ...LIMITS, timeoutMs: 20_000, ...options });
   try {
@@ -233,3 +234,45 @@
     }),
   );
 });
+
+/** Sends a request as HTTP/1.0, whose answers end when the connection is closed. */
+function callAsHttp10(host: TestHost, kind: string): Promise<{ end: string }> {
+  const [address, port] = host.address.split(":");
+  return new Promise((resolve) => {
+    const options = { port: Number(port), host: address, allowHalfOpen: true };
+    const socket = connect(options, () => {
+      socket.write(
+        `POST /${kind}/1 HTTP/1.0\r\nHost: a.example\r\nAttempt: a1\r\nKey: k1\r\n` +
+          "Content-Length: 0\r\n\r\n",
+      );
+    });
+    socket.resume();
+    socket.on("error", () => resolve({ end: "reset" }));
+    // Node.js may report a reset as a normal end, but a write fails then.
+    socket.on("end", () => {
+      socket.write("\r\n", (err) => {
+        resolve({ end: err ? "reset" : "closed" });
+        socket.destroy();
+      });
+    });
+  });
+}
+
+test("an answer that broke off does not look complete to a caller of HTTP/1.0", async (t) => {
+  const run = async (kind: string, behaviour: ServerBehaviour) => {
+    const host = await createTestHost([behaviour], { ...LIMITS, maxAttempts: 1 });
+    try {
+      return await callAsHttp10(host, kind);
+    } finally {
+      await host.close();
+    }
+  };
+  const part = "x".repeat(MAX_BUFFERED_ANSWER_BYTES + 1);
+  t.snapshot(
+    await describeCases({
+      "whole stream": () => run(ROUTE_KIND.STREAMING, answer(200, events(1, 4))),
+      "stream": () => run(ROUTE_KIND.STREAMING, breakOffAfter(PART)),
+      "large answer": () => run(ROUTE_KIND.IDEMPOTENT, breakOffAfter(part)),
+    }),
+  );
+});
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -4,6 +4,7 @@
 import { MAX_BUFFERED_BODY_BYTES, NO_CONFIGURATION_RETRY_AFTER_MS } from "./constants.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { FAILURE, ForwardingError } from "./errors.ts";
+import { breakOff } from "./_lib/break_off.ts";
 import { createBodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import { readBody } from "./_lib/read_body.ts";
@@ -237,6 +238,6 @@
   context.metrics.increment("refusal", { reason: failure.reason });
   if (failure.reason === FAILURE.STOPPING) monitor.refused();
   if (res.destroyed) return;
-  if (res.headersSent) res.destroy();
+  if (res.headersSent) breakOff(res);
   else sendFailure(context, req, res, failure);
 }
