Take no stream of another host for complete without its last message

A host that passes on the stream of the host that accepted the request took the end of the stream between the hosts for the end of the answer, also without the last message, which states how the answer ended.

No present host ends such a stream normally without the last message, so that this needs a host with other code or a fault in it. Now the stream then counts as a lost connection: it goes on at the engine after the last token, or fails.

--- a/packages/routing/_lib/follow_remote.ts
+++ b/packages/routing/_lib/follow_remote.ts
@@ -1,6 +1,6 @@
 import { GRANT_OUTCOME } from "@jaypass/admission";
 import { RAN } from "@jaypass/idempotency";
-import { PeerError } from "@jaypass/peers";
+import { PEER_FAILURE, PeerError } from "@jaypass/peers";
 import {
   ENGINE_CALL_TIMEOUT_MS,
   ENGINE_IDLE_TIMEOUT_MS,
@@ -75,7 +75,12 @@
         retryAfterMs: message.end.retryAfterMs,
       });
     }
+    if (message.end) return;
   }
+  throw new PeerError("Stream of the accepting host ended without its last message", {
+    reason: PEER_FAILURE.CONNECTION_LOST,
+    ran: "unknown",
+  });
 }
 
 async function* followAtEngine(
