Test answers that do not continue a stream of an engine

Guards the product's own engine client against errors, other answers, gaps and early ends that follow a stream that broke off, both when a second engine continues it and when it is resumed at the same one.

--- a/packages/engines/create_engine_client_test.ts
+++ b/packages/engines/create_engine_client_test.ts
@@ -306,3 +306,46 @@
   await t.notThrowsAsync(() => ignored.client.order({ ...order, fencing: 1 }, CALL));
   t.is((await checked.client.load(CALL)).models.default, "2");
 });
+
+/** Answers of an engine to a request that continues after two tokens. */
+const WRONG_CONTINUATIONS: Record<string, [status: string, body: string]> = {
+  "JSON error": ["200 OK", '{"error":{"code":"failed","ran":"ran"}}\n'],
+  "HTML": ["200 OK", "<p>failed</p>\n"],
+  "head and text": ["200 OK", "HTTP/1.1 502 Bad Gateway\r\n\r\nfailed\n"],
+  "no events": ["200 OK", ""],
+  "beginning of an event": ["200 OK", '{"type":"token","requestId":"r","index":2,"te'],
+  "later token": ["200 OK", '{"type":"token","requestId":"r","index":3,"text":"x"}\n'],
+  "repeated token": ["200 OK", '{"type":"token","requestId":"r","index":1,"text":"x"}\n'],
+  "other request": ["200 OK", '{"type":"token","requestId":"q","index":2,"text":"x"}\n'],
+  "end of a shorter answer": [
+    "200 OK",
+    '{"type":"end","requestId":"r","totalTokens":1,"cachedTokens":0}\n',
+  ],
+  "end of a longer answer": [
+    "200 OK",
+    '{"type":"end","requestId":"r","totalTokens":3,"cachedTokens":0}\n',
+  ],
+  "204": ["204 No Content", ""],
+  "206": ["206 Partial Content", '{"type":"token","requestId":"r","index":2,"text":"x"}\n'],
+  "302": ["302 Found", "failed"],
+  "400": ["400 Bad Request", "failed"],
+  "500": ["500 Failed", "failed"],
+};
+
+test("an answer that does not continue a stream adds no token to it and does not end it", async (t) => {
+  const results: Record<string, object> = {};
+  for (const [name, [status, body]] of Object.entries(WRONG_CONTINUATIONS)) {
+    const length = status.startsWith("204") ? "" : `content-length: ${body.length}\r\n`;
+    const client = await startRaw(
+      t,
+      (write) => write(`HTTP/1.1 ${status}\r\n${length}\r\n${body}`),
+    );
+    const continued = client.complete(request("r", { generated: ["a", "b"] }), LIMITS);
+    const resumed = client.resume("r", 2, LIMITS);
+    results[name] = {
+      continued: await failureOf(t, continued),
+      resumed: await failureOf(t, resumed),
+    };
+  }
+  t.snapshot(results);
+});
