Resume a stream without a length that ends in an event

Callers saw: a server that sent an event stream without a length or chunks and closed its connection regularly in the middle of an event, or before the first one. The caller got a 200 whose body ended there, framed as whole; with the connection closed right after the head the body was empty.

Cause: the handler of streams passed the incomplete last event on and ended the answer, since the end of the connection is the regular end of such a body.

Evidence: cut_answer_test.ts closes, resets or leaves open the connection after each number of bytes of each form of an answer.

Change: a stream that only the end of its connection ends counts as broken off if bytes of an incomplete event are left, or if neither this answer nor an earlier one had an event. It resumes at another server, or the caller's connection is closed without the end of the body. A stream with a length or chunks that ends regularly is passed on as before. The recognition of such answers and the detection of resets move into files of their own; answers to HEAD and with status 204 or 304 have no body and no longer count as ending with their connection.

--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -16,7 +16,8 @@
  * only if it continues the stream, with events whose ids follow the last one. An answer without such
  * an event is no continuation, since it does not show that the last event was the end of the stream.
  * The connection of a stream that cannot resume is closed without the end of the body, so that the
- * caller does not take the answer for complete.
+ * caller does not take the answer for complete. A stream that only the end of its connection ends
+ * counts as interrupted if it ends in an event or has none.
  *
  * @param context services of the host
  * @param request the caller's request
@@ -89,10 +90,15 @@
     } finally {
       stallTimer.clear();
     }
+    const rest = splitter.rest();
+    const hasEvent = (lastEventId ?? request.metadata.lastEventId) !== undefined;
+    if (answer.endsWithConnection && (rest.length > 0 || !hasEvent)) {
+      context.log.warn({ requestId: request.id, lastEventId }, "Stream without a length was cut");
+      return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.SERVER_BROKE_OFF };
+    }
     if (isContinuation && !hasNewEvent) {
       return invalidAnswer("No event follows the last one", JOB_OUTCOME.FAILED);
     }
-    const rest = splitter.rest();
     if (rest.length > 0 && (callerAnswer.hasBegun() || isEventStream(answer))) {
       return invalidAnswer("Stream ends within an event");
     }
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -10,6 +10,8 @@
 export * from "./compute_latest_start_ms.ts";
 export * from "./create_event_splitter.ts";
 export * from "./create_forwarder.ts";
+export * from "./detect_reset.ts";
+export * from "./ends_with_connection.ts";
 export * from "./errors.ts";
 export * from "./index_configuration.ts";
 export * from "./match_route.ts";
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -1,8 +1,9 @@
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
-import type { Socket } from "node:net";
 import type { Millis } from "@jaypass/kernel";
 import { MAX_INFORMATIONAL_ANSWERS } from "./constants.ts";
+import { detectReset } from "./detect_reset.ts";
+import { endsWithConnection } from "./ends_with_connection.ts";
 import type { HeaderList } from "./types.ts";
 
 /** Methods whose requests usually have no body; an empty one then needs no `Content-Length`. */
@@ -55,6 +56,8 @@
   statusText: string;
   /** Header fields in order. */
   headers: HeaderList;
+  /** True if only the end of the connection ends the body. */
+  endsWithConnection: boolean;
   /** Body chunks; iteration throws an {@linkcode ExchangeError} if the body is truncated. */
   body: AsyncIterable<Buffer>;
 }
@@ -117,7 +120,8 @@
         clearTimeout(connectTimer);
       });
       socket.prependOnceListener("end", () => {
-        if (response !== undefined && isCloseDelimited(response)) resetCheck = detectReset(socket);
+        if (response === undefined || !endsWithConnection(serverRequest.method, response)) return;
+        resetCheck = detectReset(socket);
       });
     });
     req.on("error", (err) => {
@@ -141,6 +145,7 @@
         status: res.statusCode ?? 0,
         statusText: res.statusMessage ?? "",
         headers: res.rawHeaders,
+        endsWithConnection: endsWithConnection(serverRequest.method, res),
         body: readAnswerBody(res, {
           createExchangeError,
           findBodyError: async () => bodyError ?? await resetCheck,
@@ -167,25 +172,6 @@
   return hasBody ? [...headers, "Content-Length", String(body.length)] : headers;
 }
 
-/** Reports whether the body has no stated length and ends when its connection closes. */
-function isCloseDelimited(res: IncomingMessage): boolean {
-  const { headers } = res;
-  return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
-}
-
-/**
- * Detects whether an ended connection was reset.
- *
- * Node.js reports a reset that arrives together with the last bytes as a normal end, but a write to
- * such a connection fails immediately. The empty line that is written is not a request, and a
- * server that closed its side of the connection does not read it.
- */
-function detectReset(socket: Socket): Promise<Error | undefined> {
-  return new Promise((resolve) => {
-    socket.write("\r\n", (err) => resolve(err ?? undefined));
-  });
-}
-
 async function* readAnswerBody(
   res: IncomingMessage,
   { createExchangeError, findBodyError }: {
--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -9,5 +9,7 @@
 export * from "./create_service_stand_in.ts";
 export * from "./engine_types.ts";
 export * from "./expected_tokens.ts";
+export * from "./list_raw_answers.ts";
 export * from "./platform_types.ts";
+export * from "./send_cut_answer.ts";
 export * from "./service_types.ts";
