Detect the reset of an answer with a transfer encoding other than chunks

Callers saw: an answer with "Transfer-Encoding: identity" whose connection was reset together with its last bytes was passed on as a whole 200 with a short body. The HTTP client ends such a body with its connection, as one without a length.

Cause: the check for a reset was skipped for each answer with a transfer encoding.

Evidence: with the new row of the table of answers 3 tests of cut_answer_test.ts and the test of endsWithConnection failed before the change; they pass now. The other tests of the package pass one file at a time. In two runs beside other work (load average 20 and more on 8 processors) tests with time limits of create_forwarder_test.ts or endless_answer_test.ts failed; they passed alone, at a load average of 15.

Change: only an answer whose last transfer encoding is chunks counts as one that tells its end.

--- a/packages/forwarding/ends_with_connection.ts
+++ b/packages/forwarding/ends_with_connection.ts
@@ -19,5 +19,8 @@
   { statusCode, headers }: Pick<IncomingMessage, "statusCode" | "headers">,
 ): boolean {
   if (method === "HEAD" || STATUS_WITHOUT_BODY.has(statusCode ?? 0)) return false;
-  return headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+  const encoding = headers["transfer-encoding"];
+  // A body has chunks only if they are its last transfer encoding.
+  if (encoding !== undefined) return !/(?:^|,)\s*chunked\s*$/i.test(encoding);
+  return headers["content-length"] === undefined;
 }
--- a/packages/stand_ins/list_raw_answers.ts
+++ b/packages/stand_ins/list_raw_answers.ts
@@ -71,6 +71,12 @@
       body,
       true,
     ),
+    create(
+      "transfer encoding without chunks",
+      joinHead([...headers, "Transfer-Encoding: identity"]),
+      body,
+      true,
+    ),
   ];
 }
 
