--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -193,13 +193,13 @@
   });
 });
 
-test("a non-idempotent request on a lost server fails before its deadline and is not repeated", async (t) => {
+test.serial("a non-idempotent request on a lost server fails before its deadline and is not repeated", async (t) => {
   const call = { kind: ROUTE_KIND.NON_IDEMPOTENT, deadlineMs: 2_900 };
   const options = { maxAttempts: 2, restartedAtMs: [2], serverStatus: [SERVER_STATUS.LOST] };
   t.snapshot(await runRequest(t, [silent, answer("twice")], call, options));
 });
 
-test("a stream goes on at another server when its server is lost between two events", async (t) => {
+test.serial("a stream goes on at another server when its server is lost between two events", async (t) => {
   const first: ServerBehaviour = (_req, res) => {
     res.writeHead(200, SEALED).write(events(1, 2));
   };
@@ -257,7 +257,7 @@
   t.deepEqual([body, host.releaseCount()], ["whole", 2]);
 });
 
-test("a request is cancelled at the server when its caller disconnects", async (t) => {
+test.serial("a request is cancelled at the server when its caller disconnects", async (t) => {
   let isClosed = false;
   const host = await createTestHost([(_req, res) => {
     res.on("close", () => isClosed = true);
@@ -269,7 +269,7 @@
   t.deepEqual([host.size(), host.outcomes], [0, ["cancelled"]]);
 });
 
-test("a request is sent to no server if its caller disconnects while memory is reserved", async (t) => {
+test.serial("a request is sent to no server if its caller disconnects while memory is reserved", async (t) => {
   const host = await createTestHost([answer("late")], { reservationMs: 200 });
   t.teardown(() => host.close());
   await host.call({ leaveAfterMs: 50 });
@@ -277,7 +277,7 @@
   t.deepEqual([host.arrivals.length, host.outcomes], [0, ["cancelled"]]);
 });
 
-test("a request that is not answered by its deadline or route timeout gets 504 then", async (t) => {
+test.serial("a request that is not answered by its deadline or route timeout gets 504 then", async (t) => {
   const call = { kind: ROUTE_KIND.NON_IDEMPOTENT, deadlineMs: 200 };
   t.snapshot({
     deadline: await runRequest(t, [() => {}], call),
--- a/packages/forwarding/endless_answer_test.ts
+++ b/packages/forwarding/endless_answer_test.ts
@@ -105,7 +105,7 @@
 };
 
 for (const [name, { start, repeat, kind = ROUTE_KIND.IDEMPOTENT }] of Object.entries(FLOODS)) {
-  test(`${name} without end: the connection is closed and another server answers`, async (t) => {
+  test.serial(`${name} without end: the connection is closed and another server answers`, async (t) => {
     const record = { writtenBytes: Infinity, durationMs: Infinity };
     const behaviours = [createFlood(start, repeat, record), answerWhole(kind)];
     // The time limits of a slow answer are longer than the test.
