Refuse answers of services and KV references that end with their connection

Callers saw: an answer of a plain service with a transfer encoding other than chunks, and a KV reference without a length, were returned short or empty as whole when the connection was closed or reset in the body.

Cause: the check of the service client took each transfer encoding for a body that tells its end, and the export of a KV reference had no check. JSON answers and event streams need none, since their beginnings do not parse or have no end event.

Change: both calls require a length or chunks as the last transfer encoding.

--- a/packages/engines/_lib/read_answer.ts
+++ b/packages/engines/_lib/read_answer.ts
@@ -20,8 +20,23 @@
   lost: "died",
 };
 
+/**
+ * Reads a body that is not checked otherwise. An answer must have a length or chunks, because one
+ * that ends with its connection and was cut cannot be told apart from a whole one.
+ */
+export async function readFramedBytes(exchange: Exchange): Promise<Buffer> {
+  const { headers } = await exchange.head();
+  const encoding = headers["transfer-encoding"];
+  // A body has chunks only if they are its last transfer encoding.
+  const isFramed = encoding === undefined
+    ? headers["content-length"] !== undefined
+    : /(?:^|,)\s*chunked\s*$/i.test(String(encoding));
+  if (!isFramed) throw exchange.fail(protocolError("Answer has no length"));
+  return await readBytes(exchange);
+}
+
 /** Reads the rest of the body into one buffer. */
-export async function readBytes(exchange: Exchange): Promise<Buffer> {
+async function readBytes(exchange: Exchange): Promise<Buffer> {
   const chunks: Uint8Array[] = [];
   let length = 0;
   for (let chunk = await exchange.read(); chunk; chunk = await exchange.read()) {
--- a/packages/engines/create_engine_client.ts
+++ b/packages/engines/create_engine_client.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import { createConnections } from "./_lib/create_connections.ts";
 import type { ExchangeRequest } from "./_lib/open_exchange.ts";
-import { readBytes, readJson, readRefusal } from "./_lib/read_answer.ts";
+import { readFramedBytes, readJson, readRefusal } from "./_lib/read_answer.ts";
 import { readEvents } from "./_lib/read_events.ts";
 import { ACTIVE, CACHE_EVENTS, CONFIRMATION, LOAD, ORDER_ANSWER } from "./_lib/schemas.ts";
 import { CANCEL_TIMEOUT_MS } from "./constants.ts";
@@ -122,7 +122,7 @@
           const { status, headers } = await exchange.head();
           if (status !== 200) throw await readRefusal(exchange, requestId);
           connections.checkId(exchange, headers["x-request-id"], requestId);
-          return await readBytes(exchange);
+          return await readFramedBytes(exchange);
         },
       ),
     async importKv(requestId, kv, callOptions) {
--- a/packages/engines/create_service_client.ts
+++ b/packages/engines/create_service_client.ts
@@ -1,6 +1,6 @@
 import { createConnections } from "./_lib/create_connections.ts";
 import type { Exchange, ExchangeRequest } from "./_lib/open_exchange.ts";
-import { protocolError, readBytes, readJson, readRefusal } from "./_lib/read_answer.ts";
+import { protocolError, readFramedBytes, readJson, readRefusal } from "./_lib/read_answer.ts";
 import { CONFIRMATION, LOAD, STORED_RESULT } from "./_lib/schemas.ts";
 import type { EngineClientOptions } from "./create_engine_client.ts";
 import { EngineError } from "./errors.ts";
@@ -25,11 +25,7 @@
     // The header distinguishes a refusal by the server from an answer with an error status.
     if (headers["x-refused"] !== undefined) throw await readRefusal(exchange, requestId);
     connections.checkId(exchange, headers["x-request-id"], requestId);
-    if (headers["content-length"] === undefined && headers["transfer-encoding"] === undefined) {
-      // Without a length, a truncated answer cannot be told apart from a complete one.
-      throw exchange.fail(protocolError("Answer has no length"));
-    }
-    const body = await readBytes(exchange);
+    const body = await readFramedBytes(exchange);
     return {
       requestId,
       status,
