Keep the ports of the servers of the test of cut answers

The test opened a server on a new port for each cut, thousands in all. In a run of several test files at a time, "an engine listens on the same port again after a crash" failed once: its client got the 5 bytes of body '{"typ', which the engine stand-in never sends as a whole body and a cut of this test does. The likely cause, inferred from these bytes, is that one of the servers took the port while the stand-in was restarting.

--- a/packages/engines/cut_answer_test.ts
+++ b/packages/engines/cut_answer_test.ts
@@ -5,7 +5,6 @@
 import { CUT_END, listRawAnswers, sendCutAnswer } from "@jaypass/stand_ins";
 import type { CutEnd, RawAnswer } from "@jaypass/stand_ins";
 import test from "ava";
-import type { ExecutionContext } from "ava";
 import { createEngineClient } from "./create_engine_client.ts";
 import { createServiceClient } from "./create_service_client.ts";
 
@@ -14,23 +13,40 @@
 
 const OPTIONS = { clock: createClock(), metrics: createMetrics({ tags: {} }) };
 
-/** Starts a server that sends the given length of an answer, and then ends it. */
-async function startCutServer(t: ExecutionContext, bytes: string, end: CutEnd) {
-  const sockets: Socket[] = [];
+/** A server that sends the beginning of an answer and then ends it. */
+interface CutServer {
+  url: string;
+  /** Sets what the server sends on the next connection. */
+  set(bytes: string, end: CutEnd): void;
+  close(): void;
+}
+
+async function startCutServer(): Promise<CutServer> {
+  const sockets = new Set<Socket>();
+  let next: [bytes: string, end: CutEnd] = ["", CUT_END.CLOSE];
   const server = createServer((socket) => {
-    sockets.push(socket);
+    const [bytes, end] = next;
+    sockets.add(socket);
     socket.on("error", () => {});
+    socket.on("close", () => sockets.delete(socket));
     socket.once("data", () => sendCutAnswer(socket, bytes, end));
   });
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
-  t.teardown(() => {
-    for (const socket of sockets) socket.destroy();
-    server.close();
-  });
-  return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return {
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    set: (bytes, end) => void (next = [bytes, end]),
+    close() {
+      for (const socket of sockets) socket.destroy();
+      server.close();
+    },
+  };
 }
 
+// The servers keep their ports, since a restarting server of another test must not find its port in use.
+const servers = await Promise.all(Array.from({ length: PARALLEL_CALLS }, startCutServer));
+test.after.always(() => servers.forEach((server) => server.close()));
+
 /** What a call returns as a whole answer. */
 type Call = (url: string, timeoutMs: number) => Promise<string>;
 
@@ -91,21 +107,20 @@
 
 /** Cuts an answer at each length, and returns those that the client takes for whole. */
 async function cutEverywhere(
-  t: ExecutionContext,
   { bytes }: RawAnswer,
   { call, end, timeoutMs }: { call: Call; end: CutEnd; timeoutMs: number },
 ) {
   const lengths = Array.from({ length: bytes.length + 1 }, (_, length) => length);
   const successes: { length: number; answer: string }[] = [];
-  const callNext = async (): Promise<void> => {
+  const callNext = async (server: CutServer): Promise<void> => {
     const length = lengths.shift();
     if (length === undefined) return;
-    const url = await startCutServer(t, bytes.slice(0, length), end);
-    const answer = await call(url, timeoutMs).catch(() => undefined);
+    server.set(bytes.slice(0, length), end);
+    const answer = await call(server.url, timeoutMs).catch(() => undefined);
     if (answer !== undefined) successes.push({ length, answer });
-    return callNext();
+    return callNext(server);
   };
-  await Promise.all(Array.from({ length: PARALLEL_CALLS }, callNext));
+  await Promise.all(servers.map(callNext));
   return successes.sort((a, b) => a.length - b.length);
 }
 
@@ -113,7 +128,7 @@
   for (const end of [CUT_END.CLOSE, CUT_END.RESET, CUT_END.LATE_RESET]) {
     test.serial(`${name} cut by a ${end} is not taken for whole`, async (t) => {
       for (const answer of listRawAnswers(["x-request-id: r"], body)) {
-        const successes = await cutEverywhere(t, answer, { call, end, timeoutMs: 5_000 });
+        const successes = await cutEverywhere(answer, { call, end, timeoutMs: 5_000 });
         const wrong = successes.filter((success) => success.answer !== `200 ${body}`);
         t.deepEqual(wrong, [], answer.name);
         // An answer that the client refuses altogether, such as one after an unasked continue.
@@ -127,7 +142,7 @@
 
   test.serial(`${name} cut without an end of the connection fails by its timeout`, async (t) => {
     for (const answer of listRawAnswers(["x-request-id: r"], body)) {
-      const successes = await cutEverywhere(t, answer, {
+      const successes = await cutEverywhere(answer, {
         call,
         end: CUT_END.SILENCE,
         timeoutMs: 200,
