Test that waiting requests do not exceed the listeners of the stop signal

Each request that waits for its placement adds a listener to the signal of the stop. Node warns of a leak at the eleventh, on standard error, although the listeners are removed after the wait.

--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -72,3 +72,13 @@
   const result = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
   t.snapshot({ result, arrivals: host.arrivals.length, outcomes: host.outcomes });
 });
+
+test("requests that wait for an engine do not exceed the listeners of the stop signal", async (t) => {
+  const warnings: string[] = [];
+  const onWarning = (warning: Error) => void warnings.push(warning.name);
+  process.on("warning", onWarning);
+  t.teardown(() => void process.off("warning", onWarning));
+  const host = await startHost(t, { engine: ENGINE, placementMs: 500 });
+  await Promise.all(Array.from({ length: 20 }, () => host.call()));
+  t.deepEqual(warnings, []);
+});
