--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -82,3 +82,15 @@
   await Promise.all(Array.from({ length: 20 }, () => host.call()));
   t.deepEqual(warnings, []);
 });
+
+test("the error answer of a server is not replaced during a stop when no retry is possible", async (t) => {
+  const failing: ServerBehaviour = (_req, res) =>
+    void setTimeout(() => res.writeHead(500, SEALED).end("own error"), 200);
+  const host = await createTestHost([failing, answer]);
+  t.teardown(() => host.close());
+  const call = host.call({ kind: ROUTE_KIND.IDEMPOTENT, deadlineMs: 3_000 });
+  await wait(100);
+  host.stop({ remainingMs: 2_000 });
+  const { status, body } = await call;
+  t.deepEqual({ status, body }, { status: 500, body: "own error" });
+});
