Test that a stop does not send a request whose memory is reserved too late

The time left is compared before memory is reserved and not afterwards. A reservation asks one engine after another and waits up to 0.5 s for each.

--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -94,3 +94,10 @@
   const { status, body } = await call;
   t.deepEqual({ status, body }, { status: 500, body: "own error" });
 });
+
+test("a request whose memory is reserved too late during a stop is not sent", async (t) => {
+  const host = await startHost(t, { engine: ENGINE, reservationMs: 1_500 });
+  host.stop({ remainingMs: 2_000, isListed: true });
+  const { status } = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
+  t.deepEqual({ status, arrivals: host.arrivals.length }, { status: 503, arrivals: 0 });
+});
