Test that a short grace period does not cut off requests early

The host exits 0.5 s before its forced end whatever the grace period is, which is before the last sixth of a grace period below 3 s. A request that ends between the two is cut off.

--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -44,3 +44,13 @@
   nowMs = 8_550;
   t.deepEqual(stop.time(), { elapsedMs: 7_550, remainingMs: -50 });
 });
+
+for (const graceMs of [1_000, 2_000]) {
+  test(`a grace period of ${graceMs} ms does not end before its last sixth while a request runs`, (t) => {
+    let nowMs = 0;
+    const stop = createStopState({ clock: { nowMs: () => nowMs, wallMs: () => nowMs }, graceMs });
+    stop.begin();
+    nowMs = Math.floor(graceMs * 5 / 6);
+    t.false(stop.isDone(1));
+  });
+}
