Count a request until its answer has left the host

A host that stops exits once no request is in progress, and a request counted as ended when its handler returned. An answer that a slow caller had not read yet could be cut off by the exit, and the report of cut requests would not have named it.

A request is in progress until its answer is with the operating system or its connection is closed. The new test failed before (0 requests in progress while the answer was held back) and passes.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -107,6 +107,8 @@
   restartedAtMs?: readonly (number | undefined)[];
   /** Called for each new connection to a server, before its request is read. */
   onConnection?: (socket: Socket, server: number) => void;
+  /** Called with the connection of each request of a caller, before the request is handled. */
+  onCallerSocket?: (socket: Socket) => void;
   /** Time that each placement takes. */
   placementMs?: number;
   /** Cost model of the servers, if they run a model. */
@@ -201,7 +203,10 @@
     },
     stop: { signal: stopping.signal, time: () => readStopTime(), isListed: () => isListed },
   });
-  const front = await listen(createServer((req, res) => void forwarder.handle(req, res)));
+  const front = await listen(createServer((req, res) => {
+    options.onCallerSocket?.(req.socket);
+    void forwarder.handle(req, res);
+  }));
   return {
     call: (call = {}) => callHost(addressOf(front), call),
     arrivals,
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -16,13 +16,14 @@
 import { createStopMonitor } from "./_lib/create_stop_monitor.ts";
 import type { MonitoredRequest, StopMonitor } from "./_lib/create_stop_monitor.ts";
 import { createStreamHandler } from "./_lib/create_stream_handler.ts";
+import { waitForDelivery } from "./_lib/wait_for_delivery.ts";
 import { matchRoute } from "./match_route.ts";
 import { ROUTE_KIND } from "./types.ts";
 import type { CallerMetadata, Configuration, Route } from "./types.ts";
 
 /** Forwards requests of callers to backend servers. */
 export interface Forwarder {
-  /** Answers one request; never rejects. */
+  /** Answers one request; never rejects, and resolves when the answer has left the process. */
   handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
   /** Number of requests in progress. */
   size(): number;
@@ -86,10 +87,10 @@
         await serve(req, res, monitored);
       } catch (err) {
         answerWithFailure(context, { req, res, err, monitor, monitored });
-      } finally {
-        size -= 1;
-        monitor.remove(monitored);
       }
+      await waitForDelivery(res);
+      size -= 1;
+      monitor.remove(monitored);
     },
     size: () => size,
     reportCut: () => monitor.reportCut(),
--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
 import type { ExecutionContext } from "ava";
@@ -101,3 +102,21 @@
   const { status } = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
   t.deepEqual({ status, arrivals: host.arrivals.length }, { status: 503, arrivals: 0 });
 });
+
+test("a request is in progress until its answer has left the host, so that an exit does not cut it off", async (t) => {
+  const release: (() => void)[] = [];
+  const host = await startHost(t, {
+    // Holds the bytes of the answer, as a caller does that reads slowly.
+    onCallerSocket(socket) {
+      const write = socket._writev?.bind(socket);
+      socket._writev = (chunks, done) => void release.push(() => write?.(chunks, done));
+    },
+  });
+  const call = host.call();
+  while (release.length === 0) await wait(5);
+  await wait(50);
+  t.is(host.size(), 1);
+  for (const send of release) send();
+  t.is((await call).status, 200);
+  while (host.size() > 0) await wait(5);
+});
