Take the usual length of an answer when its caller states none

Callers that state no length of their answer saw a prompt that waited for a slot during a stop cut off by the exit of the host: the missing length counted as an answer of 0 tokens, which always fits.

Without a stated length or estimate, the length that an answer rarely exceeds is a multiple of the service's usual one.

--- a/packages/forwarding/compute_answer_ms.ts
+++ b/packages/forwarding/compute_answer_ms.ts
@@ -4,6 +4,9 @@
 import { ANSWER_ESTIMATE_FACTOR } from "./constants.ts";
 import type { CallerMetadata } from "./types.ts";
 
+/** Length of an answer, as its caller states it. */
+type AnswerLength = Pick<CallerMetadata, "maxAnswerTokens" | "estimatedAnswerTokens">;
+
 /**
  * Computes the time that a full engine needs for the longest answer that is likely.
  *
@@ -19,14 +22,23 @@
  * computeAnswerMs(metadata, profile); // about 5,400 for an answer of at most 3,264 tokens
  */
 export function computeAnswerMs(
-  metadata: Pick<CallerMetadata, "promptTokens" | "maxAnswerTokens" | "estimatedAnswerTokens">,
+  metadata: AnswerLength & Pick<CallerMetadata, "promptTokens">,
   profile: EngineProfile,
   options: { firstByteMs?: Millis } = {},
 ): Millis {
-  const { promptTokens, maxAnswerTokens, estimatedAnswerTokens = Infinity } = metadata;
-  const contextTokens = profile.slots * profile.usualPromptTokens + promptTokens;
+  const contextTokens = profile.slots * profile.usualPromptTokens + metadata.promptTokens;
   const passMs = computePassMs(profile.slots, contextTokens, profile);
   const firstByteMs = options.firstByteMs ?? PASSES_TO_FIRST_BYTE * passMs;
-  const answerTokens = Math.min(maxAnswerTokens, ANSWER_ESTIMATE_FACTOR * estimatedAnswerTokens);
-  return firstByteMs + Math.ceil(answerTokens / profile.stepsPerPass) * passMs;
+  const passes = Math.ceil(likelyAnswerTokens(metadata, profile) / profile.stepsPerPass);
+  return firstByteMs + passes * passMs;
+}
+
+/** Length that an answer rarely exceeds; 0 in the metadata stands for a length that is not stated. */
+function likelyAnswerTokens(
+  { maxAnswerTokens, estimatedAnswerTokens }: AnswerLength,
+  profile: EngineProfile,
+): number {
+  const usualTokens = maxAnswerTokens > 0 ? Infinity : profile.usualAnswerTokens;
+  const estimate = estimatedAnswerTokens || usualTokens;
+  return Math.min(maxAnswerTokens || Infinity, ANSWER_ESTIMATE_FACTOR * estimate);
 }
