Pass on a server's own error answer also when a stop rules out another server

Callers of idempotent requests got 502 from a stopping host in place of the error answer that a server had given, since the check for another server during a stop ended the request before the answer was looked at. A request that fails for any of these reasons now ends with the last server's own answer if there is one.

--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -38,22 +38,23 @@
     last: undefined,
   };
   request.onAttempts(state);
+  /** Ends the request with the last server's own error answer if there is one. */
+  const fail = (err: ForwardingError): void => {
+    if (!deliverLastFailure(request, state)) throw err;
+  };
   while (true) {
     const job = describeJob(context, request, state, handler);
     // A stream that has begun goes on during a stop, since its caller cannot start it again.
     const isStoppable = handler.resumeAfter() === undefined;
     const decision = await placeUnlessAborted(context, request, job, { isStoppable });
-    if (decision === undefined) throw createAbortError(request, state);
-    if (decision.kind === "refused") {
-      if (deliverLastFailure(state)) return;
-      throw createRefusalError(state, decision);
-    }
+    if (decision === undefined) return fail(createAbortError(request, state));
+    if (decision.kind === "refused") return fail(createRefusalError(state, decision));
     const server = context.findServer(decision.serverId);
     const isTooLate = isStoppable &&
       !canStart(context, request, { firstByteMs: decision.expectedMs });
     if (request.signal.aborted || isTooLate || server === undefined) {
       context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
-      if (request.signal.aborted || isTooLate) throw createAbortError(request, state);
+      if (request.signal.aborted || isTooLate) return fail(createAbortError(request, state));
       state.excludedIds.push(decision.serverId);
       state.connectFailureCount += 1;
       if (state.connectFailureCount >= MAX_CONNECT_FAILURES) throw createNoServerError(state);
@@ -78,8 +79,7 @@
     state.last = result;
     state.excludedIds.push(server.id);
     if (!handler.canContinue() || !mayRetry(context, request, state, result)) {
-      if (deliverLastFailure(state)) return;
-      throw createFailureError(request, state, result);
+      return fail(createFailureError(request, state, result));
     }
     context.metrics.increment("retry", { reason: result.failure });
   }
@@ -176,9 +176,12 @@
     : isRepeatable(request);
 }
 
-/** Sends the last server's own error answer to the caller; returns false if there is none. */
-function deliverLastFailure(state: AttemptState): boolean {
-  if (state.last?.deliver === undefined) return false;
+/**
+ * Sends the last server's own error answer to the caller; returns false if there is none, or if the
+ * caller does not wait any more.
+ */
+function deliverLastFailure(request: CallerRequest, state: AttemptState): boolean {
+  if (request.signal.aborted || state.last?.deliver === undefined) return false;
   state.last.deliver();
   return true;
 }
