Check the time left in a stop again after the reservation of memory

A prompt whose memory was reserved slowly was sent to its server although its answer could not end before the exit of the host any more: the check came before the reservation. It now comes after it as well.

The signal of the stop has a listener for each waiting request, and Node.js warned of a leak at the eleventh; the limit of the warning is off for this signal, whose listeners are removed.

--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -44,14 +44,11 @@
   };
   while (true) {
     const job = describeJob(context, request, state, handler);
-    // A stream that has begun goes on during a stop, since its caller cannot start it again.
-    const isStoppable = handler.resumeAfter() === undefined;
-    const decision = await placeUnlessAborted(context, request, job, { isStoppable });
+    const decision = await placeUnlessAborted(context, request, job, handler);
     if (decision === undefined) return fail(createAbortError(request, state));
     if (decision.kind === "refused") return fail(createRefusalError(state, decision));
     const server = context.findServer(decision.serverId);
-    const isTooLate = isStoppable &&
-      !canStart(context, request, { firstByteMs: decision.expectedMs });
+    const isTooLate = !isInTime(context, request, { decision, handler });
     if (request.signal.aborted || isTooLate || server === undefined) {
       context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
       if (request.signal.aborted || isTooLate) return fail(createAbortError(request, state));
@@ -85,6 +82,21 @@
   }
 }
 
+/** Reports whether a placed request may still be sent, although the host may be stopping. */
+function isInTime(
+  context: ForwardingContext,
+  request: CallerRequest,
+  { decision, handler }: Pick<Attempt, "decision" | "handler">,
+): boolean {
+  return !isStoppable(handler) ||
+    canStart(context, request, { firstByteMs: decision.expectedMs });
+}
+
+/** A stream that has begun goes on during a stop, since its caller cannot start it again. */
+function isStoppable(handler: AnswerHandler): boolean {
+  return handler.resumeAfter() === undefined;
+}
+
 /**
  * Places a job; undefined if the caller leaves, its deadline passes, or the host stops so soon that
  * the request cannot be answered any more, before the decision.
@@ -93,7 +105,7 @@
   context: ForwardingContext,
   request: CallerRequest,
   job: PlacementJob,
-  { isStoppable }: { isStoppable: boolean },
+  handler: AnswerHandler,
 ): Promise<PlacementDecision | undefined> {
   const { signal } = request;
   if (signal.aborted) return undefined;
@@ -102,7 +114,7 @@
     onAbort = () => resolve(undefined);
     signal.addEventListener("abort", onAbort, { once: true });
   });
-  const endWatch = isStoppable ? watchLatestStart(context, request, onAbort) : () => {};
+  const endWatch = isStoppable(handler) ? watchLatestStart(context, request, onAbort) : () => {};
   const pendingDecision = context.placement.place(job);
   const decision = await Promise.race([pendingDecision, aborted]);
   signal.removeEventListener("abort", onAbort);
@@ -142,6 +154,8 @@
   let faultyId: string | undefined;
   let outcome: JobOutcome = JOB_OUTCOME.CANCELLED;
   try {
+    // The reservation may have taken long.
+    if (!isInTime(context, request, attempt)) throw createAbortError(request, attempt.state);
     const result = await exchangeOnce(context, request, attempt, {
       reservation,
       onFaultyServer: (address) => {
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Millis } from "@jaypass/kernel";
 import { MAX_BUFFERED_BODY_BYTES, NO_CONFIGURATION_RETRY_AFTER_MS } from "./constants.ts";
@@ -57,6 +58,8 @@
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
   const memory = createBodyMemoryBudget(MAX_BUFFERED_BODY_BYTES);
+  // Each waiting request listens to the signal.
+  setMaxListeners(0, context.stop.signal);
   const monitor = createStopMonitor({ ...context, stopTime: () => context.stop.time() });
   let size = 0;
 
