Close the connections of callers that become idle during a stop

Callers whose stream had begun before the SIGTERM kept their connection, since its head did not announce the close and idle connections were closed only once, at the signal; they met a late refusal or a reset at the exit. A request that was read behind another one on its connection was run and cut off, since the answer before it announced the close. The close of idle connections also dropped bytes that had not left yet.

The forwarder counts the requests on each connection. During a stop it closes a connection when its last answer has left; only the answer of the only request on it announces the close, and a request behind that is not handled. The test host no longer closes connections when only the progress of a stop is set, so that the log of a request on a kept connection stays tested.

--- a/packages/forwarding/_lib/create_caller_answer.ts
+++ b/packages/forwarding/_lib/create_caller_answer.ts
@@ -51,7 +51,7 @@
     if (hasBegun) throw new ForwardingError(502, FAILURE.INVALID_ANSWER);
     const headers = context.codec.writeCallerAnswer(answer.headers);
     if (length !== undefined) headers.push("Content-Length", String(length));
-    if (context.stop.signal.aborted) headers.push("Connection", "close");
+    if (request.shouldClose()) headers.push("Connection", "close");
     res.writeHead(answer.status, answer.statusText, headers);
     hasBegun = true;
   };
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -135,6 +135,8 @@
   signal: AbortSignal;
   /** The answer to the caller. */
   res: ServerResponse;
+  /** Reports whether the answer must announce that its connection is closed afterwards. */
+  shouldClose: () => boolean;
   /** Called with the attempts when they begin; the state changes as they go on. */
   onAttempts: (state: Readonly<AttemptState>) => void;
 }
--- a/packages/forwarding/_lib/send_failure.ts
+++ b/packages/forwarding/_lib/send_failure.ts
@@ -12,12 +12,14 @@
  * @param req the caller's request
  * @param res the answer to the caller
  * @param failure status, reason and retry delay
+ * @param options shouldClose: announces that the connection is closed after the answer
  */
 export function sendFailure(
   context: ForwardingContext,
   req: IncomingMessage,
   res: ServerResponse,
   failure: ForwardingError,
+  options: { shouldClose: boolean },
 ): void {
   const body = Buffer.from(JSON.stringify({ error: failure.reason }));
   const headers = ["Content-Type", "application/json", "Content-Length", String(body.length)];
@@ -25,7 +27,7 @@
     headers.push(context.codec.retryAfterName, String(failure.retryAfterMs / MILLIS_PER_SECOND));
   }
   const hasUnreadBody = !req.complete;
-  if (context.stop.signal.aborted || hasUnreadBody) headers.push("Connection", "close");
+  if (options.shouldClose || hasUnreadBody) headers.push("Connection", "close");
   res.writeHead(failure.status, headers);
   res.end(body);
 }
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -45,7 +45,7 @@
   releaseCount(): number;
   /** Starts the graceful stop of the host, which ends after `remainingMs`. */
   stop(options: { remainingMs: number; isListed?: boolean }): void;
-  /** Starts the graceful stop of the host, and sets its progress, which stays as it is. */
+  /** Sets the progress of a graceful stop, which stays as it is; idle connections stay open. */
   setStopTime(time: StopTime): void;
   /** Logs the requests in progress as cut off. */
   reportCut(): void;
@@ -221,7 +221,6 @@
     setStopTime(time) {
       readStopTime = () => time;
       isListed = false;
-      stopping.abort();
     },
     reportCut: () => forwarder.reportCut(),
     lines,
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -13,6 +13,8 @@
 import { runAttempts } from "./_lib/run_attempts.ts";
 import { sendFailure } from "./_lib/send_failure.ts";
 import { canTakeRequest } from "./_lib/stop_limit.ts";
+import { createCallerConnections } from "./_lib/create_caller_connections.ts";
+import type { CallerConnections } from "./_lib/create_caller_connections.ts";
 import { createPlainHandler } from "./_lib/create_plain_handler.ts";
 import { createStopMonitor } from "./_lib/create_stop_monitor.ts";
 import type { MonitoredRequest, StopMonitor } from "./_lib/create_stop_monitor.ts";
@@ -58,6 +60,7 @@
  */
 export function createForwarder(context: ForwardingContext): Forwarder {
   const memory = createBodyMemoryBudget(MAX_BUFFERED_BODY_BYTES);
+  const connections = createCallerConnections(context.stop.signal);
   // Each waiting request listens to the signal.
   setMaxListeners(0, context.stop.signal);
   const monitor = createStopMonitor({ ...context, stopTime: () => context.stop.time() });
@@ -76,7 +79,7 @@
       memory,
     });
     try {
-      await forward(context, { req, res, resolved, body, arrivalMs, monitored });
+      await forward(context, { req, res, resolved, body, arrivalMs, monitored, connections });
     } finally {
       releaseBody(memory, body);
     }
@@ -84,16 +87,19 @@
 
   return {
     async handle(req, res) {
+      const { socket } = req;
+      if (!connections.add(socket)) return;
       size += 1;
       const monitored = monitor.add(req, res);
       try {
         await serve(req, res, monitored);
       } catch (err) {
-        answerWithFailure(context, { req, res, err, monitor, monitored });
+        answerWithFailure(context, { req, res, err, monitor, monitored, connections });
       }
       await waitForDelivery(res);
       size -= 1;
       monitor.remove(monitored);
+      connections.remove(socket);
     },
     size: () => size,
     reportCut: () => monitor.reportCut(),
@@ -162,10 +168,11 @@
   body: Buffer;
   arrivalMs: Millis;
   monitored: MonitoredRequest;
+  connections: CallerConnections;
 }
 
 async function forward(context: ForwardingContext, options: ForwardOptions): Promise<void> {
-  const { req, res, resolved, body, arrivalMs, monitored } = options;
+  const { req, res, resolved, body, arrivalMs, monitored, connections } = options;
   const { metadata, route, service, workspace, timeoutMs } = resolved;
   const controller = new AbortController();
   const remainingMs = arrivalMs + timeoutMs - context.clock.nowMs();
@@ -190,6 +197,7 @@
     endFailure: timeoutMs < route.timeoutMs ? FAILURE.DEADLINE : FAILURE.ROUTE_TIMEOUT,
     signal: controller.signal,
     res,
+    shouldClose: () => connections.shouldClose(req.socket),
     onAttempts: (state) => void (monitored.attempts = state),
   };
   const handler = route.kind === ROUTE_KIND.STREAMING
@@ -217,12 +225,13 @@
 /** Answers with a failure, or closes the connection if an answer has been started already. */
 function answerWithFailure(
   context: ForwardingContext,
-  { req, res, err, monitor, monitored }: {
+  { req, res, err, monitor, monitored, connections }: {
     req: IncomingMessage;
     res: ServerResponse;
     err: unknown;
     monitor: StopMonitor;
     monitored: MonitoredRequest;
+    connections: CallerConnections;
   },
 ): void {
   const failure = err instanceof ForwardingError
@@ -243,5 +252,7 @@
   if (failure.reason === FAILURE.STOPPING) monitor.refused();
   if (res.destroyed) return;
   if (res.headersSent) breakOff(res);
-  else sendFailure(context, req, res, failure);
+  else {sendFailure(context, req, res, failure, {
+      shouldClose: connections.shouldClose(req.socket),
+    });}
 }
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -70,7 +70,7 @@
       const cluster = lookup(SERVICE.CLUSTER);
       const stop = lookup(SERVICE.STOP_STATE);
       const forwarder = lookup(SERVICE.FORWARDER);
-      const callerServer = createCallerServer(cluster, forwarder, stop);
+      const callerServer = createCallerServer(cluster, forwarder);
       const servers: [Server, string | undefined][] = [
         [callerServer, settings.callerAddress],
         [createReadinessServer(context, cluster, stop), settings.readinessAddress],
@@ -105,7 +105,7 @@
   return () => count;
 }
 
-function createCallerServer(cluster: Cluster, forwarder: Forwarder, stop: StopState): Server {
+function createCallerServer(cluster: Cluster, forwarder: Forwarder): Server {
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     connectionsCheckingInterval: CONNECTION_CHECK_MS,
@@ -119,8 +119,6 @@
     }
     void forwarder.handle(req, res);
   });
-  // Callers would otherwise send late requests on idle connections, although other hosts are listed.
-  stop.signal.addEventListener("abort", () => server.closeIdleConnections(), { once: true });
   return server;
 }
 
