Let a short grace period end later

With a grace period of 1 or 2 s a host exited 0.5 s before the forced end, which is up to half of the period. The margin is at most an eighth of the period now; with 8 s it is 0.5 s as before.

--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -30,6 +30,9 @@
 /** Time before the forced end of the process at which a stopping host exits by itself. */
 export const STOP_MARGIN_MS = 500;
 
+/** Largest part of the grace period that this time may take. */
+export const STOP_MARGIN_MAX_SHARE = 1 / 8;
+
 /** Interval of the checks whether a stopping host can exit. */
 export const STOP_CHECK_MS = 50;
 
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -4,6 +4,7 @@
   DIRECTORY_TTL_FACTOR,
   DIRECTORY_TTL_MS,
   LEAVE_PROPAGATION_MS,
+  STOP_MARGIN_MAX_SHARE,
   STOP_MARGIN_MS,
 } from "./constants.ts";
 
@@ -31,7 +32,7 @@
 export function createStopState(options: { clock: Clock; graceMs: Millis }): StopState {
   const { clock, graceMs } = options;
   const controller = new AbortController();
-  const longestStopMs = graceMs - STOP_MARGIN_MS;
+  const longestStopMs = graceMs - Math.min(STOP_MARGIN_MS, graceMs * STOP_MARGIN_MAX_SHARE);
   const directoryExpiryMs = Math.min(DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR, longestStopMs);
   let startMs: Millis | undefined;
   const elapsedMs = () => startMs === undefined ? 0 : clock.nowMs() - startMs;
