Do not end a stopping host at a second signal

A second SIGTERM during a stop ended the process at once and cut off the requests in progress, since the handler of the signal was removed with the first one. Further signals have no effect now; SIGKILL still ends the process.

--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -36,8 +36,9 @@
   forwarder.reportCut();
 }
 
+/** Waits for the first signal to stop; further ones do not end the process. */
 function waitForSignal(): Promise<string> {
   return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) process.once(signal, resolve);
+    for (const signal of ["SIGTERM", "SIGINT"] as const) process.on(signal, resolve);
   });
 }
