Read from a server's answer that it leaves and how long it wants no requests

Nothing in the code read `Server-Leaving`, and `Retry-After` of engines was dropped, so that no decision could rest on what a server says about itself.

Nothing uses the two fields yet.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -303,6 +303,10 @@
     String(metadata.resumeAfter ?? ""),
   ],
   readAnswer: (_status, headers) => ({
+    isLeaving: find(headers, "leaving") !== undefined,
+    pauseMs: find(headers, "pause-ms") === undefined
+      ? undefined
+      : Number(find(headers, "pause-ms")),
     attemptId: find(headers, "attempt"),
     isSealed: find(headers, "seal") !== undefined,
     isNotRun: find(headers, "not-run") !== undefined,
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -145,6 +145,13 @@
   faultyAddress: string | undefined;
   /** True if the body has a content encoding, so that it is not what the server produced. */
   isEncoded: boolean;
+  /** True if the server states that it leaves and takes no further requests. */
+  isLeaving: boolean;
+  /**
+   * Time for which a server that refused the request wants no requests from this host; undefined if
+   * it states none.
+   */
+  pauseMs: Millis | undefined;
 }
 
 /** What a check of a server that sends nothing has found. */
