Add the record of what servers state about further requests

A host had no place for what a server says about itself: that it leaves, or that it wants no requests for a time.

The record holds both for one start of a server (id and start time). Leaving is never taken back; the longer of two pauses counts, on the monotonic clock; entries end with their instance or their time, and at most 4,096 are kept. A property test compares it with a plain model over random orders of answers, late answers of an earlier start, restarts and changes of entries. Nothing asks the record yet.

--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -10,6 +10,9 @@
 /** Failed connects per request; they do not count as retries, since nothing was sent. */
 export const MAX_CONNECT_FAILURES = 4;
 
+/** Servers whose statements that they leave or pause are kept; limits the memory used. */
+export const MAX_SERVER_NOTICES = 4_096;
+
 /** Answers that are not streamed are buffered up to this size, so that they can be retried. */
 export const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -12,6 +12,7 @@
 export * from "./create_forwarder.ts";
 export * from "./detect_reset.ts";
 export * from "./ends_with_connection.ts";
+export * from "./create_server_notices.ts";
 export * from "./errors.ts";
 export * from "./index_configuration.ts";
 export * from "./match_route.ts";
