Send no requests to servers that state that they leave or pause

Callers and engines saw: with the store away, hosts went on sending to engines that leave (26 of about 50 requests went to the leaving one of two engines in the new process test), and an engine that refused with 503 and `Retry-After: 2` went on getting 50 requests a second (69 in the pause, where two are allowed). A host believed only the directory.

Such a placement is made again without counting as an attempt or a failed connect, at most 16 times for a request. Requests that were sent go on. A request that placement refuses because all servers of the service leave or pause is answered 503 `servers_paused` at once, with a Retry-After at a random time after the first of the pauses. Probes skip these servers; checks of silent servers do not.

All tests of packages/forwarding and packages/forwarding_host passed (132).

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -55,6 +55,8 @@
   /** Sends to servers whose process has ended since; they do not count as attempts. */
   lostCount: number;
   connectFailureCount: number;
+  /** Placements that were given up because a chosen server wants no requests. */
+  diversionCount: number;
   mayHaveRun: boolean;
   excludedIds: string[];
   /** Result of the last attempt. */
--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -2,6 +2,7 @@
 import type { PlacementJob } from "@jaypass/placement";
 import { ROUTE_KIND } from "../types.ts";
 import type { AnswerHandler, AttemptState } from "./attempt.ts";
+import { listUnusableServers } from "./list_unusable_servers.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /** Describes the next attempt of a request for placement. */
@@ -12,7 +13,8 @@
   handler: AnswerHandler,
 ): PlacementJob {
   const { metadata, route } = request;
-  const attempt = state.sendCount + state.connectFailureCount;
+  const attempt = state.sendCount + state.connectFailureCount + state.diversionCount;
+  const unusable = listUnusableServers(context, request);
   const now = context.clock.nowMs();
   return {
     id: `${request.id}.${attempt}`,
@@ -24,7 +26,7 @@
     remainingMs: firstByteDeadlineMs(request, now, handler.resumeAfter() !== undefined) - now,
     wholeWithinMs: request.endMs - now,
     elapsedMs: now - request.arrivalMs,
-    excludedIds: state.excludedIds,
+    excludedIds: [...new Set([...state.excludedIds, ...unusable.map(({ id }) => id)])],
     isRetry: state.sendCount > 0,
     fingerprint: request.fingerprint,
     isRepeatable: isRepeatable(request),
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -72,6 +72,7 @@
       exchange.cancel();
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
+    context.notices.record(server, metadata);
     if (metadata.isNotRun) {
       if (metadata.faultyAddress !== undefined) options.onFaultyServer(metadata.faultyAddress);
       exchange.cancel();
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
+import type { ServerNotices } from "../create_server_notices.ts";
 import type { Failure } from "../errors.ts";
 import type { AttemptState } from "./attempt.ts";
 import type {
@@ -95,6 +96,8 @@
   findServerAt: (address: string) => string | undefined;
   /** Checks whether the process of a server that sends nothing is still there; never rejects. */
   checkServer: (server: ForwardingServer) => Promise<ServerStatus>;
+  /** What servers have stated about further requests. */
+  notices: Pick<ServerNotices, "record" | "waitMs" | "listUnusable">;
   /** Chooses servers for requests. */
   placement: PlacementClient;
   /** Reserves memory on helpers. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -1,12 +1,14 @@
-import { JOB_OUTCOME } from "@jaypass/placement";
+import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "@jaypass/placement";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import {
   MAX_CONNECT_FAILURES,
+  MAX_DIVERSIONS,
   MIN_RETRY_REMAINING_MS,
   REJECTED_RETRY_AFTER_MS,
 } from "../constants.ts";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import type { AnswerHandler, Attempt, AttemptResult, AttemptState } from "./attempt.ts";
+import { computePauseRetryMs } from "./compute_pause_retry_ms.ts";
 import { describeJob, isRepeatable } from "./describe_job.ts";
 import { exchangeOnce } from "./exchange_once.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
@@ -33,6 +35,7 @@
     sendCount: 0,
     lostCount: 0,
     connectFailureCount: 0,
+    diversionCount: 0,
     mayHaveRun: false,
     excludedIds: [],
     last: undefined,
@@ -46,7 +49,9 @@
     const job = describeJob(context, request, state, handler);
     const decision = await placeUnlessAborted(context, request, job, handler);
     if (decision === undefined) return fail(createAbortError(request, state));
-    if (decision.kind === "refused") return fail(createRefusalError(state, decision));
+    if (decision.kind === "refused") {
+      return fail(createRefusalError(context, request, state, decision));
+    }
     const server = context.findServer(decision.serverId);
     const isTooLate = !isInTime(context, request, { decision, handler });
     if (request.signal.aborted || isTooLate || server === undefined) {
@@ -58,6 +63,11 @@
       continue;
     }
     const result = await runAttempt(context, request, { job, decision, server, state, handler });
+    if (result === undefined) {
+      divert(context, request, state, decision);
+      if (state.diversionCount >= MAX_DIVERSIONS) throw createNoServerError(state);
+      continue;
+    }
     context.log.info({
       requestId: request.id,
       server: server.id,
@@ -139,12 +149,50 @@
   return await context.reservations.reserve(job.id, memoryPlans);
 }
 
+/** Lists those of the servers of a decision that want no requests now. */
+function listUnwillingIds(
+  context: ForwardingContext,
+  { serverId, helperIds }: PlacementDecision & { kind: "placed" },
+): string[] {
+  return [serverId, ...helperIds].filter((id) => {
+    const server = context.findServer(id);
+    return server !== undefined && context.notices.waitMs(server) > 0;
+  });
+}
+
+/** Excludes the servers because of which a placement was given up. */
+function divert(
+  context: ForwardingContext,
+  request: CallerRequest,
+  state: AttemptState,
+  decision: PlacementDecision & { kind: "placed" },
+): void {
+  const serverIds = listUnwillingIds(context, decision);
+  state.diversionCount += 1;
+  state.excludedIds.push(...serverIds);
+  context.metrics.increment("diversion");
+  context.log.info(
+    { requestId: request.id, servers: serverIds },
+    "Placing request again: a chosen server wants no requests",
+  );
+}
+
+/**
+ * Sends a request to the servers of a decision.
+ *
+ * @returns how the attempt ended; undefined if it was not sent because one of the servers wants no
+ * requests, which it may have stated after the decision
+ */
 async function runAttempt(
   context: ForwardingContext,
   request: CallerRequest,
   attempt: Attempt,
-): Promise<AttemptResult> {
+): Promise<AttemptResult | undefined> {
   const { job, decision } = attempt;
+  if (listUnwillingIds(context, decision).length > 0) {
+    context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
+    return undefined;
+  }
   const reservation = await reserveMemory(context, attempt);
   if (decision.tickets.length > 0 && reservation === undefined) {
     context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
@@ -156,6 +204,8 @@
   try {
     // The reservation may have taken long.
     if (!isInTime(context, request, attempt)) throw createAbortError(request, attempt.state);
+    // The reservation takes a round trip, in which another answer may have arrived.
+    if (listUnwillingIds(context, decision).length > 0) return undefined;
     const result = await exchangeOnce(context, request, attempt, {
       reservation,
       onFaultyServer: (address) => {
@@ -201,10 +251,18 @@
 }
 
 function createRefusalError(
+  context: ForwardingContext,
+  request: CallerRequest,
   state: AttemptState,
   decision: PlacementDecision & { kind: "refused" },
 ): ForwardingError {
   if (state.mayHaveRun) return new ForwardingError(502, state.last?.failure ?? FAILURE.INTERNAL);
+  const retryAfterMs = decision.reason === PLACEMENT_REFUSAL.NO_SERVER
+    ? computePauseRetryMs(context, request, state)
+    : undefined;
+  if (retryAfterMs !== undefined) {
+    return new ForwardingError(503, FAILURE.SERVERS_PAUSED, { retryAfterMs });
+  }
   return new ForwardingError(503, decision.reason, { retryAfterMs: decision.retryAfterMs });
 }
 
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import { createClock } from "@jaypass/kernel";
+import type { Logger, Metrics } from "@jaypass/kernel";
 import type {
   EngineProfile,
   JobOutcome,
@@ -11,6 +12,7 @@
   PlacementJob,
 } from "@jaypass/placement";
 import { createForwarder } from "../create_forwarder.ts";
+import { createServerNotices } from "../create_server_notices.ts";
 import { indexConfiguration } from "../index_configuration.ts";
 import { ROUTE_KIND, SERVER_STATUS } from "../types.ts";
 import type { HeaderCodec, Route, RouteKind, ServerStatus } from "../types.ts";
@@ -113,6 +115,8 @@
   placementMs?: number;
   /** Cost model of the servers, if they run a model. */
   engine?: EngineProfile;
+  /** Chooses the servers of a job, in place of the next server by index. */
+  place?: (job: PlacementJob) => PlacementDecision | Promise<PlacementDecision>;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -143,24 +147,28 @@
   let isListed = true;
   const lines: TestHost["lines"] = [];
   const counters: TestHost["counters"] = {};
+  const log: Logger = {
+    ...SILENT_LOG,
+    info: (fields, message) => void lines.push({ level: "info", fields, message }),
+    warn: (fields, message) => void lines.push({ level: "warn", fields, message }),
+  };
+  const metrics: Metrics = {
+    increment: (name, tags = {}) => {
+      const key = [name, ...Object.values(tags)].join(" ");
+      counters[key] = (counters[key] ?? 0) + 1;
+    },
+    gauge: () => {},
+    timing: (name) => void (counters[name] = (counters[name] ?? 0) + 1),
+    counters: () => ({}),
+    close: () => Promise.resolve(),
+  };
+  const notices = createServerNotices({ clock, log, metrics });
   const forwarder = createForwarder({
     clock,
     random: () => 0.5,
-    log: {
-      ...SILENT_LOG,
-      info: (fields, message) => void lines.push({ level: "info", fields, message }),
-      warn: (fields, message) => void lines.push({ level: "warn", fields, message }),
-    },
-    metrics: {
-      increment: (name, tags = {}) => {
-        const key = [name, ...Object.values(tags)].join(" ");
-        counters[key] = (counters[key] ?? 0) + 1;
-      },
-      gauge: () => {},
-      timing: (name) => void (counters[name] = (counters[name] ?? 0) + 1),
-      counters: () => ({}),
-      close: () => Promise.resolve(),
-    },
+    log,
+    metrics,
+    notices,
     codec: TEST_CODEC,
     configuration: () =>
       options.hasNoConfiguration ? undefined : indexConfiguration({
@@ -189,6 +197,7 @@
     placement: {
       async place(job) {
         if (options.placementMs !== undefined) await wait(options.placementMs);
+        if (options.place !== undefined) return options.place(job);
         return options.refusal ?? placeNext(job, behaviours.length, options);
       },
       cancel: () => {},
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -10,6 +10,9 @@
 /** Failed connects per request; they do not count as retries, since nothing was sent. */
 export const MAX_CONNECT_FAILURES = 4;
 
+/** Placements of one request that may be given up because a chosen server wants no requests. */
+export const MAX_DIVERSIONS = 16;
+
 /** Servers whose statements that they leave or pause are kept; limits the memory used. */
 export const MAX_SERVER_NOTICES = 4_096;
 
@@ -64,6 +67,12 @@
 /** Retry delay stated to a caller whose request the servers rejected. */
 export const REJECTED_RETRY_AFTER_MS = 300;
 
+/** Shortest time over which the retries of callers are spread after a pause of servers. */
+export const MIN_PAUSE_RETRY_SPREAD_MS = 500;
+
+/** The same time as a share of the rest of the pause. */
+export const PAUSE_RETRY_SPREAD_SHARE = 0.5;
+
 /** Retry delay stated to a caller while the host has no configuration. */
 export const NO_CONFIGURATION_RETRY_AFTER_MS = 500;
 
--- a/packages/forwarding/errors.ts
+++ b/packages/forwarding/errors.ts
@@ -17,6 +17,7 @@
   DEADLINE: "deadline",
   ROUTE_TIMEOUT: "route_timeout",
   NO_SERVER: "no_server",
+  SERVERS_PAUSED: "servers_paused",
   RETRY_BUDGET: "retry_budget",
   QUARANTINED: "quarantined",
   COLD_LIMIT: "cold_limit",
--- a/packages/forwarding_host/create_cluster_view.ts
+++ b/packages/forwarding_host/create_cluster_view.ts
@@ -28,6 +28,8 @@
   usableServers(): PlacementServer[];
   /** Finds a server that may get new requests. */
   findServer(id: string): ForwardingServer | undefined;
+  /** Finds the start time of a server, usable or not; undefined if it is gone. */
+  findBornMs(id: string): number | undefined;
   /** Finds the id of the server at an address. */
   findServerAt(address: string): string | undefined;
   /**
@@ -127,6 +129,7 @@
       const known = servers.get(id);
       return known !== undefined && isUsable(known) ? known.entry : undefined;
     },
+    findBornMs: (id) => servers.get(id)?.entry.bornMs,
     findServerAt: (address) =>
       [...servers.values()].find(({ entry }) => entry.address === address)?.entry.id,
     removeMissingServers() {
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -2,6 +2,7 @@
 import type { ServiceDefinition } from "@jaypass/kernel";
 import { createFleet, FLEET_TICK_MS } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
+import { createServerNotices } from "@jaypass/forwarding";
 import { createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
 import type { PlacementServer } from "@jaypass/placement";
 import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
@@ -72,7 +73,8 @@
     clock,
     log,
     metrics,
-    engines: () => listEngines(view),
+    // A probe is a request too, and the load of an engine that gets no other ones does not matter.
+    engines: () => listEngines(view).filter((server) => notices.waitMs(server) === 0),
     onReport(serverId, report) {
       for (const placer of [hubPlacer, localPlacer]) placer.applyReport(serverId, report);
     },
@@ -85,6 +87,7 @@
     log,
     metrics,
   });
+  const notices = createServerNotices({ clock, log, metrics });
   const view = createClusterView({
     clock,
     log,
@@ -92,6 +95,7 @@
     onChange() {
       const services = [...view.configuration()?.services.values() ?? []];
       const servers = view.usableServers();
+      notices.removeGone((id) => view.findBornMs(id));
       for (const placer of [hubPlacer, localPlacer]) {
         placer.setServices(services);
         placer.setServers(servers);
@@ -126,7 +130,7 @@
       if (fleet.isHub() && fleet.unlinkedHostCount() > 0) await probe.refresh();
     }
   });
-  return { fleet, view, placement };
+  return { fleet, view, placement, notices };
 }
 
 /** Lists the usable engines; servers of plain services do not report their load. */
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -25,7 +25,7 @@
     name: SERVICE.FORWARDER,
     needs: [SERVICE.TASKS, SERVICE.STOP_STATE, SERVICE.CLUSTER],
     start(lookup) {
-      const { view, placement } = lookup(SERVICE.CLUSTER);
+      const { view, placement, notices } = lookup(SERVICE.CLUSTER);
       const stop = lookup(SERVICE.STOP_STATE);
       const forwarder = createForwarder({
         clock,
@@ -42,6 +42,7 @@
           log,
           hasStatus: (service) => view.configuration()?.services.get(service)?.engine !== undefined,
         }),
+        notices,
         placement,
         reservations: createReservations({
           engineMemory: adapter.engineMemory,
--- a/packages/forwarding_host/service_names.ts
+++ b/packages/forwarding_host/service_names.ts
@@ -1,7 +1,7 @@
 import { serviceName } from "@jaypass/kernel";
 import type { TaskGroup } from "@jaypass/kernel";
 import type { Fleet } from "@jaypass/fleet";
-import type { Forwarder } from "@jaypass/forwarding";
+import type { Forwarder, ServerNotices } from "@jaypass/forwarding";
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { ClusterView } from "./create_cluster_view.ts";
 import type { JobReport } from "./create_hub_scheduler.ts";
@@ -34,4 +34,6 @@
   view: ClusterView;
   /** Placement of this host's requests. */
   placement: HostPlacement;
+  /** What servers have stated to this host about further requests. */
+  notices: ServerNotices;
 }
