Tell hubs of servers that state that they leave

A host reports a server that leaves to its hubs, once when it hears it and with its running requests to a hub that is new to it. A hub's placer places no further jobs on that start of the server, queued ones included, until its entry is gone or names another start.

--- a/packages/forwarding/create_server_notices.ts
+++ b/packages/forwarding/create_server_notices.ts
@@ -18,6 +18,8 @@
   log: Logger;
   /** Receives a counter `server_notice` of servers that leave or pause. */
   metrics: Pick<Metrics, "increment">;
+  /** Called once for each instance that states that it leaves. */
+  onLeaving?: (server: ServerInstance) => void;
 }
 
 /** What servers have stated in their answers about further requests from this host. */
@@ -31,6 +33,8 @@
   waitMs(server: ServerInstance): Millis;
   /** Lists the instances that want no requests now. */
   listUnusable(): ServerInstance[];
+  /** Lists the instances that leave. */
+  listLeaving(): ServerInstance[];
   /**
    * Removes the statements of instances that another start has replaced, and of those without a known
    * start time whose server is gone.
@@ -92,6 +96,7 @@
       if (isLeaving) {
         log.info({ server: server.id }, "Server states that it leaves");
         metrics.increment("server_notice", { kind: "leaving" });
+        options.onLeaving?.({ id: server.id, bornMs: server.bornMs });
       } else if (known <= clock.nowMs()) {
         log.info({ server: server.id, pauseMs }, "Server wants no requests for a time");
         metrics.increment("server_notice", { kind: "pause" });
@@ -102,6 +107,8 @@
       removeExpired();
       return [...entries.values()].map(({ server }) => server);
     },
+    listLeaving: () =>
+      [...entries.values()].flatMap(({ server, untilMs }) => untilMs === Infinity ? [server] : []),
     removeGone(findBornMs) {
       for (const [key, { server }] of entries) {
         const bornMs = findBornMs(server.id);
--- a/packages/forwarding/create_server_notices_test.ts
+++ b/packages/forwarding/create_server_notices_test.ts
@@ -8,6 +8,7 @@
   let nowMs = 1_000;
   const lines: string[] = [];
   const counts: string[] = [];
+  const left: string[] = [];
   const log: Logger = {
     debug: () => {},
     info: (_fields, message) => void lines.push(message),
@@ -19,6 +20,7 @@
     clock: { nowMs: () => nowMs, wallMs: () => 0 },
     log,
     metrics: { increment: (name, tags) => void counts.push(`${name} ${tags?.kind}`) },
+    onLeaving: ({ id }) => void left.push(id),
   });
   const record = (id: string, bornMs: number, notice: { isLeaving?: boolean; pauseMs?: number }) =>
     notices.record({ id, bornMs }, { isLeaving: false, pauseMs: undefined, ...notice });
@@ -29,6 +31,7 @@
     waitMs: (id: string, bornMs = 1) => notices.waitMs({ id, bornMs }),
     lines,
     counts,
+    left,
   };
 }
 
@@ -71,8 +74,8 @@
   t.is(waitMs("s1"), 0);
 });
 
-test("each change is logged and counted once", (t) => {
-  const { notices, record, advance, lines, counts } = setUp();
+test("each change is logged, counted and reported once", (t) => {
+  const { notices, record, advance, lines, counts, left } = setUp();
   for (let count = 0; count < 3; count++) record("s1", 1, { pauseMs: 200 });
   record("s2", 1, { isLeaving: true });
   record("s2", 1, { isLeaving: true });
@@ -85,6 +88,7 @@
     "Pause of server ended",
   ]);
   t.deepEqual(counts, ["server_notice pause", "server_notice leaving"]);
+  t.deepEqual([left, notices.listLeaving()], [["s2"], [{ id: "s2", bornMs: 1 }]]);
 });
 
 // Guards against memory that grows with each server that ever left.
--- a/packages/forwarding_host/create_hub_scheduler.ts
+++ b/packages/forwarding_host/create_hub_scheduler.ts
@@ -1,4 +1,5 @@
 import type { HubScheduler } from "@jaypass/fleet";
+import type { ServerInstance } from "@jaypass/forwarding";
 import { JOB_OUTCOME } from "@jaypass/placement";
 import type {
   JobOutcome,
@@ -8,11 +9,12 @@
   RunningJob,
 } from "@jaypass/placement";
 
-/** Report of a host to its hubs on the progress of a request. */
+/** Report of a host to its hubs on the progress of a request, or on a server that leaves. */
 export type JobReport =
   | { kind: "running"; running: RunningJob }
   | { kind: "started"; jobId: string }
-  | { kind: "finished"; jobId: string; outcome: JobOutcome; faultyServerId?: string };
+  | { kind: "finished"; jobId: string; outcome: JobOutcome; faultyServerId?: string }
+  | { kind: "leaving"; serverId: string; bornMs: number };
 
 /**
  * Creates the scheduler of a hub, which places the requests of all members and tracks them by host.
@@ -53,6 +55,7 @@
         jobsOf(host).add(report.running.job.id);
         placer.addRunning(report.running);
       } else if (report.kind === "started") placer.started(report.jobId);
+      else if (report.kind === "leaving") placer.markLeaving(report.serverId, report.bornMs);
       else {
         jobsOf(host).delete(report.jobId);
         placer.finished(report.jobId, report.outcome, report.faultyServerId);
@@ -64,3 +67,8 @@
     },
   };
 }
+
+/** Creates the report that a server has stated that it leaves. */
+export function createLeavingReport(server: ServerInstance): JobReport {
+  return { kind: "leaving", serverId: server.id, bornMs: server.bornMs };
+}
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -8,7 +8,7 @@
 import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
 import { createClusterView } from "./create_cluster_view.ts";
 import type { ClusterView } from "./create_cluster_view.ts";
-import { createHubScheduler } from "./create_hub_scheduler.ts";
+import { createHubScheduler, createLeavingReport } from "./create_hub_scheduler.ts";
 import { createLoadProbe } from "./create_load_probe.ts";
 import { createCancelReport, createPlacementClient } from "./create_placement_client.ts";
 import type { HostContext } from "./host_context.ts";
@@ -87,7 +87,12 @@
     log,
     metrics,
   });
-  const notices = createServerNotices({ clock, log, metrics });
+  const notices = createServerNotices({
+    clock,
+    log,
+    metrics,
+    onLeaving: (server) => fleet.report(createLeavingReport(server)),
+  });
   const view = createClusterView({
     clock,
     log,
@@ -106,7 +111,10 @@
     self: describeSelf(context),
     store: adapter.store,
     scheduler: createHubScheduler(hubPlacer),
-    currentReports: () => placement.currentReports(),
+    currentReports: () => [
+      ...notices.listLeaving().map(createLeavingReport),
+      ...placement.currentReports(),
+    ],
     createCancelReport,
     onChange: (table, changed) => view.apply(table, changed),
     clock,
--- a/packages/placement/_lib/create_server_registry.ts
+++ b/packages/placement/_lib/create_server_registry.ts
@@ -12,6 +12,11 @@
 export interface ServerRegistry {
   /** Replaces the servers; the load of remaining servers is kept. */
   setServers(servers: readonly PlacementServer[]): void;
+  /**
+   * Excludes one start of a server from all further jobs until it is removed or started again; does
+   * nothing if that start is not known.
+   */
+  markLeaving(serverId: string, bornMs: number): void;
   /** Replaces the services. */
   setServices(services: readonly PlacementService[]): void;
   /** Returns the load of a server. */
@@ -41,6 +46,8 @@
   const { clock, coldLimits, share, seed } = options;
   const services = new Map<string, PlacementService>();
   const loads = new Map<string, ServerLoad>();
+  /** Start times of the servers that leave, by id. */
+  const leaving = new Map<string, number>();
   const ranks = new Map<string, string>();
   /** Loads by service, in the order in which equally loaded servers are chosen. */
   const loadsByService = new Map<string, ServerLoad[]>();
@@ -73,9 +80,11 @@
 
   const listUsable = (job: PlacementJob) => {
     const all = loadsByService.get(job.service) ?? [];
-    const notExcluded = job.excludedIds.length === 0
+    const notExcluded = job.excludedIds.length === 0 && leaving.size === 0
       ? all
-      : all.filter(({ server }) => !job.excludedIds.includes(server.id));
+      : all.filter(({ server }) =>
+        !job.excludedIds.includes(server.id) && leaving.get(server.id) !== server.bornMs
+      );
     const notSuspect = notExcluded.filter((load) => !load.isSuspect());
     return notSuspect.length > 0 ? notSuspect : [...notExcluded];
   };
@@ -86,6 +95,7 @@
       for (const id of [...loads.keys()].filter((existing) => !present.has(existing))) {
         loads.delete(id);
         ranks.delete(id);
+        leaving.delete(id);
       }
       for (const server of servers) {
         const load = loads.get(server.id);
@@ -97,6 +107,9 @@
       }
       sortServers();
     },
+    markLeaving(serverId, bornMs) {
+      if (loads.get(serverId)?.server.bornMs === bornMs) leaving.set(serverId, bornMs);
+    },
     setServices(list) {
       services.clear();
       for (const service of list) services.set(service.name, service);
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -288,6 +288,7 @@
 
   return {
     setServers: registry.setServers,
+    markLeaving: registry.markLeaving,
     setServices: registry.setServices,
     place,
     applyReport: (serverId, report) => registry.find(serverId)?.applyReport(report),
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -256,3 +256,43 @@
   }
   t.true(Math.max(...counts.values()) <= PROFILE.slots + 4, JSON.stringify([...counts]));
 });
+
+// Guards against a hub that goes on planning with a server of which a host has reported that it leaves.
+test("a server that leaves gets no jobs, as a helper neither, until another start replaces it", (t) => {
+  const { placer } = setUp({ servers: 2 });
+  const servers = makeServers(2);
+  const serversOfLong = () => {
+    const decision = placer.place(makeJob({ promptTokens: 180_000, goalMs: 4_000 }));
+    return decision.kind === "placed" ? [decision.serverId, ...decision.helperIds].toSorted() : [];
+  };
+  placer.markLeaving("s1", 0);
+  placer.markLeaving("s2", 7);
+  placer.markLeaving("s9", 0);
+  t.deepEqual(serversOfLong(), ["s2"]);
+  placer.setServers(servers);
+  t.deepEqual(serversOfLong(), ["s2"]);
+  placer.markLeaving("s2", 0);
+  t.is(describe(placer.place(makeJob())), "refused: no_server");
+  placer.setServers(servers.map((server) => ({ ...server, bornMs: server.id === "s1" ? 5 : 0 })));
+  t.like(describe(placer.place(makeJob())), { serverId: "s1" });
+  placer.setServers([]);
+  placer.setServers(servers.slice(1));
+  t.like(describe(placer.place(makeJob())), { serverId: "s2" });
+});
+
+// Guards against a queued job that is sent to a server that has left while the job waited.
+test("a queued job is not placed on a server that leaves while it waits", async (t) => {
+  const { placer } = setUp({ servers: 2, canWait: true });
+  for (const serverId of ["s1", "s2"]) {
+    for (let at = 0; at < 8; at++) {
+      const job = makeJob({ id: `${serverId}-${at}` });
+      const entry = { job, serverId, helperIds: [], tickets: [], partMs: 10, ageMs: 0 };
+      placer.addRunning({ ...entry, isWriting: true });
+    }
+  }
+  const queued = placer.placeOrQueue(makeJob());
+  t.true(queued instanceof Promise);
+  placer.markLeaving("s1", 0);
+  for (const id of ["s1-0", "s2-0"]) placer.finished(id, JOB_OUTCOME.ANSWERED);
+  t.like(describe(await queued), { serverId: "s2" });
+});
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -95,6 +95,11 @@
 export interface Placer {
   /** Replaces the usable servers; the load of remaining servers is kept. */
   setServers(servers: readonly PlacementServer[]): void;
+  /**
+   * Places no further jobs on one start of a server, which has stated that it leaves, until the server
+   * is removed or started again.
+   */
+  markLeaving(serverId: string, bornMs: number): void;
   /** Replaces the services. */
   setServices(services: readonly PlacementService[]): void;
   /** Places a job, at once or after a wait; a placed job counts as load until it is finished. */
