State the end of the pause to callers whenever all servers of a service pause

A request that the only server of its service refused with `Retry-After: 4` was answered with `server_rejected` and a retry delay of 0.3 s, and its caller returned into the pause; only later requests were told the time.

Whether all servers pause is now read from the host's own list of the service's servers, both when placement refuses a request and when its last attempt was refused. A request that is excluded from a server which takes others keeps the short delay.

Three tests; the one of the only server failed without the second place and passes. The existing test of two servers now expects the same reason for the first request.

--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -92,6 +92,8 @@
   configuration: () => Configuration | undefined;
   /** Finds a server that may get requests; undefined if it is draining, gone or evacuated. */
   findServer: (id: string) => ForwardingServer | undefined;
+  /** Lists the servers of a service that may get requests by their entries. */
+  listServers: (service: string) => readonly ForwardingServer[];
   /** Finds the id of the server at an address. */
   findServerAt: (address: string) => string | undefined;
   /** Checks whether the process of a server that sends nothing is still there; never rejects. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -86,7 +86,7 @@
     state.last = result;
     state.excludedIds.push(server.id);
     if (!handler.canContinue() || !mayRetry(context, request, state, result)) {
-      return fail(createFailureError(request, state, result));
+      return fail(createFailureError(context, request, state, result));
     }
     context.metrics.increment("retry", { reason: result.failure });
   }
@@ -257,15 +257,24 @@
   decision: PlacementDecision & { kind: "refused" },
 ): ForwardingError {
   if (state.mayHaveRun) return new ForwardingError(502, state.last?.failure ?? FAILURE.INTERNAL);
-  const retryAfterMs = decision.reason === PLACEMENT_REFUSAL.NO_SERVER
-    ? computePauseRetryMs(context, request, state)
-    : undefined;
-  if (retryAfterMs !== undefined) {
-    return new ForwardingError(503, FAILURE.SERVERS_PAUSED, { retryAfterMs });
+  if (decision.reason === PLACEMENT_REFUSAL.NO_SERVER) {
+    const pauseError = createPauseError(context, request);
+    if (pauseError !== undefined) return pauseError;
   }
   return new ForwardingError(503, decision.reason, { retryAfterMs: decision.retryAfterMs });
 }
 
+/** Creates the error of a request that was not run because all servers of its service pause. */
+function createPauseError(
+  context: ForwardingContext,
+  request: CallerRequest,
+): ForwardingError | undefined {
+  const retryAfterMs = computePauseRetryMs(context, request);
+  return retryAfterMs === undefined
+    ? undefined
+    : new ForwardingError(503, FAILURE.SERVERS_PAUSED, { retryAfterMs });
+}
+
 function createNoServerError(state: AttemptState): ForwardingError {
   if (state.mayHaveRun) return new ForwardingError(502, FAILURE.NO_SERVER);
   return new ForwardingError(503, FAILURE.NO_SERVER, { retryAfterMs: REJECTED_RETRY_AFTER_MS });
@@ -283,11 +292,14 @@
 }
 
 function createFailureError(
+  context: ForwardingContext,
   request: CallerRequest,
   state: AttemptState,
   result: AttemptResult,
 ): ForwardingError {
   if (request.signal.aborted) return createDeadlineError(request);
   if (state.mayHaveRun) return new ForwardingError(502, result.failure);
+  const pauseError = createPauseError(context, request);
+  if (pauseError !== undefined) return pauseError;
   return new ForwardingError(503, result.failure, { retryAfterMs: REJECTED_RETRY_AFTER_MS });
 }
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -189,6 +189,8 @@
       const address = addresses[Number(id)] ?? "127.0.0.1:1";
       return { id, service: "s", address, bornMs: restartedAtMs ?? 1 };
     },
+    listServers: () =>
+      addresses.map((address, at) => ({ id: String(at), service: "s", address, bornMs: 1 })),
     checkServer: ({ id }) => {
       checkCount += 1;
       return Promise.resolve(options.serverStatus?.[Number(id)] ?? SERVER_STATUS.ALIVE);
--- a/packages/forwarding/server_notices_test.ts
+++ b/packages/forwarding/server_notices_test.ts
@@ -189,7 +189,8 @@
   const host = await setUp(t, [refuse({ "Pause-Ms": "4000" }), refuse({ "Pause-Ms": "9000" })], {
     maxAttempts: 2,
   });
-  await host.call();
+  // Both servers refuse the first request, which learns of the pauses by that.
+  t.is((await host.call()).body, '{"error":"servers_paused"}');
   const startMs = performance.now();
   const { status, body, retryAfter } = await host.call();
   t.true(performance.now() - startMs < 500);
@@ -197,5 +198,29 @@
   // The random number of the test host is 0.5, half of the spread of 2 s.
   t.true(Number(retryAfter) > 4 && Number(retryAfter) <= 5, retryAfter);
   t.is(host.arrivals.length, 2);
-  t.is(host.counters["refusal servers_paused"], 1);
+  t.is(host.counters["refusal servers_paused"], 2);
+});
+
+// Guards against a caller that returns after 0.3 s to a service whose only server wants nothing for
+// seconds.
+test("a request that the only server refuses with a pause is refused with the end of the pause", async (t) => {
+  const host = await setUp(t, [refuse({ "Pause-Ms": "4000" })], { maxAttempts: 1 });
+  const { status, body, retryAfter } = await host.call();
+  t.deepEqual([status, body], [503, '{"error":"servers_paused"}']);
+  t.true(Number(retryAfter) > 4 && Number(retryAfter) <= 6, retryAfter);
+});
+
+// Guards against callers that are kept away from a server that takes requests.
+test("a request that one of two servers refuses with a pause does not name the end of it", async (t) => {
+  const host = await setUp(t, [refuse({ "Pause-Ms": "4000" }), answer()], { maxAttempts: 1 });
+  const { body, retryAfter } = await host.call();
+  t.deepEqual([body, retryAfter], ['{"error":"server_rejected"}', "0.3"]);
+});
+
+// Guards against a retry delay for a time at which no server takes requests either.
+test("a request whose servers all leave does not name the end of a pause", async (t) => {
+  const host = await setUp(t, [refuse({ Leaving: "1" })], { maxAttempts: 1 });
+  await host.call();
+  const { body, retryAfter } = await host.call();
+  t.deepEqual([body, retryAfter], ['{"error":"no_server"}', "0.25"]);
 });
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -35,6 +35,8 @@
         codec: adapter.codec,
         configuration: () => view.configuration(),
         findServer: (id) => view.findServer(id),
+        listServers: (service) =>
+          view.usableServers().filter((server) => server.service === service),
         findServerAt: (address) => view.findServerAt(address),
         checkServer: createServerCheck({
           reports: adapter.reports,
