Move the errors of attempts into a file of their own

Names that a reader found unclear say more now: whether a request ends before the host, and whether a stream has begun. No change of behaviour; an import that the linter reports is removed.

--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -1,14 +1,15 @@
-import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "@jaypass/placement";
+import { JOB_OUTCOME } from "@jaypass/placement";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
-import {
-  MAX_CONNECT_FAILURES,
-  MAX_DIVERSIONS,
-  MIN_RETRY_REMAINING_MS,
-  REJECTED_RETRY_AFTER_MS,
-} from "../constants.ts";
-import { FAILURE, ForwardingError } from "../errors.ts";
+import { MAX_CONNECT_FAILURES, MAX_DIVERSIONS, MIN_RETRY_REMAINING_MS } from "../constants.ts";
+import { FAILURE } from "../errors.ts";
+import type { ForwardingError } from "../errors.ts";
 import type { AnswerHandler, Attempt, AttemptResult, AttemptState } from "./attempt.ts";
-import { computePauseRetryMs } from "./compute_pause_retry_ms.ts";
+import {
+  createAbortError,
+  createFailureError,
+  createNoServerError,
+  createRefusalError,
+} from "./attempt_errors.ts";
 import { describeJob, isRepeatable } from "./describe_job.ts";
 import { exchangeOnce } from "./exchange_once.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
@@ -98,13 +99,13 @@
   request: CallerRequest,
   { decision, handler }: Pick<Attempt, "decision" | "handler">,
 ): boolean {
-  return !isStoppable(handler) ||
+  return hasBegun(handler) ||
     canStart(context, request, { firstByteMs: decision.expectedMs });
 }
 
 /** A stream that has begun goes on during a stop, since its caller cannot start it again. */
-function isStoppable(handler: AnswerHandler): boolean {
-  return handler.resumeAfter() === undefined;
+function hasBegun(handler: AnswerHandler): boolean {
+  return handler.resumeAfter() !== undefined;
 }
 
 /**
@@ -124,7 +125,7 @@
     onAbort = () => resolve(undefined);
     signal.addEventListener("abort", onAbort, { once: true });
   });
-  const endWatch = isStoppable(handler) ? watchLatestStart(context, request, onAbort) : () => {};
+  const endWatch = hasBegun(handler) ? () => {} : watchLatestStart(context, request, onAbort);
   const pendingDecision = context.placement.place(job);
   const decision = await Promise.race([pendingDecision, aborted]);
   signal.removeEventListener("abort", onAbort);
@@ -249,57 +250,3 @@
   state.last.deliver();
   return true;
 }
-
-function createRefusalError(
-  context: ForwardingContext,
-  request: CallerRequest,
-  state: AttemptState,
-  decision: PlacementDecision & { kind: "refused" },
-): ForwardingError {
-  if (state.mayHaveRun) return new ForwardingError(502, state.last?.failure ?? FAILURE.INTERNAL);
-  if (decision.reason === PLACEMENT_REFUSAL.NO_SERVER) {
-    const pauseError = createPauseError(context, request);
-    if (pauseError !== undefined) return pauseError;
-  }
-  return new ForwardingError(503, decision.reason, { retryAfterMs: decision.retryAfterMs });
-}
-
-/** Creates the error of a request that was not run because all servers of its service pause. */
-function createPauseError(
-  context: ForwardingContext,
-  request: CallerRequest,
-): ForwardingError | undefined {
-  const retryAfterMs = computePauseRetryMs(context, request);
-  return retryAfterMs === undefined
-    ? undefined
-    : new ForwardingError(503, FAILURE.SERVERS_PAUSED, { retryAfterMs });
-}
-
-function createNoServerError(state: AttemptState): ForwardingError {
-  if (state.mayHaveRun) return new ForwardingError(502, FAILURE.NO_SERVER);
-  return new ForwardingError(503, FAILURE.NO_SERVER, { retryAfterMs: REJECTED_RETRY_AFTER_MS });
-}
-
-/** Creates the error of a request that is given up before it is sent to the next server. */
-function createAbortError(request: CallerRequest, state: AttemptState): ForwardingError {
-  if (request.signal.aborted) return createDeadlineError(request);
-  if (state.mayHaveRun) return new ForwardingError(502, FAILURE.STOPPING);
-  return new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
-}
-
-function createDeadlineError(request: CallerRequest): ForwardingError {
-  return new ForwardingError(504, request.endFailure);
-}
-
-function createFailureError(
-  context: ForwardingContext,
-  request: CallerRequest,
-  state: AttemptState,
-  result: AttemptResult,
-): ForwardingError {
-  if (request.signal.aborted) return createDeadlineError(request);
-  if (state.mayHaveRun) return new ForwardingError(502, result.failure);
-  const pauseError = createPauseError(context, request);
-  if (pauseError !== undefined) return pauseError;
-  return new ForwardingError(503, result.failure, { retryAfterMs: REJECTED_RETRY_AFTER_MS });
-}
--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -16,8 +16,8 @@
 export function canTakeRequest(context: ForwardingContext, request: StoppableRequest): boolean {
   const stopTime = context.stop.time();
   if (stopTime === undefined) return true;
-  const isShort = request.endMs <= context.clock.nowMs() + stopTime.remainingMs;
-  return isShort || (context.stop.isListed() && canStart(context, request));
+  const endsBeforeHost = request.endMs <= context.clock.nowMs() + stopTime.remainingMs;
+  return endsBeforeHost || (context.stop.isListed() && canStart(context, request));
 }
 
 /** Reports whether the answer of a request that is sent now is expected to end before the host. */
@@ -26,7 +26,7 @@
   request: StoppableRequest,
   options: { firstByteMs?: Millis } = {},
 ): boolean {
-  return context.clock.nowMs() <= latestStartMs(context, request, options);
+  return context.clock.nowMs() <= findLatestStartMs(context, request, options);
 }
 
 /**
@@ -43,7 +43,7 @@
   const { signal } = context.stop;
   let timer: NodeJS.Timeout | undefined;
   const startTimer = () => {
-    const waitMs = latestStartMs(context, request) - context.clock.nowMs();
+    const waitMs = findLatestStartMs(context, request) - context.clock.nowMs();
     if (waitMs < Infinity) timer = setTimeout(onTooLate, Math.max(0, waitMs));
   };
   if (signal.aborted) startTimer();
@@ -54,7 +54,7 @@
   };
 }
 
-function latestStartMs(
+function findLatestStartMs(
   context: ForwardingContext,
   { endMs, metadata, service }: StoppableRequest,
   options: { firstByteMs?: Millis } = {},
--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -1,4 +1,3 @@
-import type { Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
 import type { ExecutionContext } from "ava";
