Stop the host of a test once its request has arrived

The test of the error answer during a stop failed once beside load: its fixed wait of 100 ms had ended before the request arrived, which the stopping host then refused rightly.

--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -89,7 +89,7 @@
   const host = await createTestHost([failing, answer]);
   t.teardown(() => host.close());
   const call = host.call({ kind: ROUTE_KIND.IDEMPOTENT, deadlineMs: 3_000 });
-  await wait(100);
+  while (host.arrivals.length === 0) await wait(5);
   host.stop({ remainingMs: 2_000 });
   const { status, body } = await call;
   t.deepEqual({ status, body }, { status: 500, body: "own error" });
