Count requests that another placer sent towards the limits of cold servers and retries

Callers and engines saw: an engine that is cold gets up to twice its limit of requests within a second when a hub is killed or paused, and a service gets the retries of a window twice.

Cause: a placer counted only the requests that it placed itself. The next hub hears of each running request, but started with empty windows, so that it granted the full limits once more. The same holds for the placer that a host uses when no hub answers.

Evidence: two tests failed before, "a cold server gets no second share of its limit from a hub that takes over" (14 further requests instead of 0) and "a hub that takes over does not grant the retries of a window once more" (8 further retries instead of 0).

Change: a report of a running job that the placer does not know counts towards both limits, unless the job is older than the window of cold servers: such a report comes with a new link and may repeat an earlier one.

--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -65,6 +65,9 @@
 /** Retry delay given to callers that are refused because of the limit of cold servers. */
 export const COLD_RETRY_AFTER_MS = 300;
 
+/** Window over which the limit of cold servers applies, from the engine protocol. */
+export const COLD_WINDOW_MS = 1_000;
+
 /** Milliseconds added to the expected time to the first byte for connection and network. */
 export const NETWORK_OVERHEAD_MS = 15;
 
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -5,6 +5,7 @@
 import {
   BUDGET_RETRY_AFTER_MS,
   COLD_RETRY_AFTER_MS,
+  COLD_WINDOW_MS,
   LONG_PREFILL_MIN_MS,
   MAX_HELPERS,
   MAX_QUEUED_PROMPTS,
@@ -130,6 +131,13 @@
     return { kind: "placed", serverId, helperIds, tickets, partMs, expectedMs };
   };
 
+  /** Counts a job that another placer has sent. */
+  const countSend = ({ job, serverId }: RunningJob) => {
+    registry.find(serverId)?.countSend();
+    if (job.isRetry) retryLimiter.countRetry(job.service);
+    else retryLimiter.countFirstAttempt(job.service);
+  };
+
   const minPrefillMs = (job: PlacementJob): Millis => {
     const profile = registry.profileOf(job.service);
     if (profile === undefined) return 0;
@@ -299,8 +307,10 @@
     addRunning(entry) {
       // The report of the job's host overrides this placer's own decision.
       cancelQueued(entry.job.id);
-      removeLoad(entry.job.id);
+      const known = removeLoad(entry.job.id);
       addLoad(entry);
+      // The limits hold for all placers together, so that one that takes over must know their use.
+      if (known === undefined && entry.ageMs < COLD_WINDOW_MS) countSend(entry);
     },
     started(jobId) {
       const entry = placedJobs.get(jobId);
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { createPlacer } from "./create_placer.ts";
-import type { Placer } from "./placer_types.ts";
+import type { Placer, RunningJob } from "./placer_types.ts";
 import { QUARANTINE_CRASH_COUNT } from "./constants.ts";
 import { createManualClock, makeJob, makeServers, PROFILE } from "./_testing/fixtures.ts";
 import { JOB_OUTCOME } from "./types.ts";
@@ -48,6 +48,11 @@
   return { serverId, helpers: helperIds.length, tickets: tickets.map(({ tokens }) => tokens) };
 }
 
+/** Describes a job that another placer has just sent to the first server. */
+function makeRunning(job: PlacementJob): RunningJob {
+  return { job, serverId: "s1", helperIds: [], tickets: [], partMs: 0, ageMs: 0, isWriting: false };
+}
+
 function placeAndAnswer(placer: ReturnType<typeof setUp>["placer"], job: PlacementJob) {
   const decision = placer.place(job);
   placer.started(job.id);
@@ -164,6 +169,50 @@
   t.deepEqual({ cold, warm: count() }, { cold: 14, warm: 40 });
 });
 
+test("a cold server gets no second share of its limit from a hub that takes over", (t) => {
+  const cold = makeServers(1).map((server) => ({ ...server, coldUntilMs: 5_000 }));
+  const [first, second] = [0, 1].map(() => setUp({ servers: 0, coldRequestsPerS: 10 }));
+  if (first === undefined || second === undefined) return t.fail();
+  for (const { placer } of [first, second]) placer.setServers(cold);
+  const countPlaced = ({ placer }: typeof first, standby?: typeof first) =>
+    Array.from({ length: 40 }, () => makeJob()).filter((job) => {
+      const isPlaced = placer.place(job).kind === "placed";
+      if (isPlaced) standby?.placer.addRunning(makeRunning(job));
+      for (const each of [placer, standby?.placer]) each?.finished(job.id, JOB_OUTCOME.ANSWERED);
+      return isPlaced;
+    }).length;
+  const before = countPlaced(first, second);
+  const after = countPlaced(second);
+  second.clock.advance(1_100);
+  t.deepEqual({ before, after, later: countPlaced(second) }, { before: 14, after: 0, later: 14 });
+});
+
+test("a hub that takes over does not grant the retries of a window once more", (t) => {
+  const [first, second] = [0, 1].map(() => setUp());
+  if (first === undefined || second === undefined) return t.fail();
+  const countPlaced = ({ placer }: typeof first, standby?: typeof first) =>
+    Array.from({ length: 40 }, () => makeJob({ isRetry: true })).filter((job) => {
+      const isPlaced = placer.place(job).kind === "placed";
+      if (isPlaced) standby?.placer.addRunning(makeRunning(job));
+      for (const each of [placer, standby?.placer]) each?.finished(job.id, JOB_OUTCOME.ANSWERED);
+      return isPlaced;
+    }).length;
+  t.deepEqual([countPlaced(first, second), countPlaced(second)], [8, 0]);
+});
+
+test("a job that a host reports once more on a new link is not counted as sent again", (t) => {
+  const { placer } = setUp({ servers: 0, coldRequestsPerS: 10 });
+  placer.setServers(makeServers(1).map((server) => ({ ...server, coldUntilMs: 5_000 })));
+  for (let index = 0; index < 10; index++) {
+    const job = makeJob();
+    placer.place(job);
+    placer.finished(job.id, JOB_OUTCOME.CANCELLED);
+    placer.addRunning({ ...makeRunning(job), ageMs: 1_000 });
+  }
+  const placed = Array.from({ length: 10 }, () => placer.place(makeJob()).kind);
+  t.is(placed.filter((kind) => kind === "placed").length, 4);
+});
+
 test("a server that restarts under the same id starts without load", (t) => {
   const { placer } = setUp({ servers: 1 });
   const job = makeJob({ promptTokens: 300_000, goalMs: 4_000 });
--- a/packages/placement/create_retry_limiter.ts
+++ b/packages/placement/create_retry_limiter.ts
@@ -16,6 +16,8 @@
 export interface RetryLimiter {
   /** Counts the first attempt of a request to the service. */
   countFirstAttempt(service: string): void;
+  /** Counts a retry that another limiter has granted. */
+  countRetry(service: string): void;
   /** Takes one retry from the budget; returns false if the budget is used up. */
   tryAcquire(service: string): boolean;
 }
@@ -58,6 +60,7 @@
   };
   return {
     countFirstAttempt: (service) => windowOf(firstAttempts, service).add(),
+    countRetry: (service) => windowOf(retries, service).add(),
     tryAcquire(service) {
       const firstCount = windowOf(firstAttempts, service).count();
       const budget = (limits.slack * share() + limits.ratio * firstCount) * (1 - RESERVED_SHARE);
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -3,6 +3,7 @@
 import { computeWeight } from "./compute_weight.ts";
 import { computePrefillMs } from "./compute_prefill_ms.ts";
 import {
+  COLD_WINDOW_MS,
   FOREIGN_PREFILL_HEADROOM_MS,
   FOREIGN_SIZE_FACTOR,
   LONG_PREFILL_MIN_MS,
@@ -14,9 +15,6 @@
 import { createRateWindow } from "./create_rate_window.ts";
 import type { EngineProfile, EngineReport, PlacementJob, PlacementServer } from "./types.ts";
 
-/** Window over which the limit of cold servers applies, from the engine protocol. */
-const COLD_WINDOW_MS = 1_000;
-
 /** Time in which the values of an unchanged load change too little to matter. */
 const SNAPSHOT_VALID_MS = 5;
 
