Keep streams of servers that are silent for a second

What callers saw: a stream that cannot resume, or whose last attempt it was, was closed in its middle when its sound server sent nothing for five times the pause target (LOST beside a planned stop); a stream that can resume was cancelled and run again at another server.

Cause: the stall timer depended on the pause target of the route alone, and cancelled the stream also when no other server could continue it. A silent server was checked at the same time; that it answered made no difference.

Change: the timer waits for 1.7 s at least, which is longer than a sound server is silent and shorter than the 2 s after which callers abandon a stream. It is not started if no other server may be tried, since the silence may still end before the deadline. A server whose process is gone is given up by its check as before.

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -35,6 +35,8 @@
   metadata: AnswerMetadata;
   /** The exchange with the server, so that it can be cancelled. */
   exchange: Exchange;
+  /** True if another server may be tried after this one. */
+  mayRetry: boolean;
   /** Must be called for each chunk of the body. */
   onChunk: () => void;
 }
--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -1,9 +1,16 @@
+import type { Millis } from "@jaypass/kernel";
 import { JOB_OUTCOME } from "@jaypass/placement";
 import type { JobOutcome } from "@jaypass/placement";
-import { MAX_BUFFERED_ANSWER_BYTES, MAX_EVENT_BYTES, STALL_TIMEOUT_FACTOR } from "../constants.ts";
+import {
+  MAX_BUFFERED_ANSWER_BYTES,
+  MAX_EVENT_BYTES,
+  SILENCE_TOLERANCE_MS,
+  STALL_TIMEOUT_FACTOR,
+} from "../constants.ts";
 import { createEventSplitter } from "../create_event_splitter.ts";
 import { FAILURE } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
+import type { Route } from "../types.ts";
 import type { AnswerHandler, AttemptResult, ReceivedAnswer } from "./attempt.ts";
 import { createCallerAnswer } from "./create_caller_answer.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
@@ -42,7 +49,7 @@
   };
 
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
-    const { answer, metadata, exchange, onChunk } = received;
+    const { answer, metadata, exchange, mayRetry, onChunk } = received;
     if (!metadata.isSealed || metadata.isEncoded) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
@@ -53,7 +60,8 @@
     }
     if (!isSuccess) return await handleFailure(answer);
     const splitter = createEventSplitter();
-    const stallTimer = createStallTimer(route.pauseGoalMs * STALL_TIMEOUT_FACTOR, () => {
+    // Without another server the silence may still end before the deadline.
+    const stallTimer = createStallTimer(mayRetry ? computeStallTimeoutMs(route) : 0, () => {
       context.log.warn(
         { requestId: request.id, lastEventId },
         "Stream stalled; cancelling it at the server",
@@ -168,8 +176,13 @@
   };
 }
 
+/** Computes the silence after which a stream counts as interrupted; 0 if the route has no target. */
+function computeStallTimeoutMs({ pauseGoalMs }: Route): Millis {
+  return pauseGoalMs === 0 ? 0 : Math.max(SILENCE_TOLERANCE_MS, STALL_TIMEOUT_FACTOR * pauseGoalMs);
+}
+
 /** Creates a timer that each chunk restarts; with a timeout of 0 it never fires. */
-function createStallTimer(timeoutMs: number, onStall: () => void) {
+function createStallTimer(timeoutMs: Millis, onStall: () => void) {
   let timer: NodeJS.Timeout | undefined;
   return {
     restart() {
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -50,9 +50,11 @@
   }, { connectTimeoutMs: CONNECT_TIMEOUT_MS });
   const onAbort = () => exchange.cancel();
   request.signal.addEventListener("abort", onAbort, { once: true });
+  const isLast = state.sendCount - state.lostCount >= request.route.maxAttempts;
+  const mayRetry = !isLast && isRepeatable(request);
   const firstByteTimer = startFirstByteTimer(context, request, {
     expectedMs: decision.expectedMs,
-    isLast: state.sendCount - state.lostCount >= request.route.maxAttempts,
+    mayRetry,
     exchange,
   });
   const silence = createSilenceWatch(context, {
@@ -87,7 +89,7 @@
       silence.recordData();
       context.placement.started(job.id);
     };
-    return await handler.handle({ answer, metadata, exchange, onChunk });
+    return await handler.handle({ answer, metadata, exchange, mayRetry, onChunk });
   } catch (err) {
     if (!(err instanceof ExchangeError)) throw err;
     return classifyExchangeError(request, state, err, {
@@ -137,11 +139,10 @@
 function startFirstByteTimer(
   context: ForwardingContext,
   request: CallerRequest,
-  options: { expectedMs: Millis; isLast: boolean; exchange: Exchange },
+  options: { expectedMs: Millis; mayRetry: boolean; exchange: Exchange },
 ): { clear(): void; hasFired(): boolean } {
   let hasFired = false;
-  const isUseful = !options.isLast && isRepeatable(request);
-  if (!isUseful) return { clear: () => {}, hasFired: () => false };
+  if (!options.mayRetry) return { clear: () => {}, hasFired: () => false };
   const timeoutMs = Math.max(
     MIN_FIRST_BYTE_TIMEOUT_MS,
     FIRST_BYTE_EXPECTED_FACTOR * options.expectedMs + FIRST_BYTE_GOAL_FACTOR * request.route.goalMs,
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -103,6 +103,8 @@
   expectedMs?: number;
   /** Target for the longest pause of streams; 100 ms by default. */
   pauseGoalMs?: number;
+  /** False if streams may not go on at another server; true by default. */
+  isResumable?: boolean;
   /** Status of each server, by index; all are alive by default. */
   serverStatus?: readonly ServerStatus[];
   /** Start times of the servers now, by index, where they differ from those at the placement. */
@@ -281,7 +283,7 @@
     targets: [{ service: "s", weight: 1 }],
     maxAttempts: options.maxAttempts ?? (kind === ROUTE_KIND.NON_IDEMPOTENT ? 1 : 2),
     isPublic: options.isPublic ?? false,
-    isResumable: true,
+    isResumable: options.isResumable ?? true,
   };
 }
 
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -43,6 +43,12 @@
 /** Factor of the route's latency target in the first-byte timeout; covers unknown queueing time. */
 export const FIRST_BYTE_GOAL_FACTOR = 2;
 
+/**
+ * Silence for which a request stays with its server. Sound servers may be silent for a second or so,
+ * and callers abandon a stream after 2 s at the earliest.
+ */
+export const SILENCE_TOLERANCE_MS = 1_700;
+
 /** Factor of the pause target after which a stream without a new chunk counts as interrupted. */
 export const STALL_TIMEOUT_FACTOR = 5;
 
