Wait for the first byte of servers that are silent for a second

What callers saw: a repeatable request whose sound server sent nothing for 0.7 s more than usual was cancelled and run again at another server. If all servers of a service fell silent for a second, all their requests were sent twice, and those that the retry budget or placement then refused got 502 although their first server was about to answer.

Cause: the first-byte timeout of short prompts and calls is 0.7 to 0.9 s, less than the silence that a sound server may recover from.

Change: the timeout is 1.7 s at least. A request whose deadline is closer waits for six tenths of the time left, at least 0.7 s as before, so that another server can still answer it. A connection that is refused or not established, and a check that finds the process gone, move the request as early as before.

What it costs: a server that hangs without being gone is left 0.8 to 1 s later. That is before the 2 s after which callers abandon a stream.

--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -4,8 +4,10 @@
   CONNECT_TIMEOUT_MS,
   FIRST_BYTE_EXPECTED_FACTOR,
   FIRST_BYTE_GOAL_FACTOR,
+  FIRST_BYTE_SILENCE_SHARE,
   MIN_FIRST_BYTE_TIMEOUT_MS,
   NOT_RUN_STATUSES,
+  SILENCE_TOLERANCE_MS,
 } from "../constants.ts";
 import { FAILURE } from "../errors.ts";
 import { EXCHANGE_FAILURE, ExchangeError, openExchange } from "../open_exchange.ts";
@@ -143,8 +145,10 @@
 ): { clear(): void; hasFired(): boolean } {
   let hasFired = false;
   if (!options.mayRetry) return { clear: () => {}, hasFired: () => false };
+  const remainingMs = request.endMs - context.clock.nowMs();
   const timeoutMs = Math.max(
     MIN_FIRST_BYTE_TIMEOUT_MS,
+    Math.min(SILENCE_TOLERANCE_MS, FIRST_BYTE_SILENCE_SHARE * remainingMs),
     FIRST_BYTE_EXPECTED_FACTOR * options.expectedMs + FIRST_BYTE_GOAL_FACTOR * request.route.goalMs,
   );
   const timer = setTimeout(() => {
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -34,9 +34,15 @@
 /** Total size of the request bodies that a host buffers at a time. */
 export const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
 
-/** Shortest wait for the first byte of an answer before another server is tried. */
+/** Wait for the first byte of an answer before which no other server is tried, also if time is short. */
 export const MIN_FIRST_BYTE_TIMEOUT_MS = 700;
 
+/**
+ * Part of the time until the deadline for which a silence is tolerated before the first byte; the
+ * rest is left to another server.
+ */
+export const FIRST_BYTE_SILENCE_SHARE = 0.6;
+
 /** Factor of the expected time to first byte in the first-byte timeout. */
 export const FIRST_BYTE_EXPECTED_FACTOR = 2;
 
--- a/packages/forwarding/server_silence_test.ts
+++ b/packages/forwarding/server_silence_test.ts
@@ -24,6 +24,11 @@
   };
 
 const SILENCES: Record<string, ServerBehaviour> = {
+  "before the head": async (_req, res) => {
+    await wait(SILENCE_MS);
+    res.writeHead(200, HEAD).end(BODY);
+  },
+  "after the head": sendInParts(HEAD, ["", BODY]),
   "in a body with a length": sendInParts(
     { ...HEAD, "Content-Length": String(BODY.length) },
     [FIRST, SECOND],
@@ -33,6 +38,8 @@
 };
 
 const ROUTES = {
+  "an idempotent request": { kind: ROUTE_KIND.IDEMPOTENT, isResumable: false },
+  "a non-idempotent request": { kind: ROUTE_KIND.NON_IDEMPOTENT, isResumable: false },
   "a stream that can resume": { kind: ROUTE_KIND.STREAMING, isResumable: true },
   "a stream that cannot resume": { kind: ROUTE_KIND.STREAMING, isResumable: false },
 };
@@ -73,3 +80,23 @@
     t.deepEqual([body, isComplete], [BODY, true]);
   });
 }
+
+test("a request with little time leaves a silent server while another one can answer", async (t) => {
+  const silent: ServerBehaviour = () => {};
+  const other: ServerBehaviour = (_req, res) => {
+    setTimeout(() => res.writeHead(200, HEAD).end(BODY), 200);
+  };
+  const host = await createTestHost([silent, other], { maxAttempts: 2 });
+  t.teardown(() => host.close());
+  const { status, body } = await host.call({ deadlineMs: 1_200 });
+  t.deepEqual([status, body], [200, BODY]);
+});
+
+test("a silence of all servers does not end a request whose retry would be refused", async (t) => {
+  const host = await createTestHost([SILENCES["before the head"] as ServerBehaviour], {
+    maxAttempts: 2,
+  });
+  t.teardown(() => host.close());
+  const { status, body } = await host.call({ deadlineMs: 5_000 });
+  t.deepEqual([status, body], [200, BODY]);
+});
