Give no server up as unreachable for a silence of a second

What callers may have seen: a stream whose engine had left the directory and was silent for 1.3 to 1.5 s was cancelled and run again at another engine, although the engine was sound.

Cause: an engine counts as unreachable after two checks without an answer. Two checks of one request start a second apart, but requests share the results of checks for 0.8 s, so that both results can come from 1.3 s. When the entry of the engine is gone, the checks begin at once and not after 0.7 s of silence.

A process that is gone is given up at its first check as before.

--- a/packages/forwarding/_lib/create_silence_watch.ts
+++ b/packages/forwarding/_lib/create_silence_watch.ts
@@ -4,6 +4,7 @@
   SERVER_CHECK_PERIOD_MS,
   SILENCE_POLL_MS,
   SILENCE_SLACK_MS,
+  SILENCE_TOLERANCE_MS,
 } from "../constants.ts";
 import { SERVER_STATUS } from "../types.ts";
 import type { ForwardingContext, ForwardingServer } from "./request_context.ts";
@@ -42,8 +43,8 @@
  * that has left the directory may still be answering, so neither is a reason to give up. The server
  * is checked once it has been silent for longer than expected, or at once when its entry is gone or
  * names another start. A server whose process has ended is given up. One that is only unreachable
- * may become reachable again with its answer, so it is given up after several checks in a row, and
- * only if another server may run the request.
+ * may become reachable again with its answer, so it is given up after several checks in a row, not
+ * before a sound server would have gone on, and only if another server may run the request.
  *
  * @param context services of the host
  * @param options the server and its expected times
@@ -84,6 +85,11 @@
     options.onGivenUp();
   };
 
+  /** Checks that share a result may follow each other closely, so that their number is not enough. */
+  const isUnreachableForLong = () =>
+    unreachableCount >= MAX_UNREACHABLE_CHECKS &&
+    clock.nowMs() - silentSinceMs > SILENCE_TOLERANCE_MS;
+
   const check = async () => {
     const startMs = clock.nowMs();
     if (!shouldCheck(startMs)) return;
@@ -94,9 +100,7 @@
     if (isStopped || givenUpAs !== undefined || silentSinceMs > startMs) return;
     unreachableCount = status === SERVER_STATUS.UNREACHABLE ? unreachableCount + 1 : 0;
     if (status === SERVER_STATUS.LOST) giveUp("lost");
-    else if (options.isRepeatable && unreachableCount >= MAX_UNREACHABLE_CHECKS) {
-      giveUp("unreachable");
-    }
+    else if (options.isRepeatable && isUnreachableForLong()) giveUp("unreachable");
   };
 
   const timer = setInterval(() => void check(), SILENCE_POLL_MS);
--- a/packages/forwarding/server_silence_test.ts
+++ b/packages/forwarding/server_silence_test.ts
@@ -46,18 +46,22 @@
 
 for (const [request, { kind, isResumable }] of Object.entries(ROUTES)) {
   for (const [place, behaviour] of Object.entries(SILENCES)) {
-    test(`${request} keeps a sound server that is silent for 1.5 s ${place}`, async (t) => {
-      const other: ServerBehaviour = (_req, res) => void res.writeHead(200, HEAD).end(BODY);
-      const host = await createTestHost([behaviour, other], {
-        isResumable,
-        maxAttempts: 2,
-        serverStatus: [SERVER_STATUS.UNREACHABLE],
+    for (const entry of ["current", "gone"] as const) {
+      const title = `${request} keeps a sound server that is silent for 1.5 s ${place}`;
+      test(`${title}, with its entry ${entry}`, async (t) => {
+        const other: ServerBehaviour = (_req, res) => void res.writeHead(200, HEAD).end(BODY);
+        const host = await createTestHost([behaviour, other], {
+          isResumable,
+          maxAttempts: 2,
+          restartedAtMs: entry === "gone" ? [2] : [],
+          serverStatus: [SERVER_STATUS.UNREACHABLE],
+        });
+        t.teardown(() => host.close());
+        const { status, body, isComplete } = await host.call({ kind, deadlineMs: 5_000 });
+        t.deepEqual([status, body, isComplete], [200, BODY, true]);
+        t.deepEqual([host.arrivals.length, host.outcomes], [1, ["answered"]]);
       });
-      t.teardown(() => host.close());
-      const { status, body, isComplete } = await host.call({ kind, deadlineMs: 5_000 });
-      t.deepEqual([status, body, isComplete], [200, BODY, true]);
-      t.deepEqual([host.arrivals.length, host.outcomes], [1, ["answered"]]);
-    });
+    }
   }
 }
 
