Give a hub the share of the common limits that its members make up

Cause: each hub used the whole limit of cold servers and of retries. While hosts cannot reach each other, or hubs answer late, several hubs place at the same time. A host that had not read the hosts used the whole limits as well.

Change: a hub uses the share of the hosts that have a link to it. A host that has not read the hosts uses nothing of the common limits beyond one request to each cold server. The share is computed only when a cold server or a retry asks for it.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -60,8 +60,16 @@
   rows(table: Table): Row[];
   /** Live hosts that accept callers, this one included unless it is leaving. */
   liveHosts(): HostEntry[];
-  /** Number of hosts with a row, at least 1; used for a host's share of common limits. */
+  /** Number of hosts with a row, at least 1. */
   hostCount(): number;
+  /**
+   * Share of the limits of all hosts that this host may use as a hub: the share of the hosts that
+   * have a link to it. Hosts that cannot reach each other may have different hubs at the same time.
+   * 0 until this host has read the hosts.
+   */
+  hubLimitShare(): number;
+  /** The share that it may use alone; 0 until it has read the hosts. */
+  ownLimitShare(): number;
   /** True while this host is a hub and places jobs of other hosts. */
   isHub(): boolean;
   /** True when there are other hosts and none of them has a link to this one. */
@@ -234,6 +242,12 @@
     return isLeaving ? withoutSelf : [self, ...withoutSelf];
   };
 
+  const hasReadHosts = () => cache.revision(TABLE.HOSTS) !== undefined;
+
+  const countUnlinked = () =>
+    knownHosts().filter(({ host }) => host !== self.host && hubServer.disconnectedMs(host) !== 0)
+      .length;
+
   return {
     async start() {
       await hubServer.start();
@@ -255,10 +269,10 @@
     liveHosts: listLive,
     isHub: () => hubClient.isHub(),
     isIsolated: () => knownHosts().length > 1 && hubServer.liveMembers().length === 0,
-    unlinkedHostCount: () =>
-      knownHosts().filter(({ host }) => host !== self.host && hubServer.disconnectedMs(host) !== 0)
-        .length,
+    unlinkedHostCount: countUnlinked,
     hostCount: () => knownHosts().length,
+    hubLimitShare: () => hasReadHosts() ? 1 - countUnlinked() / knownHosts().length : 0,
+    ownLimitShare: () => hasReadHosts() ? 1 / knownHosts().length : 0,
     storeRecoveredAgoMs,
   };
 }
--- a/packages/fleet/create_fleet_test.ts
+++ b/packages/fleet/create_fleet_test.ts
@@ -2,6 +2,7 @@
 import test from "ava";
 import { createClock } from "@jaypass/kernel";
 import {
+  makeEntry,
   serverKeysOf,
   startHost,
   startHosts,
@@ -209,3 +210,24 @@
   await waitUntil(() => placing.length > 0);
   t.is((await placing[0])?.by, hub.entry.host);
 });
+
+test("hubs that each reach a part of the hosts do not use the limits of all hosts twice", async (t) => {
+  const { store, hub, standby, members } = await startHosts(t, 5);
+  const shares = () => [hub, standby].map(({ fleet }) => fleet.hubLimitShare());
+  await waitUntil(() => shares().every((share) => share === 1));
+  for (const { entry, kill } of members) {
+    await kill();
+    // The hosts are in the table of both hubs and linked to none of them.
+    store.write(TABLE.HOSTS, entry.host, JSON.stringify(entry));
+  }
+  await waitUntil(() => shares().every((share) => share === 2 / 5));
+  t.is(hub.fleet.hubLimitShare(), 2 / 5);
+});
+
+test("a host that has not read the hosts uses nothing of the limits that they share", async (t) => {
+  const { store, hosts } = await startHosts(t, 3);
+  t.deepEqual(hosts.map(({ fleet }) => fleet.ownLimitShare()), [1 / 3, 1 / 3, 1 / 3]);
+  store.rejectedHosts.add("h9");
+  const { fleet } = await startHost(t, store, makeEntry(9));
+  t.deepEqual([fleet.ownLimitShare(), fleet.hubLimitShare()], [0, 0]);
+});
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -51,7 +51,7 @@
     clock,
     retryLimits,
     coldLimits,
-    share: () => 1,
+    share: () => fleet.hubLimitShare(),
     onDecision: (record) => log.info(record, "Placement decided"),
     // An isolated host does not know which requests of other hosts a prompt would wait for.
     canQueue: () => !fleet.isIsolated(),
@@ -62,7 +62,7 @@
     clock,
     retryLimits,
     coldLimits,
-    share: () => 1 / fleet.hostCount(),
+    share: () => fleet.ownLimitShare(),
     canQueue: () => false,
     isUncoordinated: () => fleet.hostCount() > 1,
     onDecision: (record) => log.info(record, "Placement decided without a hub"),
--- a/packages/placement/_lib/create_server_registry.ts
+++ b/packages/placement/_lib/create_server_registry.ts
@@ -52,10 +52,10 @@
   /** Loads by service, in the order in which equally loaded servers are chosen. */
   const loadsByService = new Map<string, ServerLoad[]>();
 
-  const isWithinColdLimit = (load: ServerLoad) => {
+  const isWithinColdLimit = (load: ServerLoad, limitShare: () => number) => {
     const rate = services.get(load.server.service)?.coldRequestsPerS ?? 0;
     if (rate === 0 || clock.nowMs() > load.server.coldUntilMs) return true;
-    const limit = (rate * coldLimits.multiplier + coldLimits.slack) * share();
+    const limit = (rate * coldLimits.multiplier + coldLimits.slack) * limitShare();
     return load.recentSends() + 1 <= Math.max(1, limit * (1 - COLD_RESERVED_SHARE));
   };
 
@@ -120,6 +120,11 @@
     find: (serverId) => loads.get(serverId),
     profileOf: (service) => services.get(service)?.engine,
     listUsable,
-    listAvailable: (job) => listUsable(job).filter(isWithinColdLimit),
+    listAvailable(job) {
+      // Counting the hosts is slow, so that it is done at most once, and only for a cold server.
+      let known: number | undefined;
+      const limitShare = () => known ??= share();
+      return listUsable(job).filter((load) => isWithinColdLimit(load, limitShare));
+    },
   };
 }
