Count a connect that Node.js refuses at once as not connected

Cause: `http.request` throws at once for such a port, in `openExchange`, before there is an exchange. The error was no `ExchangeError`, so the request ended as an internal failure with 502 ("it may have run"), and no second server was tried, although nothing had been sent. Class of fault: an error that is thrown where only a rejection is expected.

Change: an exchange whose request is refused at once rejects with NOT_CONNECTED like any other failed connect. The server then counts as silent and the next one is tried, for requests of all kinds.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -109,6 +109,8 @@
   serverStatus?: readonly ServerStatus[];
   /** Start times of the servers now, by index, where they differ from those at the placement. */
   restartedAtMs?: readonly (number | undefined)[];
+  /** Addresses that servers are reached at in place of their own, by index. */
+  serverAddresses?: readonly (string | undefined)[];
   /** Called for each new connection to a server, before its request is read. */
   onConnection?: (socket: Socket, server: number) => void;
   /** Called with the connection of each request of a caller, before the request is handled. */
@@ -138,7 +140,7 @@
       return listen(server);
     }),
   );
-  const addresses = servers.map(addressOf);
+  const addresses = servers.map((server, at) => options.serverAddresses?.[at] ?? addressOf(server));
   const outcomes: JobOutcome[] = [];
   const placedIds = new Set<string>();
   let checkCount = 0;
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -78,7 +78,8 @@
  *
  * @param serverRequest the request and the address of the server
  * @param options time limit of the connect
- * @returns the exchange; its answer rejects with an {@linkcode ExchangeError}
+ * @returns the exchange; its answer rejects with an {@linkcode ExchangeError}, also if the address or
+ * the request is not valid
  *
  * @example
  * const exchange = openExchange(serverRequest, { connectTimeoutMs: 400 });
@@ -100,15 +101,20 @@
     return new ExchangeError(failure, { cause: err });
   };
 
-  const req: ClientRequest = request({
-    host: serverRequest.address.slice(0, separator),
-    port: Number(serverRequest.address.slice(separator + 1)),
-    method: serverRequest.method,
-    path: serverRequest.target,
-    headers: addContentLength(serverRequest),
-    agent: false,
-    setHost: false,
-  });
+  let req: ClientRequest;
+  try {
+    req = request({
+      host: serverRequest.address.slice(0, separator),
+      port: Number(serverRequest.address.slice(separator + 1)),
+      method: serverRequest.method,
+      path: serverRequest.target,
+      headers: addContentLength(serverRequest),
+      agent: false,
+      setHost: false,
+    });
+  } catch (err) {
+    return createFailedExchange(err);
+  }
   const connectTimer = setTimeout(
     () => req.destroy(new Error("Connection timed out")),
     options.connectTimeoutMs,
@@ -166,6 +172,14 @@
   };
 }
 
+/** Creates the exchange of a request that Node.js refused before it opened a connection. */
+function createFailedExchange(err: unknown): Exchange {
+  const failure = new ExchangeError(EXCHANGE_FAILURE.NOT_CONNECTED, { cause: err });
+  const answer = Promise.reject<ServerAnswer>(failure);
+  answer.catch(() => {});
+  return { answer, cancel: () => {} };
+}
+
 /** Adds `Content-Length`, also for an empty body if the method usually has a body. */
 function addContentLength({ method, headers, body }: ServerRequest): HeaderList {
   const hasBody = body.length > 0 || !METHODS_WITHOUT_BODY.has(method);
--- /dev/null
+++ b/packages/forwarding/open_exchange_test.ts
@@ -0,0 +1,27 @@
+import test from "ava";
+import { EXCHANGE_FAILURE, ExchangeError, openExchange } from "./open_exchange.ts";
+import type { ServerRequest } from "./open_exchange.ts";
+
+const REQUEST: ServerRequest = {
+  address: "127.0.0.1:1",
+  method: "POST",
+  target: "/a",
+  headers: ["Host", "a"],
+  body: Buffer.from("x"),
+};
+
+const NOT_CONNECTED: Record<string, string> = {
+  "a port out of range": "127.0.0.1:99999",
+  "port 0": "127.0.0.1:0",
+  "no port": "127.0.0.1",
+  "an octet out of range": "999.1.1.1:80",
+  "an empty text": "",
+};
+for (const [name, address] of Object.entries(NOT_CONNECTED)) {
+  test(`a server whose address is or has ${name} is not connected to, without an exception`, async (t) => {
+    const exchange = openExchange({ ...REQUEST, address }, { connectTimeoutMs: 500 });
+    const err = await t.throwsAsync(exchange.answer, { instanceOf: ExchangeError });
+    t.is(err?.failure, EXCHANGE_FAILURE.NOT_CONNECTED);
+    t.notThrows(() => exchange.cancel());
+  });
+}
