Answer 400 to a request whose bytes cannot be forwarded

What callers saw: a path with a tab or a form feed, or a header name with a space, got 502 (`internal`), which clients take for a failure of a server and repeat.

Cause: the HTTP parser of Node.js accepts these bytes and its client refuses to send them; `http.request` throws. No server gets such a request.

Change: `openExchange` tells such a request from a server that it cannot connect to (INVALID_REQUEST); the caller gets 400 with `invalid_request`, which it must not repeat, and the chosen server is not blamed for it.

--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -9,7 +9,7 @@
   NOT_RUN_STATUSES,
   SILENCE_TOLERANCE_MS,
 } from "../constants.ts";
-import { FAILURE } from "../errors.ts";
+import { FAILURE, ForwardingError } from "../errors.ts";
 import { EXCHANGE_FAILURE, ExchangeError, openExchange } from "../open_exchange.ts";
 import type { Exchange } from "../open_exchange.ts";
 import type { Attempt, AttemptResult, AttemptState } from "./attempt.ts";
@@ -20,7 +20,11 @@
 import { readOwnAnswer } from "./read_own_answer.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
 
-/** Sends a request to one server and passes the answer to the handler. */
+/**
+ * Sends a request to one server and passes the answer to the handler.
+ *
+ * @throws {ForwardingError} if the request cannot be sent to any server
+ */
 export async function exchangeOnce(
   context: ForwardingContext,
   request: CallerRequest,
@@ -94,6 +98,10 @@
     return await handler.handle({ answer, metadata, exchange, mayRetry, onChunk });
   } catch (err) {
     if (!(err instanceof ExchangeError)) throw err;
+    if (err.failure === EXCHANGE_FAILURE.INVALID_REQUEST) {
+      // No server would get the request, so the caller must change it.
+      throw new ForwardingError(400, FAILURE.INVALID_REQUEST, { cause: err });
+    }
     return classifyExchangeError(request, state, err, {
       isTimedOut: firstByteTimer.hasFired(),
       givenUpAs: silence.givenUpAs(),
--- a/packages/forwarding/errors.ts
+++ b/packages/forwarding/errors.ts
@@ -9,6 +9,7 @@
   NO_CONFIGURATION: "no_configuration",
   UNKNOWN_ROUTE: "unknown_route",
   UNKNOWN_KEY: "unknown_key",
+  INVALID_REQUEST: "invalid_request",
   HEADERS_TOO_LARGE: "headers_too_large",
   BODY_TOO_LARGE: "body_too_large",
   BODY_INCOMPLETE: "body_incomplete",
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -6,6 +6,14 @@
 import { endsWithConnection } from "./ends_with_connection.ts";
 import type { HeaderList } from "./types.ts";
 
+/** Codes of the errors that Node.js throws for a method, target or header that HTTP does not allow. */
+const INVALID_REQUEST_CODES = new Set<string | undefined>([
+  "ERR_INVALID_HTTP_TOKEN",
+  "ERR_UNESCAPED_CHARACTERS",
+  "ERR_INVALID_CHAR",
+  "ERR_HTTP_INVALID_HEADER_VALUE",
+]);
+
 /** Methods whose requests usually have no body; an empty one then needs no `Content-Length`. */
 const METHODS_WITHOUT_BODY = new Set(["GET", "HEAD", "DELETE", "OPTIONS"]);
 
@@ -13,6 +21,8 @@
 export const EXCHANGE_FAILURE = {
   /** No connection was established, so nothing was sent. */
   NOT_CONNECTED: "not_connected",
+  /** The request has bytes that HTTP does not allow, so nothing was sent to this or any server. */
+  INVALID_REQUEST: "invalid_request",
   /** The connection broke after it was established, so the request may have been sent. */
   BROKEN: "broken",
   /** The exchange was cancelled with {@linkcode Exchange.cancel}. */
@@ -174,8 +184,9 @@
 
 /** Creates the exchange of a request that Node.js refused before it opened a connection. */
 function createFailedExchange(err: unknown): Exchange {
-  const failure = new ExchangeError(EXCHANGE_FAILURE.NOT_CONNECTED, { cause: err });
-  const answer = Promise.reject<ServerAnswer>(failure);
+  const isInvalid = INVALID_REQUEST_CODES.has((err as NodeJS.ErrnoException).code);
+  const failure = isInvalid ? EXCHANGE_FAILURE.INVALID_REQUEST : EXCHANGE_FAILURE.NOT_CONNECTED;
+  const answer = Promise.reject<ServerAnswer>(new ExchangeError(failure, { cause: err }));
   answer.catch(() => {});
   return { answer, cancel: () => {} };
 }
--- a/packages/forwarding/open_exchange_test.ts
+++ b/packages/forwarding/open_exchange_test.ts
@@ -25,3 +25,17 @@
     t.notThrows(() => exchange.cancel());
   });
 }
+
+const INVALID: Record<string, Partial<ServerRequest>> = {
+  "a tab in the target": { target: "/a\tb" },
+  "a space in a header name": { headers: ["Host", "a", "x y", "1"] },
+  "a character beyond Latin-1 in a header": { headers: ["Host", "\u0142"] },
+  "a space in the method": { method: "A B" },
+};
+for (const [name, changes] of Object.entries(INVALID)) {
+  test(`a request with ${name} does not count as a failure of its server`, async (t) => {
+    const exchange = openExchange({ ...REQUEST, ...changes }, { connectTimeoutMs: 500 });
+    const err = await t.throwsAsync(exchange.answer, { instanceOf: ExchangeError });
+    t.is(err?.failure, EXCHANGE_FAILURE.INVALID_REQUEST);
+  });
+}
--- a/packages/forwarding/refused_connect_test.ts
+++ b/packages/forwarding/refused_connect_test.ts
@@ -1,4 +1,7 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import test from "ava";
+import type { ExecutionContext } from "ava";
 import { createTestHost } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour } from "./_testing/create_test_host.ts";
 import { ROUTE_KIND } from "./types.ts";
@@ -25,3 +28,22 @@
   const { status, body } = await host.call({ kind: ROUTE_KIND.NON_IDEMPOTENT });
   t.deepEqual([status, body], [503, '{"error":"no_server"}']);
 });
+
+/** Sends a request as raw bytes and returns the status line. */
+async function sendRaw(t: ExecutionContext, address: string, target: string, header: string) {
+  const socket = connect(Number(address.split(":")[1]), "127.0.0.1");
+  t.teardown(() => socket.destroy());
+  socket.write(
+    `GET ${target} HTTP/1.1\r\nHost: a.example\r\nKey: k1\r\nAttempt: a1\r\n${header}\r\n\r\n`,
+  );
+  const [chunk] = await once(socket, "data") as [Buffer];
+  return chunk.toString("latin1").split("\r\n")[0];
+}
+
+test("bytes of a caller that cannot be forwarded are the caller's error, not a server's", async (t) => {
+  const host = await createTestHost([answer, answer]);
+  t.teardown(() => host.close());
+  t.is(await sendRaw(t, host.address, "/idempotent/\t1", "a: b"), "HTTP/1.1 400 Bad Request");
+  t.is(await sendRaw(t, host.address, "/idempotent/1", "a: \xff"), "HTTP/1.1 200 OK");
+  t.deepEqual(host.outcomes, ["cancelled", "answered"]);
+});
