Refuse entries of engines whose values are out of range

Each request placed there was lost a try; an id with a line break or a character beyond Latin-1 failed the request, since the id is sent in a header.

Cause: `decodeServerEntry` checked the types of the fields, and an address only for digits and dots. Class of fault: values from another writer that are trusted after a check of their type.

Change: `parseServerEntry` of the fleet checks addresses, texts and ranges in one place, and the platform's decoder translates names and calls it. The field reader moves from the platform to the kernel, since data from other hosts needs the same checks; it knows ranges, and its errors quote at most 60 characters of a value.

--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -100,3 +100,12 @@
 
 /** Bytes that may be buffered on a link before it is closed because its peer reads too slowly. */
 export const LINK_MAX_BUFFER_BYTES = 4 * 1024 * 1024;
+
+/** Range of the number of requests that a server runs at once. */
+export const SERVER_SLOTS_RANGE = { min: 1, max: 100_000 } as const;
+
+/** Range of the milliseconds for which a server states that it stays cold; the maximum is a day. */
+export const COLD_LEFT_RANGE_MS = { min: 0, max: 86_400_000 } as const;
+
+/** Range of a server's start time in Unix milliseconds, up to the last time that a `Date` holds. */
+export const SERVER_BORN_RANGE_MS = { min: 0, max: 8_640_000_000_000_000 } as const;
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -13,6 +13,8 @@
 export * from "./create_row_cache.ts";
 export * from "./create_store_follower.ts";
 export * from "./errors.ts";
+export * from "./is_address.ts";
 export * from "./messages.ts";
+export * from "./parse_server_entry.ts";
 export * from "./rank_hubs.ts";
 export * from "./types.ts";
--- a/packages/kernel/errors.ts
+++ b/packages/kernel/errors.ts
@@ -13,3 +13,8 @@
 export class AbortedError extends Error {
   override name = "AbortedError";
 }
+
+/** Data from outside the process, or one of its fields, does not have the documented format. */
+export class DecodeError extends Error {
+  override name = "DecodeError";
+}
--- a/packages/kernel/mod.ts
+++ b/packages/kernel/mod.ts
@@ -8,6 +8,7 @@
 export * from "./create_buffered_output.ts";
 export * from "./create_clock.ts";
 export * from "./create_deadline.ts";
+export * from "./create_field_reader.ts";
 export * from "./create_kernel.ts";
 export * from "./create_logger.ts";
 export * from "./create_metrics.ts";
