Check rows of the hosts table where they enter a host

What callers saw: nothing at once. With one `null` in the hosts' table, hosts that started later stayed unknown to the others: they got no invitation, were not chosen as hubs and missed in the shares of the common limits.

Cause: each change of the table parsed all its rows without a check; the row `null` threw a TypeError in the follower, which took it for a failed store call ("Store call failed; retrying TypeError: Cannot read properties of null"). The revision had advanced, so that the change was not read again, and the list of hosts was never rebuilt. Rows with missing fields, another host's name, a port out of range or a weight of a text counted as hosts.

Shown not to happen: a host whose own row is replaced wrote it again before.

Change: rows of the table are checked as they arrive from the store or from another host; one that does not describe the host of its key counts as removed, until its host writes it again. Such rows are logged once for each version, at most ten lines a read, and counted in `invalid_row`.

--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -109,3 +109,6 @@
 
 /** Range of a server's start time in Unix milliseconds, up to the last time that a `Date` holds. */
 export const SERVER_BORN_RANGE_MS = { min: 0, max: 8_640_000_000_000_000 } as const;
+
+/** Range of a host's weight, which is its share of processors. */
+export const HOST_WEIGHT_RANGE = { min: 0, max: 1_000_000 } as const;
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -12,6 +12,9 @@
 import type { HubScheduler } from "./create_hub_server.ts";
 import { createRowCache } from "./create_row_cache.ts";
 import { createStoreFollower } from "./create_store_follower.ts";
+import { checkHostRow } from "./_lib/check_host_row.ts";
+import { createInvalidRowLog } from "./_lib/create_invalid_row_log.ts";
+import { parseHostEntry } from "./parse_host_entry.ts";
 import { TABLE } from "./types.ts";
 import type { HostEntry, Row, RowBatch, RowStore, Table } from "./types.ts";
 
@@ -35,7 +38,7 @@
   random: RandomSource;
   /** Logs changes of links, hubs and the store's availability. */
   log: Logger;
-  /** Counts store calls and failures. */
+  /** Counts store calls, failures and rows that cannot be used. */
   metrics: Metrics;
   /** Runs all background tasks. */
   tasks: TaskGroup;
@@ -100,17 +103,23 @@
   let isLeaving = false;
   const isDraining = () => isLeaving;
 
+  const reportInvalidRows = createInvalidRowLog({ log, metrics });
+
   let known = [self];
   const knownHosts = (): HostEntry[] => known;
   const readKnownHosts = (): HostEntry[] => {
     const others = cache.rows(TABLE.HOSTS)
-      .map((row) => JSON.parse(row.value ?? "") as HostEntry)
+      .map((row) => parseHostEntry(JSON.parse(row.value ?? "")))
       .filter((entry) => entry.host !== self.host);
     return [self, ...others];
   };
 
   /** Merges rows and forwards the changed ones; rows of a hub are not sent back to the hubs. */
-  const applyBatch = (table: Table, batch: RowBatch, origin: "store" | "member" | "hub") => {
+  const applyBatch = (table: Table, received: RowBatch, origin: "store" | "member" | "hub") => {
+    const batch = table === TABLE.HOSTS
+      ? { ...received, rows: received.rows.map(checkHostRow) }
+      : received;
+    reportInvalidRows(table, batch.rows);
     const sinceRevision = cache.revision(table);
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
     const changed = cache.apply(table, batch);
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -15,6 +15,7 @@
 export * from "./errors.ts";
 export * from "./is_address.ts";
 export * from "./messages.ts";
+export * from "./parse_host_entry.ts";
 export * from "./parse_server_entry.ts";
 export * from "./rank_hubs.ts";
 export * from "./types.ts";
--- a/packages/fleet/types.ts
+++ b/packages/fleet/types.ts
@@ -22,10 +22,12 @@
 export interface Row {
   /** Key within the table. */
   key: string;
-  /** Content; undefined when the row was removed. */
+  /** Content; undefined when the row was removed or its content cannot be used. */
   value: string | undefined;
   /** Number of the transaction that last wrote or removed the row. */
   version: number;
+  /** Why the content of the row cannot be used; undefined for valid and removed rows. */
+  problem?: string;
 }
 
 /** Rows of one table as of one revision: either the whole table or the changes since a revision. */
