Keep the known configuration when its row cannot be used

What callers saw: hosts that knew a configuration went on with it, but one that started while the row could not be used got none and answered 503 (`no_configuration`) until the next valid one, although its hub knew one.

Cause: a row that cannot be used counted as removed in the cache of rows, from which hubs serve later hosts.

Evidence: "an operators' row that cannot be used keeps its last usable content" and "a host that has read only an unusable operators' row gets the known content from a hub" fail without the change (the cache has no row).

Change: in the operators' table such a row keeps its last usable content, since a host without a configuration serves nobody. A host that knows no content of it asks its hub for the whole table. A server's or a host's row counts as removed: the protocol says that it names no engine to use, and its owner writes it again; requests in progress there go on.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -161,6 +161,7 @@
     currentReports: options.currentReports,
     createCancelReport: options.createCancelReport,
     revision: (table) => cache.revision(table),
+    revisionForHub: (table) => cache.revisionForHub(table),
     findRow: (table, key) => cache.find(table, key),
     onRows: (table, batch) => applyBatch(table, batch, "hub"),
     clock,
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -35,6 +35,8 @@
   createCancelReport: (job: Job) => Report;
   /** Revision of this host's copy of a table; undefined without one. */
   revision: (table: Table) => number | undefined;
+  /** Revision after which a new hub sends the changes of a table; undefined for all rows. */
+  revisionForHub: (table: Table) => number | undefined;
   /** Finds a row in this host's copy of a table. */
   findRow: (table: Table, key: string) => Row | undefined;
   /** Receives rows that a hub sent. */
@@ -226,7 +228,7 @@
         isDraining: options.isDraining(),
         reports: options.currentReports(),
         revisions: Object.fromEntries(
-          Object.values(TABLE).map((table) => [table, options.revision(table)]),
+          Object.values(TABLE).map((table) => [table, options.revisionForHub(table)]),
         ),
       });
       for await (const message of link.messages()) handleMessage(hub, message);
--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -7,6 +7,11 @@
   apply(table: Table, batch: RowBatch): Row[];
   /** Revision up to which the copy of a table is complete; undefined before the first whole table. */
   revision(table: Table): number | undefined;
+  /**
+   * Revision after which a hub should send the changes of a table. It is undefined also while a row
+   * cannot be used and no earlier content of it is known, because a hub may know that content.
+   */
+  revisionForHub(table: Table): number | undefined;
   /** Rows of a table, without removed ones. */
   rows(table: Table): Row[];
   /** A row of a table, even if it was removed; undefined when it is unknown. */
@@ -23,13 +28,22 @@
   /** Revision after which every removal is known, because no later change was missed. */
   completeFrom: number;
   rows: Map<string, Row>;
+  /** Keys of rows that cannot be used and of which no earlier content is known. */
+  unknownKeys: Set<string>;
 }
 
+/**
+ * Tables in which a row that cannot be used keeps its last usable content. Servers and hosts write
+ * their rows again, but without a configuration a host serves nobody.
+ */
+const KEEPS_CONTENT: ReadonlySet<Table> = new Set([TABLE.OPERATORS]);
+
 /**
  * Creates a cache of rows.
  *
  * Batches may arrive from the store and from other hosts in any order. The newest version of a row
- * wins; removed rows are kept as tombstones, so that a late batch does not restore them.
+ * wins; removed rows are kept as tombstones, so that a late batch does not restore them. A row whose
+ * content cannot be used counts as removed, except in the operators' table.
  *
  * @returns the empty cache
  *
@@ -41,7 +55,12 @@
   const tables = new Map<Table, CachedTable>(
     Object.values(TABLE).map((
       table,
-    ) => [table, { revision: undefined, completeFrom: Infinity, rows: new Map() }]),
+    ) => [table, {
+      revision: undefined,
+      completeFrom: Infinity,
+      rows: new Map(),
+      unknownKeys: new Set(),
+    }]),
   );
   const cachedTable = (table: Table): CachedTable => {
     const copy = tables.get(table);
@@ -70,10 +89,22 @@
   const listPresent = (table: Table) =>
     [...cachedTable(table).rows.values()].filter((row) => row.value !== undefined);
 
+  /** Lists the rows of a batch that replace known ones. */
+  const listUsable = (table: Table, copy: CachedTable, batch: RowBatch): Row[] => {
+    if (!KEEPS_CONTENT.has(table)) return batch.rows;
+    for (const { key, problem } of batch.rows) {
+      const isUnknown = problem !== undefined && copy.rows.get(key)?.value === undefined;
+      if (isUnknown) copy.unknownKeys.add(key);
+      else copy.unknownKeys.delete(key);
+    }
+    return batch.rows.filter((row) => row.problem === undefined);
+  };
+
   return {
     apply(table, batch) {
       const copy = cachedTable(table);
-      const newer = [...batch.rows, ...findRemoved(copy, batch)]
+      const newer = [...listUsable(table, copy, batch), ...findRemoved(copy, batch)]
+        .map(({ key, value, version }) => ({ key, value, version }))
         .filter((row) => isNewer(row, copy.rows.get(row.key)));
       const changed = newer.filter((row) => row.value !== copy.rows.get(row.key)?.value);
       for (const row of newer) copy.rows.set(row.key, row);
@@ -86,6 +117,10 @@
       return changed;
     },
     revision: (table) => cachedTable(table).revision,
+    revisionForHub(table) {
+      const { revision, unknownKeys } = cachedTable(table);
+      return unknownKeys.size === 0 ? revision : undefined;
+    },
     rows: listPresent,
     find: (table, key) => cachedTable(table).rows.get(key),
     changesSince(table, sinceRevision) {
--- a/packages/fleet/create_row_cache_test.ts
+++ b/packages/fleet/create_row_cache_test.ts
@@ -84,3 +84,49 @@
   const batch = cache.changesSince(TABLE.SERVERS, undefined);
   t.deepEqual([batch.isWhole, batch.rows.length], [false, 1]);
 });
+
+const unusable = (key: string, version: number): Row => ({
+  key,
+  value: undefined,
+  version,
+  problem: "DecodeError",
+});
+
+test("an operators' row that cannot be used keeps its last usable content", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.OPERATORS, whole(10, [row("config", "1", 9)]));
+  t.deepEqual(cache.apply(TABLE.OPERATORS, changes(10, 11, [unusable("config", 11)])), []);
+  t.deepEqual(cache.apply(TABLE.OPERATORS, whole(12, [unusable("config", 11)])), []);
+  t.deepEqual(cache.rows(TABLE.OPERATORS), [row("config", "1", 9)]);
+  t.is(cache.revisionForHub(TABLE.OPERATORS), 12);
+  t.deepEqual(
+    cache.apply(TABLE.OPERATORS, changes(12, 13, [row("config", "2", 13)])),
+    [row("config", "2", 13)],
+  );
+});
+
+test("a host that has read only an unusable operators' row gets the known content from a hub", (t) => {
+  const hub = createRowCache();
+  hub.apply(TABLE.OPERATORS, whole(10, [row("config", "1", 9)]));
+  hub.apply(TABLE.OPERATORS, changes(10, 11, [unusable("config", 11)]));
+  const host = createRowCache();
+  host.apply(TABLE.OPERATORS, whole(11, [unusable("config", 11)]));
+  t.is(host.revision(TABLE.OPERATORS), 11);
+  t.is(host.revisionForHub(TABLE.OPERATORS), undefined);
+  host.apply(
+    TABLE.OPERATORS,
+    hub.changesSince(TABLE.OPERATORS, host.revisionForHub(TABLE.OPERATORS)),
+  );
+  t.deepEqual(host.rows(TABLE.OPERATORS), [row("config", "1", 9)]);
+  t.is(host.revisionForHub(TABLE.OPERATORS), 11);
+});
+
+test("a server's row that cannot be used counts as removed until it is valid again", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(10, [row("a", "1", 9), row("b", "1", 9)]));
+  const changed = cache.apply(TABLE.SERVERS, changes(10, 11, [unusable("a", 11)]));
+  t.deepEqual(changed, [row("a", undefined, 11)]);
+  t.deepEqual(cache.rows(TABLE.SERVERS).map(({ key }) => key), ["b"]);
+  cache.apply(TABLE.SERVERS, changes(11, 12, [row("a", "1", 12)]));
+  t.deepEqual(cache.rows(TABLE.SERVERS).map(({ key }) => key).sort(), ["a", "b"]);
+});
