Check messages of other hosts where a link receives them

What callers saw: nothing while only jaypass hosts of one version use the link ports. After one hello with a deeply nested field, the task that sends views of a hub ended for good: all its members lost their links each second, and read the store themselves or placed requests without a hub. A row whose version is a text froze its key. A connect to a port out of range threw in place of rejecting.

Cause: messages were cast to their types without a check, and kept and sent on with fields that nobody knows; JSON.stringify throws a RangeError for deeply nested values (seen at 100,000 levels, JSON.parse takes a million).

Change: each link parses its messages; known fields are checked and copied, unknown ones left out. An invalid message closes the link with one line that names the field. A message of an unknown type is skipped, as a newer version may add types. Jobs, decisions and reports go through parsers of the forwarding host, so that no NaN stays in the load of an engine.

--- a/packages/fleet/_lib/encode_message.ts
+++ b/packages/fleet/_lib/encode_message.ts
@@ -35,18 +35,18 @@
  * Decodes a line.
  *
  * @param line a line of {@linkcode encodeMessage} without its newline
- * @returns the message
+ * @returns the message, whose fields are not checked
  * @throws {LinkError} when the line is not a valid message
  *
  * @example
  * decodeMessage('{"type":"ping"}'); // { type: "ping" }
  */
-export function decodeMessage<Message>(line: string): Message {
+export function decodeMessage(line: string): unknown {
   try {
-    if (!line.startsWith(COMPRESSED_PREFIX)) return JSON.parse(line) as Message;
+    if (!line.startsWith(COMPRESSED_PREFIX)) return JSON.parse(line);
     const compressed = Buffer.from(line.slice(COMPRESSED_PREFIX.length), "base64");
     const text = inflateRawSync(compressed, { maxOutputLength: DECOMPRESSED_MAX_BYTES }).toString();
-    return JSON.parse(text) as Message;
+    return JSON.parse(text);
   } catch (err) {
     throw new LinkError("Decoding a message failed; line is neither JSON nor compressed JSON", {
       cause: err,
--- a/packages/fleet/_lib/encode_message_test.ts
+++ b/packages/fleet/_lib/encode_message_test.ts
@@ -2,7 +2,7 @@
 import { LinkError } from "../errors.ts";
 import { decodeMessage, encodeMessage } from "./encode_message.ts";
 
-const decode = (line: string) => decodeMessage<unknown>(line.slice(0, -1));
+const decode = (line: string) => decodeMessage(line.slice(0, -1));
 
 test("messages of any size are encoded as one line and decoded unchanged", (t) => {
   for (const length of [0, 100, 5_000, 500_000]) {
--- a/packages/fleet/_lib/json_link.ts
+++ b/packages/fleet/_lib/json_link.ts
@@ -3,6 +3,7 @@
 import type { Millis } from "@jaypass/kernel";
 import { LINK_MAX_BUFFER_BYTES, LINK_MAX_LINE_CHARACTERS } from "../constants.ts";
 import { LinkError } from "../errors.ts";
+import { isAddress } from "../is_address.ts";
 import { decodeMessage, encodeMessage } from "./encode_message.ts";
 
 /** A connection that carries JSON objects, each on one line. */
@@ -21,12 +22,14 @@
  * Wraps a socket as a link.
  *
  * @param socket a connected socket
- * @param options `idleTimeoutMs`: milliseconds without received data after which the link fails
- * @returns the link; `messages` throws a {@linkcode LinkError} when the link fails
+ * @param options `idleTimeoutMs`: milliseconds without received data after which the link fails;
+ * `parse`: checks a decoded message, and returns undefined for one to skip
+ * @returns the link; `messages` throws a {@linkcode LinkError} when the link fails or a message is
+ * not valid
  */
 export function createJsonLink<In, Out>(
   socket: Socket,
-  options: { idleTimeoutMs: Millis },
+  options: { idleTimeoutMs: Millis; parse: (value: unknown) => In | undefined },
 ): JsonLink<In, Out> {
   socket.setNoDelay(true);
   // `socket.setTimeout` does not work here, because writes to a dead peer would restart it.
@@ -47,12 +50,16 @@
   return {
     send: (message) => sendLine(encodeMessage(message)),
     sendLine,
-    messages: () => readMessages<In>(socket, () => idleTimer.refresh()),
+    messages: () => readMessages<In>(socket, options.parse, () => idleTimer.refresh()),
     close: () => socket.destroy(),
   };
 }
 
-async function* readMessages<In>(socket: Socket, onChunk: () => void): AsyncGenerator<In> {
+async function* readMessages<In>(
+  socket: Socket,
+  parse: (value: unknown) => In | undefined,
+  onChunk: () => void,
+): AsyncGenerator<In> {
   // The chunks of a line are joined only once, at its end, because a large table takes many chunks.
   let parts: string[] = [];
   let length = 0;
@@ -63,7 +70,8 @@
       parts.push(end);
       length += end.length;
       for (const line of lines) {
-        yield decodeMessage<In>(parts.join(""));
+        const message = parse(decodeMessage(parts.join("")));
+        if (message !== undefined) yield message;
         parts = [line];
         length = line.length;
       }
@@ -72,7 +80,7 @@
       }
     }
   } catch (err) {
-    throw new LinkError("Reading from the link failed", { cause: err });
+    throw new LinkError(`Reading from the link failed: ${(err as Error).message}`, { cause: err });
   }
 }
 
@@ -84,13 +92,15 @@
  * @returns the connected socket
  * @throws {LinkError} when no connection is established in time
  */
-export function connectSocket(address: string, timeoutMs: Millis): Promise<Socket> {
+export async function connectSocket(address: string, timeoutMs: Millis): Promise<Socket> {
+  // `connect` throws for a port out of range.
+  if (!isAddress(address)) throw new LinkError(`Address of host "${address}" is not IP:port`);
   const separator = address.lastIndexOf(":");
   const socket = connect({
     host: address.slice(0, separator),
     port: Number(address.slice(separator + 1)),
   });
-  return new Promise((resolve, reject) => {
+  return await new Promise((resolve, reject) => {
     const timer = setTimeout(() => socket.destroy(new Error("Connection timed out")), timeoutMs);
     socket.once("connect", () => {
       clearTimeout(timer);
--- a/packages/fleet/_testing/start_fleet_hosts.ts
+++ b/packages/fleet/_testing/start_fleet_hosts.ts
@@ -1,6 +1,6 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { ExecutionContext } from "ava";
-import { createClock, createTaskGroup } from "@jaypass/kernel";
+import { createClock, createTaskGroup, DecodeError } from "@jaypass/kernel";
 import type { Logger, Metrics } from "@jaypass/kernel";
 import { chooseHubs } from "../choose_hubs.ts";
 import { createFleet } from "../create_fleet.ts";
@@ -49,6 +49,11 @@
 
 let nextPort = 20_000;
 
+function parseText(value: unknown): string {
+  if (typeof value !== "string") throw new DecodeError("Value is no text");
+  return value;
+}
+
 /** Creates the entry of a host without starting it. */
 export function makeEntry(index: number): HostEntry {
   return {
@@ -84,6 +89,7 @@
       forget: (host) => void reports.push(`${host} left`),
     },
     currentReports,
+    parsers: { parseJob: parseText, parseDecision: parseText, parseReport: parseText },
     createCancelReport: (job) => `cancelled ${job}`,
     onChange: (table) => onChange(table, fleet),
     clock: createClock(),
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -112,3 +112,6 @@
 
 /** Range of a host's weight, which is its share of processors. */
 export const HOST_WEIGHT_RANGE = { min: 0, max: 1_000_000 } as const;
+
+/** Largest age in a message, which stands for an event that never happened. */
+export const MAX_AGE_MS = Number.MAX_SAFE_INTEGER;
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -14,6 +14,7 @@
 import { createStoreFollower } from "./create_store_follower.ts";
 import { checkHostRow } from "./_lib/check_host_row.ts";
 import { createInvalidRowLog } from "./_lib/create_invalid_row_log.ts";
+import type { MessageParsers } from "./messages.ts";
 import { parseHostEntry } from "./parse_host_entry.ts";
 import { TABLE } from "./types.ts";
 import type { HostEntry, Row, RowBatch, RowStore, Table } from "./types.ts";
@@ -30,6 +31,8 @@
   currentReports: () => Report[];
   /** Creates the report that cancels a job, for a hub that did not answer in time. */
   createCancelReport: (job: Job) => Report;
+  /** Parsers of jobs, decisions and reports that other hosts send. */
+  parsers: MessageParsers<Job, Decision, Report>;
   /** Called after rows of a table have changed. */
   onChange: (table: Table, changed: Row[]) => void;
   /** Monotonic time source. */
@@ -148,6 +151,7 @@
     knownHosts,
     hostRows: () => cache.changesSince(TABLE.HOSTS, undefined),
     isHub: () => hubClient.isHub(),
+    parsers: options.parsers,
     clock,
     log,
     tasks,
@@ -164,6 +168,7 @@
     revisionForHub: (table) => cache.revisionForHub(table),
     findRow: (table, key) => cache.find(table, key),
     onRows: (table, batch) => applyBatch(table, batch, "hub"),
+    parsers: options.parsers,
     clock,
     log,
     tasks,
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -9,11 +9,12 @@
   LINK_IDLE_TIMEOUT_MS,
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
+import { parseHubMessage } from "./_lib/parse_message.ts";
 import { applyRowPatches } from "./_lib/row_patches.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubScheduler } from "./create_hub_server.ts";
-import type { HubMessage, MemberMessage } from "./messages.ts";
+import type { HubMessage, MemberMessage, MessageParsers } from "./messages.ts";
 import { shouldFollowStore } from "./should_follow_store.ts";
 import { rankHubs } from "./rank_hubs.ts";
 import { TABLE } from "./types.ts";
@@ -41,6 +42,8 @@
   findRow: (table: Table, key: string) => Row | undefined;
   /** Receives rows that a hub sent. */
   onRows: (table: Table, batch: RowBatch) => void;
+  /** Parsers of jobs, decisions and reports in messages. */
+  parsers: MessageParsers<Job, Decision, Report>;
   /** Monotonic time source. */
   clock: Clock;
   /** Logs the selection of hubs and the state of the links to them. */
@@ -220,6 +223,7 @@
       if (hubs.get(entry.host) !== hub) return void socket.destroy();
       const link = createJsonLink<HubMessage<Decision>, MemberMessage<Job, Report>>(socket, {
         idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
+        parse: (value) => parseHubMessage(value, options.parsers),
       });
       hub.link = link;
       link.send({
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -7,14 +7,16 @@
   INVITE_INTERVAL_MS,
   LINK_CONNECT_TIMEOUT_MS,
   LINK_IDLE_TIMEOUT_MS,
+  MAX_AGE_MS,
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { encodeMessage } from "./_lib/encode_message.ts";
+import { parseMemberMessage } from "./_lib/parse_message.ts";
 import { createRowPatches } from "./_lib/row_patches.ts";
 import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
-import type { HubMessage, MemberMessage } from "./messages.ts";
+import type { HubMessage, MemberMessage, MessageParsers } from "./messages.ts";
 import { TABLE } from "./types.ts";
 import type { HostEntry, Row, RowBatch, Table } from "./types.ts";
 
@@ -48,6 +50,8 @@
   hostRows: () => RowBatch;
   /** True while this host is a hub and therefore invites hosts without a link. */
   isHub: () => boolean;
+  /** Parsers of jobs, decisions and reports in messages. */
+  parsers: MessageParsers<Job, Decision, Report>;
   /** Monotonic time source. */
   clock: Clock;
   /** Logs members that join and leave. */
@@ -104,8 +108,7 @@
   const hostsDiff = createHostsDiff(listAnnounced);
 
   let memberReadAtMs = -Infinity;
-  const roundAge = (ageMs: Millis) =>
-    Number.isFinite(ageMs) ? Math.round(ageMs) : Number.MAX_SAFE_INTEGER;
+  const roundAge = (ageMs: Millis) => Number.isFinite(ageMs) ? Math.round(ageMs) : MAX_AGE_MS;
 
   const describeView = (): HubMessage<Decision> => {
     const { ageMs, recoveredAgoMs } = options.storeAge();
@@ -181,6 +184,7 @@
   const serveLink = async (socket: Socket) => {
     const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<Decision>>(socket, {
       idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
+      parse: (value) => parseMemberMessage(value, options.parsers),
     });
     let member: Member<Decision> | undefined;
     try {
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -65,3 +65,13 @@
   /** The job is queued; its decision follows later. */
   | { type: "waiting"; call: number }
   | { type: "placed"; call: number; decision: Decision };
+
+/**
+ * Parsers of the types that the scheduler defines. They throw a `DecodeError` for a value that is not
+ * of their type, and leave out fields that are not part of it.
+ */
+export interface MessageParsers<Job, Decision, Report> {
+  parseJob(value: unknown): Job;
+  parseDecision(value: unknown): Decision;
+  parseReport(value: unknown): Report;
+}
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -11,6 +11,7 @@
 import { createHubScheduler, createLeavingReport } from "./create_hub_scheduler.ts";
 import { createLoadProbe } from "./create_load_probe.ts";
 import { createCancelReport, createPlacementClient } from "./create_placement_client.ts";
+import { createPlacementParsers } from "./create_placement_parsers.ts";
 import type { HostContext } from "./host_context.ts";
 import { SERVICE } from "./service_names.ts";
 import type { Cluster, PlacementFleet } from "./service_names.ts";
@@ -116,6 +117,7 @@
       ...placement.currentReports(),
     ],
     createCancelReport,
+    parsers: createPlacementParsers(),
     onChange: (table, changed) => view.apply(table, changed),
     clock,
     random,
--- a/packages/forwarding_host/mod.ts
+++ b/packages/forwarding_host/mod.ts
@@ -11,6 +11,7 @@
 export * from "./create_hub_scheduler.ts";
 export * from "./create_forwarding_host.ts";
 export * from "./create_placement_client.ts";
+export * from "./create_placement_parsers.ts";
 export * from "./create_reservations.ts";
 export * from "./create_stop_state.ts";
 export * from "./host_context.ts";
