Check the ranges of a configuration before it is applied

What callers saw: nothing while the store accepts only valid configurations. A route with a timeout of 2^32 ms answered its requests with 504 after 1 ms (shown with a test host). From reading, not from a run: a tenant whose name cannot stand in a header would have failed all its requests, an empty key of a tenant would have let callers without a key in, and a reading rate of 0 makes times infinite.

Cause: the decoder checked types only, and a timer of more than 2^31 - 1 ms fires at once. Rows of operators and servers that come from other hosts were cast to their types.

Change: `parseConfigurationDocument` of the forwarding package checks types and ranges; the platform's decoder translates names and calls it, and rows from links pass it too. A configuration that cannot be used is refused as a whole; the known one stays in force.

--- a/packages/fleet/_testing/start_fleet_hosts.ts
+++ b/packages/fleet/_testing/start_fleet_hosts.ts
@@ -90,6 +90,7 @@
     },
     currentReports,
     parsers: { parseJob: parseText, parseDecision: parseText, parseReport: parseText },
+    checkRow: (_table, row) => row,
     createCancelReport: (job) => `cancelled ${job}`,
     onChange: (table) => onChange(table, fleet),
     clock: createClock(),
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -33,6 +33,11 @@
   createCancelReport: (job: Job) => Report;
   /** Parsers of jobs, decisions and reports that other hosts send. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /**
+   * Checks a row of servers or operators that another host sent. It returns the row, or one without
+   * content that names the problem. The store's client checks the rows that it reads.
+   */
+  checkRow: (table: Table, row: Row) => Row;
   /** Called after rows of a table have changed. */
   onChange: (table: Table, changed: Row[]) => void;
   /** Monotonic time source. */
@@ -47,6 +52,9 @@
   tasks: TaskGroup;
 }
 
+/** Where rows come from. */
+type RowOrigin = "store" | "member" | "hub";
+
 /** A host's view of all hosts: shared rows, the hubs that place jobs, and the live hosts. */
 export interface Fleet<Job, Decision, Report> {
   /** Starts to listen for links. */
@@ -117,11 +125,14 @@
     return [self, ...others];
   };
 
+  const checkRows = (table: Table, rows: Row[], origin: RowOrigin): Row[] => {
+    if (table === TABLE.HOSTS) return rows.map(checkHostRow);
+    return origin === "store" ? rows : rows.map((row) => options.checkRow(table, row));
+  };
+
   /** Merges rows and forwards the changed ones; rows of a hub are not sent back to the hubs. */
-  const applyBatch = (table: Table, received: RowBatch, origin: "store" | "member" | "hub") => {
-    const batch = table === TABLE.HOSTS
-      ? { ...received, rows: received.rows.map(checkHostRow) }
-      : received;
+  const applyBatch = (table: Table, received: RowBatch, origin: RowOrigin) => {
+    const batch = { ...received, rows: checkRows(table, received.rows, origin) };
     reportInvalidRows(table, batch.rows);
     const sinceRevision = cache.revision(table);
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -98,3 +98,9 @@
   { maxTokens: 100_000, urgency: 5 },
   { maxTokens: Infinity, urgency: 6 },
 ];
+
+/**
+ * Longest time of a route or a limit, a day. Timers run for multiples of such times, and a timer of
+ * more than 2^31 - 1 ms fires at once.
+ */
+export const MAX_ROUTE_TIME_MS = 86_400_000;
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -17,6 +17,7 @@
 export * from "./index_configuration.ts";
 export * from "./match_route.ts";
 export * from "./open_exchange.ts";
+export * from "./parse_configuration_document.ts";
 export * from "./types.ts";
 export type {
   ForwardingContext,
--- a/packages/forwarding_host/create_cluster_view.ts
+++ b/packages/forwarding_host/create_cluster_view.ts
@@ -20,7 +20,7 @@
 
 /** A host's current knowledge of the configuration, data centres and servers. */
 export interface ClusterView {
-  /** Applies changed rows of a table. */
+  /** Applies changed rows of a table, whose content has been checked. */
   apply(table: Table, changed: readonly Row[]): void;
   /** Current configuration; undefined while none is known. */
   configuration(): Configuration | undefined;
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -6,6 +6,7 @@
 import { createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
 import type { PlacementServer } from "@jaypass/placement";
 import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
+import { checkRow } from "./check_row.ts";
 import { createClusterView } from "./create_cluster_view.ts";
 import type { ClusterView } from "./create_cluster_view.ts";
 import { createHubScheduler, createLeavingReport } from "./create_hub_scheduler.ts";
@@ -118,6 +119,7 @@
     ],
     createCancelReport,
     parsers: createPlacementParsers(),
+    checkRow,
     onChange: (table, changed) => view.apply(table, changed),
     clock,
     random,
--- a/packages/forwarding_host/mod.ts
+++ b/packages/forwarding_host/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./apply_settings.ts";
+export * from "./check_row.ts";
 export * from "./choose_addresses.ts";
 export * from "./constants.ts";
 export * from "./create_cluster_view.ts";
@@ -15,6 +16,7 @@
 export * from "./create_reservations.ts";
 export * from "./create_stop_state.ts";
 export * from "./host_context.ts";
+export * from "./parse_operator_entry.ts";
 export * from "./run_forwarding_host.ts";
 export * from "./service_names.ts";
 export * from "./types.ts";
