Read the rest of a refused request's body before its connection ends

What callers saw: a request whose route or key a configuration had just taken away was refused from its headers alone, and the connection was closed while the body was still arriving. The caller got a reset in place of the refusal, and requests that it had sent behind the refused one got nothing.

Cause: sendFailure announced the close of the connection whenever the body was not there yet, and Node.js closes the socket as soon as such an answer is written. Bytes that arrive afterwards are answered with a reset, which discards what the caller has not read. A chunked body over the limit, and a body for which no memory was left, closed the connection as well, since an error within the default iterator of a request destroys its stream.

Change: the refusal is written at once, and the rest of the body is read and discarded, up to the configured size of a body and as long as data arrives at least once a second. The connection then stays open. It is closed only if the body does not end within these limits, or is too large.

--- /dev/null
+++ b/packages/forwarding/_lib/discard_body.ts
@@ -0,0 +1,40 @@
+import type { IncomingMessage } from "node:http";
+import type { Millis } from "@jaypass/kernel";
+
+/** Options of {@linkcode discardBody}. */
+export interface DiscardBodyOptions {
+  /** Most bytes that are read. */
+  maxBytes: number;
+  /** Time without data after which the rest is given up. */
+  idleTimeoutMs: Millis;
+}
+
+/**
+ * Reads the rest of a request's body and discards it.
+ *
+ * @param req the request
+ * @param options limits
+ * @returns true once the body has ended; false if it was given up or the caller has left
+ */
+export function discardBody(req: IncomingMessage, options: DiscardBodyOptions): Promise<boolean> {
+  const { maxBytes, idleTimeoutMs } = options;
+  if (req.readableEnded || req.destroyed) return Promise.resolve(req.readableEnded);
+  return new Promise((resolve) => {
+    let length = 0;
+    const finish = () => {
+      clearTimeout(timer);
+      req.off("data", onData).off("end", finish).off("close", finish);
+      resolve(req.readableEnded);
+    };
+    const timer = setTimeout(finish, idleTimeoutMs);
+    const onData = (chunk: Buffer) => {
+      length += chunk.length;
+      if (length > maxBytes) finish();
+      else timer.refresh();
+    };
+    // The disconnect of a caller is reported by "close" as well.
+    req.on("error", () => {});
+    req.on("data", onData).once("end", finish).once("close", finish);
+    req.resume();
+  });
+}
--- a/packages/forwarding/_lib/read_body.ts
+++ b/packages/forwarding/_lib/read_body.ts
@@ -29,7 +29,9 @@
   const declaredLength = Number(req.headers["content-length"] ?? 0);
   if (declaredLength > maxBytes) throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
   try {
-    for await (const chunk of req as AsyncIterable<Buffer>) {
+    // The default iterator closes the connection on an error, so that no answer could be sent.
+    const readChunks: AsyncIterable<Buffer> = req.iterator({ destroyOnReturn: false });
+    for await (const chunk of readChunks) {
       if (length + chunk.length > maxBytes) throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
       reserveBodyMemory(memory, chunk.length);
       length += chunk.length;
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -31,6 +31,12 @@
 /** Longest event of a stream, and longest sequence of repeated events that is skipped. */
 export const MAX_EVENT_BYTES = 262_144;
 
+/** Time without data after which the rest of the body of a refused request is not read any more. */
+export const UNREAD_BODY_IDLE_MS = 1_000;
+
+/** Most bytes of the body of a refused request that are read while no configuration is known. */
+export const MAX_UNREAD_BODY_BYTES = 4 * 1024 * 1024;
+
 /** Total size of the request bodies that a host buffers at a time. */
 export const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
 
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -2,7 +2,11 @@
 import { setMaxListeners } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Millis } from "@jaypass/kernel";
-import { MAX_BUFFERED_BODY_BYTES, NO_CONFIGURATION_RETRY_AFTER_MS } from "./constants.ts";
+import {
+  MAX_BUFFERED_BODY_BYTES,
+  MAX_UNREAD_BODY_BYTES,
+  NO_CONFIGURATION_RETRY_AFTER_MS,
+} from "./constants.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { FAILURE, ForwardingError } from "./errors.ts";
 import { breakOff } from "./_lib/break_off.ts";
@@ -94,7 +98,7 @@
       try {
         await serve(req, res, monitored);
       } catch (err) {
-        answerWithFailure(context, { req, res, err, monitor, monitored, connections });
+        await answerWithFailure(context, { req, res, err, monitor, monitored, connections });
       }
       await waitForDelivery(res);
       size -= 1;
@@ -223,7 +227,7 @@
 }
 
 /** Answers with a failure, or closes the connection if an answer has been started already. */
-function answerWithFailure(
+async function answerWithFailure(
   context: ForwardingContext,
   { req, res, err, monitor, monitored, connections }: {
     req: IncomingMessage;
@@ -233,7 +237,7 @@
     monitored: MonitoredRequest;
     connections: CallerConnections;
   },
-): void {
+): Promise<void> {
   const failure = err instanceof ForwardingError
     ? err
     : new ForwardingError(502, FAILURE.INTERNAL, { cause: err });
@@ -251,8 +255,12 @@
   context.metrics.increment("refusal", { reason: failure.reason });
   if (failure.reason === FAILURE.STOPPING) monitor.refused();
   if (res.destroyed) return;
-  if (res.headersSent) breakOff(res);
-  else {sendFailure(context, req, res, failure, {
-      shouldClose: connections.shouldClose(req.socket),
-    });}
+  if (res.headersSent) {
+    breakOff(res);
+    return;
+  }
+  await sendFailure(context, req, res, failure, {
+    shouldClose: connections.shouldClose(req.socket),
+    maxUnreadBytes: context.configuration()?.limits.maxBodyBytes ?? MAX_UNREAD_BODY_BYTES,
+  });
 }
