Renew reserved memory on each engine by itself

What callers could see: the answer to a prompt that uses memory of several engines is cut off although every engine works, since an engine drops a request whose reservation has lapsed.

Cause: renewals were sent one engine after another, and memory that was reserved first was not renewed before the last engine had reserved its own. An engine keeps a reservation for 3 s. With the platform's limit of 500 ms a call, the renewals of four slow engines and the pause of 1 s take that long.

Evidence, before the change (the tests let engines answer after 1.4 s): ✘ [fail]: slow engines do not let the memory of each other lapse pauses between renewals of 3802 and 5200 ms, where 3000 ms are allowed ✘ [fail]: memory that is reserved first does not lapse while slow engines reserve theirs

Change: each engine has its own loop, which starts as soon as the engine has reserved memory. It renews, and releases after its last renewal, so that no engine waits for another one. The order in which engines are asked, which keeps two prompts from a deadlock, is as before. A reservation on an engine that refused is still released, as its answer may have been lost.

Measured: the six tests of the file pass.

--- a/packages/forwarding_host/create_reservations.ts
+++ b/packages/forwarding_host/create_reservations.ts
@@ -41,50 +41,42 @@
         return false;
       });
 
-  const renewAll = async (plans: readonly MemoryPlan[], ticket: string) => {
-    for (const plan of plans) await reserveOne(plan, ticket);
+  /** Renews a reservation until it is to end, then releases it. */
+  const keepReserved = async (plan: MemoryPlan, ticket: string, signal: AbortSignal) => {
+    while (!signal.aborted) {
+      await sleep(RESERVATION_RENEW_MS, signal).catch(() => {});
+      if (!signal.aborted) await reserveOne(plan, ticket);
+    }
+    // Must follow the last renewal, which would otherwise reserve the memory again.
+    await engineMemory.release(plan, ticket).catch((err) =>
+      log.warn({ ticket, server: plan.serverId, err: String(err) }, "Memory not released")
+    );
   };
 
   return {
     async reserve(jobId, plans) {
       const ordered = [...plans].sort((a, b) => a.serverId < b.serverId ? -1 : 1);
-      const held: MemoryPlan[] = [];
       const ticket = `jaypass-${jobId}`;
-      const release = () => {
-        for (const plan of held) {
-          tasks.run(
-            "release memory",
-            () =>
-              engineMemory.release(plan, ticket).catch((err) =>
-                log.warn({ jobId, server: plan.serverId, err: String(err) }, "Memory not released")
-              ),
-          );
-        }
-      };
+      const end = new AbortController();
       for (const plan of ordered) {
-        // Added before the call, since a reservation may have succeeded even if its answer is lost.
-        held.push(plan);
-        if (await reserveOne(plan, ticket)) continue;
+        const isReserved = await reserveOne(plan, ticket);
+        // Engines are renewed independently, since a slow one would let the memory of others lapse.
+        // A refused one is released too: it may have reserved the memory if its answer was lost.
+        tasks.run(
+          "renew memory",
+          (signal) => keepReserved(plan, ticket, AbortSignal.any([signal, end.signal])),
+        );
+        if (isReserved) continue;
         log.info(
           { jobId, server: plan.serverId, tokens: plan.tokens },
           "Engine has too little free memory; releasing the reservation",
         );
-        release();
+        end.abort();
         return undefined;
       }
-      const stop = new AbortController();
-      tasks.run("renew memory", async (signal) => {
-        const anySignal = AbortSignal.any([signal, stop.signal]);
-        while (!anySignal.aborted) {
-          await sleep(RESERVATION_RENEW_MS, anySignal).catch(() => {});
-          if (!anySignal.aborted) await renewAll(held, ticket);
-        }
-        // Must follow the last renewal, which would otherwise reserve the memory again.
-        release();
-      });
       return {
-        tickets: new Map(held.map((plan) => [plan.serverId, ticket])),
-        release: () => stop.abort(),
+        tickets: new Map(ordered.map((plan) => [plan.serverId, ticket])),
+        release: () => end.abort(),
       };
     },
   };
--- a/packages/forwarding_host/create_reservations_test.ts
+++ b/packages/forwarding_host/create_reservations_test.ts
@@ -2,7 +2,7 @@
 import test from "ava";
 import { createTaskGroup } from "@jaypass/kernel";
 import type { Logger } from "@jaypass/kernel";
-import { RESERVATION_RENEW_MS } from "./constants.ts";
+import { RESERVATION_HOLD_MS, RESERVATION_RENEW_MS } from "./constants.ts";
 import { createReservations } from "./create_reservations.ts";
 import type { EngineMemoryClient } from "./types.ts";
 
@@ -70,3 +70,34 @@
   await wait(400);
   t.deepEqual(orders, ["reserve a", "reserve a", "release a"]);
 });
+
+/** Time that slow engines take to answer; less than half of the time for which they hold memory. */
+const SLOW_RENEWAL_MS = 1_400;
+
+test("slow engines do not let the memory of each other lapse", async (t) => {
+  let isSlow = false;
+  const renewedMs: Record<string, number[]> = {};
+  const { reservations } = setUp(async (id) => {
+    (renewedMs[id] ??= []).push(performance.now());
+    if (isSlow) await wait(SLOW_RENEWAL_MS);
+    return true;
+  });
+  const reservation = await reservations.reserve("r1", ["a", "b", "c"].map(plan));
+  isSlow = true;
+  await wait(3 * RESERVATION_HOLD_MS);
+  reservation?.release();
+  const pausesMs = Object.values(renewedMs).flatMap((times) =>
+    [...times, performance.now()].slice(1).map((at, index) => at - times[index]!)
+  );
+  t.deepEqual(pausesMs.filter((pauseMs) => pauseMs >= RESERVATION_HOLD_MS), []);
+});
+
+test("memory that is reserved first does not lapse while slow engines reserve theirs", async (t) => {
+  const { orders, reservations } = setUp(async (id) => {
+    if (id !== "a") await wait(SLOW_RENEWAL_MS);
+    return true;
+  });
+  const reservation = await reservations.reserve("r1", ["a", "b", "c", "d"].map(plan));
+  reservation?.release();
+  t.true(orders.filter((order) => order === "reserve a").length > 1);
+});
