Answer requests that have no answer when a stopping host exits

What callers saw: at the end of the grace period a stopping host closed connections without an answer. A request whose body was incomplete was not refused, although it had not run.

Cause: the process exited with requests in progress, and nothing told them. A request that was read between the decision to exit and the exit was taken as before if its deadline was near.

Change: an exit signal goes out shortly before the exit. From then on no request is taken. A request without an answer gets 503 if no server has run it or has it, and its attempts are aborted first, so that it is not sent later; otherwise it gets 502, which promises nothing. Answers that have begun go on. Requests that end with 502 because of a stop are counted as "failed", not as "refused".

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -60,6 +60,8 @@
   /** Placements that were given up because a chosen server wants no requests. */
   diversionCount: number;
   mayHaveRun: boolean;
+  /** True while a server has the request and has not answered it. */
+  isInFlight: boolean;
   excludedIds: string[];
   /** Result of the last attempt. */
   last: AttemptResult | undefined;
--- a/packages/forwarding/_lib/attempt_errors.ts
+++ b/packages/forwarding/_lib/attempt_errors.ts
@@ -47,8 +47,18 @@
 /** Creates the error of a request that is given up before it is sent to the next server. */
 export function createAbortError(request: CallerRequest, state: AttemptState): ForwardingError {
   if (request.signal.aborted) return createDeadlineError(request);
-  if (state.mayHaveRun) return new ForwardingError(502, FAILURE.STOPPING);
-  return new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
+  return createStoppingError(state);
+}
+
+/**
+ * Creates the error of a request that a stopping host gives up; `state` is undefined before the first
+ * attempt.
+ */
+export function createStoppingError(state: Readonly<AttemptState> | undefined): ForwardingError {
+  const mayHaveRun = state !== undefined && (state.mayHaveRun || state.isInFlight);
+  return mayHaveRun
+    ? new ForwardingError(502, FAILURE.STOPPING)
+    : new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
 }
 
 function createDeadlineError(request: CallerRequest): ForwardingError {
--- a/packages/forwarding/_lib/create_stop_monitor.ts
+++ b/packages/forwarding/_lib/create_stop_monitor.ts
@@ -29,6 +29,8 @@
   accepted(request: MonitoredRequest, route: string): void;
   /** Records that a request is refused because the host is stopping. */
   refused(): void;
+  /** Records that a request that may have run is answered with a failure because of the stop. */
+  failed(): void;
   /** Unregisters a request that has ended. */
   remove(request: MonitoredRequest): void;
   /** Log fields that place a request in the stop; empty before the stop. */
@@ -53,7 +55,7 @@
   const { clock, stopTime, log, metrics, codec } = options;
   const inProgress = new Set<MonitoredRequest>();
   const usedSockets = new WeakSet<Socket>();
-  const count = (result: "taken" | "refused" | "cut") =>
+  const count = (result: "taken" | "refused" | "failed" | "cut") =>
     metrics.increment("stop_request", { result });
   const readId = ({ req }: MonitoredRequest) => codec.readCaller(req.rawHeaders).attemptId;
 
@@ -100,6 +102,7 @@
       count("taken");
     },
     refused: () => count("refused"),
+    failed: () => count("failed"),
     remove: (request) => void inProgress.delete(request),
     describe(request) {
       const time = stopTime();
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -40,6 +40,7 @@
     return address === undefined ? [] : [{ address, ticket: options.reservation?.tickets.get(id) }];
   });
   state.sendCount += 1;
+  state.isInFlight = true;
   const exchange = openExchange({
     address: server.address,
     method: request.method,
@@ -107,6 +108,7 @@
       givenUpAs: silence.givenUpAs(),
     });
   } finally {
+    state.isInFlight = false;
     firstByteTimer.clear();
     silence.stop();
     request.signal.removeEventListener("abort", onAbort);
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -70,6 +70,8 @@
 export interface HostStop {
   /** Aborted when the stop begins. */
   signal: AbortSignal;
+  /** Aborted when the host exits; requests without an answer are answered with a failure then. */
+  exit: AbortSignal;
   /** Progress of the stop; undefined before it begins. */
   time(): StopTime | undefined;
   /** True while callers may hold an unexpired answer of the directory that names this host. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -38,6 +38,7 @@
     connectFailureCount: 0,
     diversionCount: 0,
     mayHaveRun: false,
+    isInFlight: false,
     excludedIds: [],
     last: undefined,
   };
--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -16,6 +16,7 @@
 export function canTakeRequest(context: ForwardingContext, request: StoppableRequest): boolean {
   const stopTime = context.stop.time();
   if (stopTime === undefined) return true;
+  if (context.stop.exit.aborted) return false;
   const endsBeforeHost = request.endMs <= context.clock.nowMs() + stopTime.remainingMs;
   return endsBeforeHost || (context.stop.isListed() && canStart(context, request));
 }
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -47,6 +47,8 @@
   releaseCount(): number;
   /** Starts the graceful stop of the host, which ends after `remainingMs`. */
   stop(options: { remainingMs: number; isListed?: boolean }): void;
+  /** Starts the exit at the end of a graceful stop. */
+  beginExit(): void;
   /** Sets the progress of a graceful stop, which stays as it is; idle connections stay open. */
   setStopTime(time: StopTime): void;
   /** Logs the requests in progress as cut off. */
@@ -147,6 +149,7 @@
   let releaseCount = 0;
   const clock = createClock();
   const stopping = new AbortController();
+  const exiting = new AbortController();
   let readStopTime: () => StopTime | undefined = () => undefined;
   let isListed = true;
   const lines: TestHost["lines"] = [];
@@ -216,7 +219,12 @@
         return { tickets: new Map(), release: () => void (releaseCount += 1) };
       },
     },
-    stop: { signal: stopping.signal, time: () => readStopTime(), isListed: () => isListed },
+    stop: {
+      signal: stopping.signal,
+      exit: exiting.signal,
+      time: () => readStopTime(),
+      isListed: () => isListed,
+    },
   });
   const front = await listen(createServer((req, res) => {
     options.onCallerSocket?.(req.socket);
@@ -233,6 +241,7 @@
       isListed = isStillListed;
       stopping.abort();
     },
+    beginExit: () => exiting.abort(),
     setStopTime(time) {
       readStopTime = () => time;
       isListed = false;
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -9,12 +9,14 @@
 } from "./constants.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { FAILURE, ForwardingError } from "./errors.ts";
+import { createStoppingError } from "./_lib/attempt_errors.ts";
 import { breakOff } from "./_lib/break_off.ts";
 import { createBodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import { readBody } from "./_lib/read_body.ts";
 import type { CallerRequest, ForwardingContext } from "./_lib/request_context.ts";
 import { runAttempts } from "./_lib/run_attempts.ts";
+import { runUntilExit } from "./_lib/run_until_exit.ts";
 import { sendFailure } from "./_lib/send_failure.ts";
 import { canTakeRequest } from "./_lib/stop_limit.ts";
 import { createCallerConnections } from "./_lib/create_caller_connections.ts";
@@ -65,8 +67,8 @@
 export function createForwarder(context: ForwardingContext): Forwarder {
   const memory = createBodyMemoryBudget(MAX_BUFFERED_BODY_BYTES);
   const connections = createCallerConnections(context.stop.signal);
-  // Node.js would warn of a leak, as each waiting request adds a listener, which it removes later.
-  setMaxListeners(0, context.stop.signal);
+  // Node.js would warn of a leak, as each request adds listeners, which it removes later.
+  setMaxListeners(0, context.stop.signal, context.stop.exit);
   const monitor = createStopMonitor({ ...context, stopTime: () => context.stop.time() });
   let size = 0;
 
@@ -96,7 +98,10 @@
       size += 1;
       const monitored = monitor.add(req, res);
       try {
-        await serve(req, res, monitored);
+        await runUntilExit(serve(req, res, monitored), {
+          exit: context.stop.exit,
+          findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
+        });
       } catch (err) {
         await answerWithFailure(context, { req, res, err, monitor, monitored, connections });
       }
@@ -185,6 +190,13 @@
   res.once("close", onClose);
   // The caller may have disconnected while its body was read.
   if (res.destroyed || req.socket.destroyed) controller.abort();
+  const { exit } = context.stop;
+  // A request that is refused at the exit must not be sent afterwards.
+  const onExit = () => {
+    if (!res.headersSent) controller.abort();
+  };
+  if (exit.aborted) onExit();
+  else exit.addEventListener("abort", onExit, { once: true });
   const request: CallerRequest = {
     id: metadata.attemptId ?? createLocalId(context),
     method: req.method ?? "GET",
@@ -214,6 +226,7 @@
   } finally {
     clearTimeout(timer);
     res.removeListener("close", onClose);
+    exit.removeEventListener("abort", onExit);
   }
 }
 
@@ -253,7 +266,10 @@
   if (failure.reason === FAILURE.INTERNAL) context.log.error(fields, "Request failed");
   else context.log.info(fields, "Request not served");
   context.metrics.increment("refusal", { reason: failure.reason });
-  if (failure.reason === FAILURE.STOPPING) monitor.refused();
+  if (failure.reason === FAILURE.STOPPING) {
+    if (failure.status === 503) monitor.refused();
+    else monitor.failed();
+  }
   if (res.destroyed) return;
   if (res.headersSent) {
     breakOff(res);
--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -119,3 +119,79 @@
   t.is((await call).status, 200);
   while (host.size() > 0) await wait(5);
 });
+
+test("a request that its server has not answered at the exit gets a failure that promises nothing", async (t) => {
+  const host = await createTestHost([() => {}]);
+  t.teardown(() => host.close());
+  const call = host.call({ kind: ROUTE_KIND.NON_IDEMPOTENT });
+  while (host.arrivals.length === 0) await wait(5);
+  host.stop({ remainingMs: 0 });
+  host.beginExit();
+  const { status, isComplete } = await call;
+  t.deepEqual({ status, isComplete }, { status: 502, isComplete: true });
+  while (host.size() > 0) await wait(5);
+  t.deepEqual(host.outcomes, ["cancelled"]);
+  t.deepEqual([host.counters["stop_request failed"], host.counters["stop_request refused"]], [
+    1,
+    undefined,
+  ]);
+});
+
+test("a request that only servers that refused it have had is reported as not run at the exit", async (t) => {
+  const refusing: ServerBehaviour = (_req, res) =>
+    void res.writeHead(503, { ...SEALED, "Not-Run": "1" }).end();
+  const host = await createTestHost([refusing, answer], { placementMs: 300, maxAttempts: 2 });
+  t.teardown(() => host.close());
+  const call = host.call({ kind: ROUTE_KIND.NON_IDEMPOTENT });
+  while (host.arrivals.length === 0) await wait(5);
+  await wait(100);
+  host.beginExit();
+  const { status, body } = await call;
+  t.deepEqual({ status, body }, { status: 503, body: '{"error":"stopping"}' });
+});
+
+test("a request that is not placed at the exit is refused as not run and not sent later", async (t) => {
+  const host = await startHost(t, { placementMs: 300 });
+  const call = host.call({ kind: ROUTE_KIND.NON_IDEMPOTENT });
+  while (host.size() === 0) await wait(5);
+  host.beginExit();
+  const { status, isComplete, retryAfter } = await call;
+  t.deepEqual({ status, isComplete, retryAfter }, {
+    status: 503,
+    isComplete: true,
+    retryAfter: "0",
+  });
+  await wait(400);
+  t.is(host.arrivals.length, 0);
+});
+
+test("a request whose memory is being reserved at the exit is refused and not sent later", async (t) => {
+  const host = await startHost(t, { reservationMs: 300 });
+  const call = host.call({ kind: ROUTE_KIND.STREAMING });
+  await wait(100);
+  host.beginExit();
+  t.is((await call).status, 503);
+  await wait(400);
+  t.deepEqual([host.arrivals.length, host.releaseCount()], [0, 1]);
+});
+
+test("a request that is read during the exit is refused, even one with a short deadline", async (t) => {
+  const host = await startHost(t);
+  host.stop({ remainingMs: 2_000, isListed: true });
+  host.beginExit();
+  t.is((await host.call({ deadlineMs: 100 })).status, 503);
+  t.is(host.arrivals.length, 0);
+});
+
+test("an answer that has begun at the exit goes on", async (t) => {
+  const slow: ServerBehaviour = (_req, res) => {
+    res.writeHead(200, SEALED).write("id: 1\ndata: a\n\n");
+    setTimeout(() => res.end("id: 2\ndata: b\n\n"), 300);
+  };
+  const host = await createTestHost([slow], { pauseGoalMs: 1_000 });
+  t.teardown(() => host.close());
+  const call = host.call({ kind: ROUTE_KIND.STREAMING });
+  while (!("first_event_ms" in host.counters)) await wait(5);
+  host.beginExit();
+  t.deepEqual(await call.then(({ status, isComplete }) => [status, isComplete]), [200, true]);
+});
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -12,6 +12,8 @@
 export interface StopState extends HostStop {
   /** Starts the graceful stop. */
   begin(): void;
+  /** Starts the exit: no request is taken any more, and those in progress are answered. */
+  beginExit(): void;
   /** Reports whether the process should exit, given the number of requests in progress. */
   isDone(requests: number): boolean;
 }
@@ -32,16 +34,19 @@
 export function createStopState(options: { clock: Clock; graceMs: Millis }): StopState {
   const { clock, graceMs } = options;
   const controller = new AbortController();
+  const exitController = new AbortController();
   const longestStopMs = graceMs - Math.min(STOP_MARGIN_MS, graceMs * STOP_MARGIN_MAX_SHARE);
   const directoryExpiryMs = Math.min(DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR, longestStopMs);
   let startMs: Millis | undefined;
   const elapsedMs = () => startMs === undefined ? 0 : clock.nowMs() - startMs;
   return {
     signal: controller.signal,
+    exit: exitController.signal,
     begin() {
       startMs ??= clock.nowMs();
       controller.abort();
     },
+    beginExit: () => exitController.abort(),
     time: () =>
       startMs === undefined
         ? undefined
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -30,8 +30,11 @@
     { requests: forwarder.size(), connections: callerConnectionCount() },
     "Host stopped",
   );
-  // Does not wait long for the store to remove the host's row, since a hub may remove it as well.
-  await Promise.race([left, sleep(STOP_CHECK_MS)]);
+  stop.beginExit();
+  // Leaves time for the answers of the requests in progress to leave the process. Does not wait long
+  // for the store to remove the host's row, since a hub may remove it as well.
+  if (forwarder.size() > 0) await sleep(STOP_CHECK_MS);
+  else await Promise.race([left, sleep(STOP_CHECK_MS)]);
   // Requests may still end during the wait above, so the report comes last.
   forwarder.reportCut();
 }
