--- a/packages/forwarding_host/create_reservations_test.ts
+++ b/packages/forwarding_host/create_reservations_test.ts
@@ -101,3 +101,29 @@
   reservation?.release();
   t.true(orders.filter((order) => order === "reserve a").length > 1);
 });
+
+test("reserved memory does not lapse while several engines are silent for 1.5 s", async (t) => {
+  const orderTimeoutMs = 500;
+  const ids = ["a", "b", "c", "d"];
+  const startMs = performance.now();
+  const isSilent = (id: string) => {
+    const elapsedMs = performance.now() - startMs;
+    return id !== "d" && elapsedMs > 900 && elapsedMs < 2_400;
+  };
+  const renewals = new Map(ids.map((id) => [id, [0]]));
+  const { reservations } = setUp(async (id) => {
+    if (isSilent(id)) {
+      await wait(orderTimeoutMs);
+      throw new Error("no answer");
+    }
+    renewals.get(id)?.push(performance.now() - startMs);
+    return true;
+  });
+  const reservation = await reservations.reserve("r1", ids.map(plan));
+  await wait(RESERVATION_HOLD_MS + 2 * RESERVATION_RENEW_MS);
+  reservation?.release();
+  for (const times of renewals.values()) {
+    const pausesMs = times.slice(1).map((ms, at) => ms - (times[at] ?? 0));
+    t.true(Math.max(...pausesMs) < RESERVATION_HOLD_MS, `pauses of ${pausesMs} ms`);
+  }
+});
