Test silent servers while connecting and while memory is reserved

A request without another server is refused as not run after 0.4 s and not kept waiting, as with a server that is gone. The tests guard what the code does; none of them failed before.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -101,6 +101,8 @@
   isPublic?: boolean;
   /** Time that a memory reservation takes; if set, each placement needs a ticket. */
   reservationMs?: number;
+  /** Reports whether a reservation succeeds; all do by default. */
+  canReserve?: () => boolean;
   /** Expected time to the first byte, as stated by placement; 10 ms by default. */
   expectedMs?: number;
   /** Target for the longest pause of streams; 100 ms by default. */
@@ -216,6 +218,7 @@
     reservations: {
       async reserve() {
         await wait(options.reservationMs);
+        if (options.canReserve?.() === false) return undefined;
         return { tickets: new Map(), release: () => void (releaseCount += 1) };
       },
     },
--- a/packages/forwarding/server_silence_test.ts
+++ b/packages/forwarding/server_silence_test.ts
@@ -1,5 +1,9 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
+import type { ExecutionContext } from "ava";
 import { createTestHost } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour } from "./_testing/create_test_host.ts";
 import { ROUTE_KIND, SERVER_STATUS } from "./types.ts";
@@ -142,3 +146,55 @@
     t.deepEqual([body, host.outcomes], [BODY, ["answered"]]);
   });
 }
+
+/** A server whose queue of new connections holds one more than its backlog. */
+const SMALL_QUEUE_SERVER = `
+const server = require("node:http").createServer((_req, res) => res.end());
+server.listen({ port: 0, host: "127.0.0.1", backlog: 1 }, () => {
+  process.stdout.write(String(server.address().port));
+});`;
+
+/** Starts a server that accepts no connection for a time. */
+async function startUnconnectable(t: ExecutionContext): Promise<string> {
+  const child = spawn(process.execPath, ["-e", SMALL_QUEUE_SERVER], {
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  t.teardown(() => child.kill("SIGKILL"));
+  const [port] = await once(child.stdout, "data");
+  child.kill("SIGSTOP");
+  const sockets = [0, 1].map(() => connect(Number(String(port)), "127.0.0.1"));
+  t.teardown(() => sockets.forEach((socket) => socket.destroy()));
+  await Promise.all(sockets.map((socket) => once(socket, "connect")));
+  setTimeout(() => child.kill("SIGCONT"), SILENCE_MS);
+  return `127.0.0.1:${port}`;
+}
+
+for (const [request, { kind, isResumable }] of Object.entries(ROUTES)) {
+  test(`${request} whose server accepts no connection is run once by another server`, async (t) => {
+    const serverAddresses = [await startUnconnectable(t)];
+    const host = await createTestHost([other, other], { serverAddresses, isResumable });
+    t.teardown(() => host.close());
+    const { status, body } = await host.call({ kind, deadlineMs: 5_000 });
+    t.deepEqual([status, body], [200, BODY]);
+    t.deepEqual(host.outcomes, ["silent", "answered"]);
+  });
+}
+
+test("a request whose only server accepts no connection is refused as not run", async (t) => {
+  const serverAddresses = [await startUnconnectable(t)];
+  const host = await createTestHost([other], { serverAddresses });
+  t.teardown(() => host.close());
+  const result = await host.call({ kind: ROUTE_KIND.NON_IDEMPOTENT, deadlineMs: 5_000 });
+  t.deepEqual([result.status, result.retryAfter !== undefined], [503, true]);
+});
+
+test("a prompt whose helper answers no memory orders for 1.2 s is run once", async (t) => {
+  const startMs = performance.now();
+  const host = await createTestHost([other, other, other, other], {
+    reservationMs: 500,
+    canReserve: () => performance.now() - startMs > SILENCE_MS,
+  });
+  t.teardown(() => host.close());
+  const { status, body } = await host.call({ kind: ROUTE_KIND.STREAMING, deadlineMs: 5_000 });
+  t.deepEqual([status, body, host.arrivals.length], [200, BODY, 1]);
+});
