Leave a silent server only for another one that was chosen

What callers saw: an answer was broken off in the middle, or a call got 502, although its server was alive and would have gone on.

Cause: three timers (no first byte, no chunk of a stream, two failed checks of the server) cancelled the exchange first and asked placement for another server afterwards. When there was none, for example because the retry budget was spent or the engines were busy, the answer was lost. The class of fault: something that works is given up before its replacement is there.

Change: the timers start a search for another server, and the exchange goes on meanwhile. It is ended only once placement has chosen a usable server; data that arrives before ends the search. If placement refuses, the request stays, and the search is repeated at the next timeout. A server whose process has ended is given up at once, as before. Jobs are now numbered by placement, since a search may place the same attempt more than once.

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -1,7 +1,7 @@
 import type { Millis } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { Failure } from "../errors.ts";
-import type { Exchange, ServerAnswer } from "../open_exchange.ts";
+import type { ServerAnswer } from "../open_exchange.ts";
 import type { AnswerMetadata } from "../types.ts";
 import type { ForwardingServer } from "./request_context.ts";
 
@@ -33,12 +33,10 @@
   answer: ServerAnswer;
   /** Metadata from the headers of the answer. */
   metadata: AnswerMetadata;
-  /** The exchange with the server, so that it can be cancelled. */
-  exchange: Exchange;
-  /** True if another server may be tried after this one. */
-  mayRetry: boolean;
   /** Must be called for each chunk of the body. */
   onChunk: () => void;
+  /** Must be called when the body has not gone on for so long that another server may be better. */
+  onStalled: () => void;
 }
 
 /** Passes answers of servers on to the caller, over all attempts of one request. */
@@ -59,6 +57,10 @@
   connectFailureCount: number;
   /** Placements that were given up because a chosen server wants no requests. */
   diversionCount: number;
+  /** Placements that were requested so far. */
+  placementCount: number;
+  /** Placement on another server, which was found while the last one was silent. */
+  successor: Pick<Attempt, "job" | "decision"> | undefined;
   mayHaveRun: boolean;
   /** True while a server has the request and has not answered it. */
   isInFlight: boolean;
--- a/packages/forwarding/_lib/create_silence_watch.ts
+++ b/packages/forwarding/_lib/create_silence_watch.ts
@@ -13,8 +13,8 @@
 export interface SilenceWatch {
   /** Must be called when data from the server arrives. */
   recordData(): void;
-  /** Why the server was given up; undefined while it is not. */
-  givenUpAs(): "lost" | "unreachable" | undefined;
+  /** True if the server was given up because its process has ended. */
+  isLost(): boolean;
   /** Ends the watch. */
   stop(): void;
 }
@@ -29,10 +29,10 @@
   expectedMs: Millis;
   /** Expected longest time between two pieces of data. */
   pauseMs: Millis;
-  /** True if the request may be sent to another server although this one may have run it. */
-  isRepeatable: boolean;
-  /** Called when the server is given up. */
-  onGivenUp: () => void;
+  /** Called when the process of the server has ended. */
+  onLost: () => void;
+  /** Called after each check from which on the server counts as unreachable. */
+  onUnreachable: () => void;
 }
 
 /**
@@ -43,8 +43,8 @@
  * that has left the directory may still be answering, so neither is a reason to give up. The server
  * is checked once it has been silent for longer than expected, or at once when its entry is gone or
  * names another start. A server whose process has ended is given up. One that is only unreachable
- * may become reachable again with its answer, so it is given up after several checks in a row, not
- * before a sound server would have gone on, and only if another server may run the request.
+ * may become reachable again with its answer, and is reported after several checks in a row, not
+ * before a sound server would have gone on.
  *
  * @param context services of the host
  * @param options the server and its expected times
@@ -60,7 +60,7 @@
   let allowedMs = options.expectedMs + SILENCE_SLACK_MS;
   let nextCheckMs = -Infinity;
   let unreachableCount = 0;
-  let givenUpAs: "lost" | "unreachable" | undefined;
+  let isLost = false;
   let isStopped = false;
 
   const shouldCheck = (nowMs: Millis) => {
@@ -69,20 +69,20 @@
     return !isEntryCurrent || nowMs - silentSinceMs > allowedMs;
   };
 
-  const giveUp = (reason: "lost" | "unreachable") => {
-    givenUpAs = reason;
+  const giveUp = () => {
+    isLost = true;
     clearInterval(timer);
     log.warn(
       {
         requestId,
         server: server.id,
-        reason,
+        reason: SERVER_STATUS.LOST,
         silentMs: Math.round(clock.nowMs() - silentSinceMs),
         allowedMs: Math.round(allowedMs),
       },
       "Giving up a silent server",
     );
-    options.onGivenUp();
+    options.onLost();
   };
 
   /** Checks that share a result may follow each other closely, so that their number is not enough. */
@@ -97,10 +97,10 @@
     const status = await context.checkServer(server);
     metrics.increment("server_check", { status });
     // Data that arrived during the check shows that the exchange goes on.
-    if (isStopped || givenUpAs !== undefined || silentSinceMs > startMs) return;
+    if (isStopped || isLost || silentSinceMs > startMs) return;
     unreachableCount = status === SERVER_STATUS.UNREACHABLE ? unreachableCount + 1 : 0;
-    if (status === SERVER_STATUS.LOST) giveUp("lost");
-    else if (options.isRepeatable && isUnreachableForLong()) giveUp("unreachable");
+    if (status === SERVER_STATUS.LOST) giveUp();
+    else if (isUnreachableForLong()) options.onUnreachable();
   };
 
   const timer = setInterval(() => void check(), SILENCE_POLL_MS);
@@ -110,7 +110,7 @@
       allowedMs = options.pauseMs + SILENCE_SLACK_MS;
       unreachableCount = 0;
     },
-    givenUpAs: () => givenUpAs,
+    isLost: () => isLost,
     stop() {
       isStopped = true;
       clearInterval(timer);
--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -49,7 +49,7 @@
   };
 
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
-    const { answer, metadata, exchange, mayRetry, onChunk } = received;
+    const { answer, metadata, onChunk, onStalled } = received;
     if (!metadata.isSealed || metadata.isEncoded) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
@@ -60,14 +60,7 @@
     }
     if (!isSuccess) return await handleFailure(answer);
     const splitter = createEventSplitter();
-    // Without another server the silence may still end before the deadline.
-    const stallTimer = createStallTimer(mayRetry ? computeStallTimeoutMs(route) : 0, () => {
-      context.log.warn(
-        { requestId: request.id, lastEventId },
-        "Stream stalled; cancelling it at the server",
-      );
-      exchange.cancel();
-    });
+    const stallTimer = createStallTimer(computeStallTimeoutMs(route), onStalled);
     const streamTimer = createStreamTimer(context, request);
     let repeatedBytes = 0;
     let hasNewEvent = false;
@@ -181,15 +174,15 @@
   return pauseGoalMs === 0 ? 0 : Math.max(SILENCE_TOLERANCE_MS, STALL_TIMEOUT_FACTOR * pauseGoalMs);
 }
 
-/** Creates a timer that each chunk restarts; with a timeout of 0 it never fires. */
+/** Creates a timer that each chunk restarts, and that fires repeatedly; with a timeout of 0 never. */
 function createStallTimer(timeoutMs: Millis, onStall: () => void) {
   let timer: NodeJS.Timeout | undefined;
   return {
     restart() {
       if (timeoutMs === 0) return;
-      if (timer === undefined) timer = setTimeout(onStall, timeoutMs);
+      if (timer === undefined) timer = setInterval(onStall, timeoutMs);
       else timer.refresh();
     },
-    clear: () => clearTimeout(timer),
+    clear: () => clearInterval(timer),
   };
 }
--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -5,19 +5,19 @@
 import { listUnusableServers } from "./list_unusable_servers.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
-/** Describes the next attempt of a request for placement. */
+/** Describes the next attempt of a request for placement; each description has an id of its own. */
 export function describeJob(
   context: ForwardingContext,
   request: CallerRequest,
   state: AttemptState,
   handler: AnswerHandler,
+  excludedIds: readonly string[] = state.excludedIds,
 ): PlacementJob {
   const { metadata, route } = request;
-  const attempt = state.sendCount + state.connectFailureCount + state.diversionCount;
   const unusable = listUnusableServers(context, request);
   const now = context.clock.nowMs();
   return {
-    id: `${request.id}.${attempt}`,
+    id: `${request.id}.${state.placementCount++}`,
     service: request.service,
     promptTokens: metadata.promptTokens,
     answerTokens: metadata.estimatedAnswerTokens ?? metadata.maxAnswerTokens,
@@ -26,7 +26,7 @@
     remainingMs: firstByteDeadlineMs(request, now, handler.resumeAfter() !== undefined) - now,
     wholeWithinMs: request.endMs - now,
     elapsedMs: now - request.arrivalMs,
-    excludedIds: [...new Set([...state.excludedIds, ...unusable.map(({ id }) => id)])],
+    excludedIds: [...new Set([...excludedIds, ...unusable.map(({ id }) => id)])],
     isRetry: state.sendCount > 0,
     fingerprint: request.fingerprint,
     isRepeatable: isRepeatable(request),
@@ -50,3 +50,8 @@
   const { kind, isResumable } = request.route;
   return kind === ROUTE_KIND.IDEMPOTENT || (kind === ROUTE_KIND.STREAMING && isResumable);
 }
+
+/** Reports whether the route allows that the request is sent once more. */
+export function hasAttemptLeft({ route }: CallerRequest, state: AttemptState): boolean {
+  return state.sendCount - state.lostCount < route.maxAttempts;
+}
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -11,12 +11,10 @@
 } from "../constants.ts";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import { EXCHANGE_FAILURE, ExchangeError, openExchange } from "../open_exchange.ts";
-import type { Exchange } from "../open_exchange.ts";
 import type { Attempt, AttemptResult, AttemptState } from "./attempt.ts";
 import { chooseUrgency } from "./choose_urgency.ts";
 import { createSilenceWatch } from "./create_silence_watch.ts";
-import type { SilenceWatch } from "./create_silence_watch.ts";
-import { isRepeatable } from "./describe_job.ts";
+import { createSuccessorSearch } from "./create_successor_search.ts";
 import { readOwnAnswer } from "./read_own_answer.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
 
@@ -28,9 +26,10 @@
 export async function exchangeOnce(
   context: ForwardingContext,
   request: CallerRequest,
-  { job, decision, server, state, handler }: Attempt,
+  attempt: Attempt,
   options: { reservation: Reservation | undefined; onFaultyServer: (address: string) => void },
 ): Promise<AttemptResult> {
+  const { job, decision, server, state, handler } = attempt;
   // The caller may have disconnected while memory was reserved.
   if (request.signal.aborted) {
     return { outcome: JOB_OUTCOME.CANCELLED, isDone: false, failure: FAILURE.DEADLINE };
@@ -57,21 +56,22 @@
   }, { connectTimeoutMs: CONNECT_TIMEOUT_MS });
   const onAbort = () => exchange.cancel();
   request.signal.addEventListener("abort", onAbort, { once: true });
-  const isLast = state.sendCount - state.lostCount >= request.route.maxAttempts;
-  const mayRetry = !isLast && isRepeatable(request);
-  const firstByteTimer = startFirstByteTimer(context, request, {
-    expectedMs: decision.expectedMs,
-    mayRetry,
-    exchange,
-  });
+  const successors = createSuccessorSearch(context, request, attempt, exchange.cancel);
+  const firstByteTimer = setInterval(
+    () => successors.start("no_first_byte"),
+    computeFirstByteTimeoutMs(request, {
+      expectedMs: decision.expectedMs,
+      remainingMs: request.endMs - context.clock.nowMs(),
+    }),
+  );
   const silence = createSilenceWatch(context, {
     requestId: request.id,
     server,
     // Memory that is reserved for a request must not outlast its engine, so that one is checked early.
     expectedMs: options.reservation === undefined ? decision.expectedMs : 0,
     pauseMs: request.route.pauseGoalMs,
-    isRepeatable: isRepeatable(request),
-    onGivenUp: exchange.cancel,
+    onLost: exchange.cancel,
+    onUnreachable: () => successors.start("unreachable"),
   });
   try {
     const answer = await exchange.answer;
@@ -92,11 +92,13 @@
       return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
     const onChunk = () => {
-      firstByteTimer.clear();
+      clearInterval(firstByteTimer);
       silence.recordData();
+      successors.cancel();
       context.placement.started(job.id);
     };
-    return await handler.handle({ answer, metadata, exchange, mayRetry, onChunk });
+    const onStalled = () => successors.start("stalled");
+    return await handler.handle({ answer, metadata, onChunk, onStalled });
   } catch (err) {
     if (!(err instanceof ExchangeError)) throw err;
     if (err.failure === EXCHANGE_FAILURE.INVALID_REQUEST) {
@@ -104,13 +106,14 @@
       throw new ForwardingError(400, FAILURE.INVALID_REQUEST, { cause: err });
     }
     return classifyExchangeError(request, state, err, {
-      isTimedOut: firstByteTimer.hasFired(),
-      givenUpAs: silence.givenUpAs(),
+      isLost: silence.isLost(),
+      hasSuccessor: successors.hasFound(),
     });
   } finally {
     state.isInFlight = false;
-    firstByteTimer.clear();
+    clearInterval(firstByteTimer);
     silence.stop();
+    successors.cancel();
     request.signal.removeEventListener("abort", onAbort);
     exchange.cancel();
   }
@@ -120,10 +123,7 @@
   request: CallerRequest,
   state: AttemptState,
   err: ExchangeError,
-  { isTimedOut, givenUpAs }: {
-    isTimedOut: boolean;
-    givenUpAs: ReturnType<SilenceWatch["givenUpAs"]>;
-  },
+  { isLost, hasSuccessor }: { isLost: boolean; hasSuccessor: boolean },
 ): AttemptResult {
   if (err.failure === EXCHANGE_FAILURE.NOT_CONNECTED) {
     state.sendCount -= 1;
@@ -134,40 +134,24 @@
   if (request.signal.aborted) {
     return { outcome: JOB_OUTCOME.CANCELLED, isDone: false, failure: FAILURE.DEADLINE };
   }
-  if (givenUpAs !== undefined) {
-    if (givenUpAs === "lost") state.lostCount += 1;
+  if (isLost) {
+    state.lostCount += 1;
     return { outcome: JOB_OUTCOME.SILENT, isDone: false, failure: FAILURE.SERVER_LOST };
   }
-  if (isTimedOut) {
+  if (hasSuccessor) {
     return { outcome: JOB_OUTCOME.SILENT, isDone: false, failure: FAILURE.SERVER_SILENT };
   }
   return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.SERVER_BROKE_OFF };
 }
 
-/**
- * Starts a timer that cancels an exchange if its first byte does not arrive in time. The timer does
- * nothing if no other server may be tried afterwards.
- */
-function startFirstByteTimer(
-  context: ForwardingContext,
-  request: CallerRequest,
-  options: { expectedMs: Millis; mayRetry: boolean; exchange: Exchange },
-): { clear(): void; hasFired(): boolean } {
-  let hasFired = false;
-  if (!options.mayRetry) return { clear: () => {}, hasFired: () => false };
-  const remainingMs = request.endMs - context.clock.nowMs();
-  const timeoutMs = Math.max(
+/** Computes the time without a first byte after which another server is searched. */
+function computeFirstByteTimeoutMs(
+  { route }: CallerRequest,
+  { expectedMs, remainingMs }: { expectedMs: Millis; remainingMs: Millis },
+): Millis {
+  return Math.max(
     MIN_FIRST_BYTE_TIMEOUT_MS,
     Math.min(SILENCE_TOLERANCE_MS, FIRST_BYTE_SILENCE_SHARE * remainingMs),
-    FIRST_BYTE_EXPECTED_FACTOR * options.expectedMs + FIRST_BYTE_GOAL_FACTOR * request.route.goalMs,
+    FIRST_BYTE_EXPECTED_FACTOR * expectedMs + FIRST_BYTE_GOAL_FACTOR * route.goalMs,
   );
-  const timer = setTimeout(() => {
-    hasFired = true;
-    context.log.warn(
-      { requestId: request.id, timeoutMs },
-      "No first byte from server in time; trying another server",
-    );
-    options.exchange.cancel();
-  }, timeoutMs);
-  return { clear: () => clearTimeout(timer), hasFired: () => hasFired };
 }
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -1,5 +1,5 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
-import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
+import type { JobOutcome, PlacementDecision } from "@jaypass/placement";
 import { MAX_CONNECT_FAILURES, MAX_DIVERSIONS, MIN_RETRY_REMAINING_MS } from "../constants.ts";
 import { FAILURE } from "../errors.ts";
 import type { ForwardingError } from "../errors.ts";
@@ -10,10 +10,10 @@
   createNoServerError,
   createRefusalError,
 } from "./attempt_errors.ts";
-import { describeJob, isRepeatable } from "./describe_job.ts";
+import { describeJob, hasAttemptLeft, isRepeatable } from "./describe_job.ts";
 import { exchangeOnce } from "./exchange_once.ts";
+import { isInTime, listUnwillingIds, placeUnlessAborted } from "./place_unless_aborted.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
-import { canStart, watchLatestStart } from "./stop_limit.ts";
 
 /**
  * Sends a request to one server after another until one answers or no further attempt is allowed.
@@ -37,19 +37,36 @@
     lostCount: 0,
     connectFailureCount: 0,
     diversionCount: 0,
+    placementCount: 0,
+    successor: undefined,
     mayHaveRun: false,
     isInFlight: false,
     excludedIds: [],
     last: undefined,
   };
   request.onAttempts(state);
+  try {
+    await runUntilDone(context, request, state, handler);
+  } finally {
+    if (state.successor !== undefined) {
+      context.placement.finished(state.successor.job.id, JOB_OUTCOME.CANCELLED);
+    }
+  }
+}
+
+async function runUntilDone(
+  context: ForwardingContext,
+  request: CallerRequest,
+  state: AttemptState,
+  handler: AnswerHandler,
+): Promise<void> {
   /** Ends the request with the last server's own error answer if there is one. */
   const fail = (err: ForwardingError): void => {
     if (!deliverLastFailure(request, state)) throw err;
   };
   while (true) {
-    const job = describeJob(context, request, state, handler);
-    const decision = await placeUnlessAborted(context, request, job, handler);
+    const { job, decision } = takeSuccessor(state) ??
+      await placeNext(context, request, state, handler);
     if (decision === undefined) return fail(createAbortError(request, state));
     if (decision.kind === "refused") {
       return fail(createRefusalError(context, request, state, decision));
@@ -94,48 +111,21 @@
   }
 }
 
-/** Reports whether a placed request may still be sent, although the host may be stopping. */
-function isInTime(
-  context: ForwardingContext,
-  request: CallerRequest,
-  { decision, handler }: Pick<Attempt, "decision" | "handler">,
-): boolean {
-  return hasBegun(handler) ||
-    canStart(context, request, { firstByteMs: decision.expectedMs });
-}
-
-/** A stream that has begun goes on during a stop, since its caller cannot start it again. */
-function hasBegun(handler: AnswerHandler): boolean {
-  return handler.resumeAfter() !== undefined;
+/** Returns the placement that was found while the last server was silent, and removes it. */
+function takeSuccessor(state: AttemptState): AttemptState["successor"] {
+  const { successor } = state;
+  state.successor = undefined;
+  return successor;
 }
 
-/**
- * Places a job; undefined if the caller leaves, its deadline passes, or the host stops so soon that
- * the request cannot be answered any more, before the decision.
- */
-async function placeUnlessAborted(
+async function placeNext(
   context: ForwardingContext,
   request: CallerRequest,
-  job: PlacementJob,
+  state: AttemptState,
   handler: AnswerHandler,
-): Promise<PlacementDecision | undefined> {
-  const { signal } = request;
-  if (signal.aborted) return undefined;
-  let onAbort = () => {};
-  const aborted = new Promise<undefined>((resolve) => {
-    onAbort = () => resolve(undefined);
-    signal.addEventListener("abort", onAbort, { once: true });
-  });
-  const endWatch = hasBegun(handler) ? () => {} : watchLatestStart(context, request, onAbort);
-  const pendingDecision = context.placement.place(job);
-  const decision = await Promise.race([pendingDecision, aborted]);
-  signal.removeEventListener("abort", onAbort);
-  endWatch();
-  if (decision !== undefined) return decision;
-  context.placement.cancel(job.id);
-  // The job may be placed before the cancellation takes effect, and must then be ended as well.
-  pendingDecision.then(() => context.placement.finished(job.id, JOB_OUTCOME.CANCELLED));
-  return undefined;
+) {
+  const job = describeJob(context, request, state, handler);
+  return { job, decision: await placeUnlessAborted(context, request, job, handler) };
 }
 
 async function reserveMemory(
@@ -151,17 +141,6 @@
   return await context.reservations.reserve(job.id, memoryPlans);
 }
 
-/** Lists those of the servers of a decision that want no requests now. */
-function listUnwillingIds(
-  context: ForwardingContext,
-  { serverId, helperIds }: PlacementDecision & { kind: "placed" },
-): string[] {
-  return [serverId, ...helperIds].filter((id) => {
-    const server = context.findServer(id);
-    return server !== undefined && context.notices.waitMs(server) > 0;
-  });
-}
-
 /** Excludes the servers because of which a placement was given up. */
 function divert(
   context: ForwardingContext,
@@ -236,7 +215,7 @@
   if (request.endMs - context.clock.nowMs() < MIN_RETRY_REMAINING_MS) return false;
   if (state.connectFailureCount >= MAX_CONNECT_FAILURES) return false;
   if (state.sendCount === 0) return true;
-  if (state.sendCount - state.lostCount >= request.route.maxAttempts) return false;
+  if (!hasAttemptLeft(request, state)) return false;
   return result.outcome === JOB_OUTCOME.REJECTED && !state.mayHaveRun
     ? true
     : isRepeatable(request);
