Answer a request in progress before its connection fails

What callers saw: a request that a server was running got 408 or 400 at once if the headers behind it on the connection did not arrive within header_timeout_ms of the configuration, or if bytes behind it were no request. 408 promises that the request has not run. The log had no line on it, and such an end could not be told from a caller that leaves.

Cause: without a listener of 'clientError', Node.js writes an error answer of its own and destroys the connection, also while earlier requests on it are in progress. Their caller takes the error for their answer.

Evidence, before the change: caller_connection_test, 2 of 2 tests failed, with 'HTTP/1.1 408 Request Timeout' and 'HTTP/1.1 400 Bad Request' in place of the answer 200 of the server, which had run the request.

Change: whole requests in progress are answered first, and the last answer announces the close of the connection. Without one, the answer is as before. A line with the code, the ids of the requests in progress, and a counter (protocol_error) are written.

--- a/packages/forwarding/_lib/create_caller_connections.ts
+++ b/packages/forwarding/_lib/create_caller_connections.ts
@@ -1,14 +1,19 @@
+import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
 /** The connections of callers that have sent a request. */
 export interface CallerConnections {
   /**
-   * Registers a request on its connection. Returns false if an earlier answer has announced the
-   * close of the connection, so that the request must not be handled.
+   * Registers a request, by its answer, on its connection. Returns false if the connection is to be
+   * closed after an earlier answer, so that the request must not be handled.
    */
-  add(socket: Socket): boolean;
-  /** Unregisters a request; during a stop, closes its connection if no other one is left on it. */
-  remove(socket: Socket): void;
+  add(res: ServerResponse, socket: Socket): boolean;
+  /** Unregisters a request; closes its connection if that is due and no other one is left on it. */
+  remove(res: ServerResponse, socket: Socket): void;
+  /** Lists the answers to the requests in progress on a connection. */
+  listAnswers(socket: Socket): ServerResponse[];
+  /** Has a connection closed after the answers to the requests in progress on it. */
+  closeAfterAnswers(socket: Socket): void;
   /**
    * Reports whether the next answer on a connection must announce its close, which a stopping host
    * does for the only request on it. Requests behind the answer would be cut off.
@@ -25,29 +30,36 @@
  * @returns the record, which is empty
  */
 export function createCallerConnections(stopSignal: AbortSignal): CallerConnections {
-  const requestCounts = new Map<Socket, number>();
+  const answersBySocket = new Map<Socket, Set<ServerResponse>>();
   const closing = new WeakSet<Socket>();
+  const ending = new WeakSet<Socket>();
 
   stopSignal.addEventListener("abort", () => {
-    for (const [socket, count] of requestCounts) if (count === 0) socket.destroySoon();
+    for (const [socket, { size }] of answersBySocket) if (size === 0) socket.destroySoon();
   }, { once: true });
 
   return {
-    add(socket) {
-      if (closing.has(socket)) return false;
-      const count = requestCounts.get(socket);
-      requestCounts.set(socket, (count ?? 0) + 1);
-      if (count === undefined) socket.once("close", () => requestCounts.delete(socket));
+    add(res, socket) {
+      if (closing.has(socket) || ending.has(socket)) return false;
+      const answers = answersBySocket.get(socket);
+      if (answers === undefined) {
+        answersBySocket.set(socket, new Set([res]));
+        socket.once("close", () => answersBySocket.delete(socket));
+      } else answers.add(res);
       return true;
     },
-    remove(socket) {
-      const count = requestCounts.get(socket);
-      if (count === undefined) return;
-      requestCounts.set(socket, count - 1);
-      if (stopSignal.aborted && count === 1) socket.destroySoon();
+    remove(res, socket) {
+      const answers = answersBySocket.get(socket);
+      if (answers === undefined) return;
+      answers.delete(res);
+      const isDue = stopSignal.aborted || ending.has(socket);
+      if (isDue && answers.size === 0) socket.destroySoon();
     },
+    listAnswers: (socket) => [...answersBySocket.get(socket) ?? []],
+    closeAfterAnswers: (socket) => void ending.add(socket),
     shouldClose(socket) {
-      if (!stopSignal.aborted || requestCounts.get(socket) !== 1) return false;
+      const isDue = stopSignal.aborted || ending.has(socket);
+      if (!isDue || answersBySocket.get(socket)?.size !== 1) return false;
       closing.add(socket);
       return true;
     },
--- /dev/null
+++ b/packages/forwarding/_lib/handle_protocol_error.ts
@@ -0,0 +1,49 @@
+import type { Socket } from "node:net";
+import type { CallerConnections } from "./create_caller_connections.ts";
+import type { ForwardingContext } from "./request_context.ts";
+
+/** Statuses by error code; other errors of the HTTP parser get 400. */
+const STATUS_BY_CODE = new Map([
+  ["ERR_HTTP_REQUEST_TIMEOUT", "408 Request Timeout"],
+  ["HPE_HEADER_OVERFLOW", "431 Request Header Fields Too Large"],
+  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", "413 Payload Too Large"],
+]);
+
+/**
+ * Handles bytes of a caller that are no request, and headers that do not arrive in time.
+ *
+ * Node.js by itself would answer with an error and close the connection. Earlier requests on the
+ * connection would take that for their answer, so they are answered first, and the connection is
+ * closed after them.
+ *
+ * @param context log, metrics and codec of the host
+ * @param connections connections of the callers
+ * @param err error of the HTTP parser or of the connection
+ * @param socket the caller's connection
+ */
+export function handleProtocolError(
+  context: ForwardingContext,
+  connections: CallerConnections,
+  err: NodeJS.ErrnoException,
+  socket: Socket,
+): void {
+  const { code = "" } = err;
+  const isProtocolError = code.startsWith("HPE_") || code.startsWith("ERR_HTTP_");
+  if (!isProtocolError || !socket.writable) return void socket.destroy(err);
+  const answers = connections.listAnswers(socket);
+  context.metrics.increment("protocol_error", { code });
+  context.log.info({
+    code,
+    requests: answers.length,
+    requestIds: answers.map(({ req }) => context.codec.readCaller(req.rawHeaders).attemptId),
+    hasBegun: answers.some(({ headersSent }) => headersSent),
+  }, "Connection of a caller failed");
+  const areWhole = answers.every(({ req }) => req.complete);
+  if (answers.length > 0 && areWhole) return connections.closeAfterAnswers(socket);
+  if (!answers.some(({ headersSent }) => headersSent)) {
+    socket.write(
+      `HTTP/1.1 ${STATUS_BY_CODE.get(code) ?? "400 Bad Request"}\r\nConnection: close\r\n\r\n`,
+    );
+  }
+  socket.destroy(err);
+}
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -1,6 +1,7 @@
 import { createHash } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Millis } from "@jaypass/kernel";
 import {
   MAX_BUFFERED_BODY_BYTES,
@@ -13,6 +14,7 @@
 import { breakOff } from "./_lib/break_off.ts";
 import { createBodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
+import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
 import { readBody } from "./_lib/read_body.ts";
 import type { CallerRequest, ForwardingContext } from "./_lib/request_context.ts";
 import { runAttempts } from "./_lib/run_attempts.ts";
@@ -34,6 +36,8 @@
 export interface Forwarder {
   /** Answers one request; never rejects, and resolves when the answer has left the process. */
   handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
+  /** Handles an error on a caller's connection, as the event `clientError` reports it. */
+  handleProtocolError(err: Error, socket: Socket): void;
   /** Number of requests in progress. */
   size(): number;
   /** Logs and counts the requests in progress as cut off, for a stopping host that exits now. */
@@ -94,7 +98,7 @@
   return {
     async handle(req, res) {
       const { socket } = req;
-      if (!connections.add(socket)) return;
+      if (!connections.add(res, socket)) return;
       size += 1;
       const monitored = monitor.add(req, res);
       try {
@@ -108,8 +112,9 @@
       await waitForDelivery(res);
       size -= 1;
       monitor.remove(monitored);
-      connections.remove(socket);
+      connections.remove(res, socket);
     },
+    handleProtocolError: (err, socket) => handleProtocolError(context, connections, err, socket),
     size: () => size,
     reportCut: () => monitor.reportCut(),
   };
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { ServiceDefinition } from "@jaypass/kernel";
 import { createForwarder } from "@jaypass/forwarding";
 import type { Forwarder } from "@jaypass/forwarding";
@@ -122,6 +123,7 @@
     }
     void forwarder.handle(req, res);
   });
+  server.on("clientError", (err, socket) => forwarder.handleProtocolError(err, socket as Socket));
   return server;
 }
 
