Do not time out a connect that succeeded while the event loop was blocked

What was seen: in runs of the tests beside a load average of 28 to 46, 12 and 16 tests of packages/forwarding failed with the first server of a request counted as not reachable, and passed when run again alone.

Cause: Node.js runs timers before it polls sockets. If the event loop is blocked for longer than the connect timeout, for example while a large configuration is applied, the timer fires although the connection is established.

Evidence, before the change: open_exchange_test failed with not_connected.

Change: the timer leaves the decision to the end of the same turn of the event loop, when the sockets have been polled.

That the failed runs had this cause is likely, not shown.

--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -125,10 +125,13 @@
   } catch (err) {
     return createFailedExchange(err);
   }
-  const connectTimer = setTimeout(
-    () => req.destroy(new Error("Connection timed out")),
-    options.connectTimeoutMs,
-  );
+  const connectTimer = setTimeout(() => {
+    // Timers run before the sockets are polled, so after a long block of the event loop the
+    // connection may be there already.
+    setImmediate(() => {
+      if (!isConnected) req.destroy(new Error("Connection timed out"));
+    });
+  }, options.connectTimeoutMs);
   const answer = new Promise<ServerAnswer>((resolve, reject) => {
     req.once("socket", (socket) => {
       socket.once("connect", () => {
--- a/packages/forwarding/open_exchange_test.ts
+++ b/packages/forwarding/open_exchange_test.ts
@@ -1,7 +1,12 @@
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import test from "ava";
 import { EXCHANGE_FAILURE, ExchangeError, openExchange } from "./open_exchange.ts";
 import type { ServerRequest } from "./open_exchange.ts";
 
+const CONNECT_TIMEOUT_MS = 100;
+
 const REQUEST: ServerRequest = {
   address: "127.0.0.1:1",
   method: "POST",
@@ -39,3 +44,25 @@
     t.is(err?.failure, EXCHANGE_FAILURE.INVALID_REQUEST);
   });
 }
+
+test("a connect that succeeds while the event loop is blocked does not time out", async (t) => {
+  const server = createServer((_req, res) => void res.end("whole"));
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const exchange = openExchange({
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    method: "GET",
+    target: "/",
+    headers: ["Host", "server"],
+    body: Buffer.alloc(0),
+  }, { connectTimeoutMs: CONNECT_TIMEOUT_MS });
+  // The block begins once the connect is on its way.
+  process.nextTick(() => {
+    const endMs = performance.now() + 2 * CONNECT_TIMEOUT_MS;
+    while (performance.now() < endMs);
+  });
+  const answer = await exchange.answer;
+  t.is(answer.status, 200);
+  exchange.cancel();
+});
