Stop gracefully on a signal that comes before the start has completed

What callers saw: a host that got SIGTERM while it started ended at once and cut off what it served. Its listener for callers opens before the other listeners, and callers may know its address from before a restart.

Cause: the handlers of the signals were installed after the start.

Change: the handlers are installed before the start. The stop begins when the start has completed, and its time counts from the signal, as the forced end does. A signal before the settings are read still ends the process, which serves nobody then.

--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -10,8 +10,8 @@
 
 /** Phase of a host's graceful stop. */
 export interface StopState extends HostStop {
-  /** Starts the graceful stop. */
-  begin(): void;
+  /** Starts the graceful stop; `atMs` is the monotonic time of the signal, now by default. */
+  begin(atMs?: Millis): void;
   /** Starts the exit: no request is taken any more, and those in progress are answered. */
   beginExit(): void;
   /** Reports whether the process should exit, given the number of requests in progress. */
@@ -42,8 +42,8 @@
   return {
     signal: controller.signal,
     exit: exitController.signal,
-    begin() {
-      startMs ??= clock.nowMs();
+    begin(atMs = clock.nowMs()) {
+      startMs ??= atMs;
       controller.abort();
     },
     beginExit: () => exitController.abort(),
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -1,4 +1,5 @@
 import { sleep } from "@jaypass/kernel";
+import type { Clock, Millis } from "@jaypass/kernel";
 import { STOP_CHECK_MS } from "./constants.ts";
 import { createForwardingHost } from "./create_forwarding_host.ts";
 import type { HostContext } from "./host_context.ts";
@@ -10,16 +11,18 @@
  * @param context settings, platform adapter, clock, log and metrics
  */
 export async function runForwardingHost(context: HostContext): Promise<void> {
-  const { settings, log, incarnation } = context;
+  const { settings, clock, log, incarnation } = context;
   const kernel = createForwardingHost(context);
+  // Callers that know the address may be served before the start has completed.
+  const stopSignal = waitForSignal(clock);
   await kernel.start();
   log.info({ incarnation, callers: settings.callerAddress }, "Host started");
 
-  const signal = await waitForSignal();
+  const { signal, atMs } = await stopSignal;
   const stop = kernel.lookup(SERVICE.STOP_STATE);
   const forwarder = kernel.lookup(SERVICE.FORWARDER);
   const { callerConnectionCount } = kernel.lookup(SERVICE.PUBLIC_SERVERS);
-  stop.begin();
+  stop.begin(atMs);
   log.info(
     { signal, requests: forwarder.size(), connections: callerConnectionCount() },
     "Host stopping; waiting for its requests to end",
@@ -40,8 +43,9 @@
 }
 
 /** Waits for the first signal to stop; further ones do not end the process. */
-function waitForSignal(): Promise<string> {
+function waitForSignal(clock: Clock): Promise<{ signal: string; atMs: Millis }> {
   return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) process.on(signal, resolve);
+    const onSignal = (signal: string) => resolve({ signal, atMs: clock.nowMs() });
+    for (const signal of ["SIGTERM", "SIGINT"] as const) process.on(signal, onSignal);
   });
 }
