Reset the connections of answers that the exit of a host cuts off

Cause: the exit of the process closed the connections. An answer that breaks off for another reason resets them.

Change: the report of what the exit cuts off also breaks these answers off, as other answers that cannot be completed. An answer whose bytes have left is skipped.

--- a/packages/forwarding/_lib/create_stop_monitor.ts
+++ b/packages/forwarding/_lib/create_stop_monitor.ts
@@ -3,6 +3,7 @@
 import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
 import type { HeaderCodec } from "../types.ts";
 import type { AttemptState } from "./attempt.ts";
+import { breakOff } from "./break_off.ts";
 import type { StopTime } from "./request_context.ts";
 
 /** A request in progress. */
@@ -35,8 +36,8 @@
   remove(request: MonitoredRequest): void;
   /** Log fields that place a request in the stop; empty before the stop. */
   describe(request: MonitoredRequest): { sinceSignalMs?: Millis; isOnKeptConnection?: boolean };
-  /** Logs each request in progress as cut off, for a host that exits now. */
-  reportCut(): void;
+  /** Logs each request in progress as cut off and closes its connection, for a host that exits now. */
+  cutOff(): void;
 }
 
 /**
@@ -110,10 +111,14 @@
       const { isOnKeptConnection } = request;
       return { sinceSignalMs: Math.round(time.elapsedMs), isOnKeptConnection };
     },
-    reportCut() {
+    cutOff() {
       const time = stopTime();
       if (time === undefined) return;
-      for (const request of inProgress) logCut(request, time);
+      for (const request of inProgress) {
+        if (request.res.writableFinished) continue;
+        logCut(request, time);
+        breakOff(request.res);
+      }
     },
   };
 }
--- a/packages/forwarding/_lib/create_stop_monitor_test.ts
+++ b/packages/forwarding/_lib/create_stop_monitor_test.ts
@@ -58,7 +58,7 @@
     { level: "info", fields: { ...fields, isOnKeptConnection: true }, message: TAKEN },
     { level: "info", fields: { ...fields, isOnKeptConnection: false }, message: TAKEN },
   ]);
-  host.reportCut();
+  host.cutOff();
   t.deepEqual(linesOf(host, CUT), []);
   t.deepEqual(stopRequests(host), { "stop_request taken": 2 });
 });
@@ -84,7 +84,7 @@
   void host.call({ kind: ROUTE_KIND.STREAMING });
   await until(() => "first_event_ms" in host.counters);
   host.setStopTime({ elapsedMs: 7_540, remainingMs: -40 });
-  host.reportCut();
+  host.cutOff();
   const [line, ...others] = linesOf(host, CUT);
   t.deepEqual(others, []);
   t.is(line?.level, "warn");
@@ -109,14 +109,14 @@
   void sent.call();
   await until(() => sent.arrivals.length === 1);
   sent.setStopTime({ elapsedMs: 10, remainingMs: 0 });
-  sent.reportCut();
+  sent.cutOff();
 
   const reserving = await createTestHost([answerAtOnce], { reservationMs: 1_000 });
   t.teardown(() => reserving.close());
   void reserving.call();
   await until(() => reserving.size() === 1);
   reserving.setStopTime({ elapsedMs: 10, remainingMs: 0 });
-  reserving.reportCut();
+  reserving.cutOff();
 
   const facts = (host: TestHost) => linesOf(host, CUT).map(({ fields }) => fields);
   t.is(facts(sent).length, 1);
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -51,8 +51,8 @@
   beginExit(): void;
   /** Sets the progress of a graceful stop, which stays as it is; idle connections stay open. */
   setStopTime(time: StopTime): void;
-  /** Logs the requests in progress as cut off. */
-  reportCut(): void;
+  /** Logs the requests in progress as cut off and closes their connections. */
+  cutOff(): void;
   /** Log lines, in order. */
   lines: { level: "info" | "warn"; fields: object; message: string }[];
   /** Counters by name and labels, and numbers of recorded timings by name. */
@@ -249,7 +249,7 @@
       readStopTime = () => time;
       isListed = false;
     },
-    reportCut: () => forwarder.reportCut(),
+    cutOff: () => forwarder.cutOff(),
     lines,
     counters,
     address: addressOf(front),
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -40,8 +40,11 @@
   handleProtocolError(err: Error, socket: Socket): void;
   /** Number of requests in progress. */
   size(): number;
-  /** Logs and counts the requests in progress as cut off, for a stopping host that exits now. */
-  reportCut(): void;
+  /**
+   * Logs and counts the requests in progress as cut off, for a stopping host that exits now, and
+   * closes their connections, so that no answer looks complete.
+   */
+  cutOff(): void;
 }
 
 /** Route, target service and workspace of an authorized request. */
@@ -116,7 +119,7 @@
     },
     handleProtocolError: (err, socket) => handleProtocolError(context, connections, err, socket),
     size: () => size,
-    reportCut: () => monitor.reportCut(),
+    cutOff: () => monitor.cutOff(),
   };
 }
 
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -38,8 +38,8 @@
   // for the store to remove the host's row, since a hub may remove it as well.
   if (forwarder.size() > 0) await sleep(STOP_CHECK_MS);
   else await Promise.race([left, sleep(STOP_CHECK_MS)]);
-  // Requests may still end during the wait above, so the report comes last.
-  forwarder.reportCut();
+  // Requests may still end during the wait above, so this comes last.
+  forwarder.cutOff();
 }
 
 /** Waits for the first signal to stop; further ones do not end the process. */
