Bound the drain of the product's hosts by their grace period

What callers could see: a host whose callers do not leave it never ends by itself after SIGTERM. Its supervisor ends it by force then, in the middle of calls that may not be repeated.

Cause: the drain served every new request and waited for all of them. It did not know when the process is ended by force.

Change: the setting "stopGraceMs" (120 s by default, at least 50 s, so that address lists can expire before the services stop) gives the time from SIGTERM to the forced end. The drain ends 30 s earlier, which the stop of the services may take. During the drain, a new request whose deadline is beyond that end is refused as not run with the reason "stopping". Reads of the rest of an answer are served, as any host can go on with them.

Measured: graceful_stop_test passes, with a new test of a host whose callers stay until it has gone (34 s with a grace period of 60 s); create_drain_test and settings_test pass.

--- a/packages/entry/constants.ts
+++ b/packages/entry/constants.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { REFUSAL } from "@jaypass/admission";
+import { ADDRESS_TTL_MS, LEAVE_PROPAGATION_MS } from "@jaypass/membership";
 import { FAILURE } from "@jaypass/routing";
 
 /** Reasons of requests that are refused before they reach the router. */
@@ -19,6 +20,7 @@
   UNKNOWN_MODEL: "unknown_model",
   UNKNOWN_CALLER_KIND: "unknown_caller_kind",
   NOT_READY: "not_ready",
+  STOPPING: "stopping",
 } as const;
 
 /** HTTP status of each reason; a reason that is not listed has status 503. */
@@ -39,3 +41,9 @@
 
 /** Number of addresses in an address list. */
 export const ADDRESS_COUNT = 6;
+
+/** Timeout for stopping all services after the drain. */
+export const STOP_TIMEOUT_MS = 30_000;
+
+/** Shortest grace period: address lists that name the host must expire before its services stop. */
+export const MIN_STOP_GRACE_MS = ADDRESS_TTL_MS + LEAVE_PROPAGATION_MS + STOP_TIMEOUT_MS;
--- a/packages/entry/http/create_http_server_test.ts
+++ b/packages/entry/http/create_http_server_test.ts
@@ -82,7 +82,11 @@
       hosts: () => [],
     } as unknown as Membership,
     router: router as Router,
-    drain: { track: () => () => {}, isDraining: () => false } as unknown as Drain,
+    drain: {
+      track: () => () => {},
+      accepts: () => true,
+      isDraining: () => false,
+    } as unknown as Drain,
     mounted: [],
     log,
     metrics: { increment() {}, timing() {}, gauge() {} } as unknown as Metrics,
--- a/packages/entry/http/handle_chat_completion.ts
+++ b/packages/entry/http/handle_chat_completion.ts
@@ -9,6 +9,7 @@
 import { parseChatRequest } from "./parse_chat_request.ts";
 import { readCallerBody } from "./read_caller_body.ts";
 import { sendAnswer } from "./send_answer.ts";
+import { trackRequest } from "./track_request.ts";
 
 /**
  * Handles `POST /v1/chat/completions`.
@@ -26,7 +27,7 @@
   const { configuration, membership, router } = context;
   const caller = authenticateCaller(req, configuration.document());
   const { deadline, firstTokenMs } = createRequestDeadline(req, context);
-  const endTracking = context.drain.track(deadline.remainingMs());
+  const endTracking = trackRequest(context, deadline);
   let body;
   try {
     body = await readCallerBody(req, context);
--- a/packages/entry/http/handle_plain_service.ts
+++ b/packages/entry/http/handle_plain_service.ts
@@ -5,6 +5,7 @@
 import { createRequestDeadline } from "./create_request_deadline.ts";
 import type { HttpContext } from "./http_context.ts";
 import { readCallerBody } from "./read_caller_body.ts";
+import { trackRequest } from "./track_request.ts";
 
 /**
  * Handles `POST /v1/services/{service}/{operation}`.
@@ -31,7 +32,7 @@
     });
   }
   const { deadline } = createRequestDeadline(req, context);
-  const endTracking = context.drain.track(deadline.remainingMs());
+  const endTracking = trackRequest(context, deadline);
   let body;
   try {
     body = await readCallerBody(req, context);
--- a/packages/entry/run_host.ts
+++ b/packages/entry/run_host.ts
@@ -1,11 +1,9 @@
 import type { Kernel, Logger, Millis } from "@jaypass/kernel";
+import { STOP_TIMEOUT_MS } from "./constants.ts";
 import { createHost } from "./create_host.ts";
 import type { ProcessContext } from "./process_context.ts";
 import { SERVICE } from "./service_names.ts";
 
-/** Timeout for stopping all services after the drain. */
-const STOP_TIMEOUT_MS = 30_000;
-
 /**
  * Runs an entry host until it receives a stop signal, then drains and stops it.
  *
--- a/packages/entry/services/define_peer_services.ts
+++ b/packages/entry/services/define_peer_services.ts
@@ -1,6 +1,7 @@
 import type { AnyServiceDefinition } from "@jaypass/kernel";
 import { createDrain, createMembership } from "@jaypass/membership";
 import { createPeerPool, createPeerServer } from "@jaypass/peers";
+import { STOP_TIMEOUT_MS } from "../constants.ts";
 import type { ProcessContext } from "../process_context.ts";
 import { readTls } from "../read_tls.ts";
 import { SERVICE } from "../service_names.ts";
@@ -62,7 +63,11 @@
       name: SERVICE.DRAIN,
       needs: [SERVICE.MEMBERSHIP],
       start: (lookup) => ({
-        service: createDrain({ ...context, membership: lookup(SERVICE.MEMBERSHIP) }),
+        service: createDrain({
+          ...context,
+          membership: lookup(SERVICE.MEMBERSHIP),
+          maxDrainMs: settings.stopGraceMs - STOP_TIMEOUT_MS,
+        }),
       }),
     },
   ];
--- a/packages/entry/settings.ts
+++ b/packages/entry/settings.ts
@@ -1,5 +1,6 @@
 import { readFileSync } from "node:fs";
 import { z } from "zod";
+import { MIN_STOP_GRACE_MS } from "./constants.ts";
 import { SettingsError } from "./errors.ts";
 
 const endpoint = z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/, 'expected "IP:PORT"');
@@ -34,6 +35,8 @@
     level: "info",
   }),
   statsd: z.strictObject({ host: z.string(), port: z.number().int() }).optional(),
+  /** Time between SIGTERM and the forced end of the process, in milliseconds. */
+  stopGraceMs: z.number().int().min(MIN_STOP_GRACE_MS).default(120_000),
   limits: z.strictObject({
     /** Maximum size of a request body, in bytes. */
     maxBodyBytes: z.number().int().min(1_024).default(16 * 1024 * 1024),
--- a/packages/entry/settings_test.ts
+++ b/packages/entry/settings_test.ts
@@ -39,3 +39,9 @@
     messageOf({ colour: "blue" }),
   ]);
 });
+
+test("a grace period in which address lists cannot expire before the services stop is refused", (t) => {
+  t.is(parseSettings(VALID).stopGraceMs, 120_000);
+  t.is(parseSettings({ ...VALID, stopGraceMs: 50_000 }).stopGraceMs, 50_000);
+  t.regex(messageOf({ stopGraceMs: 49_999 }) ?? "", /"stopGraceMs"/);
+});
--- a/packages/membership/create_drain.ts
+++ b/packages/membership/create_drain.ts
@@ -8,6 +8,8 @@
   membership: Pick<Membership, "leave">;
   clock: Clock;
   log: Logger;
+  /** Longest duration of the drain, after which the host stops whether or not requests are running. */
+  maxDrainMs: Millis;
   /** Waits for a duration; the timers of the process by default. */
   sleep?: Sleep;
 }
@@ -16,6 +18,13 @@
 export interface Drain {
   /** Whether the host is leaving, so that it must omit itself from address lists. */
   isDraining(): boolean;
+  /**
+   * Reports whether the host may take a new request: always before the drain, and during it if the
+   * deadline is not beyond its end. The answer of a request with a later one could be cut off.
+   *
+   * @param remainingMs milliseconds until the deadline of the request
+   */
+  accepts(remainingMs: Millis): boolean;
   /**
    * Registers a running request, before or during the drain.
    *
@@ -27,7 +36,8 @@
   running(): number;
   /**
    * Marks the host as leaving, then waits until the address lists given out have expired and every
-   * running request has ended or passed its deadline. Further calls return the same promise.
+   * running request has ended or passed its deadline, at most for the longest duration of a drain.
+   * Further calls return the same promise.
    */
   drain(): Promise<void>;
 }
@@ -39,9 +49,9 @@
  * Creates the drain of this host.
  *
  * New requests are served during the drain, because their callers hold address lists that are still
- * valid.
+ * valid, unless they could outlast it.
  *
- * @param options membership, clock and log
+ * @param options membership, clock, log and longest duration
  * @returns the drain
  *
  * @example
@@ -49,9 +59,10 @@
  * process.once("SIGTERM", () => drain.drain().then(() => kernel.stop()));
  */
 export function createDrain(options: DrainOptions): Drain {
-  const { membership, clock, log, sleep = sleepOnTimer } = options;
+  const { membership, clock, log, maxDrainMs, sleep = sleepOnTimer } = options;
   const requests = new Set<{ deadlineMs: Millis }>();
   let drained: Promise<void> | undefined;
+  let endMs: Millis = Infinity;
   let onRequestEnd: (() => void) | undefined;
 
   const dropExpired = () => {
@@ -59,9 +70,9 @@
     for (const req of requests) if (req.deadlineMs <= nowMs) requests.delete(req);
   };
 
-  /** Waits until a request ends or the next deadline passes. */
+  /** Waits until a request ends, the next deadline passes or the drain ends. */
   const waitForEnd = async () => {
-    const maxWaitEndMs = clock.nowMs() + MAX_WAIT_MS;
+    const maxWaitEndMs = Math.min(endMs, clock.nowMs() + MAX_WAIT_MS);
     const nextMs = Math.min(maxWaitEndMs, ...[...requests].map(({ deadlineMs }) => deadlineMs));
     const controller = new AbortController();
     onRequestEnd = () => controller.abort();
@@ -71,6 +82,7 @@
   };
 
   const drain = async () => {
+    endMs = clock.nowMs() + maxDrainMs;
     membership.leave();
     log.info(
       { running: requests.size },
@@ -78,15 +90,17 @@
     );
     await sleep(ADDRESS_TTL_MS + LEAVE_PROPAGATION_MS);
     dropExpired();
-    while (requests.size > 0) {
+    while (requests.size > 0 && clock.nowMs() < endMs) {
       await waitForEnd();
       dropExpired();
     }
-    log.info({}, "Host is drained");
+    if (requests.size === 0) log.info({}, "Host is drained");
+    else log.warn({ running: requests.size }, "Drain has ended with requests in progress");
   };
 
   return {
     isDraining: () => drained !== undefined,
+    accepts: (remainingMs) => clock.nowMs() + remainingMs <= endMs,
     track(remainingMs) {
       const req = { deadlineMs: clock.nowMs() + remainingMs };
       requests.add(req);
--- a/packages/membership/create_drain_test.ts
+++ b/packages/membership/create_drain_test.ts
@@ -6,11 +6,14 @@
 
 const log: Logger = { debug() {}, info() {}, warn() {}, error() {}, child: () => log };
 
+const MAX_DRAIN_MS = 100_000;
+
 function startDrain() {
   const network = createVirtualNetwork({ seed: 1 });
   const seen = { left: 0, endMs: NaN };
   const drain = createDrain({
     membership: { leave: () => void seen.left++ },
+    maxDrainMs: MAX_DRAIN_MS,
     clock: network.clock,
     log,
     sleep: network.sleep,
@@ -56,3 +59,24 @@
   await network.run(2_000);
   t.is(seen.endMs, 45_000);
 });
+
+test("a drain under steady load ends at its limit", async (t) => {
+  const { network, drain, seen, start } = startDrain();
+  start();
+  let endPrevious = () => {};
+  for (let second = 0; second < 600; second++) {
+    const end = drain.track(10_000);
+    endPrevious();
+    endPrevious = end;
+    await network.run(1_000);
+  }
+  t.is(seen.endMs, MAX_DRAIN_MS);
+});
+
+test("a draining host accepts only requests that can end before it does", async (t) => {
+  const { network, drain, start } = startDrain();
+  t.true(drain.accepts(Infinity));
+  start();
+  await network.run(30_000);
+  t.deepEqual([MAX_DRAIN_MS - 30_000, MAX_DRAIN_MS - 29_999].map(drain.accepts), [true, false]);
+});
--- a/packages/system_tests/graceful_stop_test.ts
+++ b/packages/system_tests/graceful_stop_test.ts
@@ -44,3 +44,45 @@
   const addresses = await caller.fetchAddresses(system.hosts[1]!.url);
   t.false(addresses.some(({ url }) => url === leaving.url));
 });
+
+test("a host that callers do not leave ends within its grace period and cuts off no request", async (t) => {
+  const stopGraceMs = 60_000;
+  const system = await startSystem({
+    hosts: 2,
+    engines: 2,
+    services: 1,
+    hostSettings: { stopGraceMs },
+  });
+  t.teardown(() => system.stop());
+  const caller = createCaller("school");
+  t.teardown(() => caller.close());
+  const leaving = system.hosts[0]!;
+  let isStopped = false;
+  const refusals: unknown[] = [];
+  const faults: unknown[] = [];
+  const work = async (timeoutMs: number) => {
+    for (let at = 0; !isStopped; at++) {
+      const prompt = `question ${timeoutMs} ${at}`;
+      const outcome = await caller.complete(leaving.url, prompt, { maxTokens: TOKENS, timeoutMs });
+      if (isStopped) return;
+      if (outcome.status === 503) refusals.push([outcome.error?.reason, outcome.error?.ran]);
+      else faults.push(...[findAnswerError(outcome, prompt, TOKENS)].filter(Boolean));
+      await sleep(200);
+    }
+  };
+  const workers = [work(5_000), work(25_000)];
+  await sleep(500);
+  const startMs = performance.now();
+  leaving.program.signal("SIGTERM");
+  const code = await Promise.race([
+    leaving.program.exited,
+    sleep(stopGraceMs).then(() => "running"),
+  ]);
+  isStopped = true;
+  await Promise.all(workers);
+  t.is(code, 0, leaving.program.stderrTail());
+  t.true(performance.now() - startMs < stopGraceMs);
+  t.deepEqual(faults, []);
+  t.true(refusals.length > 0);
+  t.deepEqual(refusals.filter((refusal) => String(refusal) !== "stopping,not_run"), []);
+});
--- a/packages/system_tests/start_system.ts
+++ b/packages/system_tests/start_system.ts
@@ -30,6 +30,8 @@
   engineOptions?: Record<string, unknown>;
   serviceOptions?: Record<string, unknown>;
   platformOptions?: Record<string, unknown>;
+  /** Settings of every host besides those of the system itself. */
+  hostSettings?: Record<string, unknown>;
   /** Changes the configuration document before it is applied. */
   editDocument?: (document: Record<string, Record<string, unknown>>) => void;
 }
@@ -125,7 +127,14 @@
       oneWayMs: options.oneWayMs ?? 0.5,
     });
     options.editDocument?.(document);
-    const hosts = await startHosts(options.hosts ?? 3, { dataCentres, folder, platformUrl, start });
+    const { hostSettings = {} } = options;
+    const hosts = await startHosts(options.hosts ?? 3, {
+      dataCentres,
+      folder,
+      platformUrl,
+      hostSettings,
+      start,
+    });
     await applyDocument(hosts[0]!.url, document);
 
     const system: System = {
@@ -198,11 +207,12 @@
   dataCentres: readonly string[];
   folder: string;
   platformUrl: string;
+  hostSettings: Record<string, unknown>;
   start: Start;
 }
 
 async function startHosts(count: number, context: HostsContext): Promise<SystemHost[]> {
-  const { dataCentres, folder, platformUrl, start } = context;
+  const { dataCentres, folder, platformUrl, hostSettings, start } = context;
   const ports = await findFreePorts(count * 2);
   const startOne = async (_: unknown, i: number): Promise<SystemHost> => {
     const id = `host-${i}`;
@@ -233,6 +243,7 @@
         },
       },
       log: { level: "warn" },
+      ...hostSettings,
     };
     const settingsFile = join(folder, `${id}.json`);
     writeFileSync(settingsFile, JSON.stringify(settings));
