Limit the length of a text that a patch makes

What callers saw: nothing; only hosts of this program send patches. A short patch that names a long text 200 times made a text of 200 MB.

Cause: the ranges of a patch were checked, their number was not.

Evidence: "a short patch that repeats a long text does not exhaust the memory" failed before (no error was thrown).

Change: a patch that makes more than 64 Mi characters throws a RangeError, which closes the link, as for other patches that are not valid.

--- a/packages/fleet/_lib/text_patch.ts
+++ b/packages/fleet/_lib/text_patch.ts
@@ -7,6 +7,12 @@
 /** Maximum fraction of new text in a patch; above it, a patch saves too little. */
 const MAX_NEW_FRACTION = 0.25;
 
+/**
+ * Longest text that a patch may make. A patch can name the whole base many times, so that a short one
+ * could exhaust the memory.
+ */
+const MAX_TEXT_LENGTH = 64 * 1024 * 1024;
+
 /** End of an entry in a JSON list, at which texts are split into pieces. */
 const SEPARATOR = "},";
 
@@ -47,7 +53,8 @@
  * @param base the text that the patch was created for
  * @param patch result of {@linkcode createTextPatch}
  * @returns the newer text
- * @throws {RangeError} when the patch copies pieces that the base does not have
+ * @throws {RangeError} when the patch copies pieces that the base does not have, or makes a text of
+ * more than 64 Mi characters
  *
  * @example
  * applyTextPatch('[{"a":1},{"b":1}]', [[0, 1], '{"b":2}]']); // '[{"a":1},{"b":2}]'
@@ -55,9 +62,15 @@
 export function applyTextPatch(base: string, patch: TextPatch): string {
   const basePieces = base.split(SEPARATOR);
   const pieces: string[] = [];
+  let length = 0;
+  const push = (piece: string) => {
+    pieces.push(piece);
+    length += piece.length + SEPARATOR.length;
+    if (length > MAX_TEXT_LENGTH) throw new RangeError("Patch makes a text that is too long");
+  };
   for (const part of patch) {
     if (typeof part === "string") {
-      pieces.push(part);
+      push(part);
       continue;
     }
     const [first, count] = part;
@@ -66,7 +79,7 @@
         `Patch copies ${count} pieces from index ${first}, but the base has ${basePieces.length}`,
       );
     }
-    for (let at = first; at < first + count; at++) pieces.push(basePieces[at] ?? "");
+    for (let at = first; at < first + count; at++) push(basePieces[at] ?? "");
   }
   return pieces.join(SEPARATOR);
 }
--- a/packages/fleet/_lib/text_patch_test.ts
+++ b/packages/fleet/_lib/text_patch_test.ts
@@ -36,3 +36,9 @@
 test("applying a patch to another text throws", (t) => {
   t.throws(() => applyTextPatch("a", [[0, 2]]), { instanceOf: RangeError });
 });
+
+test("a short patch that repeats a long text does not exhaust the memory", (t) => {
+  const base = "x".repeat(1_000_000);
+  const patch: [number, number][] = Array.from({ length: 200 }, () => [0, 1]);
+  t.throws(() => applyTextPatch(base, patch), { instanceOf: RangeError });
+});
