--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -102,7 +102,7 @@
   /** Time that a memory reservation takes; if set, each placement needs a ticket. */
   reservationMs?: number;
   /** Reports whether a reservation succeeds; all do by default. */
-  canReserve?: () => boolean;
+  canReserve?: () => boolean | Promise<boolean>;
   /** Expected time to the first byte, as stated by placement; 10 ms by default. */
   expectedMs?: number;
   /** Target for the longest pause of streams; 100 ms by default. */
@@ -218,7 +218,7 @@
     reservations: {
       async reserve() {
         await wait(options.reservationMs);
-        if (options.canReserve?.() === false) return undefined;
+        if (await options.canReserve?.() === false) return undefined;
         return { tickets: new Map(), release: () => void (releaseCount += 1) };
       },
     },
--- a/packages/forwarding/server_notices_test.ts
+++ b/packages/forwarding/server_notices_test.ts
@@ -101,8 +101,15 @@
 // Guards against a helper that is named to an engine, and read from, after it has left.
 test("a prompt whose helper states that it leaves during the reservation is placed again", async (t) => {
   let placements = 0;
+  const events = new EventEmitter();
+  const reserving = once(events, "reserving");
   const host = await setUp(t, [answer(), leave], {
-    reservationMs: 120,
+    reservationMs: 0,
+    async canReserve() {
+      setImmediate(() => events.emit("reserving"));
+      await once(events, "heard");
+      return true;
+    },
     place(job) {
       placements += 1;
       if (placements === 2) return place("1");
@@ -110,8 +117,9 @@
     },
   });
   const prompt = host.call();
-  await wait(30);
+  await reserving;
   t.is((await host.call()).status, 200);
+  events.emit("heard");
   t.is((await prompt).status, 200);
   t.deepEqual(serversOf(host), [1, 0]);
   t.is(host.releaseCount(), 1);
