--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -40,7 +40,7 @@
 /** Total size of the request bodies that a host buffers at a time. */
 export const MAX_BUFFERED_BODY_BYTES = 48 * 1024 * 1024;
 
-/** Wait for the first byte of an answer before which no other server is tried, also if time is short. */
+/** Shortest wait for the first byte before another server is tried, however little time is left. */
 export const MIN_FIRST_BYTE_TIMEOUT_MS = 700;
 
 /**
