Use no server whose entry has the address of a host

Cause: such an entry is valid in each field, and a host forwards what reaches its address, whoever sends it.

Change: a server is not usable while a host with a row accepts callers or links at its address.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -84,6 +84,8 @@
   hubLimitShare(): number;
   /** The share that it may use alone; 0 until it has read the hosts. */
   ownLimitShare(): number;
+  /** Reports whether a host with a row accepts callers or links at an address. */
+  hasHostAt(address: string): boolean;
   /** True while this host is a hub and places jobs of other hosts. */
   isHub(): boolean;
   /** True when there are other hosts and none of them has a link to this one. */
@@ -275,6 +277,20 @@
     return isLeaving ? withoutSelf : [self, ...withoutSelf];
   };
 
+  let addressesOf: { hosts: HostEntry[]; addresses: Set<string> } | undefined;
+  const hostAddresses = () => {
+    const hosts = knownHosts();
+    // Each change of the known hosts gives a new list.
+    if (addressesOf?.hosts !== hosts) {
+      const addresses = hosts.flatMap(({ callerAddress, linkAddress }) => [
+        callerAddress,
+        linkAddress,
+      ]);
+      addressesOf = { hosts, addresses: new Set(addresses) };
+    }
+    return addressesOf.addresses;
+  };
+
   const hasReadHosts = () => cache.revision(TABLE.HOSTS) !== undefined;
 
   const countUnlinked = () =>
@@ -306,6 +322,7 @@
     hostCount: () => knownHosts().length,
     hubLimitShare: () => hasReadHosts() ? 1 - countUnlinked() / knownHosts().length : 0,
     ownLimitShare: () => hasReadHosts() ? 1 / knownHosts().length : 0,
+    hasHostAt: (address) => hostAddresses().has(address),
     storeRecoveredAgoMs,
   };
 }
--- a/packages/forwarding_host/check_row_test.ts
+++ b/packages/forwarding_host/check_row_test.ts
@@ -112,6 +112,7 @@
         clock,
         log: LOG,
         storeRecoveredAgoMs: () => Infinity,
+        isHostAddress: (address) => address === "10.0.0.9:80",
         onChange() {
           placer.setServices([...view.configuration()?.services.values() ?? []]);
           placer.setServers(view.usableServers());
--- a/packages/forwarding_host/create_cluster_view.ts
+++ b/packages/forwarding_host/create_cluster_view.ts
@@ -14,6 +14,8 @@
   log: Logger;
   /** Time since the store recovered from an outage; Infinity if there was none. */
   storeRecoveredAgoMs: () => Millis;
+  /** Reports whether a host of this system listens at an address. */
+  isHostAddress: (address: string) => boolean;
   /** Called after the configuration or the usable servers may have changed. */
   onChange: () => void;
 }
@@ -104,8 +106,10 @@
     else servers.delete(row.key);
   };
 
+  // A request for the address of a host would pass from host to host until its deadline.
   const isUsable = ({ entry }: KnownServer) =>
-    entry.state === SERVER_STATE.READY && ![...evacuated.values()].includes(entry.dataCentre);
+    entry.state === SERVER_STATE.READY && ![...evacuated.values()].includes(entry.dataCentre) &&
+    !options.isHostAddress(entry.address);
 
   return {
     apply(table, changed) {
--- a/packages/forwarding_host/create_cluster_view_test.ts
+++ b/packages/forwarding_host/create_cluster_view_test.ts
@@ -18,6 +18,7 @@
     clock: { nowMs: () => 0, wallMs: () => 0 },
     log: LOG,
     storeRecoveredAgoMs: () => recoveredAgoMs,
+    isHostAddress: (address) => address === "10.0.0.9:80",
     onChange: () => {},
   });
   let version = 1;
@@ -128,3 +129,11 @@
   write(TABLE.SERVERS, "s1", server("s1"));
   t.deepEqual(usable(), ["s1"]);
 });
+
+test("a server whose entry has the address of a host is not usable", (t) => {
+  const { view, write, usable } = setUp();
+  write(TABLE.SERVERS, "s1", server("s1"));
+  write(TABLE.SERVERS, "odd", server("odd", { address: "10.0.0.9:80" }));
+  t.deepEqual(usable(), ["s1"]);
+  t.is(view.findServer("odd"), undefined);
+});
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -99,6 +99,7 @@
     clock,
     log,
     storeRecoveredAgoMs: () => fleet.storeRecoveredAgoMs(),
+    isHostAddress: (address) => fleet.hasHostAt(address),
     onChange() {
       const services = [...view.configuration()?.services.values() ?? []];
       const servers = view.usableServers();
