Stop listening for callers before a stopping host exits

What callers saw: requests sent in the last 0.2 to 0.6 s before the end of a stopping host got a reset in place of an answer, after up to 0.6 s, and none of them was read by the process.

Cause: the host kept listening until the operating system had ended the process, which accepts connections meanwhile. On a busy machine that takes some hundred milliseconds, in which callers wait for a host that reads nothing any more.

--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -86,7 +86,11 @@
         if (address !== undefined) await listen(server, address);
       }
       return {
-        service: { callerConnectionCount },
+        service: {
+          callerConnectionCount,
+          stopListening: () => void callerServer.close(),
+          closeConnections: () => callerServer.closeAllConnections(),
+        },
         stop() {
           for (const [server] of servers) {
             server.close();
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -21,7 +21,9 @@
   const { signal, atMs } = await stopSignal;
   const stop = kernel.lookup(SERVICE.STOP_STATE);
   const forwarder = kernel.lookup(SERVICE.FORWARDER);
-  const { callerConnectionCount } = kernel.lookup(SERVICE.PUBLIC_SERVERS);
+  const { callerConnectionCount, stopListening, closeConnections } = kernel.lookup(
+    SERVICE.PUBLIC_SERVERS,
+  );
   stop.begin(atMs);
   log.info(
     { signal, requests: forwarder.size(), connections: callerConnectionCount() },
@@ -34,12 +36,15 @@
     "Host stopped",
   );
   stop.beginExit();
+  // The operating system accepts connections until the end of the process, which can take long.
+  stopListening();
   // Leaves time for the answers of the requests in progress to leave the process. Does not wait long
   // for the store to remove the host's row, since a hub may remove it as well.
   if (forwarder.size() > 0) await sleep(STOP_CHECK_MS);
   else await Promise.race([left, sleep(STOP_CHECK_MS)]);
   // Requests may still end during the wait above, so this comes last.
   forwarder.cutOff();
+  closeConnections();
 }
 
 /** Waits for the first signal to stop; further ones do not end the process. */
--- a/packages/forwarding_host/service_names.ts
+++ b/packages/forwarding_host/service_names.ts
@@ -24,6 +24,10 @@
 export interface PublicServers {
   /** Number of open connections of callers, idle ones included. */
   callerConnectionCount(): number;
+  /** Refuses new connections of callers; those that are open stay. */
+  stopListening(): void;
+  /** Closes all connections of callers. */
+  closeConnections(): void;
 }
 
 /** Fleet, cluster view and placement, which depend on one another. */
