Search another server for a silent stream in time before its caller leaves

What callers saw: with the tolerance of 1.7 s, a stream whose server was silent for longer got no event within the 2 s after which callers abandon it, since the next server had 0.3 s left.

Cause: the tolerance left no time to the server that takes over. Since a silent server is left only for another one that was chosen, a shorter tolerance ends no answer sooner.

Change: another server is searched after 1.4 s of silence. A server that does not answer checks is kept for 1.7 s as before, with a constant of its own.

--- a/packages/forwarding/_lib/create_silence_watch.ts
+++ b/packages/forwarding/_lib/create_silence_watch.ts
@@ -4,7 +4,7 @@
   SERVER_CHECK_PERIOD_MS,
   SILENCE_POLL_MS,
   SILENCE_SLACK_MS,
-  SILENCE_TOLERANCE_MS,
+  UNREACHABLE_TOLERANCE_MS,
 } from "../constants.ts";
 import { SERVER_STATUS } from "../types.ts";
 import type { ForwardingContext, ForwardingServer } from "./request_context.ts";
@@ -88,7 +88,7 @@
   /** Checks that share a result may follow each other closely, so that their number is not enough. */
   const isUnreachableForLong = () =>
     unreachableCount >= MAX_UNREACHABLE_CHECKS &&
-    clock.nowMs() - silentSinceMs > SILENCE_TOLERANCE_MS;
+    clock.nowMs() - silentSinceMs > UNREACHABLE_TOLERANCE_MS;
 
   const check = async () => {
     const startMs = clock.nowMs();
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -57,9 +57,12 @@
 
 /**
  * Silence for which a request stays with its server. Sound servers may be silent for a second or so,
- * and callers abandon a stream after 2 s at the earliest.
+ * and callers abandon a stream after 2 s at the earliest, so that another server needs the rest.
  */
-export const SILENCE_TOLERANCE_MS = 1_700;
+export const SILENCE_TOLERANCE_MS = 1_400;
+
+/** Silence for which a request stays with a server that does not answer checks. */
+export const UNREACHABLE_TOLERANCE_MS = 1_700;
 
 /** Factor of the pause target after which a stream without a new chunk counts as interrupted. */
 export const STALL_TIMEOUT_FACTOR = 5;
