Answer whole requests before an invalid body behind them ends the connection

What callers saw: a request that a server was running was answered with status 400, and its connection closed, if the body of a request behind it on the same connection was not HTTP. A request that may not be repeated is then lost, since its caller takes the 400 for its own answer.

Cause: the listener of 'clientError' answers requests in progress first only if all of them are whole. The one whose body is invalid is in progress as well, so the error was written at once, as the answer to the first request.

Evidence, before the change: caller_connection_test, "a request is answered although one follows on its connection whose body is not HTTP" failed with 'HTTP/1.1 400 Bad Request' in place of the server's 200, caller_connection_test line 77.

Change: one whole request is enough to keep the connection until its answer has left. A connection that is to end is closed once no whole request is left on it; one that is not whole cannot become so any more.

--- a/packages/forwarding/_lib/create_caller_connections.ts
+++ b/packages/forwarding/_lib/create_caller_connections.ts
@@ -8,11 +8,16 @@
    * closed after an earlier answer, so that the request must not be handled.
    */
   add(res: ServerResponse, socket: Socket): boolean;
-  /** Unregisters a request; closes its connection if that is due and no other one is left on it. */
+  /**
+   * Unregisters a request; closes its connection if that is due and no other whole one is left on it.
+   */
   remove(res: ServerResponse, socket: Socket): void;
   /** Lists the answers to the requests in progress on a connection. */
   listAnswers(socket: Socket): ServerResponse[];
-  /** Has a connection closed after the answers to the requests in progress on it. */
+  /**
+   * Has a connection closed after the answers to the whole requests in progress on it. No more bytes
+   * of a request are read from it.
+   */
   closeAfterAnswers(socket: Socket): void;
   /**
    * Reports whether the next answer on a connection must announce its close, which a stopping host
@@ -52,8 +57,10 @@
       const answers = answersBySocket.get(socket);
       if (answers === undefined) return;
       answers.delete(res);
-      const isDue = stopSignal.aborted || ending.has(socket);
-      if (isDue && answers.size === 0) socket.destroySoon();
+      const isDue = ending.has(socket)
+        ? ![...answers].some(({ req }) => req.complete)
+        : stopSignal.aborted && answers.size === 0;
+      if (isDue) socket.destroySoon();
     },
     listAnswers: (socket) => [...answersBySocket.get(socket) ?? []],
     closeAfterAnswers: (socket) => void ending.add(socket),
--- a/packages/forwarding/_lib/handle_protocol_error.ts
+++ b/packages/forwarding/_lib/handle_protocol_error.ts
@@ -38,8 +38,8 @@
     requestIds: answers.map(({ req }) => context.codec.readCaller(req.rawHeaders).attemptId),
     hasBegun: answers.some(({ headersSent }) => headersSent),
   }, "Connection of a caller failed");
-  const areWhole = answers.every(({ req }) => req.complete);
-  if (answers.length > 0 && areWhole) return connections.closeAfterAnswers(socket);
+  const hasWholeRequest = answers.some(({ req }) => req.complete);
+  if (hasWholeRequest) return connections.closeAfterAnswers(socket);
   if (!answers.some(({ headersSent }) => headersSent)) {
     socket.write(
       `HTTP/1.1 ${STATUS_BY_CODE.get(code) ?? "400 Bad Request"}\r\nConnection: close\r\n\r\n`,
