Keep a connection with an earlier request on it while a refused body is unread

What callers saw: a request that a server was running got no answer, and its connection was closed, if a request behind it on the same connection was refused before its body had arrived and the body did not go on for 1 s, or exceeded the limit. A request that may not be repeated is then lost.

Cause: the rest of a refused body is given up by closing the connection, without a check that earlier requests on it have been answered.

Evidence, before the change: unread_body_test, "a request is answered before its connection is closed for an unread body behind it" failed, with no answer in place of 200 and 404, unread_body_test line 101.

Change: the connection is closed after the answers to whole requests on it and after answers that have ended, as for bytes that are not HTTP.

Measured: unread_body_test 6 of 6 and caller_connection_test 3 of 3.

--- a/packages/forwarding/_lib/create_caller_connections.ts
+++ b/packages/forwarding/_lib/create_caller_connections.ts
@@ -9,14 +9,15 @@
    */
   add(res: ServerResponse, socket: Socket): boolean;
   /**
-   * Unregisters a request; closes its connection if that is due and no other whole one is left on it.
+   * Unregisters a request; closes its connection if that is due and no other answer is to be sent on
+   * it.
    */
   remove(res: ServerResponse, socket: Socket): void;
   /** Lists the answers to the requests in progress on a connection. */
   listAnswers(socket: Socket): ServerResponse[];
   /**
-   * Has a connection closed after the answers to the whole requests in progress on it. No more bytes
-   * of a request are read from it.
+   * Has a connection closed after the answers to the whole requests in progress on it, and those that
+   * have ended. Must be called only if no further request can be read from it.
    */
   closeAfterAnswers(socket: Socket): void;
   /**
@@ -58,7 +59,7 @@
       if (answers === undefined) return;
       answers.delete(res);
       const isDue = ending.has(socket)
-        ? ![...answers].some(({ req }) => req.complete)
+        ? ![...answers].some(({ req, writableEnded }) => req.complete || writableEnded)
         : stopSignal.aborted && answers.size === 0;
       if (isDue) socket.destroySoon();
     },
--- a/packages/forwarding/_lib/send_failure.ts
+++ b/packages/forwarding/_lib/send_failure.ts
@@ -12,6 +12,8 @@
   shouldClose: boolean;
   /** Most bytes of the body that are read and discarded. */
   maxUnreadBytes: number;
+  /** Has the connection closed after this answer and those to earlier requests on it. */
+  closeAfterAnswers: () => void;
 }
 
 /**
@@ -19,13 +21,14 @@
  *
  * The rest of a body that is still arriving is read and discarded. Closing the connection meanwhile
  * would reset it, and the caller could lose the answer, and the answers to the requests that it has
- * sent behind this one. The connection is closed only if the body does not end within the limits.
+ * sent behind this one. The connection is closed only if the body does not end within the limits, and
+ * after the answers to earlier requests on it.
  *
  * @param context services of the host
  * @param req the caller's request
  * @param res the answer to the caller
  * @param failure status, reason and retry delay
- * @param options whether the connection is closed, and the limit of the body
+ * @param options whether and how the connection is closed, and the limit of the body
  */
 export async function sendFailure(
   context: ForwardingContext,
@@ -53,5 +56,5 @@
     idleTimeoutMs: UNREAD_BODY_IDLE_MS,
   });
   res.end();
-  if (!hasEnded) req.socket.destroySoon();
+  if (!hasEnded) options.closeAfterAnswers();
 }
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -286,5 +286,6 @@
   await sendFailure(context, req, res, failure, {
     shouldClose: connections.shouldClose(req.socket),
     maxUnreadBytes: context.configuration()?.limits.maxBodyBytes ?? MAX_UNREAD_BODY_BYTES,
+    closeAfterAnswers: () => connections.closeAfterAnswers(req.socket),
   });
 }
--- a/packages/forwarding/unread_body_test.ts
+++ b/packages/forwarding/unread_body_test.ts
@@ -5,6 +5,7 @@
 import type { ExecutionContext } from "ava";
 import { createTestHost } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour } from "./_testing/create_test_host.ts";
+import { UNREAD_BODY_IDLE_MS } from "./constants.ts";
 
 /** Time in which what was sent has arrived. */
 const ARRIVAL_MS = 50;
@@ -78,3 +79,26 @@
   await wait(ARRIVAL_MS);
   t.is(host.size(), 0);
 });
+
+test("a request is answered before its connection is closed for an unread body behind it", async (t) => {
+  const host = await createTestHost([
+    (_req, res) =>
+      void setTimeout(
+        () => res.writeHead(200, { Attempt: "a1", Seal: "s" }).end("whole"),
+        2 * UNREAD_BODY_IDLE_MS,
+      ),
+  ]);
+  t.teardown(() => host.close());
+  const [ip = "", port] = host.address.split(":");
+  const socket = connect(Number(port), ip);
+  let text = "";
+  socket.setEncoding("utf8").on("data", (chunk: string) => text += chunk).on("error", () => {});
+  const fields = `${FIELDS}Key: k1\r\nContent-Length: 4\r\n\r\n`;
+  socket.write(
+    `POST /non_idempotent/1 HTTP/1.1\r\n${fields}abcdPOST /none/ HTTP/1.1\r\n${fields}ab`,
+  );
+  await once(socket, "close");
+  t.deepEqual(text.match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 200", "HTTP/1.1 404"]);
+  await wait(ARRIVAL_MS);
+  t.is(host.size(), 0);
+});
