Do not send a request that was refused while its body was read

What callers could see: a request that a host has answered 503 at its exit is sent to a server if the rest of its body arrives afterwards. Status 503 promises that it never runs.

Cause: at the exit a request is aborted only if no answer to it has been sent. If the exit came while the body was read, the refusal is that answer, so that the request was not aborted. It was stopped only by the close of its answer, which comes later if an earlier answer on the connection is in progress. In a host the time left in the stop, which is over at the exit, refuses it as well, so that no request is known to have run in this way.

Evidence, before the change: stop_test, "a request whose body is being read at the exit is not sent after its refusal" failed with 2 arrivals at the servers in place of 1, stop_test line 207.

Change: a request whose body ends after the exit has begun is aborted in any case, since it has been refused.

Measured: stop_test and unread_body_test passed.

--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -203,7 +203,8 @@
   const onExit = () => {
     if (!res.headersSent) controller.abort();
   };
-  if (exit.aborted) onExit();
+  // Refused while its body was read, so that its answer may have been sent already.
+  if (exit.aborted) controller.abort();
   else exit.addEventListener("abort", onExit, { once: true });
   const request: CallerRequest = {
     id: metadata.attemptId ?? createLocalId(context),
--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -1,3 +1,5 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
 import type { ExecutionContext } from "ava";
@@ -183,6 +185,28 @@
   t.is(host.arrivals.length, 0);
 });
 
+test("a request whose body is being read at the exit is not sent after its refusal", async (t) => {
+  const begin: ServerBehaviour = (_req, res) => {
+    res.writeHead(200, SEALED).write("id: 1\ndata: a\n\n");
+  };
+  const host = await createTestHost([begin, answer], { pauseGoalMs: 1_000 });
+  t.teardown(() => host.close());
+  const [ip = "", port] = host.address.split(":");
+  const socket = connect(Number(port), ip);
+  t.teardown(() => socket.destroy());
+  const fields = "HTTP/1.1\r\nHost: a.example\r\nAttempt: a1\r\nKey: k1\r\nContent-Length: ";
+  socket.write(`POST /streaming/1 ${fields}0\r\n\r\n`);
+  await once(socket, "data");
+  // The refusal waits behind the stream, so that its connection stays open.
+  socket.write(`POST /non_idempotent/1 ${fields}4\r\n\r\nab`);
+  while (host.size() < 2) await wait(5);
+  host.beginExit();
+  while (host.counters["stop_request refused"] !== 1) await wait(5);
+  socket.write("cd");
+  await wait(200);
+  t.is(host.arrivals.length, 1);
+});
+
 test("an answer that has begun at the exit goes on", async (t) => {
   const slow: ServerBehaviour = (_req, res) => {
     res.writeHead(200, SEALED).write("id: 1\ndata: a\n\n");
