Tell placement of a change of the hosts' addresses

What callers saw: none is known. A host that reads the servers before a host's row places requests on an odd server entry with that host's address until the next change of a server or of the configuration. Each such placement is given up and repeated, and the fourth one of a request ends it with status 503.

Cause: since a server with the address of a host is not usable, the usable servers depend on the hosts as well, but the view reported only changes of servers and operators to placement. After the row of a host is removed, a server that has got its address would be left out for as long.

Change: a change of the hosts is reported as well.

--- a/packages/forwarding_host/create_cluster_view.ts
+++ b/packages/forwarding_host/create_cluster_view.ts
@@ -113,10 +113,9 @@
 
   return {
     apply(table, changed) {
-      if (table === TABLE.HOSTS) return;
       for (const row of changed) {
         if (table === TABLE.OPERATORS) applyOperatorRow(row);
-        else applyServerRow(row);
+        else if (table === TABLE.SERVERS) applyServerRow(row);
       }
       options.onChange();
     },
--- a/packages/forwarding_host/create_cluster_view_test.ts
+++ b/packages/forwarding_host/create_cluster_view_test.ts
@@ -14,12 +14,13 @@
 
 function setUp() {
   let recoveredAgoMs = Infinity;
+  let changeCount = 0;
   const view = createClusterView({
     clock: { nowMs: () => 0, wallMs: () => 0 },
     log: LOG,
     storeRecoveredAgoMs: () => recoveredAgoMs,
     isHostAddress: (address) => address === "10.0.0.9:80",
-    onChange: () => {},
+    onChange: () => void (changeCount += 1),
   });
   let version = 1;
   const row = (key: string, value: unknown): Row => ({
@@ -33,6 +34,7 @@
       view.apply(table, [row(key, value)]),
     setRecovered: (ms: number) => void (recoveredAgoMs = ms),
     usable: () => view.usableServers().map(({ id }) => id),
+    changeCount: () => changeCount,
   };
 }
 
@@ -137,3 +139,9 @@
   t.deepEqual(usable(), ["s1"]);
   t.is(view.findServer("odd"), undefined);
 });
+
+test("a change of the hosts is reported, since it changes which servers are usable", (t) => {
+  const { write, changeCount } = setUp();
+  write(TABLE.HOSTS, "h9", { callerAddress: "10.0.0.9:80" });
+  t.is(changeCount(), 1);
+});
