Do not take a caller that reads slowly for a silent server

What callers saw: the answer of a sound server was cut off if its caller did not read for a while. Once the host held 256 KiB for the caller, it read nothing more of the stream, and 1.7 s later sent the request to another server. That server ran it again; if it repeated more than 256 KiB of events, the answer was broken off.

Cause: the stall timer of streams also ran while the host waited for the caller.

Change: the timer runs only while the host waits for the next chunk.

--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -68,7 +68,8 @@
       for await (const chunk of answer.body) {
         onChunk();
         streamTimer.recordChunk();
-        stallTimer.restart();
+        // A caller that reads slowly delays the next chunk as well.
+        stallTimer.clear();
         for (const event of splitter.push(chunk)) {
           // A server that resumes a stream may repeat events that the caller has already.
           if (event.id === undefined) return invalidAnswer("Event without an id");
@@ -87,6 +88,7 @@
           await callerAnswer.write(event.bytes);
         }
         if (splitter.rest().length > MAX_EVENT_BYTES) return invalidAnswer("Event is too long");
+        stallTimer.start();
       }
     } finally {
       stallTimer.clear();
@@ -174,14 +176,12 @@
   return pauseGoalMs === 0 ? 0 : Math.max(SILENCE_TOLERANCE_MS, STALL_TIMEOUT_FACTOR * pauseGoalMs);
 }
 
-/** Creates a timer that each chunk restarts, and that fires repeatedly; with a timeout of 0 never. */
+/** Creates a timer that fires repeatedly once it is started; with a timeout of 0 never. */
 function createStallTimer(timeoutMs: Millis, onStall: () => void) {
   let timer: NodeJS.Timeout | undefined;
   return {
-    restart() {
-      if (timeoutMs === 0) return;
-      if (timer === undefined) timer = setInterval(onStall, timeoutMs);
-      else timer.refresh();
+    start() {
+      if (timeoutMs > 0) timer = setInterval(onStall, timeoutMs);
     },
     clear: () => clearInterval(timer),
   };
