Report an invalid request behind one in progress once

What operators saw: a line "Connection of a caller failed" and a count of protocol_error for each piece of data that a caller sends behind bytes that are no request, as long as an earlier request on the connection is in progress. One caller could fill the log.

Cause: the connection stays open until the earlier request is answered, and the HTTP parser of Node.js reports its error again for all further data.

Evidence, before the change: caller_connection_test, with further bytes after the invalid ones, failed with 2 and 3 lines in place of 1, caller_connection_test line 84.

Change: errors on a connection that is to be closed after its answers are not reported again.

--- a/packages/forwarding/_lib/create_caller_connections.ts
+++ b/packages/forwarding/_lib/create_caller_connections.ts
@@ -20,6 +20,8 @@
    * have ended. Must be called only if no further request can be read from it.
    */
   closeAfterAnswers(socket: Socket): void;
+  /** Reports whether a connection is to be closed after the answers to its requests in progress. */
+  isEnding(socket: Socket): boolean;
   /**
    * Reports whether the next answer on a connection must announce its close, which a stopping host
    * does for the only request on it. Requests behind the answer would be cut off.
@@ -65,6 +67,7 @@
     },
     listAnswers: (socket) => [...answersBySocket.get(socket) ?? []],
     closeAfterAnswers: (socket) => void ending.add(socket),
+    isEnding: (socket) => ending.has(socket),
     shouldClose(socket) {
       const isDue = stopSignal.aborted || ending.has(socket);
       if (!isDue || answersBySocket.get(socket)?.size !== 1) return false;
--- a/packages/forwarding/_lib/handle_protocol_error.ts
+++ b/packages/forwarding/_lib/handle_protocol_error.ts
@@ -30,6 +30,8 @@
   const { code = "" } = err;
   const isProtocolError = code.startsWith("HPE_") || code.startsWith("ERR_HTTP_");
   if (!isProtocolError || !socket.writable) return void socket.destroy(err);
+  // The parser reports an error for each further piece of data.
+  if (connections.isEnding(socket)) return;
   const answers = connections.listAnswers(socket);
   context.metrics.increment("protocol_error", { code });
   context.log.info({
