Refuse a configuration whose engines have no steps per pass or tokens per chunk

What callers saw: none is known, as the store accepts only valid configurations. With an odd one, the links between hosts and their hub would close again and again, and hosts would place requests by themselves.

Cause: placement divides by both numbers, so that the expected time of a decision is Infinity. JSON has no such number, and a host that receives null in its place refuses the message and closes the link.

Evidence, before the change: in a trial with twelve prompts on one engine, the decisions from the ninth on ("stride" 0) and from the second on ("chunk" 0) had expectedMs null as JSON. parse_configuration_document_test, "a document with no steps per pass is refused" and "... no tokens per chunk is refused" failed.

Change: both numbers must be at least 1, like the slots.

Measured: parse_configuration_document_test, decode_operator_entry_test and check_row_test passed.

--- a/packages/forwarding/parse_configuration_document.ts
+++ b/packages/forwarding/parse_configuration_document.ts
@@ -93,8 +93,8 @@
     contextMsPerThousand: fields.number("contextMsPerThousand", AMOUNT_RANGE),
     readTokensPerMs: fields.number("readTokensPerMs", RATE_RANGE),
     pairMsPerMillion: fields.number("pairMsPerMillion", AMOUNT_RANGE),
-    stepsPerPass: fields.number("stepsPerPass", AMOUNT_RANGE),
-    chunkTokens: fields.number("chunkTokens", AMOUNT_RANGE),
+    stepsPerPass: fields.number("stepsPerPass", COUNT_RANGE),
+    chunkTokens: fields.number("chunkTokens", COUNT_RANGE),
     usualPromptTokens: fields.number("usualPromptTokens", AMOUNT_RANGE),
     usualAnswerTokens: fields.number("usualAnswerTokens", AMOUNT_RANGE),
   };
--- a/packages/forwarding/parse_configuration_document_test.ts
+++ b/packages/forwarding/parse_configuration_document_test.ts
@@ -95,6 +95,8 @@
   "a negative weight": withRoute({ targets: [{ service: "s", weight: -1 }] }),
   "a weight of 1e300": withRoute({ targets: [{ service: "s", weight: 1e300 }] }),
   "a reading rate of zero": withEngine({ readTokensPerMs: 0 }),
+  "no steps per pass": withEngine({ stepsPerPass: 0 }),
+  "no tokens per chunk": withEngine({ chunkTokens: 0 }),
   "a negative step time": withEngine({ stepMs: -1 }),
   "a workspace name with a line break": {
     ...DOCUMENT,
