Cancel a request whose caller closes within a next request

What engines saw: a request ran to its end although its caller had closed the connection, if the caller had sent a part of a next request on it before.

Cause: the parser reports the end of a connection within a request as an error.

Change: an error after the caller has closed its side closes the connection. A caller that closes its side after a whole request is taken for gone by Node.js as well.

--- a/packages/forwarding/_lib/handle_protocol_error.ts
+++ b/packages/forwarding/_lib/handle_protocol_error.ts
@@ -30,9 +30,11 @@
   const { code = "" } = err;
   const isProtocolError = code.startsWith("HPE_") || code.startsWith("ERR_HTTP_");
   if (!isProtocolError || !socket.writable) return void socket.destroy(err);
+  const answers = connections.listAnswers(socket);
+  // A caller that closes its side within a request has left, so that the others must be cancelled.
+  if (answers.length > 0 && socket.readableEnded) return void socket.destroy(err);
   // The parser reports an error for each further piece of data.
   if (connections.isEnding(socket)) return;
-  const answers = connections.listAnswers(socket);
   context.metrics.increment("protocol_error", { code });
   context.log.info({
     code,
