Order a test of an interrupted stream by events and not by waits

The server reset the stream after 60 ms, by which time another answer had to have stated that the second server leaves. That this order was the cause of the failure is not shown.

The server now resets the stream once that answer has arrived.

--- a/packages/forwarding/server_notices_test.ts
+++ b/packages/forwarding/server_notices_test.ts
@@ -128,9 +128,11 @@
 
 // Guards against the resumption of a stream at a server that leaves.
 test("an interrupted stream is not resumed at a server that leaves", async (t) => {
+  const events = new EventEmitter();
+  const begun = once(events, "begun");
   const interrupt: ServerBehaviour = (_req, res) => {
-    res.writeHead(200, SEALED).write("id: 1\ndata: x\n\n");
-    setTimeout(() => resetConnection(res), 60);
+    res.writeHead(200, SEALED).write("id: 1\ndata: x\n\n", () => events.emit("begun"));
+    events.once("heard", () => resetConnection(res));
   };
   const resume: ServerBehaviour = (_req, res) => {
     res.writeHead(200, SEALED).end("id: 2\ndata: x\n\n");
@@ -142,8 +144,9 @@
         : placeFirst(3)(job),
   });
   const stream = host.call({ kind: ROUTE_KIND.STREAMING });
-  await wait(20);
+  await begun;
   t.is((await host.call()).status, 200);
+  events.emit("heard");
   t.deepEqual((await stream).body.match(/id: \d/g), ["id: 1", "id: 2"]);
   t.deepEqual(serversOf(host), [0, 1, 2]);
 });
