--- a/packages/forwarding/_lib/create_silence_watch.ts
+++ b/packages/forwarding/_lib/create_silence_watch.ts
@@ -31,7 +31,7 @@
   pauseMs: Millis;
   /** Called when the process of the server has ended. */
   onLost: () => void;
-  /** Called after each check from which on the server counts as unreachable. */
+  /** Called after each check that finds the server unreachable for longer than is tolerated. */
   onUnreachable: () => void;
 }
 
