Log content and prompt parts of failed attempts

Each attempt that fails now names both.

Tests: create_header_codec_test and create_forwarder_test pass.

--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -99,6 +99,7 @@
       outcome: result.outcome,
       failure: result.isDone ? undefined : result.failure,
       promptTokens: request.metadata.promptTokens || undefined,
+      ...!result.isDone && describeContent(request),
       ...result.timing,
     }, "Attempt ended");
     if (result.isDone) return;
@@ -111,6 +112,11 @@
   }
 }
 
+/** Describes by which content requests with failed attempts can be compared. */
+function describeContent({ fingerprint, metadata }: CallerRequest) {
+  return { fingerprint, parts: metadata.promptParts.join(" ") || undefined };
+}
+
 /** Returns the placement that was found while the last server was silent, and removes it. */
 function takeSuccessor(state: AttemptState): AttemptState["successor"] {
   const { successor } = state;
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -329,6 +329,7 @@
     promptTokens: 0,
     maxAnswerTokens: Number(find(headers, "answer-tokens") ?? 0),
     estimatedAnswerTokens: undefined,
+    promptParts: [],
   }),
   writeServerRequest: (headers, metadata) => [
     "Host",
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -115,6 +115,8 @@
   maxAnswerTokens: number;
   /** The caller's estimate of the length of the answer in tokens. */
   estimatedAnswerTokens: number | undefined;
+  /** Ids of the parts of the prompt, in order; prompts share parts. */
+  promptParts: readonly string[];
 }
 
 /** Metadata that a host adds to a request that it sends to a backend server. */
