Find the part of a prompt that crashes servers

Cause: crashes were counted by a hash of path, key and body, so that each such request was new; where path and body were alike, sound requests were refused for the crashes of others. Crashes after the first byte were not counted.

Evidence is now kept by content key: one for each prompt part and the old hash for the request as a whole. An answer clears all keys of its request, since the content crashes each server. Crashes count in rounds, as servers also end many at once; the number of rounds depends on how many other requests crash, and nothing is concluded while none is answered. A server that answers later has not crashed. Requests with suspect keys go to servers without another such request, one at a time for each key, so that the next crash shows the cause. Content that is found is refused for two minutes; each trial lengthens that tenfold.

--- a/packages/bench/simulate_placement.ts
+++ b/packages/bench/simulate_placement.ts
@@ -248,6 +248,7 @@
     excludedIds: [],
     isRetry: false,
     fingerprint: id,
+    parts: [],
     isRepeatable: true,
   }).then((choice) => {
     if (hasEnded) return;
--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -29,6 +29,7 @@
     excludedIds: [...new Set([...excludedIds, ...unusable.map(({ id }) => id)])],
     isRetry: state.sendCount > 0,
     fingerprint: request.fingerprint,
+    parts: metadata.promptParts,
     isRepeatable: isRepeatable(request),
   };
 }
--- a/packages/forwarding_host/age_job_test.ts
+++ b/packages/forwarding_host/age_job_test.ts
@@ -15,6 +15,7 @@
   excludedIds: [],
   isRetry: false,
   fingerprint: "f",
+  parts: [],
   isRepeatable: true,
 };
 
--- a/packages/forwarding_host/check_row_test.ts
+++ b/packages/forwarding_host/check_row_test.ts
@@ -145,6 +145,7 @@
         excludedIds: others,
         isRetry: false,
         fingerprint: "f",
+        parts: [],
         isRepeatable: true,
       });
       return isEvacuated || decision.kind === "placed" && decision.serverId === "sound";
--- a/packages/forwarding_host/create_placement_client_test.ts
+++ b/packages/forwarding_host/create_placement_client_test.ts
@@ -17,6 +17,7 @@
   excludedIds: [],
   isRetry: false,
   fingerprint: "f",
+  parts: [],
   isRepeatable: true,
 };
 
--- a/packages/forwarding_host/create_placement_parsers.ts
+++ b/packages/forwarding_host/create_placement_parsers.ts
@@ -53,6 +53,8 @@
     excludedIds: fields.strings("excludedIds"),
     isRetry: fields.boolean("isRetry"),
     fingerprint: fields.string("fingerprint"),
+    // Missing in jobs of an earlier version.
+    parts: fields.has("parts") ? fields.strings("parts") : [],
     isRepeatable: fields.boolean("isRepeatable"),
   };
 }
--- a/packages/forwarding_host/create_placement_parsers_test.ts
+++ b/packages/forwarding_host/create_placement_parsers_test.ts
@@ -21,6 +21,7 @@
   excludedIds: ["e1"],
   isRetry: true,
   fingerprint: "f",
+  parts: [],
   isRepeatable: false,
 };
 const PLACES = {
--- /dev/null
+++ b/packages/placement/_lib/create_crash_guard.ts
@@ -0,0 +1,154 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import { HARMLESS_AFTER_MS, QUARANTINE_HOLD_MS } from "../constants.ts";
+import { createCrashEvidence } from "../create_crash_evidence.ts";
+import type { CrashVerdict } from "../create_crash_evidence.ts";
+import { createQuarantineList } from "../create_quarantine_list.ts";
+import type { QuarantineList } from "../create_quarantine_list.ts";
+import type { ServerLoad } from "../create_server_load.ts";
+import { listContentKeys } from "../list_content_keys.ts";
+import { JOB_OUTCOME } from "../types.ts";
+import type { JobOutcome, PlacementJob } from "../types.ts";
+
+/** A job that was sent to a server. */
+export interface SentJob {
+  job: PlacementJob;
+  /** Server that got the request. */
+  serverId: string;
+  /** Start of the server. */
+  server: string;
+  /** Time at which the request was sent. */
+  sentMs: Millis;
+  /** Time of the first byte of the answer; undefined before it. */
+  writingSinceMs?: Millis;
+  /** True once the job has counted as answered for the evidence. */
+  isHarmless?: boolean;
+}
+
+/** Keeps requests from servers that would end under them. */
+export interface CrashGuard {
+  /** Returns the milliseconds for which a job must be refused; undefined if it may be sent. */
+  findRefusalMs(job: PlacementJob): Millis | undefined;
+  /** Counts a job that is sent as a trial if its content is in quarantine. */
+  countTrial(job: PlacementJob): void;
+  /** Records that a job was sent, by this placer or another one. */
+  recordSend(sent: SentJob): void;
+  /** Records the first byte of an answer. */
+  recordStart(sent: SentJob): void;
+  /** Records the end of an attempt. */
+  recordEnd(sent: SentJob, outcome: JobOutcome): void;
+  /**
+   * Selects servers without another suspect request, so that the end of one of them shows which
+   * request is the cause. A suspect request that can wait does so while there is none, and while
+   * another one with the same suspect content runs, which may end another server.
+   *
+   * @returns the servers to choose from; none if the request should wait
+   */
+  separate(job: PlacementJob, servers: readonly ServerLoad[], canWait: boolean): ServerLoad[];
+  /** Draws conclusions from the crashes so far, for which the running jobs are looked at. */
+  review(): void;
+}
+
+/** Options of {@linkcode createCrashGuard}. */
+export interface CrashGuardOptions {
+  /** Monotonic time source. */
+  clock: Clock;
+  /** Content that must not be sent; a new list by default. */
+  quarantine?: QuarantineList;
+  /** Lists the jobs that have been sent and have not ended. */
+  running: () => Iterable<SentJob>;
+  /** Called with each verdict, for the log. */
+  onVerdict?: (verdict: CrashVerdict) => void;
+}
+
+/**
+ * Creates a guard against content that crashes servers, without evidence.
+ *
+ * @param options clock and list of quarantines, to which verdicts are added
+ * @returns the guard
+ *
+ * @example
+ * const guard = createCrashGuard({ clock, quarantine });
+ * const refusalMs = guard.findRefusalMs(job);
+ */
+export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
+  const { clock, quarantine = createQuarantineList(clock), running, onVerdict } = options;
+  const evidence = createCrashEvidence(clock);
+
+  const isHarmless = ({ writingSinceMs }: SentJob) =>
+    writingSinceMs !== undefined && clock.nowMs() - writingSinceMs >= HARMLESS_AFTER_MS;
+
+  const listSuspectKeys = (job: PlacementJob): string[] => {
+    const suspectKeys = evidence.suspectKeys(job.service);
+    return suspectKeys.size === 0 ? [] : listContentKeys(job).filter((key) => suspectKeys.has(key));
+  };
+
+  /** Running jobs with suspect content, by id. */
+  const suspects = new Map<string, SentJob>();
+
+  const trackIfSuspect = (sent: SentJob) => {
+    if (listSuspectKeys(sent.job).length > 0) suspects.set(sent.job.id, sent);
+  };
+
+  /** Lists the running jobs with suspect content that have not proved to be harmless. */
+  const listUnproved = (): SentJob[] => {
+    for (const [id, sent] of suspects) {
+      if (isHarmless(sent) || listSuspectKeys(sent.job).length === 0) suspects.delete(id);
+    }
+    return [...suspects.values()];
+  };
+
+  const recordHarmless = (sent: SentJob) => {
+    if (sent.isHarmless) return;
+    sent.isHarmless = true;
+    const keys = listContentKeys(sent.job);
+    evidence.recordAnswer(sent.job.service, keys);
+    quarantine.release(keys);
+  };
+
+  return {
+    findRefusalMs(job) {
+      const keys = listContentKeys(job);
+      const found = quarantine.find(keys);
+      if (found !== undefined && found.trialInMs > 0) return found.trialInMs;
+      return job.isRetry && evidence.isLikelyCause(keys) ? QUARANTINE_HOLD_MS : undefined;
+    },
+    countTrial: (job) => quarantine.countTrial(listContentKeys(job)),
+    recordSend: trackIfSuspect,
+    separate(job, servers, canWait) {
+      const unproved = listUnproved();
+      if (unproved.length === 0) return [...servers];
+      const suspectKeys = listSuspectKeys(job);
+      const mustWait = canWait && suspectKeys.length > 0;
+      if (mustWait && unproved.some(hasSuspectKey(job.service, suspectKeys))) return [];
+      const serverIds = new Set(unproved.map(({ serverId }) => serverId));
+      const others = servers.filter(({ server }) => !serverIds.has(server.id));
+      return others.length > 0 || mustWait ? others : [...servers];
+    },
+    recordStart: ({ server, sentMs }) => evidence.recordServerAlive(server, sentMs),
+    recordEnd(sent, outcome) {
+      const { job, server, sentMs } = sent;
+      suspects.delete(job.id);
+      const isAnswer = outcome === JOB_OUTCOME.ANSWERED;
+      if (isAnswer || outcome === JOB_OUTCOME.FAILED) evidence.recordServerAlive(server, sentMs);
+      if (isAnswer || isHarmless(sent)) recordHarmless(sent);
+      else if (outcome === JOB_OUTCOME.BROKEN) {
+        const keys = listContentKeys(job);
+        evidence.recordCrash({ server, service: job.service, keys, sentMs });
+        for (const other of running()) trackIfSuspect(other);
+      }
+    },
+    review() {
+      if (!evidence.isReviewDue()) return;
+      for (const sent of running()) if (isHarmless(sent)) recordHarmless(sent);
+      for (const verdict of evidence.takeVerdicts()) {
+        onVerdict?.(verdict);
+        quarantine.add(verdict);
+      }
+    },
+  };
+}
+
+function hasSuspectKey(service: string, suspectKeys: readonly string[]) {
+  return ({ job }: SentJob) =>
+    job.service === service && listContentKeys(job).some((key) => suspectKeys.includes(key));
+}
--- a/packages/placement/_testing/fixtures.ts
+++ b/packages/placement/_testing/fixtures.ts
@@ -52,6 +52,7 @@
     excludedIds: [],
     isRetry: false,
     fingerprint: "f",
+    parts: [],
     isRepeatable: true,
     ...changes,
   };
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -47,14 +47,53 @@
 /** Maximum time in milliseconds for which a failing server is avoided. */
 export const SUSPECT_MAX_MS = 6_000;
 
-/** Server incarnations that must crash on a fingerprint, without an answer, to quarantine it. */
-export const QUARANTINE_CRASH_COUNT = 3;
+/** Consecutive crashes of content from which its requests are not sent to a second server. */
+export const SUSPECT_CRASH_ROUNDS = 2;
 
-/** Milliseconds after the latest crash during which crashes count and the quarantine holds. */
-export const QUARANTINE_MS = 60_000;
+/** Least number of consecutive crashes after which content counts as their cause. */
+export const MIN_CRASH_ROUNDS = 3;
 
-/** Maximum number of fingerprints whose crashes are counted. */
-export const QUARANTINE_MAX_ENTRIES = 2_000;
+/** Number of consecutive crashes that suffices, however many other requests crash. */
+export const MAX_CRASH_ROUNDS = 5;
+
+/** Accepted probability that sound content crashes in each round by chance. */
+export const CRASH_CHANCE = 0.001;
+
+/** Milliseconds after a server's end within which hosts report the attempts that it ended. */
+export const CRASH_SETTLE_MS = 100;
+
+/** Milliseconds for which an answer shows that its content does not crash servers. */
+export const ANSWER_MEMORY_MS = 2_000;
+
+/** Maximum number of content keys whose answers are remembered. */
+export const MAX_ANSWERED_KEYS = 5_000;
+
+/** Milliseconds for which a crash counts. */
+export const CRASH_EVIDENCE_MS = 600_000;
+
+/** Maximum number of crashes that are remembered. */
+export const MAX_CRASH_RECORDS = 200;
+
+/** Maximum number of attempts that are remembered of one crash. */
+export const MAX_CRASH_ATTEMPTS = 16;
+
+/** Milliseconds of answering after which a server's end is not due to the request. */
+export const HARMLESS_AFTER_MS = 500;
+
+/** Milliseconds for which content is held in quarantine before the first trial. */
+export const QUARANTINE_HOLD_MS = 120_000;
+
+/** Factor by which each trial lengthens the quarantine, since a trial may cost a server. */
+export const QUARANTINE_HOLD_FACTOR = 10;
+
+/** Longest time from one trial to the next. */
+export const QUARANTINE_MAX_HOLD_MS = 86_400_000;
+
+/** Maximum number of quarantines. */
+export const MAX_QUARANTINES = 1_000;
+
+/** Milliseconds for which a lifted quarantine is remembered, so that late news do not restore it. */
+export const RELEASE_MEMORY_MS = 600_000;
 
 /** Retry delay given to callers that are refused because no server can take the request. */
 export const NO_SERVER_RETRY_AFTER_MS = 500;
--- /dev/null
+++ b/packages/placement/create_crash_evidence.ts
@@ -0,0 +1,275 @@
+import type { Clock, Millis } from "@jaypass/kernel";
+import {
+  ANSWER_MEMORY_MS,
+  CRASH_EVIDENCE_MS,
+  CRASH_SETTLE_MS,
+  MAX_ANSWERED_KEYS,
+  MAX_CRASH_ATTEMPTS,
+  MAX_CRASH_RECORDS,
+  MAX_CRASH_ROUNDS,
+  SUSPECT_CRASH_ROUNDS,
+} from "./constants.ts";
+import { computeCrashRounds } from "./compute_crash_rounds.ts";
+
+/** An attempt that had not proved to be harmless when its server ended. */
+export interface CrashedAttempt {
+  /** Start of the server that ended. */
+  server: string;
+  /** Service of the server. */
+  service: string;
+  /** Content keys of the request. */
+  keys: readonly string[];
+  /** Time at which the attempt was sent. */
+  sentMs: Millis;
+}
+
+/** Content that crashes the servers that begin to answer it. */
+export interface CrashVerdict {
+  /** Content keys that all requests of this kind have in common. */
+  keys: string[];
+  /** Number of servers that ended under such requests. */
+  crashCount: number;
+}
+
+/** Evidence on which content crashes servers. */
+export interface CrashEvidence {
+  /** Records an attempt whose server ended. */
+  recordCrash(attempt: CrashedAttempt): void;
+  /** Records that a server of the service has answered a request with these keys. */
+  recordAnswer(service: string, keys: readonly string[]): void;
+  /** Records that a server answers an attempt that was sent at the given time. */
+  recordServerAlive(server: string, sentMs: Millis): void;
+  /** True while there are crashes to review, of which all attempts have been reported. */
+  isReviewDue(): boolean;
+  /** Reviews the crashes and returns the verdicts for which there is enough evidence now. */
+  takeVerdicts(): CrashVerdict[];
+  /** Lists the keys of a service that occur in an unexplained crash and that no answer has cleared. */
+  suspectKeys(service: string): ReadonlySet<string>;
+  /** Reports whether requests with these keys are likely to crash another server. */
+  isLikelyCause(keys: readonly string[]): boolean;
+}
+
+/** What is known of the end of one start of a server. */
+interface CrashRecord {
+  server: string;
+  service: string;
+  atMs: Millis;
+  /** Keys of each suspect attempt that no answer has cleared. */
+  attempts: Set<string>[];
+  /** Time at which the last attempt with a key was sent. */
+  sentMsByKey: Map<string, Millis>;
+  /** Number of suspect attempts, cleared ones included. */
+  attemptCount: number;
+  /** Answers of the service before the crash. */
+  earlierAnswers: number;
+  isReviewed: boolean;
+}
+
+/** Evidence against one key. */
+interface KeyEvidence {
+  key: string;
+  /** Crashes of which each attempt was sent after the one before was known. */
+  rounds: number;
+  crashCount: number;
+  /** Answers without the key since its first crash. */
+  answerCount: number;
+  /** Crashed attempts without the key since its first crash. */
+  otherCrashCount: number;
+}
+
+/**
+ * Creates an empty collection of evidence.
+ *
+ * Content that crashes servers does so on each server. One answer therefore clears all keys of a
+ * request, and only keys without an answer, shortly before the crash or since, stay suspect. Servers also end for other reasons, many at
+ * once, and under requests that have nothing to do with it. So crashes count in rounds: an attempt of
+ * the next round is sent after the last crash was known. The rounds that are needed depend on how
+ * many requests without the key crash meanwhile, and nothing is concluded while no such request is
+ * answered. Crashes that a verdict explains do not count against other content.
+ *
+ * @param clock monotonic time source
+ * @returns the evidence
+ *
+ * @example
+ * const evidence = createCrashEvidence(clock);
+ * evidence.recordCrash({ server, service, keys, sentMs });
+ * for (const verdict of evidence.takeVerdicts()) quarantine.add(verdict);
+ */
+export function createCrashEvidence(clock: Clock): CrashEvidence {
+  let records: CrashRecord[] = [];
+  let verdicts: string[][] = [];
+  let suspects: string[][] = [];
+  const answersByService = new Map<string, number>();
+  const countAnswers = (service: string) => answersByService.get(service) ?? 0;
+  /** Times of the last answers to requests with a key, oldest first. */
+  const answeredMs = new Map<string, Millis>();
+
+  const rememberAnswer = (service: string, keys: readonly string[]) => {
+    answersByService.set(service, countAnswers(service) + 1);
+    for (const key of keys) {
+      const name = `${service} ${key}`;
+      answeredMs.delete(name);
+      answeredMs.set(name, clock.nowMs());
+    }
+    for (const name of answeredMs.keys()) {
+      if (answeredMs.size <= MAX_ANSWERED_KEYS) break;
+      answeredMs.delete(name);
+    }
+  };
+
+  const wasJustAnswered = (service: string, key: string) =>
+    clock.nowMs() - (answeredMs.get(`${service} ${key}`) ?? -Infinity) <= ANSWER_MEMORY_MS;
+
+  const removeExpired = () => {
+    const oldestMs = clock.nowMs() - CRASH_EVIDENCE_MS;
+    records = records.filter(({ atMs }) => atMs >= oldestMs).slice(-MAX_CRASH_RECORDS);
+  };
+
+  const isDue = ({ atMs, isReviewed }: CrashRecord) =>
+    !isReviewed && clock.nowMs() - atMs >= CRASH_SETTLE_MS;
+
+  /** Reports whether a verdict that does not concern the key explains a crash. */
+  const isExplained = ({ attempts }: CrashRecord, key: string) =>
+    verdicts.some((verdict) => !verdict.includes(key) && attempts.some(includesAll(verdict)));
+
+  const listUnexplainedKeys = (record: CrashRecord) =>
+    [...record.sentMsByKey.keys()].filter((key) => !isExplained(record, key));
+
+  /** Suspect keys by service; emptied when the evidence changes. */
+  const suspectKeysByService = new Map<string, ReadonlySet<string>>();
+
+  const weighKey = (service: string, key: string): KeyEvidence => {
+    const weighed = { key, rounds: 0, crashCount: 0, answerCount: 0, otherCrashCount: 0 };
+    let knownMs = -Infinity;
+    for (const record of records) {
+      if (record.service !== service || isExplained(record, key)) continue;
+      const sentMs = record.sentMsByKey.get(key);
+      if (sentMs === undefined) {
+        if (weighed.crashCount > 0) weighed.otherCrashCount += record.attemptCount;
+        continue;
+      }
+      if (weighed.crashCount === 0) {
+        weighed.answerCount = countAnswers(service) - record.earlierAnswers;
+      }
+      weighed.crashCount += 1;
+      if (sentMs <= knownMs) continue;
+      weighed.rounds += 1;
+      knownMs = record.atMs;
+    }
+    return weighed;
+  };
+
+  /** Lists the keys of a crash with the most evidence against them. */
+  const listStrongest = (record: CrashRecord): KeyEvidence[] => {
+    const weighed = [...record.sentMsByKey.keys()].map((key) => weighKey(record.service, key));
+    const rounds = Math.max(...weighed.map((item) => item.rounds));
+    const withRounds = weighed.filter((item) => item.rounds === rounds);
+    const crashCount = Math.max(...withRounds.map((item) => item.crashCount));
+    return withRounds.filter((item) => item.crashCount === crashCount);
+  };
+
+  /**
+   * Groups equally suspect keys by the attempts in which they occur together. Of keys of different
+   * attempts some are beside the cause by chance, so that more crashes have to tell them apart.
+   */
+  const groupByAttempt = ({ attempts }: CrashRecord, strongest: KeyEvidence[]): string[][] => {
+    const keys = strongest.map(({ key }) => key);
+    const whole = attempts.some(includesAll(keys));
+    if (whole) return [keys];
+    if ((strongest[0]?.rounds ?? 0) < MAX_CRASH_ROUNDS) return [];
+    return attempts.map((attempt) => keys.filter((key) => attempt.has(key)))
+      .filter((group) => group.length > 0);
+  };
+
+  const review = (record: CrashRecord): CrashVerdict[] => {
+    record.isReviewed = true;
+    if (record.sentMsByKey.size === 0) return [];
+    const strongest = listStrongest(record);
+    const [first] = strongest;
+    if (first === undefined || first.rounds < SUSPECT_CRASH_ROUNDS || first.answerCount === 0) {
+      return [];
+    }
+    const groups = groupByAttempt(record, strongest)
+      .filter((group) => !verdicts.some((verdict) => verdict.every((key) => group.includes(key))));
+    if (first.rounds < computeCrashRounds(first)) {
+      suspects.push(...groups);
+      return [];
+    }
+    verdicts.push(...groups);
+    suspectKeysByService.clear();
+    return groups.map((keys) => ({ keys, crashCount: first.crashCount }));
+  };
+
+  return {
+    recordCrash({ server, service, keys, sentMs }) {
+      removeExpired();
+      suspectKeysByService.clear();
+      let record = records.find((known) => known.server === server);
+      if (record === undefined) {
+        record = {
+          server,
+          service,
+          atMs: clock.nowMs(),
+          attempts: [],
+          sentMsByKey: new Map(),
+          attemptCount: 0,
+          earlierAnswers: countAnswers(service),
+          isReviewed: false,
+        };
+        records.push(record);
+      }
+      record.attemptCount += 1;
+      if (record.attempts.length === MAX_CRASH_ATTEMPTS) return;
+      const suspectKeys = keys.filter((key) => !wasJustAnswered(service, key));
+      record.attempts.push(new Set(suspectKeys));
+      for (const key of suspectKeys) {
+        record.sentMsByKey.set(key, Math.max(sentMs, record.sentMsByKey.get(key) ?? -Infinity));
+      }
+    },
+    recordAnswer(service, keys) {
+      rememberAnswer(service, keys);
+      if (records.length === 0) return;
+      const ofService = records.filter((record) => record.service === service);
+      const hasCleared = ofService.map((record) => clearKeys(record, keys)).includes(true);
+      if (hasCleared) suspectKeysByService.clear();
+      suspects = suspects.filter((suspect) => !suspect.some((key) => keys.includes(key)));
+      if (verdicts.some((verdict) => verdict.every((key) => keys.includes(key)))) {
+        verdicts = verdicts.filter((verdict) => !verdict.every((key) => keys.includes(key)));
+        suspectKeysByService.clear();
+      }
+    },
+    recordServerAlive(server, sentMs) {
+      if (records.length === 0) return;
+      const kept = records.filter((record) => record.server !== server || sentMs <= record.atMs);
+      if (kept.length === records.length) return;
+      records = kept;
+      suspectKeysByService.clear();
+    },
+    isReviewDue: () => records.some(isDue),
+    takeVerdicts: () => records.filter(isDue).flatMap(review),
+    suspectKeys(service) {
+      if (records.length === 0) return NO_KEYS;
+      const known = suspectKeysByService.get(service);
+      if (known !== undefined) return known;
+      const keys = new Set(
+        records.filter((record) => record.service === service).flatMap(listUnexplainedKeys),
+      );
+      suspectKeysByService.set(service, keys);
+      return keys;
+    },
+    isLikelyCause: (keys) => suspects.some((suspect) => suspect.every((key) => keys.includes(key))),
+  };
+}
+
+const NO_KEYS: ReadonlySet<string> = new Set();
+
+function includesAll(keys: readonly string[]) {
+  return (attempt: Set<string>) => keys.every((key) => attempt.has(key));
+}
+
+/** Clears the keys of an answered request; returns true if one of them was suspect. */
+function clearKeys(record: CrashRecord, answered: readonly string[]): boolean {
+  const cleared = answered.filter((key) => record.sentMsByKey.delete(key));
+  for (const attempt of record.attempts) for (const key of cleared) attempt.delete(key);
+  return cleared.length > 0;
+}
--- /dev/null
+++ b/packages/placement/create_crash_evidence_test.ts
@@ -0,0 +1,144 @@
+import test from "ava";
+import {
+  ANSWER_MEMORY_MS,
+  CRASH_SETTLE_MS,
+  MAX_CRASH_ROUNDS,
+  MIN_CRASH_ROUNDS,
+} from "./constants.ts";
+import { createCrashEvidence } from "./create_crash_evidence.ts";
+import { createManualClock } from "./_testing/fixtures.ts";
+
+const SERVICE = "model";
+
+function setUp() {
+  const clock = createManualClock();
+  const evidence = createCrashEvidence(clock);
+  let serverCount = 0;
+  /** Ends one server under attempts that were sent 10 ms before. */
+  const crash = (...attempts: string[][]) => {
+    const sentMs = clock.nowMs();
+    clock.advance(10);
+    const server = `s${serverCount++}`;
+    for (const keys of attempts) evidence.recordCrash({ server, service: SERVICE, keys, sentMs });
+    return server;
+  };
+  const answer = (...keys: string[]) => evidence.recordAnswer(SERVICE, keys);
+  const review = () => {
+    clock.advance(CRASH_SETTLE_MS);
+    return evidence.takeVerdicts().map(({ keys }) => keys);
+  };
+  return { clock, evidence, crash, answer, review };
+}
+
+test("a part is the cause when it alone is in all crashes and no answer has it", (t) => {
+  const { crash, answer, review } = setUp();
+  const verdicts = [];
+  for (let round = 0; round < MIN_CRASH_ROUNDS; round++) {
+    crash(["shared", "p", `own${round}`]);
+    answer("shared", `other${round}`);
+    verdicts.push(...review());
+  }
+  t.deepEqual(verdicts, [["p"]]);
+});
+
+test("parts that only occur together are the cause together", (t) => {
+  const { crash, answer, review } = setUp();
+  const verdicts = [];
+  for (let round = 0; round < MIN_CRASH_ROUNDS; round++) {
+    crash(["p", "q", `own${round}`]);
+    answer("r");
+    verdicts.push(...review());
+  }
+  t.deepEqual(verdicts, [["p", "q"]]);
+  crash(["p", "own"]);
+  t.deepEqual(review(), [["p"]]);
+});
+
+test("a loss of many servers at once counts as one crash", (t) => {
+  const { evidence, answer, review, clock } = setUp();
+  clock.advance(10);
+  for (let server = 0; server < 10; server++) {
+    evidence.recordCrash({ server: `s${server}`, service: SERVICE, keys: ["p"], sentMs: 0 });
+  }
+  answer("q");
+  t.deepEqual(review(), []);
+});
+
+test("attempts that were sent before a crash was known count as the same round", (t) => {
+  const { evidence, clock } = setUp();
+  for (let server = 0; server < 2 * MAX_CRASH_ROUNDS; server++) {
+    evidence.recordCrash({ server: `s${server}`, service: SERVICE, keys: ["p"], sentMs: 0 });
+    evidence.recordAnswer(SERVICE, ["q"]);
+    clock.advance(CRASH_SETTLE_MS);
+    t.deepEqual(evidence.takeVerdicts(), []);
+  }
+});
+
+test("nothing is concluded while every request crashes", (t) => {
+  const { crash, review } = setUp();
+  for (let round = 0; round < 3 * MAX_CRASH_ROUNDS; round++) {
+    crash(["shared", `own${round}`]);
+    t.deepEqual(review(), []);
+  }
+});
+
+test("an answer clears its parts, shortly before a crash and after it", (t) => {
+  const { crash, answer, review, clock, evidence } = setUp();
+  answer("p");
+  crash(["p"]);
+  t.deepEqual([...evidence.suspectKeys(SERVICE)], []);
+  clock.advance(ANSWER_MEMORY_MS);
+  crash(["p"]);
+  t.deepEqual([...evidence.suspectKeys(SERVICE)], ["p"]);
+  answer("p");
+  t.deepEqual([...evidence.suspectKeys(SERVICE)], []);
+  t.deepEqual(review(), []);
+});
+
+test("a server that answers later has not crashed", (t) => {
+  const { crash, answer, review, clock, evidence } = setUp();
+  for (let round = 0; round < MAX_CRASH_ROUNDS; round++) {
+    const server = crash(["p", `own${round}`]);
+    clock.advance(1);
+    evidence.recordServerAlive(server, clock.nowMs());
+    answer("q");
+    t.deepEqual(review(), []);
+  }
+});
+
+test("two crashing parts at once are both found, and no other part", (t) => {
+  const { crash, answer, review } = setUp();
+  const verdicts: string[][] = [];
+  for (let round = 0; round < MAX_CRASH_ROUNDS; round++) {
+    crash(["shared", "p", `a${round}`]);
+    crash(["shared", "q", `b${round}`]);
+    answer("shared", `s${round}`);
+    verdicts.push(...review());
+  }
+  t.deepEqual(verdicts.toSorted(), [["p"], ["q"]]);
+});
+
+test("requests beside a crashing one are not held to be the cause", (t) => {
+  const { crash, answer, review, evidence } = setUp();
+  const verdicts: string[][] = [];
+  for (let round = 0; round < MIN_CRASH_ROUNDS + 1; round++) {
+    // The session is beside the part in all crashes but the first.
+    crash(["p", `a${round}`], ...(round === 0 ? [] : [["session", `b${round}`]]));
+    answer("shared");
+    verdicts.push(...review());
+  }
+  t.deepEqual(verdicts, [["p"]]);
+  t.false(evidence.suspectKeys(SERVICE).has("session"));
+});
+
+test("crashes of one service do not count for another", (t) => {
+  const { evidence, clock, answer, review } = setUp();
+  for (let round = 0; round < MAX_CRASH_ROUNDS; round++) {
+    const service = round % 2 === 0 ? SERVICE : "other";
+    evidence.recordCrash({ server: `s${round}`, service, keys: ["p"], sentMs: clock.nowMs() });
+    clock.advance(10);
+    answer("q");
+    evidence.recordAnswer("other", ["q"]);
+    t.deepEqual(review(), round === MAX_CRASH_ROUNDS - 1 ? [["p"]] : []);
+  }
+});
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -1,4 +1,6 @@
 import type { Millis } from "@jaypass/kernel";
+import { createCrashGuard } from "./_lib/create_crash_guard.ts";
+import type { SentJob } from "./_lib/create_crash_guard.ts";
 import { createServerRegistry } from "./_lib/create_server_registry.ts";
 import { chooseEngines } from "./choose_engines.ts";
 import type { EngineChoice } from "./choose_engines.ts";
@@ -12,12 +14,10 @@
   NO_SERVER_RETRY_AFTER_MS,
   PACKED_SLOTS_SHARE,
   PASSES_TO_FIRST_BYTE,
-  QUARANTINE_MS,
   RESERVED_ANSWER_SHARE,
   TIGHT_PACKED_SLOTS_SHARE,
   USABLE_MEMORY_SHARE,
 } from "./constants.ts";
-import { createCrashQuarantine } from "./create_crash_quarantine.ts";
 import { createRetryLimiter } from "./create_retry_limiter.ts";
 import { chooseLeastLoaded } from "./choose_least_loaded.ts";
 import { computePassMs } from "./compute_pass_ms.ts";
@@ -31,7 +31,7 @@
 import type { JobOutcome, PlacementDecision, PlacementJob, PlacementRefusal } from "./types.ts";
 
 /** Stored state of a running job. */
-type PlacedJob = Pick<RunningJob, "job" | "serverId" | "helperIds" | "isWriting">;
+type PlacedJob = Pick<RunningJob, "job" | "serverId" | "helperIds" | "isWriting"> & SentJob;
 
 /**
  * Creates a placer, which decides which servers get a request.
@@ -49,7 +49,7 @@
   const { clock, retryLimits, share, canQueue, isUncoordinated } = options;
   const registry = createServerRegistry(options);
   const placedJobs = new Map<string, PlacedJob>();
-  const quarantine = createCrashQuarantine(clock);
+  const crashGuard = createCrashGuard({ ...options, running: () => placedJobs.values() });
   const retryLimiter = createRetryLimiter({ clock, limits: retryLimits, share });
 
   const recordDecision = (
@@ -89,7 +89,17 @@
   /** Adds a job to the load of its servers. */
   const addLoad = (entry: RunningJob) => {
     const { job, serverId, helperIds, isWriting, tickets, partMs, ageMs } = entry;
-    placedJobs.set(job.id, { job, serverId, helperIds, isWriting });
+    const placed: PlacedJob = {
+      job,
+      serverId,
+      helperIds,
+      isWriting,
+      server: `${serverId}/${registry.find(serverId)?.server.bornMs}`,
+      sentMs: clock.nowMs() - ageMs,
+      writingSinceMs: isWriting ? clock.nowMs() : undefined,
+    };
+    placedJobs.set(job.id, placed);
+    crashGuard.recordSend(placed);
     const reservedTokens = new Map(tickets.map((ticket) => [ticket.serverId, ticket.tokens]));
     const helperTokens = tickets.reduce((sum, ticket) => sum + ticket.tokens, 0);
     for (const id of [serverId, ...helperIds]) {
@@ -117,10 +127,14 @@
   };
 
   const dispatch = (job: PlacementJob, choice: EngineChoice): PlacementDecision => {
+    // Its content may have been found to crash servers while the job was queued.
+    const refusalMs = crashGuard.findRefusalMs(job);
+    if (refusalMs !== undefined) return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, refusalMs);
     if (job.isRetry && !retryLimiter.tryAcquire(job.service)) {
       return refuse(job, PLACEMENT_REFUSAL.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS);
     }
     if (!job.isRetry) retryLimiter.countFirstAttempt(job.service);
+    crashGuard.countTrial(job);
     recordDecision(job, "placed", choice);
     const { tickets, partMs, expectedMs } = choice;
     const serverId = choice.primary.server.id;
@@ -147,7 +161,10 @@
 
   const longPromptQueue = createLongPromptQueue({
     choose: (job, waitedMs, remainingMs) =>
-      choose(job, registry.listAvailable(job), { waitedMs, remainingMs }),
+      choose(job, crashGuard.separate(job, registry.listAvailable(job), false), {
+        waitedMs,
+        remainingMs,
+      }),
     minPrefillMs,
     backlogMs(job) {
       const usable = registry.listUsable(job);
@@ -181,7 +198,7 @@
    */
   const dispatchToSlot = (job: PlacementJob): PlacementDecision | undefined => {
     const available = registry.listAvailable(job);
-    const free = available.filter(hasFreeSlot);
+    const free = crashGuard.separate(job, available.filter(hasFreeSlot), true);
     if (free.length === 0) return undefined;
     const choice = choose(job, free, { waitedMs: job.elapsedMs, remainingMs: job.remainingMs });
     if (choice === undefined || choice.expectedMs > job.remainingMs) return undefined;
@@ -223,9 +240,9 @@
 
   const place = (requestedJob: PlacementJob): PlacementDecision | Promise<PlacementDecision> => {
     const job = reserveAnswerTime(requestedJob);
-    if (quarantine.isQuarantined(job.fingerprint)) {
-      return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, QUARANTINE_MS);
-    }
+    crashGuard.review();
+    const refusalMs = crashGuard.findRefusalMs(job);
+    if (refusalMs !== undefined) return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, refusalMs);
     const usable = registry.listUsable(job);
     if (usable.length === 0) {
       return refuse(job, PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
@@ -247,7 +264,7 @@
       slotQueue.dispatchReady();
       return waiting;
     }
-    const choice = choose(job, available, {
+    const choice = choose(job, crashGuard.separate(job, available, false), {
       waitedMs: job.elapsedMs,
       remainingMs: job.remainingMs,
     });
@@ -282,16 +299,13 @@
     const faultyServer = registry.find(faultyServerId ?? entry.serverId);
     if (outcome === JOB_OUTCOME.ANSWERED) {
       registry.find(entry.serverId)?.clearSuspicion();
-      quarantine.clear(entry.job.fingerprint);
     } else if (
       outcome === JOB_OUTCOME.BROKEN || outcome === JOB_OUTCOME.SILENT ||
       outcome === JOB_OUTCOME.REJECTED
     ) {
       faultyServer?.markSuspect();
     }
-    if (outcome === JOB_OUTCOME.BROKEN && !entry.isWriting) {
-      quarantine.countCrash(entry.job.fingerprint, entry.serverId);
-    }
+    crashGuard.recordEnd(entry, outcome);
   };
 
   return {
@@ -301,6 +315,7 @@
     place,
     applyReport: (serverId, report) => registry.find(serverId)?.applyReport(report),
     dispatchReady() {
+      crashGuard.review();
       slotQueue.dispatchReady();
       longPromptQueue.dispatchReady();
     },
@@ -309,13 +324,16 @@
       cancelQueued(entry.job.id);
       const known = removeLoad(entry.job.id);
       addLoad(entry);
+      if (known !== undefined) return;
       // The limits hold for all placers together, so that one that takes over must know their use.
-      if (known === undefined && entry.ageMs < COLD_WINDOW_MS) countSend(entry);
+      if (entry.ageMs < COLD_WINDOW_MS) countSend(entry);
     },
     started(jobId) {
       const entry = placedJobs.get(jobId);
       if (entry === undefined) return;
       entry.isWriting = true;
+      entry.writingSinceMs ??= clock.nowMs();
+      crashGuard.recordStart(entry);
       for (const id of listServerIds(entry)) registry.find(id)?.markDecoding(jobId);
     },
     finished(jobId, outcome, faultyServerId) {
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -1,7 +1,13 @@
 import test from "ava";
 import { createPlacer } from "./create_placer.ts";
 import type { Placer, RunningJob } from "./placer_types.ts";
-import { QUARANTINE_CRASH_COUNT } from "./constants.ts";
+import {
+  CRASH_SETTLE_MS,
+  HARMLESS_AFTER_MS,
+  MAX_CRASH_ROUNDS,
+  MIN_CRASH_ROUNDS,
+  QUARANTINE_HOLD_MS,
+} from "./constants.ts";
 import { createManualClock, makeJob, makeServers, PROFILE } from "./_testing/fixtures.ts";
 import { JOB_OUTCOME } from "./types.ts";
 import type { PlacementDecision, PlacementJob } from "./types.ts";
@@ -131,30 +137,111 @@
   t.deepEqual([countRetries(1), countRetries(0.5)], [8, 4]);
 });
 
-test("a request that crashes servers is quarantined unless a server answers it", (t) => {
-  const { placer, clock } = setUp({ servers: 8 });
-  const crashServer = (fingerprint: string) => {
-    const job = makeJob({ fingerprint });
-    placer.place(job);
+/** Plays servers that end under a request and start again. */
+function createCrashes(options: Parameters<typeof setUp>[0] = {}) {
+  const { placer, clock } = setUp({ servers: 8, ...options });
+  const servers = makeServers(options.servers ?? 8);
+  const place = (changes: Partial<PlacementJob>) => {
+    const job = makeJob(changes);
+    const decision = placer.place(job);
+    clock.advance(10);
+    return { job, serverId: decision.kind === "placed" ? decision.serverId : undefined };
+  };
+  const answer = (changes: Partial<PlacementJob>) => {
+    placer.finished(place(changes).job.id, JOB_OUTCOME.ANSWERED);
+  };
+  const crash = (changes: Partial<PlacementJob>, { writtenMs }: { writtenMs?: number } = {}) => {
+    const { job, serverId } = place(changes);
+    if (writtenMs !== undefined) {
+      placer.started(job.id);
+      clock.advance(writtenMs);
+    }
     placer.finished(job.id, JOB_OUTCOME.BROKEN);
+    const server = servers.find(({ id }) => id === serverId);
+    if (server !== undefined) server.bornMs += 1;
+    placer.setServers(structuredClone(servers));
+    clock.advance(CRASH_SETTLE_MS);
   };
-  for (let count = 0; count < QUARANTINE_CRASH_COUNT; count++) {
-    crashServer("crashing");
-    crashServer("harmless");
-    const job = makeJob({ fingerprint: "harmless" });
-    placer.place(job);
-    placer.finished(job.id, JOB_OUTCOME.ANSWERED);
+  const describePlacing = (changes: Partial<PlacementJob>) => {
+    const decision = placer.place(makeJob(changes));
+    return decision.kind === "refused" ? decision.reason : decision.kind;
+  };
+  return { placer, clock, place, answer, crash, describePlacing };
+}
+
+test("a request that crashes servers is quarantined unless a server answers it", (t) => {
+  const { clock, crash, answer, describePlacing } = createCrashes();
+  for (let count = 0; count < MAX_CRASH_ROUNDS; count++) {
+    crash({ fingerprint: "crashing" });
+    crash({ fingerprint: "harmless" });
+    answer({ fingerprint: "harmless" });
   }
-  const crashing = describe(placer.place(makeJob({ fingerprint: "crashing" })));
-  const harmless = placer.place(makeJob({ fingerprint: "harmless" })).kind;
-  clock.advance(120_000);
-  const later = placer.place(makeJob({ fingerprint: "crashing" })).kind;
+  const crashing = describePlacing({ fingerprint: "crashing" });
+  const harmless = describePlacing({ fingerprint: "harmless" });
+  clock.advance(QUARANTINE_HOLD_MS);
+  const later = describePlacing({ fingerprint: "crashing" });
   t.deepEqual(
     { crashing, harmless, later },
-    { crashing: "refused: quarantined", harmless: "placed", later: "placed" },
+    { crashing: "quarantined", harmless: "placed", later: "placed" },
   );
 });
 
+test("requests of which no two are alike are quarantined for the part of the prompt that crashes servers", (t) => {
+  const { crash, answer, describePlacing } = createCrashes();
+  for (let count = 0; count < MIN_CRASH_ROUNDS; count++) {
+    crash({ parts: ["shared", "crashing", `own${count}`], fingerprint: `c${count}` });
+    answer({ parts: ["shared", `other${count}`], fingerprint: `s${count}` });
+  }
+  t.deepEqual({
+    crashing: describePlacing({ parts: ["shared", "crashing", "new"], fingerprint: "new" }),
+    elsewhere: describePlacing({ parts: ["crashing", "unknown"], fingerprint: "new" }),
+    sound: describePlacing({ parts: ["shared", "new"], fingerprint: "new" }),
+  }, { crashing: "quarantined", elsewhere: "quarantined", sound: "placed" });
+});
+
+test("a crash after the first bytes of an answer counts, and one long after them clears the request", (t) => {
+  const crashWhileWriting = (writtenMs: number) => {
+    const { crash, answer, describePlacing } = createCrashes();
+    for (let count = 0; count < MIN_CRASH_ROUNDS; count++) {
+      crash({ parts: ["p"], fingerprint: `c${count}` }, { writtenMs });
+      answer({ fingerprint: `s${count}` });
+    }
+    return describePlacing({ parts: ["p"], fingerprint: "new" });
+  };
+  t.is(crashWhileWriting(40), "quarantined");
+  t.is(crashWhileWriting(HARMLESS_AFTER_MS), "placed");
+});
+
+test("a queued prompt is refused when its content turns out to crash servers", async (t) => {
+  const { placer, clock, crash, answer, place } = createCrashes({ servers: 1, canWait: true });
+  for (let count = 1; count < MIN_CRASH_ROUNDS; count++) {
+    crash({ parts: ["crashing"], fingerprint: `c${count}` });
+    answer({ fingerprint: `s${count}` });
+  }
+  const { job } = place({ parts: ["crashing"], fingerprint: "running" });
+  const others = Array.from({ length: PROFILE.slots - 1 }, () => place({ fingerprint: "s" }).job);
+  const queued = placer.placeOrQueue(makeJob({ parts: ["crashing"], fingerprint: "queued" }));
+  // A job of another placer keeps the slot that the crash sets free.
+  placer.addRunning(makeRunning(makeJob({ fingerprint: "s" })));
+  placer.finished(job.id, JOB_OUTCOME.BROKEN);
+  clock.advance(CRASH_SETTLE_MS);
+  placer.dispatchReady();
+  placer.finished(others[0]?.id ?? "", JOB_OUTCOME.CANCELLED);
+  t.is(describe(await queued), "refused: quarantined");
+});
+
+test("a retry is not sent to a second server while its content is under suspicion", (t) => {
+  const { crash, answer, describePlacing } = createCrashes();
+  const crashing = { parts: ["crashing"], fingerprint: "c" };
+  for (let count = 1; count < MIN_CRASH_ROUNDS; count++) {
+    crash({ ...crashing, fingerprint: `c${count}` });
+    answer({ fingerprint: `s${count}` });
+  }
+  t.is(describePlacing({ ...crashing, isRetry: true }), "quarantined");
+  t.is(describePlacing(crashing), "placed");
+  t.is(describePlacing({ parts: ["sound"], fingerprint: "s", isRetry: true }), "placed");
+});
+
 test("a cold server gets no more requests per second than its limit", (t) => {
   const { placer, clock } = setUp({ servers: 0, coldRequestsPerS: 10 });
   placer.setServers(makeServers(1).map((server) => ({ ...server, coldUntilMs: 5_000 })));
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -4,6 +4,8 @@
  * @module
  */
 import type { Clock, Millis } from "@jaypass/kernel";
+import type { CrashVerdict } from "./create_crash_evidence.ts";
+import type { QuarantineList } from "./create_quarantine_list.ts";
 import type { RetryLimits } from "./create_retry_limiter.ts";
 import type {
   EngineReport,
@@ -64,6 +66,10 @@
   canQueue: () => boolean;
   /** True while other hosts place requests on the same servers without reporting them here. */
   isUncoordinated: () => boolean;
+  /** Content whose requests are refused, to which verdicts are added; a new list by default. */
+  quarantine?: QuarantineList;
+  /** Called with each verdict on content that crashes servers, for the log. */
+  onVerdict?: (verdict: CrashVerdict) => void;
   /** Called with each decision and its inputs, for the log. */
   onDecision?: (record: DecisionRecord) => void;
   /**
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -95,6 +95,8 @@
   isRetry: boolean;
   /** Hash of the content, which identifies repeats of a request that crashes servers. */
   fingerprint: string;
+  /** Ids of the parts of the prompt, of which one may crash servers. */
+  parts: readonly string[];
   /** True if the request may run more than once. */
   isRepeatable: boolean;
 }
