Share quarantines between hosts and keep them in the store

Hosts pass each change of a quarantine on (a message that older hosts ignore), so that a hub that follows, a host that starts and one that places alone know it while the store is away. Hubs keep one row a quarantine in a table of its own, written when it is found, tried or lifted; they read the table when they become a hub and every 10 s. An operator lifts a quarantine by removing its row. A host's own placer keeps its verdicts to itself, since it sees few of the requests. Changes are logged, and counted as `quarantine` with the label `change`.

--- a/packages/fleet/_lib/parse_message.ts
+++ b/packages/fleet/_lib/parse_message.ts
@@ -52,6 +52,8 @@
       return { type, table: parseTable(fields), revision: parseVersion(fields, "revision") };
     case "fresh":
       return { type };
+    case "gossip":
+      return { type, items: fields.values("items") };
     case "invite":
       return { type, hosts: parseBatch(fields.value("hosts")) };
     default:
@@ -95,6 +97,8 @@
       const joined = change.values("joined").map(parseHostEntry);
       return { type, change: { joined, left: change.strings("left") } };
     }
+    case "gossip":
+      return { type, items: fields.values("items") };
     case "waiting":
       return { type, call: parseCall(fields) };
     case "placed":
--- a/packages/fleet/_testing/create_memory_store.ts
+++ b/packages/fleet/_testing/create_memory_store.ts
@@ -1,7 +1,7 @@
 import { EventEmitter, once } from "node:events";
 import { HistoryLostError, StoreError } from "../errors.ts";
-import { TABLE } from "../types.ts";
-import type { Row, RowStore, Table } from "../types.ts";
+import { QUARANTINES_TABLE, TABLE } from "../types.ts";
+import type { Row, RowStore, StoredTable, Table } from "../types.ts";
 
 /** An in-memory store with faults that a test controls. */
 export interface MemoryStore {
@@ -21,8 +21,8 @@
 
 /** Creates an in-memory store with the semantics of the platform's store. */
 export function createMemoryStore(): MemoryStore {
-  const tables = new Map<Table, Map<string, Row>>(
-    Object.values(TABLE).map((table) => [table, new Map()]),
+  const tables = new Map<StoredTable, Map<string, Row>>(
+    [...Object.values(TABLE), QUARANTINES_TABLE as StoredTable].map((table) => [table, new Map()]),
   );
   const turnedAway = new Set<string>();
   /** Emits the name of a table whose rows have changed. */
@@ -30,8 +30,8 @@
   let revision = 1;
   let oldest = 0;
   let calls = 0;
-  const rowsOf = (table: Table) => tables.get(table) ?? new Map<string, Row>();
-  const put = (table: Table, key: string, value: string | undefined) => {
+  const rowsOf = (table: StoredTable) => tables.get(table) ?? new Map<string, Row>();
+  const put = (table: StoredTable, key: string, value: string | undefined) => {
     revision += 1;
     rowsOf(table).set(key, { key, value, version: revision });
     changes.emit(table);
--- a/packages/fleet/_testing/start_fleet_hosts.ts
+++ b/packages/fleet/_testing/start_fleet_hosts.ts
@@ -19,6 +19,10 @@
   fleet: TestFleet;
   /** Reports that this host received as a hub. */
   reports: string[];
+  /** Facts that this host knows. */
+  facts: Set<unknown>;
+  /** Adds a fact and sends it to the other hosts. */
+  addFact(fact: string): void;
   /** Stops the host without a shutdown, like a killed process. */
   kill(): Promise<void>;
 }
@@ -75,6 +79,12 @@
   onChange: (table: Table, fleet: TestFleet) => void = () => {},
 ): Promise<TestHost> {
   const reports: string[] = [];
+  const facts = new Set<unknown>();
+  const addFact = (fact: unknown) => {
+    if (facts.has(fact)) return;
+    facts.add(fact);
+    fleet.sendGossip([fact]);
+  };
   let lateCount = 0;
   const tasks = createTaskGroup({ onError: (name, err) => t.log(name, err) });
   const fleet: TestFleet = createFleet({
@@ -100,6 +110,7 @@
       forget: (host) => void reports.push(`${host} left`),
     },
     currentReports,
+    gossip: { list: () => [...facts], receive: (items) => items.forEach(addFact) },
     parsers: { parseJob: parseText, parseDecision: parseText, parseReport: parseText },
     checkRow: (_table, row) => row,
     createCancelReport: (job) => `cancelled ${job}`,
@@ -117,7 +128,7 @@
     await tasks.stop();
   };
   t.teardown(kill);
-  return { entry, fleet, reports, kill };
+  return { entry, fleet, reports, facts, addFact, kill };
 }
 
 /** Starts hosts, waits until they are linked, and returns them by their roles. */
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -17,7 +17,7 @@
 import type { MessageParsers } from "./messages.ts";
 import { parseHostEntry } from "./parse_host_entry.ts";
 import { TABLE } from "./types.ts";
-import type { HostEntry, Row, RowBatch, RowStore, Table } from "./types.ts";
+import type { Gossip, HostEntry, Row, RowBatch, RowStore, Table } from "./types.ts";
 
 /** Options of {@linkcode createFleet}. */
 export interface FleetOptions<Job, Decision, Report> {
@@ -33,6 +33,8 @@
   createCancelReport: (job: Job) => Report;
   /** Returns a job with its current times, after it has waited for a hub. */
   ageJob: (job: Job, waitedMs: Millis) => Job;
+  /** Facts that every host should know; none by default. */
+  gossip?: Gossip;
   /** Parsers of jobs, decisions and reports that other hosts send. */
   parsers: MessageParsers<Job, Decision, Report>;
   /**
@@ -54,6 +56,8 @@
   tasks: TaskGroup;
 }
 
+const NO_GOSSIP: Gossip = { list: () => [], receive: () => {} };
+
 /** Where rows come from. */
 type RowOrigin = "store" | "member" | "hub";
 
@@ -72,6 +76,8 @@
   ): Promise<{ by: string; decision: Decision } | undefined>;
   /** Sends a report to the hubs; `except` is the name of a hub that already knows it. */
   report(report: Report, options?: { except?: string }): void;
+  /** Sends facts to all hubs and members of this host. */
+  sendGossip(items: unknown[]): void;
   /** Rows of a table. */
   rows(table: Table): Row[];
   /** Live hosts that accept callers, this one included unless it is leaving. */
@@ -115,6 +121,7 @@
   options: FleetOptions<Job, Decision, Report>,
 ): Fleet<Job, Decision, Report> {
   const { self, store, scheduler, clock, random, log, metrics, tasks } = options;
+  const { gossip = NO_GOSSIP } = options;
   const cache = createRowCache();
   const startMs = clock.nowMs();
   let isLeaving = false;
@@ -174,6 +181,7 @@
     }),
     knownHosts,
     hostRows: () => cache.changesSince(TABLE.HOSTS, undefined),
+    gossip,
     isHub: () => hubClient.isHub(),
     parsers: options.parsers,
     clock,
@@ -193,6 +201,7 @@
     revisionForHub: (table) => cache.revisionForHub(table),
     findRow: (table, key) => cache.find(table, key),
     onRows: (table, batch) => applyBatch(table, batch, "hub"),
+    gossip,
     parsers: options.parsers,
     clock,
     log,
@@ -321,6 +330,10 @@
     },
     place: (job, timeouts) => hubClient.place(job, timeouts),
     report: (report, reportOptions) => hubClient.report(report, reportOptions),
+    sendGossip(items) {
+      hubClient.sendGossip(items);
+      hubServer.sendGossip(items);
+    },
     rows: (table) => cache.rows(table),
     liveHosts: listLive,
     liveOtherCount() {
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -18,7 +18,7 @@
 import { shouldFollowStore } from "./should_follow_store.ts";
 import { rankHubs } from "./rank_hubs.ts";
 import { TABLE } from "./types.ts";
-import type { HostEntry, Row, RowBatch, Table } from "./types.ts";
+import type { Gossip, HostEntry, Row, RowBatch, Table } from "./types.ts";
 
 /** Options of {@linkcode createHubClient}. */
 export interface HubClientOptions<Job, Decision, Report> {
@@ -42,6 +42,8 @@
   revisionForHub: (table: Table) => number | undefined;
   /** Finds a row in this host's copy of a table. */
   findRow: (table: Table, key: string) => Row | undefined;
+  /** Facts that a new hub is told, and the receiver of those that hubs send. */
+  gossip: Gossip;
   /** Receives rows that a hub sent. */
   onRows: (table: Table, batch: RowBatch) => void;
   /** Parsers of jobs, decisions and reports in messages. */
@@ -73,6 +75,8 @@
   ): Promise<{ by: string; decision: Decision } | undefined>;
   /** Sends a report to the hubs; `except` is the name of a hub that already knows it. */
   report(report: Report, options?: { except?: string }): void;
+  /** Sends facts to the hubs. */
+  sendGossip(items: unknown[]): void;
   /** Sends changed rows to the hubs. */
   sendRows(table: Table, batch: RowBatch): void;
   /** Reviews the hubs after a change of the known hosts, at once after the first read of them. */
@@ -216,7 +220,8 @@
       hub.hosts ??= new Map();
       for (const host of message.change.left) hub.hosts.delete(host);
       for (const entry of message.change.joined) hub.hosts.set(entry.host, entry);
-    } else if (message.type === "waiting") hub.pendingPlacements.get(message.call)?.extendTimeout();
+    } else if (message.type === "gossip") options.gossip.receive(message.items);
+    else if (message.type === "waiting") hub.pendingPlacements.get(message.call)?.extendTimeout();
     else hub.pendingPlacements.get(message.call)?.settle(message.decision);
   };
 
@@ -239,6 +244,8 @@
           Object.values(TABLE).map((table) => [table, options.revisionForHub(table)]),
         ),
       });
+      const items = options.gossip.list();
+      if (items.length > 0) link.send({ type: "gossip", items });
       for await (const message of link.messages()) handleMessage(hub, message);
       throw new Error("Hub closed the link");
     } catch (err) {
@@ -418,6 +425,9 @@
         else hub.link?.send({ type: "report", report });
       }
     },
+    sendGossip(items) {
+      for (const hub of hubs.values()) hub.link?.send({ type: "gossip", items });
+    },
     sendRows(table, batch) {
       for (const hub of hubs.values()) hub.link?.send({ type: "rows", table, batch });
     },
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -18,7 +18,7 @@
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubMessage, MemberMessage, MessageParsers } from "./messages.ts";
 import { TABLE } from "./types.ts";
-import type { HostEntry, Row, RowBatch, Table } from "./types.ts";
+import type { Gossip, HostEntry, Row, RowBatch, Table } from "./types.ts";
 
 /** Places the jobs of a hub's members. */
 export interface HubScheduler<Job, Decision, Report> {
@@ -42,6 +42,8 @@
   changesSince: (table: Table, revision: number | undefined) => RowBatch;
   /** Receives rows that a member or an inviting hub sent. */
   onRows: (table: Table, batch: RowBatch) => void;
+  /** Facts that a new member is told, and the receiver of those that members send. */
+  gossip: Gossip;
   /** State of this host's own connection to the store. */
   storeAge: () => { ageMs: Millis; recoveredAgoMs: Millis };
   /** Hosts that have a row, this one included. */
@@ -68,6 +70,8 @@
   stop(): void;
   /** Sends changed rows to all members; `before` has the previous rows, as far as known. */
   broadcast(table: Table, batch: RowBatch, before: ReadonlyMap<string, Row | undefined>): void;
+  /** Sends facts to all members. */
+  sendGossip(items: unknown[]): void;
   /** Tells the members at once that this host is shutting down. */
   announceDraining(): void;
   /** Linked hosts that are not shutting down. */
@@ -155,6 +159,8 @@
     members.set(entry.host, member);
     for (const table of Object.values(TABLE)) link.sendLine(encodeChanges(table, revisions[table]));
     link.send({ type: "hosts", change: { joined: listAnnounced(), left: [] } });
+    const items = options.gossip.list();
+    if (items.length > 0) link.send({ type: "gossip", items });
     link.send(describeView());
     log.info({ member: entry.host, reports: reports.length, [ESSENTIAL]: true }, "Member joined");
     return member;
@@ -186,6 +192,7 @@
       if (hasChanged) announceHosts();
     } else if (message.type === "report") scheduler.report(host, message.report);
     else if (message.type === "rows") options.onRows(message.table, message.batch);
+    else if (message.type === "gossip") options.gossip.receive(message.items);
     else if (message.type === "want") {
       member.link.sendLine(encodeChanges(message.table, message.revision));
     } else if (message.type === "fresh") memberReadAtMs = clock.nowMs();
@@ -276,6 +283,7 @@
       // removed rows.
       broadcast(describeView(), { type: "rows", table, batch: { ...batch, rows }, patches });
     },
+    sendGossip: (items) => broadcast({ type: "gossip", items }),
     announceDraining: announceHosts,
     liveMembers: listLive,
     disconnectedMs(host) {
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -28,6 +28,16 @@
   left: string[];
 }
 
+/**
+ * Facts that every host should know. A host passes on what is new to it, so that they reach all hosts
+ * without the store.
+ */
+export interface GossipMessage {
+  type: "gossip";
+  /** Facts, which their receiver checks. */
+  items: unknown[];
+}
+
 /** Messages from a member to its hub. `Job` and `Report` are defined by the scheduler. */
 export type MemberMessage<Job, Report> =
   | {
@@ -46,6 +56,7 @@
   | { type: "want"; table: Table; revision: number | undefined }
   /** The member has just read the servers table from the store and sent the changes. */
   | { type: "fresh" }
+  | GossipMessage
   /** Sent by a hub to a host without a link to it, on a connection of its own. */
   | { type: "invite"; hosts: RowBatch };
 
@@ -62,6 +73,7 @@
     recoveredAgoMs: Millis | null;
   }
   | { type: "hosts"; change: HostsChange }
+  | GossipMessage
   /** The job is queued; its decision follows later. */
   | { type: "waiting"; call: number }
   | { type: "placed"; call: number; decision: Decision };
--- a/packages/fleet/types.ts
+++ b/packages/fleet/types.ts
@@ -18,6 +18,12 @@
 /** A value of {@linkcode TABLE}. */
 export type Table = typeof TABLE[keyof typeof TABLE];
 
+/** Table of quarantined content, which hubs read and write themselves. */
+export const QUARANTINES_TABLE = "quarantines";
+
+/** A table of the store that hosts use. */
+export type StoredTable = Table | typeof QUARANTINES_TABLE;
+
 /** A row of a table. */
 export interface Row {
   /** Key within the table. */
@@ -53,7 +59,7 @@
 /** The platform's store, as far as the hosts use it. */
 export interface RowStore {
   /** Reads a whole table. */
-  readTable(table: Table, options: StoreCallOptions): Promise<RowBatch>;
+  readTable(table: StoredTable, options: StoreCallOptions): Promise<RowBatch>;
   /**
    * Reads the changes after a revision and waits up to `waitMs` while there are none.
    *
@@ -65,9 +71,19 @@
     options: StoreCallOptions & { waitMs: Millis },
   ): Promise<RowBatch>;
   /** Writes a row unconditionally. */
-  writeRow(table: Table, key: string, value: string, options: StoreCallOptions): Promise<void>;
+  writeRow(
+    table: StoredTable,
+    key: string,
+    value: string,
+    options: StoreCallOptions,
+  ): Promise<void>;
   /** Removes a row if it still has the given version; does nothing otherwise. */
-  removeRow(table: Table, key: string, version: number, options: StoreCallOptions): Promise<void>;
+  removeRow(
+    table: StoredTable,
+    key: string,
+    version: number,
+    options: StoreCallOptions,
+  ): Promise<void>;
 }
 
 /** A host, as described by its row in the store. */
@@ -111,3 +127,15 @@
   /** Start time by the server's own wall clock; distinguishes restarts under the same id. */
   bornMs: number;
 }
+
+/** Facts of a host that every host should know, as the owner of the facts handles them. */
+export interface Gossip {
+  /** Lists all facts that this host knows, for a host that has just connected. */
+  list(): unknown[];
+  /**
+   * Takes facts of another host, and passes on what is new to this one.
+   *
+   * @throws {DecodeError} when one of them is not valid
+   */
+  receive(items: unknown[]): void;
+}
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -107,3 +107,9 @@
 
 /** Largest number of engines that one probe asks. */
 export const MAX_PROBED_ENGINES = 16;
+
+/** Interval at which a hub reads the quarantines of the store, which only operators change. */
+export const QUARANTINE_SYNC_MS = 10_000;
+
+/** Delay until a hub tries again to synchronize the quarantines with the store. */
+export const QUARANTINE_RETRY_MS = 5 * FLEET_TICK_MS;
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -8,6 +8,7 @@
 import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
 import { ageJob } from "./age_job.ts";
 import { checkRow } from "./check_row.ts";
+import { createClusterQuarantine } from "./create_cluster_quarantine.ts";
 import { createClusterView } from "./create_cluster_view.ts";
 import type { ClusterView } from "./create_cluster_view.ts";
 import { createHubScheduler, createLeavingReport } from "./create_hub_scheduler.ts";
@@ -49,12 +50,22 @@
 ): Cluster {
   const { settings, adapter, clock, random, log, metrics } = context;
   const { retryLimits, coldLimits } = settings;
+  const quarantine = createClusterQuarantine({
+    store: adapter.store,
+    sendGossip: (items) => fleet.sendGossip(items),
+    isHub: () => fleet.isHub(),
+    clock,
+    log,
+    metrics,
+  });
   // The hub's placer knows all requests; the local one is used if no hub answers.
   const hubPlacer = createPlacer({
     clock,
     retryLimits,
     coldLimits,
     share: () => fleet.hubLimitShare(),
+    quarantine: quarantine.shared,
+    onVerdict: quarantine.logVerdict,
     onDecision: (record) => log.info(record, "Placement decided"),
     // An isolated host does not know which requests of other hosts a prompt would wait for.
     canQueue: () => !fleet.isIsolated(),
@@ -66,6 +77,8 @@
     retryLimits,
     coldLimits,
     share: () => fleet.ownLimitShare(),
+    quarantine: quarantine.local,
+    onVerdict: quarantine.logVerdict,
     canQueue: () => false,
     isUncoordinated: () => fleet.hostCount() > 1,
     onDecision: (record) => log.info(record, "Placement decided without a hub"),
@@ -121,6 +134,7 @@
     ],
     createCancelReport,
     ageJob,
+    gossip: quarantine.gossip,
     parsers: createPlacementParsers(),
     checkRow,
     onChange: (table, changed) => view.apply(table, changed),
@@ -138,6 +152,7 @@
       hubPlacer.dispatchReady();
     }
   });
+  quarantine.run(tasks);
   tasks.run("probe load of unlinked hosts", async (signal) => {
     while (!signal.aborted) {
       await sleepUntilTick(HUB_PROBE_MS, { clock, signal });
