End an answer that is sent in chunks of a byte without end

Callers of sound servers waited up to 1.5 s at a host beside three answers in chunks of one byte without end: each byte costs the HTTP parser 2.2 us, so that the process was busy for 70 ms a read and connection (CPU profile: 3.8 s of 4.5 s in the parser).

--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -22,6 +22,12 @@
 /** Answers that are not streamed are buffered up to this size, so that they can be retried. */
 export const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
+/**
+ * Bytes around the chunks of an answer that may exceed the bytes in them. Chunks of a byte without end
+ * would keep the process busy, and other requests waiting, since each takes as long as a large one.
+ */
+export const MAX_FRAMING_BYTES = 256 * 1024;
+
 /** Informational answers (status 1xx) of one exchange after which the server counts as faulty. */
 export const MAX_INFORMATIONAL_ANSWERS = 16;
 
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -2,7 +2,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { runAfterRead } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
-import { MAX_INFORMATIONAL_ANSWERS } from "./constants.ts";
+import { MAX_FRAMING_BYTES, MAX_INFORMATIONAL_ANSWERS } from "./constants.ts";
 import { detectReset } from "./detect_reset.ts";
 import { endsWithConnection } from "./ends_with_connection.ts";
 import type { HeaderList } from "./types.ts";
@@ -165,6 +165,7 @@
         endsWithConnection: endsWithConnection(serverRequest.method, res),
         body: readAnswerBody(res, {
           createExchangeError,
+          countReceived: () => req.socket?.bytesRead ?? 0,
           findBodyError: async () => bodyError ?? await resetCheck,
         }),
       });
@@ -200,13 +201,21 @@
 
 async function* readAnswerBody(
   res: IncomingMessage,
-  { createExchangeError, findBodyError }: {
+  { createExchangeError, countReceived, findBodyError }: {
     createExchangeError: (err: unknown) => ExchangeError;
+    countReceived: () => number;
     findBodyError: () => Promise<Error | undefined>;
   },
 ): AsyncGenerator<Buffer> {
+  let bodyBytes = 0;
   try {
-    for await (const chunk of res as AsyncIterable<Buffer>) yield chunk;
+    for await (const chunk of res as AsyncIterable<Buffer>) {
+      bodyBytes += chunk.length;
+      if (countReceived() - bodyBytes > MAX_FRAMING_BYTES + bodyBytes) {
+        throw new Error("Answer body is sent in too many chunks");
+      }
+      yield chunk;
+    }
   } catch (err) {
     throw createExchangeError(err);
   }
--- a/packages/forwarding/open_exchange_test.ts
+++ b/packages/forwarding/open_exchange_test.ts
@@ -66,3 +66,35 @@
   t.is(answer.status, 200);
   exchange.cancel();
 });
+
+test("a body in chunks of a byte is read whole, unless it goes on without end", async (t) => {
+  const server = createServer((req, res) => {
+    const count = Number(req.url?.slice(1));
+    res.write("x");
+    let written = 1;
+    const write = () => {
+      while (written < count && !res.destroyed) {
+        written += 1;
+        if (!res.write("x")) return void res.once("drain", write);
+      }
+      res.end();
+    };
+    write();
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.teardown(() => server.close());
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const read = async (count: number) => {
+    const exchange = openExchange(
+      { ...REQUEST, address, target: `/${count}` },
+      { connectTimeoutMs: 500 },
+    );
+    let length = 0;
+    for await (const chunk of (await exchange.answer).body) length += chunk.length;
+    return length;
+  };
+  t.is(await read(50_000), 50_000);
+  const err = await t.throwsAsync(read(1_000_000), { instanceOf: ExchangeError });
+  t.is(err?.failure, EXCHANGE_FAILURE.BROKEN);
+});
