Separate suspect requests only after a second crash

After the end of one engine, each of its retried requests waited for an engine without another one, and other requests avoided these engines, although one crash says little about any of the requests that end with it. Content now counts as suspect for the choice of servers once it occurs in two unexplained crashes.

--- a/packages/placement/create_crash_evidence.ts
+++ b/packages/placement/create_crash_evidence.ts
@@ -43,7 +43,10 @@
   isReviewDue(): boolean;
   /** Reviews the crashes and returns the verdicts for which there is enough evidence now. */
   takeVerdicts(): CrashVerdict[];
-  /** Lists the keys of a service that occur in an unexplained crash and that no answer has cleared. */
+  /**
+   * Lists the keys of a service that occur in several unexplained crashes and that no answer has
+   * cleared. One crash says little, as all requests of a server end with it.
+   */
   suspectKeys(service: string): ReadonlySet<string>;
   /** Reports whether requests with these keys are likely to crash another server. */
   isLikelyCause(keys: readonly string[]): boolean;
@@ -251,9 +254,10 @@
       if (records.length === 0) return NO_KEYS;
       const known = suspectKeysByService.get(service);
       if (known !== undefined) return known;
-      const keys = new Set(
-        records.filter((record) => record.service === service).flatMap(listUnexplainedKeys),
-      );
+      const occurring = records.filter((record) => record.service === service)
+        .flatMap(listUnexplainedKeys);
+      const seen = new Set<string>();
+      const keys = new Set(occurring.filter((key) => seen.has(key) || !seen.add(key)));
       suspectKeysByService.set(service, keys);
       return keys;
     },
--- a/packages/placement/create_crash_evidence_test.ts
+++ b/packages/placement/create_crash_evidence_test.ts
@@ -86,9 +86,12 @@
   const { crash, answer, review, clock, evidence } = setUp();
   answer("p");
   crash(["p"]);
+  crash(["p"]);
   t.deepEqual([...evidence.suspectKeys(SERVICE)], []);
   clock.advance(ANSWER_MEMORY_MS);
   crash(["p"]);
+  t.deepEqual([...evidence.suspectKeys(SERVICE)], []);
+  crash(["p"]);
   t.deepEqual([...evidence.suspectKeys(SERVICE)], ["p"]);
   answer("p");
   t.deepEqual([...evidence.suspectKeys(SERVICE)], []);
