Let a quarantine that was lifted be found again

Read in review: the evidence kept verdicts of its own, so that content whose quarantine an operator had lifted, or a trial on another hub, was never found again however many servers it ended; content under suspicion after two crashes was kept without an end. Evidence now asks the list which content is in quarantine, which also covers what other hubs have found, and forgets suspicion with the crashes. A test finds content again after its quarantine was lifted; it was not run on the code before, whose evidence had no such list.

--- a/packages/forwarding_host/create_cluster_quarantine.ts
+++ b/packages/forwarding_host/create_cluster_quarantine.ts
@@ -72,6 +72,7 @@
     shared,
     local: {
       ...own,
+      listHeld: () => [...shared.listHeld(), ...own.listHeld()],
       find(keys) {
         const found = shared.find(keys);
         if (found === undefined) return own.find(keys);
--- a/packages/placement/_lib/create_crash_guard.ts
+++ b/packages/placement/_lib/create_crash_guard.ts
@@ -14,8 +14,8 @@
   job: PlacementJob;
   /** Server that got the request. */
   serverId: string;
-  /** Start of the server. */
-  server: string;
+  /** Id and start time of the server. */
+  serverStart: string;
   /** Time at which the request was sent. */
   sentMs: Millis;
   /** Time of the first byte of the answer; undefined before it. */
@@ -72,15 +72,15 @@
  */
 export function createCrashGuard(options: CrashGuardOptions): CrashGuard {
   const { clock, quarantine = createQuarantineList(clock), running, onVerdict } = options;
-  const evidence = createCrashEvidence(clock);
+  const evidence = createCrashEvidence(clock, quarantine.listHeld);
   let reviewedMs = -Infinity;
 
   const isHarmless = ({ writingSinceMs }: SentJob) =>
     writingSinceMs !== undefined && clock.nowMs() - writingSinceMs >= HARMLESS_AFTER_MS;
 
   /**
-   * Lists the suspect keys of a job that occur in the fewest crashes, which it shares with the fewest
-   * sound requests.
+   * Lists the suspect keys of a job that occur in the fewest crashes. Sound requests are more likely
+   * to have the others too.
    */
   const listSuspectKeys = (job: PlacementJob): string[] => {
     const crashCounts = evidence.suspectKeys(job.service);
@@ -137,16 +137,18 @@
       const others = servers.filter(({ server }) => !serverIds.has(server.id));
       return others.length > 0 || mustWait ? others : [...servers];
     },
-    recordStart: ({ server, sentMs }) => evidence.recordServerAlive(server, sentMs),
+    recordStart: ({ serverStart, sentMs }) => evidence.recordServerAlive(serverStart, sentMs),
     recordEnd(sent, outcome) {
-      const { job, server, sentMs } = sent;
+      const { job, serverStart, sentMs } = sent;
       suspects.delete(job.id);
       const isAnswer = outcome === JOB_OUTCOME.ANSWERED;
-      if (isAnswer || outcome === JOB_OUTCOME.FAILED) evidence.recordServerAlive(server, sentMs);
+      if (isAnswer || outcome === JOB_OUTCOME.FAILED) {
+        evidence.recordServerAlive(serverStart, sentMs);
+      }
       if (isAnswer || isHarmless(sent)) recordHarmless(sent);
       else if (outcome === JOB_OUTCOME.BROKEN) {
         const keys = listContentKeys(job);
-        evidence.recordCrash({ server, service: job.service, keys, sentMs });
+        evidence.recordCrash({ serverStart, service: job.service, keys, sentMs });
         for (const other of running()) trackIfSuspect(other);
       }
     },
--- a/packages/placement/create_crash_evidence.ts
+++ b/packages/placement/create_crash_evidence.ts
@@ -15,7 +15,7 @@
 /** An attempt that had not proved to be harmless when its server ended. */
 export interface CrashedAttempt {
   /** Start of the server that ended. */
-  server: string;
+  serverStart: string;
   /** Service of the server. */
   service: string;
   /** Content keys of the request. */
@@ -39,7 +39,7 @@
   /** Records that a server of the service has answered a request with these keys. */
   recordAnswer(service: string, keys: readonly string[]): void;
   /** Records that a server answers an attempt that was sent at the given time. */
-  recordServerAlive(server: string, sentMs: Millis): void;
+  recordServerAlive(serverStart: string, sentMs: Millis): void;
   /** True while there are crashes to review, of which all attempts have been reported. */
   isReviewDue(): boolean;
   /** Reviews the crashes and returns the verdicts for which there is enough evidence now. */
@@ -55,7 +55,7 @@
 
 /** What is known of the end of one start of a server. */
 interface CrashRecord {
-  server: string;
+  serverStart: string;
   service: string;
   atMs: Millis;
   /** Keys of each suspect attempt that no answer has cleared. */
@@ -87,24 +87,30 @@
  * Creates an empty collection of evidence.
  *
  * Content that crashes servers does so on each server. One answer therefore clears all keys of a
- * request, and only keys without an answer, shortly before the crash or since, stay suspect. Servers also end for other reasons, many at
- * once, and under requests that have nothing to do with it. So crashes count in rounds: an attempt of
- * the next round is sent after the last crash was known. The rounds that are needed depend on how
- * many requests without the key crash meanwhile, and nothing is concluded while no such request is
- * answered. A key that occurs beside more specific ones is given time for an answer first. Crashes that a verdict explains do not count against other content.
+ * request, and only keys without an answer, shortly before the crash or since, stay suspect. Servers
+ * also end for other reasons, many at once, and under requests that have nothing to do with it. So
+ * crashes count in rounds: an attempt of the next round is sent after the last crash was known. The
+ * rounds that are needed depend on how many requests without the key crash meanwhile, and nothing is
+ * concluded while no such request is answered. A key that occurs beside more specific ones is given
+ * time for an answer first. Crashes that content in quarantine explains do not count against other
+ * content.
  *
  * @param clock monotonic time source
+ * @param listQuarantined returns the keys of each content that is in quarantine
  * @returns the evidence
  *
  * @example
- * const evidence = createCrashEvidence(clock);
- * evidence.recordCrash({ server, service, keys, sentMs });
+ * const evidence = createCrashEvidence(clock, quarantine.listHeld);
+ * evidence.recordCrash({ serverStart, service, keys, sentMs });
  * for (const verdict of evidence.takeVerdicts()) quarantine.add(verdict);
  */
-export function createCrashEvidence(clock: Clock): CrashEvidence {
+export function createCrashEvidence(
+  clock: Clock,
+  listQuarantined: () => readonly (readonly string[])[],
+): CrashEvidence {
   let records: CrashRecord[] = [];
-  let verdicts: string[][] = [];
-  let suspects: string[][] = [];
+  /** Content that is likely to crash another server, with the time of the last crash. */
+  let likelyCauses: { keys: string[]; atMs: Millis }[] = [];
   const answersByService = new Map<string, number>();
   const countAnswers = (service: string) => answersByService.get(service) ?? 0;
   /** Times of the last answers to requests with a key, oldest first. */
@@ -129,14 +135,17 @@
   const removeExpired = () => {
     const oldestMs = clock.nowMs() - CRASH_EVIDENCE_MS;
     records = records.filter(({ atMs }) => atMs >= oldestMs).slice(-MAX_CRASH_RECORDS);
+    likelyCauses = likelyCauses.filter(({ atMs }) => atMs >= oldestMs).slice(-MAX_CRASH_RECORDS);
   };
 
   const isDue = ({ atMs, isReviewed }: CrashRecord) =>
     !isReviewed && clock.nowMs() - atMs >= CRASH_SETTLE_MS;
 
-  /** Reports whether a verdict that does not concern the key explains a crash. */
+  /** Reports whether quarantined content that does not concern the key explains a crash. */
   const isExplained = ({ attempts }: CrashRecord, key: string) =>
-    verdicts.some((verdict) => !verdict.includes(key) && attempts.some(includesAll(verdict)));
+    listQuarantined().some((quarantined) =>
+      !quarantined.includes(key) && attempts.some(includesAll(quarantined))
+    );
 
   const listUnexplainedKeys = (record: CrashRecord) =>
     [...record.sentMsByKey.keys()].filter((key) => !isExplained(record, key));
@@ -232,28 +241,29 @@
     if (first === undefined || first.rounds < SUSPECT_CRASH_ROUNDS || first.answerCount === 0) {
       return [];
     }
-    const groups = groupByAttempt(record, strongest)
-      .filter((group) => !verdicts.some((verdict) => verdict.every((key) => group.includes(key))));
+    const groups = groupByAttempt(record, strongest);
     const hasRounds = first.rounds >= computeCrashRounds(first);
     const isEarly = clock.nowMs() - first.suspectSinceMs < MIN_SUSPICION_MS;
     if (!hasRounds || (isEarly && hasSpecificKeys(record, first))) {
-      suspects.push(...groups);
+      // An early review is made again, so that its content may be known already.
+      likelyCauses = likelyCauses.filter((known) => known.atMs !== record.atMs);
+      likelyCauses.push(...groups.map((keys) => ({ keys, atMs: record.atMs })));
       record.isReviewed = !hasRounds;
       return [];
     }
-    verdicts.push(...groups);
     suspectKeysByService.clear();
-    return groups.map((keys) => ({ keys, crashCount: first.crashCount }));
+    return groups.filter((keys) => !listQuarantined().some((held) => isSubset(held, keys)))
+      .map((keys) => ({ keys, crashCount: first.crashCount }));
   };
 
   return {
-    recordCrash({ server, service, keys, sentMs }) {
+    recordCrash({ serverStart, service, keys, sentMs }) {
       removeExpired();
       suspectKeysByService.clear();
-      let record = records.find((known) => known.server === server);
+      let record = records.find((known) => known.serverStart === serverStart);
       if (record === undefined) {
         record = {
-          server,
+          serverStart,
           service,
           atMs: clock.nowMs(),
           attempts: [],
@@ -278,15 +288,13 @@
       const ofService = records.filter((record) => record.service === service);
       const hasCleared = ofService.map((record) => clearKeys(record, keys)).includes(true);
       if (hasCleared) suspectKeysByService.clear();
-      suspects = suspects.filter((suspect) => !suspect.some((key) => keys.includes(key)));
-      if (verdicts.some((verdict) => verdict.every((key) => keys.includes(key)))) {
-        verdicts = verdicts.filter((verdict) => !verdict.every((key) => keys.includes(key)));
-        suspectKeysByService.clear();
-      }
+      likelyCauses = likelyCauses.filter((cause) => !cause.keys.some((key) => keys.includes(key)));
     },
-    recordServerAlive(server, sentMs) {
+    recordServerAlive(serverStart, sentMs) {
       if (records.length === 0) return;
-      const kept = records.filter((record) => record.server !== server || sentMs <= record.atMs);
+      const kept = records.filter((record) =>
+        record.serverStart !== serverStart || sentMs <= record.atMs
+      );
       if (kept.length === records.length) return;
       records = kept;
       suspectKeysByService.clear();
@@ -294,12 +302,16 @@
     isReviewDue: () => records.some(isDue),
     takeVerdicts: () => records.filter(isDue).flatMap(review),
     suspectKeys,
-    isLikelyCause: (keys) => suspects.some((suspect) => suspect.every((key) => keys.includes(key))),
+    isLikelyCause: (keys) => likelyCauses.some((cause) => isSubset(cause.keys, keys)),
   };
 }
 
 const NO_KEYS: ReadonlyMap<string, number> = new Map();
 
+function isSubset(keys: readonly string[], others: readonly string[]): boolean {
+  return keys.every((key) => others.includes(key));
+}
+
 function includesAll(keys: readonly string[]) {
   return (attempt: Set<string>) => keys.every((key) => attempt.has(key));
 }
--- a/packages/placement/create_crash_evidence_test.ts
+++ b/packages/placement/create_crash_evidence_test.ts
@@ -12,22 +12,27 @@
 
 function setUp() {
   const clock = createManualClock();
-  const evidence = createCrashEvidence(clock);
+  const quarantined: string[][] = [];
+  const evidence = createCrashEvidence(clock, () => quarantined);
   let serverCount = 0;
   /** Ends one server under attempts that were sent 10 ms before. */
   const crash = (...attempts: string[][]) => {
     const sentMs = clock.nowMs();
     clock.advance(10);
-    const server = `s${serverCount++}`;
-    for (const keys of attempts) evidence.recordCrash({ server, service: SERVICE, keys, sentMs });
-    return server;
+    const serverStart = `s${serverCount++}`;
+    for (const keys of attempts) {
+      evidence.recordCrash({ serverStart, service: SERVICE, keys, sentMs });
+    }
+    return serverStart;
   };
   const answer = (...keys: string[]) => evidence.recordAnswer(SERVICE, keys);
   const review = () => {
     clock.advance(MIN_SUSPICION_MS);
-    return evidence.takeVerdicts().map(({ keys }) => keys);
+    const verdicts = evidence.takeVerdicts().map(({ keys }) => keys);
+    quarantined.push(...verdicts);
+    return verdicts;
   };
-  return { clock, evidence, crash, answer, review };
+  return { clock, evidence, quarantined, crash, answer, review };
 }
 
 test("a part is the cause when it alone is in all crashes and no answer has it", (t) => {
@@ -58,7 +63,7 @@
   const { evidence, answer, review, clock } = setUp();
   clock.advance(10);
   for (let server = 0; server < 10; server++) {
-    evidence.recordCrash({ server: `s${server}`, service: SERVICE, keys: ["p"], sentMs: 0 });
+    evidence.recordCrash({ serverStart: `s${server}`, service: SERVICE, keys: ["p"], sentMs: 0 });
   }
   answer("q");
   t.deepEqual(review(), []);
@@ -67,7 +72,7 @@
 test("attempts that were sent before a crash was known count as the same round", (t) => {
   const { evidence, clock } = setUp();
   for (let server = 0; server < 2 * MAX_CRASH_ROUNDS; server++) {
-    evidence.recordCrash({ server: `s${server}`, service: SERVICE, keys: ["p"], sentMs: 0 });
+    evidence.recordCrash({ serverStart: `s${server}`, service: SERVICE, keys: ["p"], sentMs: 0 });
     evidence.recordAnswer(SERVICE, ["q"]);
     clock.advance(MIN_SUSPICION_MS);
     t.deepEqual(evidence.takeVerdicts(), []);
@@ -138,10 +143,22 @@
   const { evidence, clock, answer, review } = setUp();
   for (let round = 0; round < MAX_CRASH_ROUNDS; round++) {
     const service = round % 2 === 0 ? SERVICE : "other";
-    evidence.recordCrash({ server: `s${round}`, service, keys: ["p"], sentMs: clock.nowMs() });
+    evidence.recordCrash({ serverStart: `s${round}`, service, keys: ["p"], sentMs: clock.nowMs() });
     clock.advance(10);
     answer("q");
     evidence.recordAnswer("other", ["q"]);
     t.deepEqual(review(), round === MAX_CRASH_ROUNDS - 1 ? [["p"]] : []);
   }
 });
+
+test("content is found again after its quarantine was lifted", (t) => {
+  const { quarantined, crash, answer, review } = setUp();
+  const verdicts = [];
+  for (let round = 0; round < 2 * MIN_CRASH_ROUNDS; round++) {
+    if (round === MIN_CRASH_ROUNDS) quarantined.length = 0;
+    crash(["p", `own${round}`]);
+    answer("q");
+    verdicts.push(...review());
+  }
+  t.deepEqual(verdicts, [["p"], ["p"]]);
+});
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -94,7 +94,7 @@
       serverId,
       helperIds,
       isWriting,
-      server: `${serverId}/${registry.find(serverId)?.server.bornMs}`,
+      serverStart: `${serverId}/${registry.find(serverId)?.server.bornMs}`,
       sentMs: clock.nowMs() - ageMs,
       writingSinceMs: isWriting ? clock.nowMs() : undefined,
     };
--- a/packages/placement/create_quarantine_list.ts
+++ b/packages/placement/create_quarantine_list.ts
@@ -36,6 +36,8 @@
   countTrial(keys: readonly string[]): void;
   /** Lifts the quarantines of requests with these keys, one of which was answered. */
   release(keys: readonly string[]): void;
+  /** Lists the keys of each content whose requests are refused. */
+  listHeld(): readonly (readonly string[])[];
   /** Lists all quarantines, those that were lifted a short time ago included. */
   list(): Quarantine[];
 }
@@ -83,12 +85,16 @@
 ): QuarantineList {
   const entries = new Map<string, Entry>();
 
+  let held: readonly (readonly string[])[] = [];
+
   const put = (quarantine: Quarantine) => {
     const id = getQuarantineId(quarantine);
     entries.delete(id);
     entries.set(id, { quarantine, changedMs: clock.nowMs() });
     const oldest = entries.keys().next();
     if (entries.size > MAX_QUARANTINES && !oldest.done) entries.delete(oldest.value);
+    held = [...entries.values()].filter((entry) => !entry.quarantine.isReleased)
+      .map((entry) => entry.quarantine.keys);
     onChange(quarantine);
   };
 
@@ -139,6 +145,7 @@
       if (entries.size === 0) return;
       for (const { quarantine } of listMatching(keys)) put({ ...quarantine, isReleased: true });
     },
+    listHeld: () => held,
     list: () =>
       [...entries.values()].filter((entry) => !isForgotten(entry))
         .map(({ quarantine }) => quarantine),
