--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -47,7 +47,7 @@
 /** Maximum time in milliseconds for which a failing server is avoided. */
 export const SUSPECT_MAX_MS = 6_000;
 
-/** Consecutive crashes of content from which its requests are not sent to a second server. */
+/** Least number of consecutive crashes after which requests are not sent to a second server. */
 export const SUSPECT_CRASH_ROUNDS = 2;
 
 /** Least number of consecutive crashes after which content counts as their cause. */
--- a/packages/placement/create_crash_evidence.ts
+++ b/packages/placement/create_crash_evidence.ts
@@ -7,6 +7,7 @@
   MAX_CRASH_ATTEMPTS,
   MAX_CRASH_RECORDS,
   MAX_CRASH_ROUNDS,
+  MIN_CRASH_ROUNDS,
   MIN_SUSPICION_MS,
   SUSPECT_CRASH_ROUNDS,
 } from "./constants.ts";
@@ -238,11 +239,10 @@
     if (record.sentMsByKey.size === 0) return [];
     const strongest = listStrongest(record);
     const [first] = strongest;
-    if (first === undefined || first.rounds < SUSPECT_CRASH_ROUNDS || first.answerCount === 0) {
-      return [];
-    }
+    if (first === undefined || first.answerCount === 0) return [];
+    if (first.rounds < computeCrashRounds(first, SUSPECT_CRASH_ROUNDS)) return [];
     const groups = groupByAttempt(record, strongest);
-    const hasRounds = first.rounds >= computeCrashRounds(first);
+    const hasRounds = first.rounds >= computeCrashRounds(first, MIN_CRASH_ROUNDS);
     const isEarly = clock.nowMs() - first.suspectSinceMs < MIN_SUSPICION_MS;
     if (!hasRounds || (isEarly && hasSpecificKeys(record, first))) {
       // An early review is made again, so that its content may be known already.
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -137,6 +137,9 @@
   t.deepEqual([countRetries(1), countRetries(0.5)], [8, 4]);
 });
 
+/** Answers after which two crashes of some content are hardly due to chance. */
+const ANSWER_COUNT = 40;
+
 /** Plays servers that end under a request and start again. */
 function createCrashes(options: Parameters<typeof setUp>[0] = {}) {
   const { placer, clock } = setUp({ servers: 8, ...options });
@@ -148,7 +151,9 @@
     return { job, serverId: decision.kind === "placed" ? decision.serverId : undefined };
   };
   const answer = (changes: Partial<PlacementJob>) => {
-    placer.finished(place(changes).job.id, JOB_OUTCOME.ANSWERED);
+    for (let count = 0; count < ANSWER_COUNT; count++) {
+      placer.finished(place(changes).job.id, JOB_OUTCOME.ANSWERED);
+    }
   };
   const crash = (changes: Partial<PlacementJob>, { writtenMs }: { writtenMs?: number } = {}) => {
     const { job, serverId } = place(changes);
