Reword six comments of the quarantine and the framing limit

The last reading found comments whose subject or consequence a newcomer would have to guess. Formatter, linter, types and the tests of placement pass.

--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -23,8 +23,8 @@
 export const MAX_BUFFERED_ANSWER_BYTES = 262_144;
 
 /**
- * Bytes around the chunks of an answer that may exceed the bytes in them. Chunks of a byte without end
- * would keep the process busy, and other requests waiting, since each takes as long as a large one.
+ * Largest excess of an answer's chunk framing over its body. Parsing a chunk of one byte takes as long
+ * as parsing a large one, so that small chunks without end would keep the process from other requests.
  */
 export const MAX_FRAMING_BYTES = 256 * 1024;
 
--- a/packages/forwarding_host/create_cluster_quarantine.ts
+++ b/packages/forwarding_host/create_cluster_quarantine.ts
@@ -29,8 +29,8 @@
   /** Quarantines of all hosts, for the placer of a hub. */
   shared: QuarantineList;
   /**
-   * The same and verdicts of this host alone, for its own placer. Seeing few of the requests, it
-   * keeps its verdicts to itself and leaves trials to the hub.
+   * The same and the verdicts of this host's own placer, which it uses without a hub. That placer
+   * knows few of the requests, so that its verdicts are not shared and trials are left to hubs.
    */
   local: QuarantineList;
   /** Exchange of the quarantines with other hosts. */
--- a/packages/placement/_lib/create_crash_guard.ts
+++ b/packages/placement/_lib/create_crash_guard.ts
@@ -61,7 +61,7 @@
 }
 
 /**
- * Creates a guard against content that crashes servers, without evidence.
+ * Creates a guard against content that crashes servers; it has no evidence at first.
  *
  * @param options clock and list of quarantines, to which verdicts are added
  * @returns the guard
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -83,7 +83,7 @@
 /** Maximum number of attempts that are remembered of one crash. */
 export const MAX_CRASH_ATTEMPTS = 16;
 
-/** Milliseconds of answering after which a server's end is not due to the request. */
+/** Milliseconds from the first byte of an answer after which its request did not crash the server. */
 export const HARMLESS_AFTER_MS = 500;
 
 /** Milliseconds for which content is held in quarantine before the first trial. */
@@ -98,7 +98,7 @@
 /** Maximum number of quarantines. */
 export const MAX_QUARANTINES = 1_000;
 
-/** Milliseconds for which a lifted quarantine is remembered, so that late news do not restore it. */
+/** Milliseconds for which a lifted quarantine is remembered, so that late messages do not restore it. */
 export const RELEASE_MEMORY_MS = 600_000;
 
 /** Retry delay given to callers that are refused because no server can take the request. */
--- a/packages/placement/create_crash_evidence.ts
+++ b/packages/placement/create_crash_evidence.ts
@@ -245,7 +245,7 @@
     const hasRounds = first.rounds >= computeCrashRounds(first, MIN_CRASH_ROUNDS);
     const isEarly = clock.nowMs() - first.suspectSinceMs < MIN_SUSPICION_MS;
     if (!hasRounds || (isEarly && hasSpecificKeys(record, first))) {
-      // An early review is made again, so that its content may be known already.
+      // A crash that was reviewed too early is reviewed again, and must not be listed twice.
       likelyCauses = likelyCauses.filter((known) => known.atMs !== record.atMs);
       likelyCauses.push(...groups.map((keys) => ({ keys, atMs: record.atMs })));
       record.isReviewed = !hasRounds;
