Read an answer that has arrived before its request times out

A host that stood still over a route's timeout or a caller's deadline answered 504 although the server's answer had arrived in time, and cut a stream whose last events had arrived. Timers run before sockets are read, so that the abort at the deadline cancelled the exchange first. A host stands still while it applies a large configuration or while its process is paused.

The timer of a request now starts a look at the sockets. The request ends if nothing of its answer was read in the last turn of the event loop, and 100 ms after its time at the latest, or after one turn that is longer.

--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -53,7 +53,7 @@
       helpers,
       urgency: chooseUrgency(request.metadata.promptTokens),
     }),
-  }, { connectTimeoutMs: CONNECT_TIMEOUT_MS });
+  }, { connectTimeoutMs: CONNECT_TIMEOUT_MS, onReceived: request.onReceived });
   const onAbort = () => exchange.cancel();
   request.signal.addEventListener("abort", onAbort, { once: true });
   const successors = createSuccessorSearch(context, request, attempt, exchange.cancel);
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -147,6 +147,8 @@
   res: ServerResponse;
   /** Reports whether the answer must announce that its connection is closed afterwards. */
   shouldClose: () => boolean;
+  /** Called for each part of a server's answer that was read: its head, pieces of its body, its end. */
+  onReceived: () => void;
   /** Called with the attempts when they begin; the state changes as they go on. */
   onAttempts: (state: Readonly<AttemptState>) => void;
 }
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -22,6 +22,7 @@
 import { runAttempts } from "./_lib/run_attempts.ts";
 import { runUntilExit } from "./_lib/run_until_exit.ts";
 import { sendFailure } from "./_lib/send_failure.ts";
+import { startEndTimer } from "./_lib/start_end_timer.ts";
 import { canTakeRequest } from "./_lib/stop_limit.ts";
 import { createConnectionCloser } from "./_lib/create_connection_closer.ts";
 import type { ConnectionCloser, ConnectionCounts } from "./_lib/create_connection_closer.ts";
@@ -251,8 +252,12 @@
   const { req, res, resolved, body, arrivalMs, monitored, connections } = options;
   const { metadata, route, service, workspace, timeoutMs } = resolved;
   const controller = new AbortController();
+  let receivedCount = 0;
   const remainingMs = arrivalMs + timeoutMs - context.clock.nowMs();
-  const timer = setTimeout(() => controller.abort(), remainingMs);
+  const cancelEnd = startEndTimer(remainingMs, {
+    countReceived: () => receivedCount,
+    onEnd: () => controller.abort(),
+  });
   const onClose = () => controller.abort();
   res.once("close", onClose);
   // The caller may have disconnected while its body was read.
@@ -282,6 +287,7 @@
     signal: controller.signal,
     res,
     shouldClose: () => connections.shouldClose(req.socket),
+    onReceived: () => void (receivedCount += 1),
     onAttempts: (state) => void (monitored.attempts = state),
   };
   const handler = route.kind === ROUTE_KIND.STREAMING
@@ -292,7 +298,7 @@
     context.metrics.increment("answer", { route: route.name });
     context.metrics.timing("answer_ms", context.clock.nowMs() - arrivalMs, { route: route.name });
   } finally {
-    clearTimeout(timer);
+    cancelEnd();
     res.removeListener("close", onClose);
     exit.removeEventListener("abort", onExit);
   }
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -81,6 +81,14 @@
   cancel(): void;
 }
 
+/** Options of {@linkcode openExchange}. */
+export interface ExchangeOptions {
+  /** Time limit of the connect, in milliseconds. */
+  connectTimeoutMs: Millis;
+  /** Called for each part of the answer that was read: its head, pieces of its body, its end. */
+  onReceived?: () => void;
+}
+
 /**
  * Sends a request to a server on a new connection.
  *
@@ -88,7 +96,7 @@
  * unresponsive connections cannot affect another request. The cost is one handshake per request.
  *
  * @param serverRequest the request and the address of the server
- * @param options time limit of the connect
+ * @param options time limit of the connect, and progress of the answer
  * @returns the exchange; its answer rejects with an {@linkcode ExchangeError}, also if the address or
  * the request is not valid
  *
@@ -98,8 +106,9 @@
  */
 export function openExchange(
   serverRequest: ServerRequest,
-  options: { connectTimeoutMs: Millis },
+  options: ExchangeOptions,
 ): Exchange {
+  const { connectTimeoutMs, onReceived = () => {} } = options;
   const separator = serverRequest.address.lastIndexOf(":");
   let isConnected = false;
   let isCancelled = false;
@@ -129,7 +138,7 @@
   const onConnectTimeout = () => {
     if (!isConnected) req.destroy(new Error("Connection timed out"));
   };
-  const connectTimer = setTimeout(() => runAfterRead(onConnectTimeout), options.connectTimeoutMs);
+  const connectTimer = setTimeout(() => runAfterRead(onConnectTimeout), connectTimeoutMs);
   const answer = new Promise<ServerAnswer>((resolve, reject) => {
     req.once("socket", (socket) => {
       socket.once("connect", () => {
@@ -137,6 +146,7 @@
         clearTimeout(connectTimer);
       });
       socket.prependOnceListener("end", () => {
+        onReceived();
         if (response === undefined || !endsWithConnection(serverRequest.method, response)) return;
         resetCheck = detectReset(socket);
       });
@@ -158,6 +168,7 @@
       // A later socket error is thrown by the body's iteration, or concerns bytes after its end.
       res.on("error", () => {});
       response = res;
+      onReceived();
       resolve({
         status: res.statusCode ?? 0,
         statusText: res.statusMessage ?? "",
@@ -165,6 +176,7 @@
         endsWithConnection: endsWithConnection(serverRequest.method, res),
         body: readAnswerBody(res, {
           createExchangeError,
+          onReceived,
           countReceived: () => req.socket?.bytesRead ?? 0,
           findBodyError: async () => bodyError ?? await resetCheck,
         }),
@@ -201,8 +213,9 @@
 
 async function* readAnswerBody(
   res: IncomingMessage,
-  { createExchangeError, countReceived, findBodyError }: {
+  { createExchangeError, onReceived, countReceived, findBodyError }: {
     createExchangeError: (err: unknown) => ExchangeError;
+    onReceived: () => void;
     countReceived: () => number;
     findBodyError: () => Promise<Error | undefined>;
   },
@@ -210,6 +223,7 @@
   let bodyBytes = 0;
   try {
     for await (const chunk of res as AsyncIterable<Buffer>) {
+      onReceived();
       bodyBytes += chunk.length;
       if (countReceived() - bodyBytes > MAX_FRAMING_BYTES + bodyBytes) {
         throw new Error("Answer body is sent in too many chunks");
--- a/packages/kernel/run_after_read.ts
+++ b/packages/kernel/run_after_read.ts
@@ -1,5 +1,5 @@
 import { createClock } from "./create_clock.ts";
-import type { Clock } from "./types.ts";
+import type { Clock, Millis } from "./types.ts";
 
 /** Longest turn of the event loop after which what had arrived at its end counts as read. */
 const MAX_TURN_MS = 5;
@@ -9,6 +9,8 @@
 
 /** Options of {@linkcode runAfterRead}. */
 export interface RunAfterReadOptions {
+  /** Time after which the function is called after the next look at the sockets; no limit by default. */
+  maxWaitMs?: Millis;
   /** Monotonic time source; that of the process by default. */
   clock?: Pick<Clock, "nowMs">;
   /** Calls a function after the next look at the sockets; `setImmediate` by default. */
@@ -30,13 +32,16 @@
  * }), timeoutMs);
  */
 export function runAfterRead(run: () => void, options: RunAfterReadOptions = {}): void {
-  const { clock = createClock(), afterPoll = setImmediate } = options;
+  const { clock = createClock(), afterPoll = setImmediate, maxWaitMs = Infinity } = options;
+  const beginMs = clock.nowMs();
   let turnCount = 0;
   const startTurn = () => {
     const startMs = clock.nowMs();
     turnCount += 1;
     afterPoll(() => {
-      if (clock.nowMs() - startMs <= MAX_TURN_MS || turnCount === MAX_TURNS) run();
+      const nowMs = clock.nowMs();
+      const isRead = nowMs - startMs <= MAX_TURN_MS;
+      if (isRead || turnCount === MAX_TURNS || nowMs - beginMs >= maxWaitMs) run();
       else startTurn();
     });
   };
--- a/packages/kernel/run_after_read_test.ts
+++ b/packages/kernel/run_after_read_test.ts
@@ -2,12 +2,13 @@
 import { runAfterRead } from "./run_after_read.ts";
 
 /** Counts the turns of the event loop, of the given lengths in milliseconds, before the call. */
-function countTurns(turnsMs: (turn: number) => number): number {
+function countTurns(turnsMs: (turn: number) => number, maxWaitMs?: number): number {
   let nowMs = 0;
   let turnCount = 0;
   let isDone = false;
   let next: (() => void) | undefined;
   runAfterRead(() => isDone = true, {
+    maxWaitMs,
     clock: { nowMs: () => nowMs },
     afterPoll: (run) => next = run,
   });
@@ -29,3 +30,8 @@
 test("the function is called although each turn of the event loop is long", (t) => {
   t.true(countTurns(() => 300) <= 20);
 });
+
+test("the sockets are read once, and not again after the longest wait, if each turn is long", (t) => {
+  t.is(countTurns(() => 300, 100), 1);
+  t.is(countTurns(() => 30, 100), 4);
+});
