Keep a silent server until another one has continued the answer

Cause: when a server had been silent for 1.4 s, its exchange was cancelled as soon as placement had chosen another server. If that one failed, rejected the request, was silent as well or had nothing to add, callers got 500, 502, 504 or a cut stream although the first server had the rest 0.4 s later.

Change: the silent exchange goes on beside the second one, at most two at a time, the second inside max_attempts, the retry budget and the cold limits as before. The first run that continues the answer (a next event, the end of the stream by the run that wrote the last event, or a whole answer to a call) is the only one from then on; the slot and memory of the other are freed at once. A run that ends without that leaves the answer to the other one. Placement avoids a dropped server only if it stayed silent.

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -1,8 +1,11 @@
 import type { Millis } from "@jaypass/kernel";
+import { JOB_OUTCOME } from "@jaypass/placement";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
+import { FAILURE } from "../errors.ts";
 import type { Failure } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
 import type { AnswerMetadata } from "../types.ts";
+import type { ConcurrentRuns, Run } from "./create_concurrent_runs.ts";
 import type { ForwardingServer } from "./request_context.ts";
 
 /** Result of sending a request to one server. */
@@ -19,6 +22,13 @@
   timing?: StreamTiming;
 }
 
+/** Result of a run that was dropped, since another one has continued the answer. */
+export const DROPPED: AttemptResult = {
+  outcome: JOB_OUTCOME.CANCELLED,
+  isDone: false,
+  failure: FAILURE.SERVER_SILENT,
+};
+
 /** Timing of the chunks that a stream's server sent. */
 export interface StreamTiming {
   /** Time from the arrival of the caller's request to the first chunk from this server. */
@@ -37,6 +47,8 @@
   onChunk: () => void;
   /** Must be called when the body has not gone on for so long that another server may be better. */
   onStalled: () => void;
+  /** The run that the answer belongs to; it must claim the caller's answer before it writes. */
+  run: Pick<Run, "claim" | "isActive" | "hasOther">;
 }
 
 /** Passes answers of servers on to the caller, over all attempts of one request. */
@@ -59,11 +71,9 @@
   diversionCount: number;
   /** Placements that were requested so far. */
   placementCount: number;
-  /** Placement on another server, which was found while the last one was silent. */
-  successor: Pick<Attempt, "job" | "decision"> | undefined;
   mayHaveRun: boolean;
-  /** True while a server has the request and has not answered it. */
-  isInFlight: boolean;
+  /** Servers that have the request and have not answered it. */
+  inFlightCount: number;
   excludedIds: string[];
   /** Result of the last attempt. */
   last: AttemptResult | undefined;
@@ -77,3 +87,11 @@
   state: AttemptState;
   handler: AnswerHandler;
 }
+
+/** An attempt beside which another one may be started. */
+export interface RunningAttempt extends Attempt {
+  run: Run;
+  runs: ConcurrentRuns;
+  /** Called with the placement on another server that was found while this one was silent. */
+  onSuccessor: (successor: Pick<Attempt, "job" | "decision">) => void;
+}
--- a/packages/forwarding/_lib/attempt_errors.ts
+++ b/packages/forwarding/_lib/attempt_errors.ts
@@ -55,7 +55,7 @@
  * attempt.
  */
 export function createStoppingError(state: Readonly<AttemptState> | undefined): ForwardingError {
-  const mayHaveRun = state !== undefined && (state.mayHaveRun || state.isInFlight);
+  const mayHaveRun = state !== undefined && (state.mayHaveRun || state.inFlightCount > 0);
   return mayHaveRun
     ? new ForwardingError(502, FAILURE.STOPPING)
     : new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -11,6 +11,7 @@
 import { FAILURE } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
 import type { Route } from "../types.ts";
+import { DROPPED } from "./attempt.ts";
 import type { AnswerHandler, AttemptResult, ReceivedAnswer } from "./attempt.ts";
 import { createCallerAnswer } from "./create_caller_answer.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
@@ -22,6 +23,9 @@
  * after the last event that the caller received. Once the head is sent, a server's answer counts
  * only if it continues the stream, with events whose ids follow the last one. An answer without such
  * an event is no continuation, since it does not show that the last event was the end of the stream.
+ * While two runs are in progress, the first one with a next event, or the one that wrote the last event
+ * with the end of the stream, continues it; each has a splitter of its own, so that no event has parts
+ * of two runs.
  * The connection of a stream that cannot resume is closed without the end of the body, so that the
  * caller does not take the answer for complete. A stream that only the end of its connection ends
  * counts as interrupted if it ends in an event or has none.
@@ -49,7 +53,7 @@
   };
 
   const handle = async (received: ReceivedAnswer): Promise<AttemptResult> => {
-    const { answer, metadata, onChunk, onStalled } = received;
+    const { answer, metadata, onChunk, onStalled, run } = received;
     if (!metadata.isSealed || metadata.isEncoded) {
       return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
@@ -58,7 +62,7 @@
     if (!isSuccess && isContinuation) {
       return invalidAnswer("Error answer does not continue the stream", JOB_OUTCOME.FAILED);
     }
-    if (!isSuccess) return await handleFailure(answer);
+    if (!isSuccess) return await handleFailure(answer, run);
     const splitter = createEventSplitter();
     const stallTimer = createStallTimer(computeStallTimeoutMs(route), onStalled);
     const streamTimer = createStreamTimer(context, request);
@@ -71,6 +75,8 @@
         // A caller that reads slowly delays the next chunk as well.
         stallTimer.clear();
         for (const event of splitter.push(chunk)) {
+          // The other run may have continued the stream while this one waited for a slow caller.
+          if (!run.isActive()) return DROPPED;
           // A server that resumes a stream may repeat events that the caller has already.
           if (event.id === undefined) return invalidAnswer("Event without an id");
           if (lastEventId !== undefined && event.id <= lastEventId) {
@@ -82,6 +88,7 @@
           if (isContinuation && lastEventId !== undefined && event.id !== lastEventId + 1) {
             return invalidAnswer("Events are missing");
           }
+          if (!run.claim()) return DROPPED;
           hasNewEvent = true;
           beginOnce(answer);
           lastEventId = event.id;
@@ -93,6 +100,7 @@
     } finally {
       stallTimer.clear();
     }
+    if (!run.isActive()) return DROPPED;
     const rest = splitter.rest();
     const hasEvent = (lastEventId ?? request.metadata.lastEventId) !== undefined;
     if (answer.endsWithConnection && (rest.length > 0 || !hasEvent)) {
@@ -105,6 +113,7 @@
     if (rest.length > 0 && (callerAnswer.hasBegun() || isEventStream(answer))) {
       return invalidAnswer("Stream ends within an event");
     }
+    if (!run.claim()) return DROPPED;
     beginOnce(answer);
     if (rest.length > 0) await callerAnswer.write(rest);
     callerAnswer.end();
@@ -124,7 +133,10 @@
     context.metrics.timing("first_event_ms", waitMs, { route: route.name });
   };
 
-  const handleFailure = async (answer: ServerAnswer): Promise<AttemptResult> => {
+  const handleFailure = async (
+    answer: ServerAnswer,
+    run: ReceivedAnswer["run"],
+  ): Promise<AttemptResult> => {
     const chunks: Buffer[] = [];
     let length = 0;
     for await (const chunk of answer.body) {
@@ -137,6 +149,7 @@
       const failure = FAILURE.SERVER_BROKE_OFF;
       return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure, deliver };
     }
+    if (!run.claim()) return DROPPED;
     deliver();
     return { outcome: JOB_OUTCOME.FAILED, isDone: true, failure: FAILURE.INTERNAL };
   };
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -11,10 +11,13 @@
 } from "../constants.ts";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import { EXCHANGE_FAILURE, ExchangeError, openExchange } from "../open_exchange.ts";
-import type { Attempt, AttemptResult, AttemptState } from "./attempt.ts";
+import { DROPPED } from "./attempt.ts";
+import type { AttemptResult, AttemptState, RunningAttempt } from "./attempt.ts";
 import { chooseUrgency } from "./choose_urgency.ts";
+import type { Run } from "./create_concurrent_runs.ts";
 import { createSilenceWatch } from "./create_silence_watch.ts";
 import { createSuccessorSearch } from "./create_successor_search.ts";
+import { findDroppedOutcome } from "./find_dropped_outcome.ts";
 import { readOwnAnswer } from "./read_own_answer.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
 
@@ -26,10 +29,10 @@
 export async function exchangeOnce(
   context: ForwardingContext,
   request: CallerRequest,
-  attempt: Attempt,
+  attempt: RunningAttempt,
   options: { reservation: Reservation | undefined; onFaultyServer: (address: string) => void },
 ): Promise<AttemptResult> {
-  const { job, decision, server, state, handler } = attempt;
+  const { job, decision, server, state, handler, run } = attempt;
   // The caller may have disconnected while memory was reserved.
   if (request.signal.aborted) {
     return { outcome: JOB_OUTCOME.CANCELLED, isDone: false, failure: FAILURE.DEADLINE };
@@ -39,7 +42,8 @@
     return address === undefined ? [] : [{ address, ticket: options.reservation?.tickets.get(id) }];
   });
   state.sendCount += 1;
-  state.isInFlight = true;
+  state.inFlightCount += 1;
+  run.recordSend();
   const exchange = openExchange({
     address: server.address,
     method: request.method,
@@ -56,7 +60,8 @@
   }, { connectTimeoutMs: CONNECT_TIMEOUT_MS, onReceived: request.onReceived });
   const onAbort = () => exchange.cancel();
   request.signal.addEventListener("abort", onAbort, { once: true });
-  const successors = createSuccessorSearch(context, request, attempt, exchange.cancel);
+  run.signal.addEventListener("abort", onAbort, { once: true });
+  const successors = createSuccessorSearch(context, request, attempt);
   const firstByteTimer = setInterval(
     () => successors.start("no_first_byte"),
     computeFirstByteTimeoutMs(request, {
@@ -75,6 +80,7 @@
   });
   try {
     const answer = await exchange.answer;
+    if (!run.isActive()) return DROPPED;
     const metadata = readOwnAnswer(context, request, answer);
     if (metadata === undefined) {
       state.mayHaveRun = true;
@@ -95,10 +101,11 @@
       clearInterval(firstByteTimer);
       silence.recordData();
       successors.cancel();
+      run.recordData();
       context.placement.started(job.id);
     };
     const onStalled = () => successors.start("stalled");
-    return await handler.handle({ answer, metadata, onChunk, onStalled });
+    return await handler.handle({ answer, metadata, onChunk, onStalled, run });
   } catch (err) {
     if (!(err instanceof ExchangeError)) throw err;
     if (err.failure === EXCHANGE_FAILURE.INVALID_REQUEST) {
@@ -107,14 +114,15 @@
     }
     return classifyExchangeError(request, state, err, {
       isLost: silence.isLost(),
-      hasSuccessor: successors.hasFound(),
+      run,
     });
   } finally {
-    state.isInFlight = false;
+    state.inFlightCount -= 1;
     clearInterval(firstByteTimer);
     silence.stop();
     successors.cancel();
     request.signal.removeEventListener("abort", onAbort);
+    run.signal.removeEventListener("abort", onAbort);
     exchange.cancel();
   }
 }
@@ -123,7 +131,7 @@
   request: CallerRequest,
   state: AttemptState,
   err: ExchangeError,
-  { isLost, hasSuccessor }: { isLost: boolean; hasSuccessor: boolean },
+  { isLost, run }: { isLost: boolean; run: Run },
 ): AttemptResult {
   if (err.failure === EXCHANGE_FAILURE.NOT_CONNECTED) {
     state.sendCount -= 1;
@@ -138,9 +146,7 @@
     state.lostCount += 1;
     return { outcome: JOB_OUTCOME.SILENT, isDone: false, failure: FAILURE.SERVER_LOST };
   }
-  if (hasSuccessor) {
-    return { outcome: JOB_OUTCOME.SILENT, isDone: false, failure: FAILURE.SERVER_SILENT };
-  }
+  if (!run.isActive()) return { ...DROPPED, outcome: findDroppedOutcome(request, run) };
   return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.SERVER_BROKE_OFF };
 }
 
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -1,9 +1,7 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
-import type { JobOutcome, PlacementDecision } from "@jaypass/placement";
 import { MAX_CONNECT_FAILURES, MAX_DIVERSIONS, MIN_RETRY_REMAINING_MS } from "../constants.ts";
-import { FAILURE } from "../errors.ts";
 import type { ForwardingError } from "../errors.ts";
-import type { AnswerHandler, Attempt, AttemptResult, AttemptState } from "./attempt.ts";
+import type { AnswerHandler, AttemptResult, AttemptState } from "./attempt.ts";
 import {
   createAbortError,
   createFailureError,
@@ -11,12 +9,13 @@
   createRefusalError,
 } from "./attempt_errors.ts";
 import { describeJob, hasAttemptLeft, isRepeatable } from "./describe_job.ts";
-import { exchangeOnce } from "./exchange_once.ts";
-import { isInTime, listUnwillingIds, placeUnlessAborted } from "./place_unless_aborted.ts";
-import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
+import { isInTime, placeUnlessAborted } from "./place_unless_aborted.ts";
+import type { CallerRequest, ForwardingContext } from "./request_context.ts";
+import { runConcurrently } from "./run_concurrently.ts";
 
 /**
- * Sends a request to one server after another until one answers or no further attempt is allowed.
+ * Sends a request to one server after another until one answers or no further attempt is allowed. While
+ * a server is silent, a second one may have the request as well.
  *
  * A request that must be executed at most once is not sent again unless every server that received
  * it stated that it did not execute it. Status 503 is answered only if that holds or if nothing was
@@ -38,20 +37,13 @@
     connectFailureCount: 0,
     diversionCount: 0,
     placementCount: 0,
-    successor: undefined,
     mayHaveRun: false,
-    isInFlight: false,
+    inFlightCount: 0,
     excludedIds: [],
     last: undefined,
   };
   request.onAttempts(state);
-  try {
-    await runUntilDone(context, request, state, handler);
-  } finally {
-    if (state.successor !== undefined) {
-      context.placement.finished(state.successor.job.id, JOB_OUTCOME.CANCELLED);
-    }
-  }
+  await runUntilDone(context, request, state, handler);
 }
 
 async function runUntilDone(
@@ -65,8 +57,7 @@
     if (!deliverLastFailure(request, state)) throw err;
   };
   while (true) {
-    const { job, decision } = takeSuccessor(state) ??
-      await placeNext(context, request, state, handler);
+    const { job, decision } = await placeNext(context, request, state, handler);
     if (decision === undefined) return fail(createAbortError(request, state));
     if (decision.kind === "refused") {
       return fail(createRefusalError(context, request, state, decision));
@@ -81,30 +72,19 @@
       if (state.connectFailureCount >= MAX_CONNECT_FAILURES) throw createNoServerError(state);
       continue;
     }
-    const result = await runAttempt(context, request, { job, decision, server, state, handler });
+    const result = await runConcurrently(context, request, {
+      job,
+      decision,
+      server,
+      state,
+      handler,
+    });
     if (result === undefined) {
-      divert(context, request, state, decision);
       if (state.diversionCount >= MAX_DIVERSIONS) throw createNoServerError(state);
       continue;
     }
-    context.log.info({
-      requestId: request.id,
-      server: server.id,
-      configuration: context.configuration()?.version,
-      send: state.sendCount,
-      helpers: decision.helperIds.length,
-      tickets: decision.tickets.length,
-      expectedMs: Math.round(decision.expectedMs),
-      elapsedMs: Math.round(context.clock.nowMs() - request.arrivalMs),
-      outcome: result.outcome,
-      failure: result.isDone ? undefined : result.failure,
-      promptTokens: request.metadata.promptTokens || undefined,
-      ...!result.isDone && describeContent(request),
-      ...result.timing,
-    }, "Attempt ended");
     if (result.isDone) return;
     state.last = result;
-    state.excludedIds.push(server.id);
     if (!handler.canContinue() || !mayRetry(context, request, state, result)) {
       return fail(createFailureError(context, request, state, result));
     }
@@ -112,18 +92,6 @@
   }
 }
 
-/** Describes by which content requests with failed attempts can be compared. */
-function describeContent({ fingerprint, metadata }: CallerRequest) {
-  return { fingerprint, parts: metadata.promptParts.join(" ") || undefined };
-}
-
-/** Returns the placement that was found while the last server was silent, and removes it. */
-function takeSuccessor(state: AttemptState): AttemptState["successor"] {
-  const { successor } = state;
-  state.successor = undefined;
-  return successor;
-}
-
 async function placeNext(
   context: ForwardingContext,
   request: CallerRequest,
@@ -134,83 +102,6 @@
   return { job, decision: await placeUnlessAborted(context, request, job, handler) };
 }
 
-async function reserveMemory(
-  context: ForwardingContext,
-  { job, decision }: Attempt,
-): Promise<Reservation | undefined> {
-  if (decision.tickets.length === 0) return undefined;
-  const memoryPlans = decision.tickets.flatMap(({ serverId, tokens }) => {
-    const address = context.findServer(serverId)?.address;
-    return address === undefined ? [] : [{ address, serverId, tokens }];
-  });
-  if (memoryPlans.length < decision.tickets.length) return undefined;
-  return await context.reservations.reserve(job.id, memoryPlans);
-}
-
-/** Excludes the servers because of which a placement was given up. */
-function divert(
-  context: ForwardingContext,
-  request: CallerRequest,
-  state: AttemptState,
-  decision: PlacementDecision & { kind: "placed" },
-): void {
-  const serverIds = listUnwillingIds(context, decision);
-  state.diversionCount += 1;
-  state.excludedIds.push(...serverIds);
-  context.metrics.increment("diversion");
-  context.log.info(
-    { requestId: request.id, servers: serverIds },
-    "Placing request again: a chosen server wants no requests",
-  );
-}
-
-/**
- * Sends a request to the servers of a decision.
- *
- * @returns how the attempt ended; undefined if it was not sent because one of the servers wants no
- * requests, which it may have stated after the decision
- */
-async function runAttempt(
-  context: ForwardingContext,
-  request: CallerRequest,
-  attempt: Attempt,
-): Promise<AttemptResult | undefined> {
-  const { job, decision } = attempt;
-  if (listUnwillingIds(context, decision).length > 0) {
-    context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
-    return undefined;
-  }
-  const reservation = await reserveMemory(context, attempt);
-  if (decision.tickets.length > 0 && reservation === undefined) {
-    context.placement.finished(job.id, JOB_OUTCOME.CANCELLED);
-    attempt.state.connectFailureCount += 1;
-    return { outcome: JOB_OUTCOME.REJECTED, isDone: false, failure: FAILURE.TOO_LARGE };
-  }
-  let faultyId: string | undefined;
-  let outcome: JobOutcome = JOB_OUTCOME.CANCELLED;
-  try {
-    // The reservation may have taken long.
-    if (!isInTime(context, request, attempt)) throw createAbortError(request, attempt.state);
-    // The reservation takes a round trip, in which another answer may have arrived.
-    if (listUnwillingIds(context, decision).length > 0) return undefined;
-    const result = await exchangeOnce(context, request, attempt, {
-      reservation,
-      onFaultyServer: (address) => {
-        faultyId = context.findServerAt(address);
-        context.log.info(
-          { requestId: request.id, server: decision.serverId, faulty: faultyId ?? address },
-          "Request rejected because of a faulty server",
-        );
-      },
-    });
-    outcome = result.outcome;
-    return result;
-  } finally {
-    reservation?.release();
-    context.placement.finished(job.id, outcome, faultyId);
-  }
-}
-
 function mayRetry(
   context: ForwardingContext,
   request: CallerRequest,
--- /dev/null
+++ b/packages/forwarding/_lib/run_concurrently.ts
@@ -0,0 +1,132 @@
+import { JOB_OUTCOME } from "@jaypass/placement";
+import { FAILURE, ForwardingError } from "../errors.ts";
+import type { Attempt, AttemptResult, RunningAttempt } from "./attempt.ts";
+import { createConcurrentRuns } from "./create_concurrent_runs.ts";
+import type { Run } from "./create_concurrent_runs.ts";
+import type { CallerRequest, ForwardingContext } from "./request_context.ts";
+import { runAttempt } from "./run_attempt.ts";
+
+/**
+ * Sends a request to a server, and to another one as well while the first one is silent, until one of
+ * them has answered or all have failed.
+ *
+ * Runs that another one has made superfluous are cancelled at once. Their ends are not waited for, since
+ * a pending memory reservation would delay the end of the request.
+ *
+ * @param context services of the host
+ * @param request the caller's request
+ * @param first the first attempt
+ * @returns the result of the run that answered, or of the one that failed last; undefined if none was
+ * sent
+ * @throws {ForwardingError} if the host itself must answer with a failure
+ */
+export function runConcurrently(
+  context: ForwardingContext,
+  request: CallerRequest,
+  first: Attempt,
+): Promise<AttemptResult | undefined> {
+  const { clock, log, metrics, placement } = context;
+  const { state, handler } = first;
+  const runs = createConcurrentRuns({
+    clock,
+    onWon(winner, other) {
+      const result = winner === firstRun ? "first_won" : "second_won";
+      metrics.increment("silent_server", { reason: "answer", result });
+      log.info({
+        requestId: request.id,
+        server: winner.serverId,
+        other: other.serverId,
+        result,
+        silentMs: Math.round(other.silentMs()),
+      }, "One of two runs of a request has continued its answer");
+    },
+  });
+  let firstRun: Run | undefined;
+  let last: AttemptResult | undefined;
+
+  return new Promise((resolve, reject) => {
+    const finish = (end: () => void) => {
+      request.signal.removeEventListener("abort", onAbort);
+      runs.dropAll();
+      end();
+    };
+    const finishIfEnded = () => {
+      if (runs.list().length === 0) finish(() => resolve(last));
+    };
+
+    const start = (attempt: Attempt): Run | undefined => {
+      const run = runs.start(attempt.server.id);
+      if (run === undefined) {
+        placement.finished(attempt.job.id, JOB_OUTCOME.CANCELLED);
+        return undefined;
+      }
+      const running = { ...attempt, run, runs, onSuccessor };
+      runAttempt(context, request, running).then(
+        (result) => onEnd(running, result),
+        (err) => {
+          if (!run.isActive() && err instanceof ForwardingError) return;
+          finish(() => reject(err));
+        },
+      );
+      return run;
+    };
+
+    const onSuccessor: RunningAttempt["onSuccessor"] = ({ job, decision }) => {
+      const server = context.findServer(decision.serverId);
+      if (server === undefined) return placement.finished(job.id, JOB_OUTCOME.CANCELLED);
+      metrics.increment("retry", { reason: FAILURE.SERVER_SILENT });
+      start({ job, decision, server, state, handler });
+    };
+
+    const onEnd = (attempt: RunningAttempt, result: AttemptResult | undefined) => {
+      const { run, server } = attempt;
+      const wasDropped = !run.isActive();
+      run.end();
+      if (result !== undefined) logEnd(context, request, attempt, result);
+      if (result?.isDone) return finish(() => resolve(result));
+      if (result !== undefined && (!wasDropped || run.isSilent())) {
+        state.excludedIds.push(server.id);
+      }
+      if (wasDropped) return;
+      last = result ?? last;
+      finishIfEnded();
+    };
+
+    // A memory reservation for another server must not delay the end of the request.
+    const onAbort = () => {
+      if (runs.list().length < 2) return;
+      runs.dropUnsent();
+      finishIfEnded();
+    };
+    request.signal.addEventListener("abort", onAbort, { once: true });
+    firstRun = start(first);
+  });
+}
+
+function logEnd(
+  context: ForwardingContext,
+  request: CallerRequest,
+  { server, decision, state }: Attempt,
+  result: AttemptResult,
+): void {
+  context.log.info({
+    requestId: request.id,
+    server: server.id,
+    configuration: context.configuration()?.version,
+    send: state.sendCount,
+    helpers: decision.helperIds.length,
+    tickets: decision.tickets.length,
+    expectedMs: Math.round(decision.expectedMs),
+    elapsedMs: Math.round(context.clock.nowMs() - request.arrivalMs),
+    outcome: result.outcome,
+    failure: result.isDone ? undefined : result.failure,
+    promptTokens: request.metadata.promptTokens || undefined,
+    ...!result.isDone && describeContent(request),
+    ...result.timing,
+  }, "Attempt ended");
+}
+
+/** Describes by which content requests with failed attempts can be compared. */
+function describeContent({ fingerprint, metadata }: CallerRequest) {
+  return { fingerprint, parts: metadata.promptParts.join(" ") || undefined };
+}
--- a/packages/forwarding/concurrent_runs_test.ts
+++ b/packages/forwarding/concurrent_runs_test.ts
@@ -1,8 +1,8 @@
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
-import { SILENCE_TOLERANCE_MS } from "./constants.ts";
+import { MAX_BUFFERED_ANSWER_BYTES, SILENCE_TOLERANCE_MS } from "./constants.ts";
 import { createTestHost, resetConnection } from "./_testing/create_test_host.ts";
-import type { ServerBehaviour } from "./_testing/create_test_host.ts";
+import type { ServerBehaviour, TestHost } from "./_testing/create_test_host.ts";
 import { ROUTE_KIND } from "./types.ts";
 
 /** Silence after which the first server goes on, while a second one has the request. */
@@ -10,6 +10,20 @@
 
 const HEAD = { Attempt: "a1", Seal: "s" };
 
+const ENGINE = {
+  slots: 1,
+  memoryTokens: 100_000,
+  stepMs: 1,
+  perWriterMs: 0,
+  contextMsPerThousand: 0,
+  readTokensPerMs: 100,
+  pairMsPerMillion: 0,
+  stepsPerPass: 10,
+  chunkTokens: 2_000,
+  usualPromptTokens: 1_000,
+  usualAnswerTokens: 100,
+};
+
 const events = (first: number, last: number) =>
   Array.from({ length: last - first + 1 }, (_, at) => `id: ${first + at}\ndata: x\n\n`).join("");
 
@@ -86,3 +100,168 @@
     t.deepEqual(await listFaults(ROUTE_KIND.IDEMPOTENT, first), []);
   });
 }
+
+const silent: ServerBehaviour = () => {};
+
+/** Waits until the second server has the request, or fails after far more than the silence. */
+async function waitForSecondRun(host: TestHost): Promise<void> {
+  for (let at = 0; at < 500 && host.arrivals.length < 2; at++) await wait(20);
+}
+
+/** Creates a server that answers once another server has the request as well. */
+function createLateServer(behaviour: ServerBehaviour) {
+  let host: TestHost | undefined;
+  const server: ServerBehaviour = async (req, res, body) => {
+    while (host === undefined) await wait(5);
+    await waitForSecondRun(host);
+    await wait(100);
+    if (!res.destroyed) behaviour(req, res, body);
+  };
+  return { server, setHost: (started: TestHost) => void (host = started) };
+}
+
+/** Records when the connection of a server's request is closed. */
+function recordClose(behaviour: ServerBehaviour) {
+  const state = { isClosed: false };
+  const server: ServerBehaviour = (req, res, body) => {
+    res.on("close", () => void (state.isClosed ||= !res.writableFinished));
+    behaviour(req, res, body);
+  };
+  return { state, server };
+}
+
+const WINNERS = {
+  first_won: { answered: 0, outcomes: ["cancelled", "answered"] },
+  second_won: { answered: 1, outcomes: ["silent", "answered"] },
+};
+
+for (const [result, { answered, outcomes }] of Object.entries(WINNERS)) {
+  test(`${result}: the other run is cancelled and its memory is released at once`, async (t) => {
+    const winner = createLateServer(answer(200, WHOLE));
+    const loser = recordClose(silent);
+    const servers = [loser.server, loser.server];
+    servers[answered] = winner.server;
+    const host = await createTestHost(servers, { reservationMs: 1, timeoutMs: 20_000 });
+    t.teardown(() => host.close());
+    winner.setHost(host);
+    const { body } = await host.call({ kind: ROUTE_KIND.STREAMING, deadlineMs: 20_000 });
+    for (let at = 0; at < 500 && !loser.state.isClosed; at++) await wait(20);
+    t.deepEqual([body, loser.state.isClosed], [WHOLE, true]);
+    t.deepEqual([host.releaseCount(), host.outcomes], [2, outcomes]);
+    t.is(host.counters[`silent_server answer ${result}`], 1);
+    const lines = host.lines.filter(({ message }) => message.startsWith("One of two runs"));
+    t.deepEqual(lines.map(({ fields }) => (fields as { result: string }).result), [result]);
+    t.is(host.lines.filter(({ message }) => message === "Attempt ended").length, 2);
+  });
+}
+
+for (const kind of [ROUTE_KIND.STREAMING, ROUTE_KIND.IDEMPOTENT]) {
+  test(`${kind}: a caller that leaves ends both runs`, async (t) => {
+    const runs = [recordClose(silent), recordClose(silent)];
+    const host = await createTestHost(runs.map(({ server }) => server));
+    t.teardown(() => host.close());
+    const result = host.call({ kind, leaveAfterMs: 4_000, deadlineMs: 5_000 });
+    await waitForSecondRun(host);
+    await result;
+    for (let at = 0; at < 100 && (host.size() > 0 || host.outcomes.length < 2); at++) {
+      await wait(20);
+    }
+    for (let at = 0; at < 100 && !runs.every(({ state }) => state.isClosed); at++) await wait(20);
+    t.deepEqual([host.arrivals.length, host.outcomes], [2, ["cancelled", "cancelled"]]);
+    t.deepEqual([host.size(), runs.map(({ state }) => state.isClosed)], [0, [true, true]]);
+  });
+
+  test(`${kind}: a deadline with two runs in progress is answered with 504`, async (t) => {
+    const host = await createTestHost([silent, silent]);
+    t.teardown(() => host.close());
+    const { status } = await host.call({ kind, deadlineMs: 4_000 });
+    t.deepEqual([status, host.arrivals.length], [504, 2]);
+    t.deepEqual(host.outcomes, ["cancelled", "cancelled"]);
+  });
+
+  test(`${kind}: the exit of a host with two runs in progress does not state that none ran`, async (t) => {
+    const host = await createTestHost([silent, silent]);
+    t.teardown(() => host.close());
+    const result = host.call({ kind, deadlineMs: 10_000 });
+    await waitForSecondRun(host);
+    host.beginExit();
+    t.deepEqual([(await result).status, host.arrivals.length], [502, 2]);
+  });
+
+  test(`${kind}: the failure of the last of two runs answers the caller`, async (t) => {
+    const late = createLateServer(answer(500, "first"));
+    const rejecting = answer(503, "", { "Not-Run": "1" });
+    const host = await createTestHost([late.server, rejecting], { timeoutMs: 20_000 });
+    t.teardown(() => host.close());
+    late.setHost(host);
+    const { status, body } = await host.call({ kind, deadlineMs: 20_000 });
+    t.deepEqual([status, body], [500, "first"]);
+  });
+
+  test(`${kind}: a reservation for a second run does not delay the deadline`, async (t) => {
+    let reservations = 0;
+    const host = await createTestHost([silent, answer(200, WHOLE)], {
+      reservationMs: 1,
+      canReserve: async () => {
+        if (reservations++ > 0) await wait(20_000, undefined, { ref: false });
+        return true;
+      },
+    });
+    t.teardown(() => host.close());
+    const startMs = performance.now();
+    const { status } = await host.call({ kind, deadlineMs: SILENCE_MS + 200 });
+    t.deepEqual([status, host.arrivals.length], [504, 1]);
+    t.true(performance.now() - startMs < 15_000);
+  });
+
+  test(`${kind}: data of the first server ends a second run whose memory is not reserved yet`, async (t) => {
+    let reservations = 0;
+    const first: ServerBehaviour = async (_req, res) => {
+      while (reservations < 2) await wait(20);
+      res.writeHead(200, HEAD).end(WHOLE);
+    };
+    const host = await createTestHost([first, answer(200, WHOLE)], {
+      timeoutMs: 20_000,
+      reservationMs: 1,
+      canReserve: async () => {
+        if (reservations++ > 0) await wait(SILENCE_MS);
+        return true;
+      },
+    });
+    t.teardown(() => host.close());
+    const { body } = await host.call({ kind, deadlineMs: 20_000 });
+    for (let at = 0; at < 500 && host.releaseCount() < 2; at++) await wait(20);
+    t.deepEqual([body, reservations, host.arrivals.length], [WHOLE, 2, 1]);
+    t.deepEqual([host.outcomes, host.releaseCount()], [["cancelled", "answered"], 2]);
+  });
+}
+
+test("a third server answers a request whose first two servers are silent", async (t) => {
+  const host = await createTestHost([silent, silent, answer(200, WHOLE)], {
+    maxAttempts: 3,
+    timeoutMs: 20_000,
+  });
+  t.teardown(() => host.close());
+  const { status, body } = await host.call({ kind: ROUTE_KIND.STREAMING, deadlineMs: 20_000 });
+  t.deepEqual([status, body, host.arrivals.length], [200, WHOLE, 3]);
+});
+
+test("no second run is started on a host whose stop leaves no time for it", async (t) => {
+  const host = await createTestHost([sendInTwo(""), answer(200, WHOLE)], { engine: ENGINE });
+  t.teardown(() => host.close());
+  const result = host.call({ kind: ROUTE_KIND.STREAMING });
+  while (host.arrivals.length === 0) await wait(5);
+  host.setStopTime({ elapsedMs: 5_000, remainingMs: 1 });
+  const { body } = await result;
+  t.deepEqual([body, host.arrivals.length], [WHOLE, 1]);
+});
+
+test("a large failure of one run leaves the answer to the other one", async (t) => {
+  const large = answer(500, "x".repeat(2 * MAX_BUFFERED_ANSWER_BYTES));
+  const late = createLateServer(answer(200, WHOLE));
+  const host = await createTestHost([late.server, large], { timeoutMs: 20_000 });
+  t.teardown(() => host.close());
+  late.setHost(host);
+  const { status, body } = await host.call({ kind: ROUTE_KIND.IDEMPOTENT, deadlineMs: 20_000 });
+  t.deepEqual([status, body, host.arrivals.length], [200, WHOLE, 2]);
+});
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -65,11 +65,17 @@
 export const FIRST_BYTE_GOAL_FACTOR = 2;
 
 /**
- * Silence for which a request stays with its server. Sound servers may be silent for a second or so,
+ * Silence after which another server gets the request as well. Sound servers may be silent for a second or so,
  * and callers abandon a stream after 2 s at the earliest, so that another server needs the rest.
  */
 export const SILENCE_TOLERANCE_MS = 1_400;
 
+/**
+ * Most runs of one request at a time. A second one is started only beside a silent server, which may
+ * still go on while the other server fails.
+ */
+export const MAX_CONCURRENT_RUNS = 2;
+
 /** Silence for which a request stays with a server that does not answer checks. */
 export const UNREACHABLE_TOLERANCE_MS = 1_700;
 
