Search again at once if a second run ends beside a silent server

Cause: while a server is silent, another one is searched by timers of 1.4 s. A second server that refuses the connection, wants no requests or has no memory uses no attempt, but the next search came only with the next timer, 2.8 s after the request was sent, when callers of streams have left.

Change: a run that is left alone and silent starts the search when the other one ends; placement counts and limits it as before.

--- a/packages/forwarding/_lib/create_concurrent_runs.ts
+++ b/packages/forwarding/_lib/create_concurrent_runs.ts
@@ -20,8 +20,10 @@
    * @returns true if this run may write
    */
   claim(): boolean;
-  /** Records that the run has ended. */
+  /** Records that the run has ended; a silent one that is left is told. */
   end(): void;
+  /** Sets what is called when the other run has ended while this one is silent; undefined for nothing. */
+  setAloneListener(listener: (() => void) | undefined): void;
   /** True until the run has ended or is dropped. */
   isActive(): boolean;
   /** True if the server has sent nothing since its silence was recorded. */
@@ -63,6 +65,7 @@
 interface RunEntry extends Run {
   isSent(): boolean;
   hasWritten(): boolean;
+  notifyAlone(): void;
   drop(): void;
 }
 
@@ -104,6 +107,7 @@
     let isSent = false;
     let hasWritten = false;
     let isSilent = false;
+    let aloneListener: (() => void) | undefined;
     let lastDataMs = clock.nowMs();
     const others = () => active.filter((other) => other !== run);
     const run: RunEntry = {
@@ -126,7 +130,14 @@
         isSilent = false;
         return true;
       },
-      end: () => void (active = others()),
+      end() {
+        if (!run.isActive()) return;
+        active = others();
+        const [left] = active;
+        if (active.length === 1 && left?.isSilent()) left.notifyAlone();
+      },
+      setAloneListener: (listener) => void (aloneListener = listener),
+      notifyAlone: () => aloneListener?.(),
       isActive: () => active.includes(run),
       isSilent: () => isSilent,
       silentMs: () => clock.nowMs() - lastDataMs,
--- a/packages/forwarding/_lib/create_successor_search.ts
+++ b/packages/forwarding/_lib/create_successor_search.ts
@@ -7,7 +7,7 @@
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /** Why another server is searched. */
-export type SilenceReason = "no_first_byte" | "stalled" | "unreachable";
+export type SilenceReason = "no_first_byte" | "stalled" | "unreachable" | "other_failed";
 
 /** Search for another server for a request whose server is silent. */
 export interface SuccessorSearch {
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -62,6 +62,7 @@
   request.signal.addEventListener("abort", onAbort, { once: true });
   run.signal.addEventListener("abort", onAbort, { once: true });
   const successors = createSuccessorSearch(context, request, attempt);
+  run.setAloneListener(() => successors.start("other_failed"));
   const firstByteTimer = setInterval(
     () => successors.start("no_first_byte"),
     computeFirstByteTimeoutMs(request, {
@@ -120,6 +121,7 @@
     state.inFlightCount -= 1;
     clearInterval(firstByteTimer);
     silence.stop();
+    run.setAloneListener(undefined);
     successors.cancel();
     request.signal.removeEventListener("abort", onAbort);
     run.signal.removeEventListener("abort", onAbort);
--- a/packages/forwarding/_lib/run_concurrently.ts
+++ b/packages/forwarding/_lib/run_concurrently.ts
@@ -81,14 +81,15 @@
     const onEnd = (attempt: RunningAttempt, result: AttemptResult | undefined) => {
       const { run, server } = attempt;
       const wasDropped = !run.isActive();
-      run.end();
-      if (result !== undefined) logEnd(context, request, attempt, result);
-      if (result?.isDone) return finish(() => resolve(result));
-      if (result !== undefined && (!wasDropped || run.isSilent())) {
-        state.excludedIds.push(server.id);
+      if (result !== undefined) {
+        logEnd(context, request, attempt, result);
+        if (result.isDone) return finish(() => resolve(result));
+        if (!wasDropped || run.isSilent()) state.excludedIds.push(server.id);
       }
       if (wasDropped) return;
       last = result ?? last;
+      // Another server may be searched now, for which the list must be complete.
+      run.end();
       finishIfEnded();
     };
 
--- a/packages/forwarding/concurrent_runs_test.ts
+++ b/packages/forwarding/concurrent_runs_test.ts
@@ -265,3 +265,15 @@
   const { status, body } = await host.call({ kind: ROUTE_KIND.IDEMPOTENT, deadlineMs: 20_000 });
   t.deepEqual([status, body, host.arrivals.length], [200, WHOLE, 2]);
 });
+
+for (const kind of [ROUTE_KIND.STREAMING, ROUTE_KIND.IDEMPOTENT]) {
+  test(`${kind}: a third server is searched at once if the second one accepts no connection`, async (t) => {
+    const host = await createTestHost([silent, silent, answer(200, WHOLE)], {
+      serverAddresses: [undefined, "127.0.0.1:1"],
+    });
+    t.teardown(() => host.close());
+    // The next search of the first server's timer would come after the deadline.
+    const { status, body } = await host.call({ kind, deadlineMs: 2_300 });
+    t.deepEqual([status, body, host.arrivals.length], [200, WHOLE, 2]);
+  });
+}
