Cancel requests behind each other when their caller leaves

When a caller with several requests in progress on one connection left, only the first one was cancelled. Node.js reports the close of a connection only to the answer whose turn it is. The others ran to their end at their servers, and then waited without end for the delivery of their answers: the host counted them as in progress until it exited, so that a later stop lasted until its latest exit and logged them as cut off. Found by a soak of configuration changes with requests behind each other.

The record of callers' connections now ends each answer whose turn had not come when its connection closes.

--- a/packages/forwarding/_lib/create_caller_connections.ts
+++ b/packages/forwarding/_lib/create_caller_connections.ts
@@ -86,7 +86,10 @@
   const accept = (socket: Socket) => {
     const answers = new Set<ServerResponse>();
     answersBySocket.set(socket, answers);
-    socket.once("close", () => answersBySocket.delete(socket));
+    socket.once("close", () => {
+      answersBySocket.delete(socket);
+      for (const res of answers) abandonAnswer(res);
+    });
     return answers;
   };
 
@@ -123,3 +126,13 @@
     },
   };
 }
+
+/**
+ * Ends an answer whose connection has closed. Node.js reports the close only to the first answer on a
+ * connection, and those behind it would be waited for without end.
+ */
+function abandonAnswer(res: ServerResponse): void {
+  if (res.closed || res.socket !== null) return;
+  res.destroy();
+  res.emit("close");
+}
--- a/packages/forwarding/_lib/wait_for_delivery.ts
+++ b/packages/forwarding/_lib/wait_for_delivery.ts
@@ -7,5 +7,7 @@
  */
 export async function waitForDelivery(res: ServerResponse): Promise<void> {
   if (res.writableFinished || res.closed) return;
+  // The connection has closed before the turn of this answer came.
+  if (res.destroyed && res.socket === null) return;
   await once(res, "close");
 }
