Send status 100 only when it is the turn of its request

The answer to a request that expects status 100, and that is behind another one on its connection, could have "HTTP/1.1 100 Continue" between its head and its body, so that the caller took the interim answer for a part of the body and lost the answers behind it. Node.js sends status 100 at once; while the turn of the request has not come, it keeps the text, and later puts the head of the final answer in front of it.

The host now sends status 100 itself, once the requests in front are answered, and handles the request from then on.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -242,6 +242,7 @@
     options.onCallerSocket?.(req.socket);
     void forwarder.handle(req, res);
   }));
+  front.on("checkContinue", (req, res) => void forwarder.handleExpecting(req, res));
   front.on("connection", (socket) => forwarder.accept(socket));
   front.on("timeout", (socket) => forwarder.handleIdleTimeout(socket));
   front.on("clientError", (err, socket) => forwarder.handleProtocolError(err, socket as Socket));
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -21,6 +21,7 @@
 import type { CallerRequest, ForwardingContext } from "./_lib/request_context.ts";
 import { runAttempts } from "./_lib/run_attempts.ts";
 import { runUntilExit } from "./_lib/run_until_exit.ts";
+import { sendContinue } from "./_lib/send_continue.ts";
 import { sendFailure } from "./_lib/send_failure.ts";
 import { startEndTimer } from "./_lib/start_end_timer.ts";
 import { canTakeRequest } from "./_lib/stop_limit.ts";
@@ -41,6 +42,11 @@
 export interface Forwarder {
   /** Answers one request; never rejects, and resolves when the answer has left the process. */
   handle(req: IncomingMessage, res: ServerResponse): Promise<void>;
+  /**
+   * Answers one request that expects status 100 before it sends its body, as the event `checkContinue`
+   * reports it; never rejects.
+   */
+  handleExpecting(req: IncomingMessage, res: ServerResponse): Promise<void>;
   /** Registers a caller's connection, as the event `connection` reports it. */
   accept(socket: Socket): void;
   /** Handles an error on a caller's connection, as the event `clientError` reports it. */
@@ -122,38 +128,48 @@
     }
   };
 
+  const handle = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+    prepare: () => Promise<void> = () => Promise.resolve(),
+  ) => {
+    const { socket } = req;
+    if (!connections.add(res, socket)) {
+      // Unread bytes would reset the connection when it is closed.
+      req.resume();
+      return;
+    }
+    timeouts.requestArrived(socket);
+    size += 1;
+    const monitored = monitor.add(req, res);
+    try {
+      await runUntilExit(prepare().then(() => serve(req, res, monitored)), {
+        exit: context.stop.exit,
+        findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
+      });
+    } catch (err) {
+      await answerWithFailure(context, {
+        req,
+        res,
+        err,
+        monitor,
+        monitored,
+        connections,
+        closer,
+      });
+    }
+    await waitForDelivery(res);
+    size -= 1;
+    monitor.remove(monitored);
+    timeouts.requestEnded(socket);
+    connections.remove(res, socket);
+  };
+
   return {
-    async handle(req, res) {
-      const { socket } = req;
-      if (!connections.add(res, socket)) {
-        // Unread bytes would reset the connection when it is closed.
-        req.resume();
-        return;
-      }
-      timeouts.requestArrived(socket);
-      size += 1;
-      const monitored = monitor.add(req, res);
-      try {
-        await runUntilExit(serve(req, res, monitored), {
-          exit: context.stop.exit,
-          findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
-        });
-      } catch (err) {
-        await answerWithFailure(context, {
-          req,
-          res,
-          err,
-          monitor,
-          monitored,
-          connections,
-          closer,
-        });
-      }
-      await waitForDelivery(res);
-      size -= 1;
-      monitor.remove(monitored);
-      timeouts.requestEnded(socket);
-      connections.remove(res, socket);
+    handle: (req, res) => handle(req, res),
+    async handleExpecting(req, res) {
+      const previous = connections.listAnswers(req.socket).at(-1);
+      await handle(req, res, () => sendContinue(res, previous));
     },
     accept(socket) {
       closer.accept(socket);
--- a/packages/forwarding/pipelined_requests_test.ts
+++ b/packages/forwarding/pipelined_requests_test.ts
@@ -45,3 +45,65 @@
     t.deepEqual(host.outcomes, ["cancelled", "cancelled", "cancelled"]);
   });
 }
+
+/** Answers a request without a body later than one with a body. */
+const answer: ServerBehaviour = async (_req, res, body) => {
+  if (body === "") await wait(200);
+  res.writeHead(200, { Attempt: "a1", Seal: "s" }).end("whole");
+};
+
+/** Collects what a caller receives. */
+function collect(socket: Socket): () => string {
+  let text = "";
+  socket.setEncoding("utf8").on("data", (chunk: string) => text += chunk);
+  return () => text;
+}
+
+const postWith = (kind: string, fields: string, body = "") =>
+  `${post(kind).replace("Content-Length: 0\r\n", fields)}${body}`;
+
+for (const count of [1, 2]) {
+  test(`an answer to a request that expects status 100 between ${count} others and ${count} is not mixed with it`, async (t) => {
+    const host = await createTestHost([answer]);
+    const socket = await connectTo(t, host);
+    const text = collect(socket);
+    const expecting = postWith(
+      ROUTE_KIND.NON_IDEMPOTENT,
+      "Content-Length: 4\r\nExpect: 100-continue\r\n",
+      "body",
+    );
+    const others = post(ROUTE_KIND.IDEMPOTENT).repeat(count);
+    socket.write(others + expecting + others);
+    await waitFor(() => text().split("whole").length > 2 * count + 1, CALL_MS);
+    const answers = text().match(/HTTP\/1.1 200 OK\r\n(?:[^\r\n]+\r\n)+\r\nwhole/g);
+    t.is(answers?.length, 2 * count + 1);
+  });
+}
+
+test("a caller that sends its body only after status 100 is answered behind another request", async (t) => {
+  const host = await createTestHost([answer]);
+  const socket = await connectTo(t, host);
+  const text = collect(socket);
+  const fields = "Content-Length: 4\r\nExpect: 100-continue\r\n";
+  socket.write(post(ROUTE_KIND.IDEMPOTENT) + postWith(ROUTE_KIND.NON_IDEMPOTENT, fields));
+  await waitFor(() => text().includes("HTTP/1.1 100 Continue\r\n\r\n"), CALL_MS);
+  t.regex(text(), /^HTTP\/1.1 200 OK\r\n(?:[^\r\n]+\r\n)+\r\nwholeHTTP\/1.1 100 Continue\r\n\r\n$/);
+  socket.write("body");
+  await waitFor(() => text().split("whole").length > 2, CALL_MS);
+  t.is(host.arrivals.at(-1)?.body, "body");
+  t.deepEqual(text().match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 200", "HTTP/1.1 100", "HTTP/1.1 200"]);
+});
+
+test("a request behind one that expects status 100 and is refused is answered", async (t) => {
+  const host = await createTestHost([answer]);
+  const socket = await connectTo(t, host);
+  const text = collect(socket);
+  const fields = "Content-Length: 4\r\nExpect: 100-continue\r\n";
+  socket.write(post(ROUTE_KIND.IDEMPOTENT) + postWith("none", fields, "body") + post("none"));
+  await waitFor(() => text().split("unknown_route").length > 2, CALL_MS);
+  t.deepEqual(text().match(/HTTP\/1.1 [2-5]\d+/g), [
+    "HTTP/1.1 200",
+    "HTTP/1.1 404",
+    "HTTP/1.1 404",
+  ]);
+});
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -125,6 +125,7 @@
     requestTimeout: 0,
     noDelay: true,
   }, (req, res) => void forwarder.handle(req, res));
+  server.on("checkContinue", (req, res) => void forwarder.handleExpecting(req, res));
   const { headersTimeout } = server;
   const limits = () => cluster.view.configuration()?.limits;
   const lowerHeaderTimeout = createGradualLimit(clock);
