Answer the requests behind one whose body is too large

Status 413 always announced the close of its connection, so that whole requests that the host had read behind it got no answer.

The body is read and discarded as that of any other refused request, up to 4 MiB or the limit of the configuration, whichever is more. The close is announced only to a caller that states a longer body.

Before: 2 of 3 new tests of pipelined_requests_test failed. After: all pass.

--- a/packages/forwarding/_lib/send_failure.ts
+++ b/packages/forwarding/_lib/send_failure.ts
@@ -22,7 +22,7 @@
  * The rest of a body that is still arriving is read and discarded. Closing the connection meanwhile
  * would reset it, and the caller could lose the answer, and the answers to the requests that it has
  * sent behind this one. The connection is closed only if the body does not end within the limits, and
- * after the answers to earlier requests on it.
+ * after the answers to earlier requests on it; a caller that states a longer body is told so.
  *
  * @param context services of the host
  * @param req the caller's request
@@ -42,8 +42,10 @@
   if (failure.retryAfterMs !== undefined) {
     headers.push(context.codec.retryAfterName, String(failure.retryAfterMs / MILLIS_PER_SECOND));
   }
-  const isTooLarge = failure.status === 413;
-  if (options.shouldClose || isTooLarge) headers.push("Connection", "close");
+  const statedBytes = Number(req.headers["content-length"] ?? 0);
+  if (options.shouldClose || statedBytes > options.maxUnreadBytes) {
+    headers.push("Connection", "close");
+  }
   res.writeHead(failure.status, headers);
   if (req.complete) {
     req.resume();
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -43,7 +43,7 @@
 /** Time without data after which the rest of the body of a refused request is not read any more. */
 export const UNREAD_BODY_IDLE_MS = 1_000;
 
-/** Most bytes of the body of a refused request that are read while no configuration is known. */
+/** Most bytes of the body of a refused request that are read, unless the configuration allows more. */
 export const MAX_UNREAD_BODY_BYTES = 4 * 1024 * 1024;
 
 /** Total size of the request bodies that a host buffers at a time. */
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -368,7 +368,11 @@
   }
   await sendFailure(context, req, res, failure, {
     shouldClose: connections.shouldClose(req.socket),
-    maxUnreadBytes: context.configuration()?.limits.maxBodyBytes ?? MAX_UNREAD_BODY_BYTES,
+    // A body that was within the limit when its caller sent it may be over it now.
+    maxUnreadBytes: Math.max(
+      context.configuration()?.limits.maxBodyBytes ?? 0,
+      MAX_UNREAD_BODY_BYTES,
+    ),
     closeAfterAnswers: () => connections.closeAfterAnswers(req.socket, CLOSE_REASON.REFUSED_BODY),
   });
 }
--- a/packages/forwarding/pipelined_requests_test.ts
+++ b/packages/forwarding/pipelined_requests_test.ts
@@ -6,6 +6,7 @@
 import type { ExecutionContext } from "ava";
 import { createTestHost } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour, TestHost } from "./_testing/create_test_host.ts";
+import { MAX_UNREAD_BODY_BYTES } from "./constants.ts";
 import { ROUTE_KIND } from "./types.ts";
 
 /** Time that a request takes at its server. */
@@ -107,3 +108,34 @@
     "HTTP/1.1 404",
   ]);
 });
+
+const TOO_LARGE = "x".repeat(1_000_001);
+
+const LARGE_BODIES: Record<string, [fields: string, body: string]> = {
+  "with a length": [`Content-Length: ${TOO_LARGE.length}\r\n`, TOO_LARGE],
+  "in chunks": [
+    "Transfer-Encoding: chunked\r\n",
+    `${TOO_LARGE.length.toString(16)}\r\n${TOO_LARGE}\r\n0\r\n\r\n`,
+  ],
+};
+for (const [name, [fields, body]] of Object.entries(LARGE_BODIES)) {
+  test(`requests behind one whose body ${name} is over the limit are answered`, async (t) => {
+    const host = await createTestHost([answer]);
+    const socket = await connectTo(t, host);
+    const text = collect(socket);
+    socket.write(postWith(ROUTE_KIND.IDEMPOTENT, fields, body));
+    socket.write(post(ROUTE_KIND.NON_IDEMPOTENT).repeat(2));
+    await waitFor(() => text().split("whole").length > 2, CALL_MS);
+    const statuses = text().match(/HTTP\/1.1 \d+/g);
+    t.deepEqual(statuses, ["HTTP/1.1 413", "HTTP/1.1 200", "HTTP/1.1 200"]);
+  });
+}
+
+test("a caller that states a body far over the limit is told that the connection is closed", async (t) => {
+  const host = await createTestHost([answer]);
+  const socket = await connectTo(t, host);
+  const text = collect(socket);
+  socket.write(postWith(ROUTE_KIND.IDEMPOTENT, `Content-Length: ${MAX_UNREAD_BODY_BYTES + 1}\r\n`));
+  await once(socket, "end");
+  t.regex(text(), /^HTTP\/1.1 413 [^]*Connection: close\r\n/);
+});
