Leave time for a silence of the server to answers of a stopping host

Callers saw answers cut off at the exit of a stopping host, 7.5 s after SIGTERM, although all servers were sound: a prompt that was taken within 2.6 s of the signal had to fit the rest of the stop exactly as expected, and sound servers may be silent for a second or so. A later prompt had twice its expected time, which is less than a silence for short answers.

A stopping host now asks for 2 s beyond the expected time, late in a stop always and before if half of the usual other hosts accept callers: a refused caller is served there, and loses only a retry. Without other hosts an early prompt is taken as before, since a refusal would cost its caller the answer as well. The same limit holds while a request waits and when it is placed; the wait looks again every 100 ms, since other hosts come and go.

The test of the factor late in a stop has longer times, as the silence decides for answers of less than 2 s; that case has a test of its own.

The model of stops has silent servers now.

--- a/packages/bench/simulate_stops.ts
+++ b/packages/bench/simulate_stops.ts
@@ -21,12 +21,16 @@
   gapMs: number;
   /** Mean requests per second for each host. */
   perHostPerSecond: number;
+  /** Share of the answers during which an engine falls silent once, 0 by default. */
+  silenceShare?: number;
   /** Seed of arrivals, choices of callers and answer times. */
   seed: number;
 }
 
 /** What a stopping host knows of a new request. */
 export interface StoppingRequest {
+  /** Milliseconds since the signal. */
+  elapsedMs: number;
   /** Milliseconds until the answer ends at the latest, as expected. */
   answerMs: number;
   /** Milliseconds until the deadline. */
@@ -77,6 +81,9 @@
 /** Expected answer times as a factor of the real ones, which they never undercut. */
 const ESTIMATE_FACTOR = { min: 1, max: 2 } as const;
 
+/** Lengths of an engine's silence, which is not in the expected time. */
+const SILENCE_MS = { min: 1_000, max: 1_800 } as const;
+
 /** Requests that a host carries at a time, a few times as many as usual; it refuses others. */
 const HOST_CAPACITY = 16;
 
@@ -177,12 +184,17 @@
     caller.expiryMs = queue.nowMs() + caller.ttlMs;
   };
 
+  const drawSilenceMs = () => {
+    if (load.silenceShare === undefined || random() >= load.silenceShare) return 0;
+    return SILENCE_MS.min + random() * (SILENCE_MS.max - SILENCE_MS.min);
+  };
+
   const serve = (host: Host, answerMs: number) => {
     const end = host.isStopping ? "cut" : "outlasted";
     const request = { cut: () => void (result[end] += 1) };
     host.requests.add(request);
     const requests = host.requests;
-    queue.at(queue.nowMs() + answerMs, () => {
+    queue.at(queue.nowMs() + answerMs + drawSilenceMs(), () => {
       if (requests.delete(request) && host.requests === requests) result.answered += 1;
     });
   };
@@ -192,7 +204,11 @@
     const candidates = caller.known.filter((host) => !failed.includes(host));
     const host = candidates[Math.floor(random() * candidates.length)];
     const factor = ESTIMATE_FACTOR.min + random() * (ESTIMATE_FACTOR.max - ESTIMATE_FACTOR.min);
-    const request = { answerMs: answerMs * factor, deadlineMs: DEADLINE_MS };
+    const request = {
+      elapsedMs: host === undefined ? 0 : queue.nowMs() - host.stopMs,
+      answerMs: answerMs * factor,
+      deadlineMs: DEADLINE_MS,
+    };
     const hasRoom = host?.isRunning && host.requests.size < HOST_CAPACITY;
     if (hasRoom && (!host.isStopping || policy.canTake(describe(host), request))) {
       return serve(host, answerMs);
--- a/packages/bench/simulate_stops_test.ts
+++ b/packages/bench/simulate_stops_test.ts
@@ -1,8 +1,10 @@
+import { computeStopAnswerMs } from "@jaypass/forwarding";
 import {
   decideStopStep,
   DIRECTORY_TTL_FACTOR,
   DIRECTORY_TTL_MS,
   isStoppingHostNeeded,
+  isStoppingHostReplaceable,
   LISTED_MS,
   STOP_STEP,
 } from "@jaypass/forwarding_host";
@@ -40,28 +42,63 @@
   everything: { decide: decideAlone, canTake: () => true },
 } satisfies Record<string, StopPolicy>;
 
+/** The rules of a stopping host with the margins that it leaves to answers. */
+const WITH_MARGINS: StopPolicy = {
+  decide: decideStopStep,
+  canTake(host, { elapsedMs, answerMs, deadlineMs }) {
+    const neededMs = computeStopAnswerMs(answerMs, {
+      elapsedMs,
+      hasOtherHosts: isStoppingHostReplaceable(host),
+    });
+    return isStoppingHostNeeded(host) && Math.min(neededMs, deadlineMs) <= host.remainingMs;
+  },
+};
+
 const share = ({ answered, requests }: StopResult) => answered / requests;
 
 function simulate(load: Pick<StopLoad, "hosts" | "stops" | "batch">) {
-  const sums = Object.entries(POLICIES).map(([name, policy]) => {
-    const sum: StopResult = {
-      requests: 0,
-      answered: 0,
-      refused: 0,
-      cut: 0,
-      outlasted: 0,
-      refusedByIdle: 0,
-    };
-    for (const seed of SEEDS) {
-      const options = { ...load, gapMs: 300, perHostPerSecond: 2, seed };
-      const result = simulateStops(options, policy);
-      for (const key of Object.keys(sum) as (keyof StopResult)[]) sum[key] += result[key];
-    }
-    return [name, sum] as const;
-  });
+  const sums = Object.entries(POLICIES).map(([name, policy]) =>
+    [name, sumUp({ ...load, gapMs: 300 }, policy, SEEDS)] as const
+  );
   return Object.fromEntries(sums) as Record<keyof typeof POLICIES, StopResult>;
 }
 
+/** Adds up the results of several seeds. */
+function sumUp(
+  load: Omit<StopLoad, "perHostPerSecond" | "seed">,
+  policy: StopPolicy,
+  seeds: readonly number[],
+): StopResult {
+  const sum: StopResult = {
+    requests: 0,
+    answered: 0,
+    refused: 0,
+    cut: 0,
+    outlasted: 0,
+    refusedByIdle: 0,
+  };
+  for (const seed of seeds) {
+    const result = simulateStops({ ...load, perHostPerSecond: 2, seed }, policy);
+    for (const key of Object.keys(sum) as (keyof StopResult)[]) sum[key] += result[key];
+  }
+  return sum;
+}
+
+/** Seeds of the tests with silent servers, in which cuts are rare. */
+const SILENCE_SEEDS = Array.from({ length: 10 }, (_, index) => index + 1);
+
+for (const [stops, batch] of [[1, 1], [6, 6], [9, 6]] as const) {
+  test(`when ${stops} of 18 hosts stop together, no answer of a silent server is cut off, and few requests are refused for that`, (t) => {
+    const load = { hosts: 18, stops, batch, gapMs: 300, silenceShare: 0.3 };
+    const result = sumUp(load, WITH_MARGINS, SILENCE_SEEDS);
+    const plain = sumUp(load, POLICIES.current, SILENCE_SEEDS);
+    t.log("with margins", JSON.stringify(result));
+    t.log("without", JSON.stringify(plain));
+    t.is(result.cut, 0);
+    t.true(share(plain) - share(result) <= MAX_LOST_SHARE);
+  });
+}
+
 for (const hosts of [18, 109, 340]) {
   for (const stops of [1, 6, Math.floor(hosts / 2), hosts - 1, hosts]) {
     test(`when ${stops} of ${hosts} hosts stop together, no request is cut off, and none that fits is refused by an idle host without another one`, (t) => {
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -79,6 +79,8 @@
    * other host; `requests` is the number of other requests in progress.
    */
   isNeeded(requests: number): boolean;
+  /** True if enough other hosts accept callers for a refused request to be served there. */
+  hasOtherHosts(): boolean;
 }
 
 /** Services and state of the host that forwarding uses. */
--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -1,18 +1,22 @@
 import type { Millis } from "@jaypass/kernel";
 import { computeAnswerMs } from "../compute_answer_ms.ts";
 import { computeLatestStartMs } from "../compute_latest_start_ms.ts";
-import { LATE_ANSWER_FACTOR, LATE_IN_STOP_MS } from "../constants.ts";
+import { computeStopAnswerMs } from "../compute_stop_answer_ms.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
+/** Longest time between two looks at the time that is left for a waiting request. */
+const MAX_LOOK_MS = 100;
+
 /** The parts of a request that decide whether its answer can end before the host does. */
-export type StoppableRequest = Pick<CallerRequest, "endMs" | "metadata" | "service">;
+export type StoppableRequest = Pick<
+  CallerRequest,
+  "arrivalMs" | "endMs" | "metadata" | "service"
+>;
 
 /** What is known of the time that an answer takes. */
 export interface AnswerTimeOptions {
   /** Expected milliseconds to the first byte, once the request is placed. */
   firstByteMs?: Millis;
-  /** Factor of the expected time of the whole answer, 1 by default. */
-  answerFactor?: number;
 }
 
 /**
@@ -37,9 +41,7 @@
   if (stopTime === undefined) return true;
   if (context.stop.exit.aborted) return false;
   const endsBeforeHost = request.endMs <= context.clock.nowMs() + stopTime.remainingMs;
-  const answerFactor = stopTime.elapsedMs > LATE_IN_STOP_MS ? LATE_ANSWER_FACTOR : 1;
-  return endsBeforeHost ||
-    (context.stop.isNeeded(requests) && canStart(context, request, { answerFactor }));
+  return endsBeforeHost || (context.stop.isNeeded(requests) && canStart(context, request));
 }
 
 /** Reports whether the answer of a request that is sent now is expected to end before the host. */
@@ -64,29 +66,34 @@
 ): () => void {
   const { signal } = context.stop;
   let timer: NodeJS.Timeout | undefined;
-  const startTimer = () => {
+  const look = () => {
     const waitMs = findLatestStartMs(context, request) - context.clock.nowMs();
-    if (waitMs < Infinity) timer = setTimeout(onTooLate, Math.max(0, waitMs));
+    if (waitMs < 0) onTooLate();
+    // The time also depends on the other hosts, which come and go during the wait.
+    else if (waitMs < Infinity) timer = setTimeout(look, Math.min(waitMs + 1, MAX_LOOK_MS));
   };
-  if (signal.aborted) startTimer();
-  else signal.addEventListener("abort", startTimer, { once: true });
+  if (signal.aborted) look();
+  else signal.addEventListener("abort", look, { once: true });
   return () => {
     clearTimeout(timer);
-    signal.removeEventListener("abort", startTimer);
+    signal.removeEventListener("abort", look);
   };
 }
 
 function findLatestStartMs(
   context: ForwardingContext,
-  { endMs, metadata, service }: StoppableRequest,
+  { arrivalMs, endMs, metadata, service }: StoppableRequest,
   options: AnswerTimeOptions = {},
 ): Millis {
   const stopTime = context.stop.time();
   if (stopTime === undefined) return Infinity;
   const profile = context.configuration()?.services.get(service)?.engine;
   // How long a call to a plain service takes is unknown, so that only its deadline bounds it.
-  const answerMs = profile === undefined ? Infinity : computeAnswerMs(metadata, profile, options);
-  const hostEndMs = context.clock.nowMs() + stopTime.remainingMs;
-  const { answerFactor = 1 } = options;
-  return computeLatestStartMs({ endMs, answerMs: answerMs * answerFactor }, hostEndMs);
+  const expectedMs = profile === undefined ? Infinity : computeAnswerMs(metadata, profile, options);
+  const nowMs = context.clock.nowMs();
+  const answerMs = computeStopAnswerMs(expectedMs, {
+    elapsedMs: stopTime.elapsedMs - (nowMs - arrivalMs),
+    hasOtherHosts: context.stop.hasOtherHosts(),
+  });
+  return computeLatestStartMs({ endMs, answerMs }, nowMs + stopTime.remainingMs);
 }
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -47,7 +47,7 @@
   /** Number of released memory reservations. */
   releaseCount(): number;
   /** Starts the graceful stop of the host, which ends after `remainingMs`. */
-  stop(options: { remainingMs: number; isNeeded?: boolean }): void;
+  stop(options: { remainingMs: number; isNeeded?: boolean; hasOtherHosts?: boolean }): void;
   /** Starts the exit at the end of a graceful stop. */
   beginExit(): void;
   /** Closes idle connections of callers, and the others when they have no request any more. */
@@ -163,6 +163,7 @@
   const exiting = new AbortController();
   let readStopTime: () => StopTime | undefined = () => undefined;
   let isNeeded = true;
+  let hasOtherHosts = false;
   const lines: TestHost["lines"] = [];
   const counters: TestHost["counters"] = {};
   const log: Logger = {
@@ -236,6 +237,7 @@
       exit: exiting.signal,
       time: () => readStopTime(),
       isNeeded: () => isNeeded,
+      hasOtherHosts: () => hasOtherHosts,
     },
   });
   const front = await listen(createServer(options.serverOptions ?? {}, (req, res) => {
@@ -250,11 +252,12 @@
     call: (call = {}) => callHost(addressOf(front), call),
     arrivals,
     outcomes,
-    stop({ remainingMs, isNeeded: isStillNeeded = false }) {
+    stop({ remainingMs, isNeeded: isStillNeeded = false, hasOtherHosts: areOthersReady = false }) {
       const startMs = clock.nowMs();
       const elapsedMs = () => clock.nowMs() - startMs;
       readStopTime = () => ({ elapsedMs: elapsedMs(), remainingMs: remainingMs - elapsedMs() });
       isNeeded = isStillNeeded;
+      hasOtherHosts = areOthersReady;
       stopping.abort();
     },
     beginExit: () => exiting.abort(),
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -141,6 +141,12 @@
 /** Factor of the expected time of an answer then; answers take up to 1.7 times as long as expected. */
 export const LATE_ANSWER_FACTOR = 2;
 
+/**
+ * Time beyond the expected one that a stopping host leaves to an answer: sound servers may be silent
+ * for a second or so.
+ */
+export const STOP_SILENCE_MARGIN_MS = 2_000;
+
 /**
  * Answers a request that crosses the close of its connection. The status states that no request was
  * run, and may be sent without one (RFC 9110, section 15.5.9).
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -228,9 +228,8 @@
   const service = chooseTarget(route, context.random);
   if (service === undefined) throw new ForwardingError(503, FAILURE.NO_SERVER);
   const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
-  if (
-    !canTakeRequest(context, { endMs: arrivalMs + timeoutMs, metadata, service }, otherRequests)
-  ) {
+  const stoppable = { arrivalMs, endMs: arrivalMs + timeoutMs, metadata, service };
+  if (!canTakeRequest(context, stoppable, otherRequests)) {
     throw new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
   }
   return { metadata, configuration, route, service, workspace, timeoutMs };
--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -58,14 +58,32 @@
 });
 
 test("late in a stop, a host that callers need takes a prompt only if its answer may take twice as long as expected", async (t) => {
+  const host = await startHost(t, { engine: ENGINE, timeoutMs: 9_000 });
+  host.setStopTime({ elapsedMs: 3_000, remainingMs: 5_000 }, { isNeeded: true });
+  const call = (answerTokens: number) =>
+    host.call({ kind: ROUTE_KIND.STREAMING, answerTokens, deadlineMs: 9_000 });
+  const [short, long] = [await call(2_000), await call(2_700)];
+  t.deepEqual([short.status, long.status, host.arrivals.length], [200, 503, 1]);
+});
+
+test("late in a stop, a prompt is not taken whose answer would be cut off after a silence of its server", async (t) => {
   const host = await startHost(t, { engine: ENGINE });
-  host.setStopTime({ elapsedMs: 3_000, remainingMs: 3_000 }, { isNeeded: true });
+  host.setStopTime({ elapsedMs: 4_000, remainingMs: 2_300 }, { isNeeded: true });
   const call = (answerTokens: number) =>
     host.call({ kind: ROUTE_KIND.STREAMING, answerTokens, deadlineMs: 9_000 });
-  const [short, long] = [await call(1_000), await call(2_000)];
+  const [short, long] = [await call(100), await call(700)];
   t.deepEqual([short.status, long.status, host.arrivals.length], [200, 503, 1]);
 });
 
+test("a waiting prompt whose answer a silence of its server would let be cut off goes to another host", async (t) => {
+  const host = await startHost(t, { engine: ENGINE, placementMs: 5_000 });
+  const call = host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000, deadlineMs: 9_000 });
+  await wait(50);
+  host.stop({ remainingMs: 2_500, isNeeded: true, hasOtherHosts: true });
+  const { status } = await call;
+  t.deepEqual({ status, arrivals: host.arrivals.length }, { status: 503, arrivals: 0 });
+});
+
 test("a stopping host refuses prompts of callers that use an expired directory answer", async (t) => {
   const host = await startHost(t, { engine: ENGINE });
   host.stop({ remainingMs: 2_000 });
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -11,6 +11,7 @@
 import { decideStopStep, STOP_STEP } from "./decide_stop_step.ts";
 import type { StoppingHost, StopStep } from "./decide_stop_step.ts";
 import { isStoppingHostNeeded } from "./is_stopping_host_needed.ts";
+import { isStoppingHostReplaceable } from "./is_stopping_host_replaceable.ts";
 
 /** Phase of a host's graceful stop. */
 export interface StopState extends HostStop {
@@ -86,6 +87,7 @@
         ? undefined
         : { elapsedMs: elapsedMs(), remainingMs: longestStopMs - elapsedMs() },
     isNeeded: (requests) => isStoppingHostNeeded(describe(requests)),
+    hasOtherHosts: () => isStoppingHostReplaceable({ readyHosts, usualHosts }),
     nextStep: (requests) =>
       startMs === undefined ? STOP_STEP.STAY : decideStopStep(describe(requests)),
     exitRemainingMs: () => Math.max(0, longestStopMs + marginMs / 2 - elapsedMs()),
--- a/packages/forwarding_host/mod.ts
+++ b/packages/forwarding_host/mod.ts
@@ -19,6 +19,7 @@
 export * from "./decide_stop_step.ts";
 export * from "./host_context.ts";
 export * from "./is_stopping_host_needed.ts";
+export * from "./is_stopping_host_replaceable.ts";
 export * from "./parse_operator_entry.ts";
 export * from "./run_forwarding_host.ts";
 export * from "./service_names.ts";
