Let idle hosts that have left exit early when other hosts are away

Callers of rolling stops were refused more often than before hosts left in turn. Nine hosts had left by then and were idle, but waited for 6 s after leaving for the slowest callers, since exactly half of the hosts still counted as ready.

A host that has left exits as soon as it is idle and regular callers know of it, 2.6 s after it has left, when less than nine tenths of the usual other hosts accept callers. From that time on it takes nothing while others are ready, so that a slow caller is refused by the host or by its address alike, and the sooner the host is back, the fewer hosts are away when the next ones stop. A host that stops alone stays as before.

--- a/packages/bench/simulate_stops.ts
+++ b/packages/bench/simulate_stops.ts
@@ -21,6 +21,8 @@
   gapMs: number;
   /** Mean requests per second for each host. */
   perHostPerSecond: number;
+  /** Milliseconds until a host that has exited accepts callers again, 900 by default. */
+  restartMs?: number;
   /** Share of the answers during which an engine falls silent once, 0 by default. */
   silenceShare?: number;
   /** Seed of arrivals, choices of callers and answer times. */
@@ -159,7 +161,7 @@
   const exit = (host: Host) => {
     for (const request of host.requests) request.cut();
     Object.assign(host, createIdleHost(), { isRunning: false });
-    queue.at(queue.nowMs() + RESTART_MS, () => void (host.isRunning = true));
+    queue.at(queue.nowMs() + (load.restartMs ?? RESTART_MS), () => void (host.isRunning = true));
   };
 
   const review = (host: Host) => {
--- a/packages/bench/simulate_stops_test.ts
+++ b/packages/bench/simulate_stops_test.ts
@@ -99,6 +99,16 @@
   });
 }
 
+for (const [hosts, batch] of [[18, 3], [109, 18]] as const) {
+  test(`when nearly all of ${hosts} hosts stop ${batch} at a time, 0.9 s apart, few requests are refused`, (t) => {
+    const load = { hosts, stops: hosts - 1, batch, gapMs: 900 };
+    const result = sumUp(load, WITH_MARGINS, SEEDS);
+    t.log(JSON.stringify(result));
+    t.is(result.cut, 0);
+    t.true(1 - share(result) <= MAX_LOST_SHARE);
+  });
+}
+
 for (const hosts of [18, 109, 340]) {
   for (const stops of [1, 6, Math.floor(hosts / 2), hosts - 1, hosts]) {
     test(`when ${stops} of ${hosts} hosts stop together, no request is cut off, and none that fits is refused by an idle host without another one`, (t) => {
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -33,6 +33,12 @@
  */
 export const MIN_READY_SHARE = 0.5;
 
+/**
+ * Share of the usual number of other hosts below which a stopping host exits as soon as it can, so
+ * that it is back before further hosts stop.
+ */
+export const FULL_STRENGTH_SHARE = 0.9;
+
 /** Time after it has left for which a host may be named by valid answers of the directory. */
 export const LISTED_MS = LEAVE_PROPAGATION_MS + DIRECTORY_TTL_MS;
 
--- a/packages/forwarding_host/decide_stop_step.ts
+++ b/packages/forwarding_host/decide_stop_step.ts
@@ -1,5 +1,11 @@
 import type { Millis } from "@jaypass/kernel";
-import { DIRECTORY_TTL_FACTOR, DIRECTORY_TTL_MS, LISTED_MS, MIN_READY_SHARE } from "./constants.ts";
+import {
+  DIRECTORY_TTL_FACTOR,
+  DIRECTORY_TTL_MS,
+  FULL_STRENGTH_SHARE,
+  LISTED_MS,
+  MIN_READY_SHARE,
+} from "./constants.ts";
 
 /** What a stopping host does next. */
 export const STOP_STEP = {
@@ -38,11 +44,12 @@
 /**
  * Decides whether a stopping host stays, leaves the directory or exits.
  *
- * While enough other hosts accept callers, it leaves in its turn and stays until the last caller has a
- * newer answer of the directory. When many hosts stop together, its callers have nowhere else to go:
- * a host that finds too few others stays in the directory until earlier ones are back, or until only
- * the time is left for which callers may use an answer of the directory; one that has left exits as
- * soon as it is idle and regular callers know of it, so that it is back sooner.
+ * While enough other hosts accept callers, it leaves in its turn. It stays until the last caller has a
+ * newer answer of the directory if the others are complete; otherwise it exits as soon as it is idle
+ * and regular callers know of it, so that it is back before further hosts stop. When many hosts stop
+ * together, callers have nowhere else to go: a host that finds too few others stays in the directory
+ * until earlier ones are back, or until only the time is left for which callers may use an answer of
+ * the directory.
  *
  * @param host what the host knows
  * @returns the step
@@ -53,11 +60,11 @@
 export function decideStopStep(host: StoppingHost): StopStep {
   const { turnInMs, leftAgoMs, remainingMs, requests, readyHosts, recentHosts, usualHosts } = host;
   if (remainingMs <= 0) return STOP_STEP.EXIT;
-  const neededHosts = MIN_READY_SHARE * usualHosts;
   if (leftAgoMs === undefined) {
-    const canLeave = readyHosts >= neededHosts && turnInMs <= 0;
+    const canLeave = readyHosts >= MIN_READY_SHARE * usualHosts && turnInMs <= 0;
     return canLeave || remainingMs <= LISTED_MS ? STOP_STEP.LEAVE : STOP_STEP.STAY;
   }
-  const stayMs = recentHosts >= neededHosts ? DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR : LISTED_MS;
+  const isAlone = recentHosts >= FULL_STRENGTH_SHARE * usualHosts;
+  const stayMs = isAlone ? DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR : LISTED_MS;
   return requests === 0 && leftAgoMs >= stayMs ? STOP_STEP.EXIT : STOP_STEP.STAY;
 }
--- a/packages/forwarding_host/decide_stop_step_test.ts
+++ b/packages/forwarding_host/decide_stop_step_test.ts
@@ -25,6 +25,32 @@
   ["left, idle, callers know of it", { ...CALM, leftAgoMs: 6_000, requests: 0 }],
   ["left, busy", { ...CALM, leftAgoMs: 6_500, remainingMs: 1_000 }],
   ["left, busy, no time left", { ...CALM, leftAgoMs: 7_500, remainingMs: 0 }],
+  ["left, idle, other hosts away as well", {
+    ...CALM,
+    leftAgoMs: 2_600,
+    requests: 0,
+    readyHosts: 14,
+    recentHosts: 14,
+  }],
+  ["left, busy, other hosts away as well", {
+    ...CALM,
+    leftAgoMs: 2_600,
+    readyHosts: 14,
+    recentHosts: 14,
+  }],
+  ["left, idle, callers may know it, other hosts away as well", {
+    ...CALM,
+    leftAgoMs: 2_200,
+    requests: 0,
+    readyHosts: 14,
+    recentHosts: 14,
+  }],
+  ["left, idle, other hosts away for a moment", {
+    ...CALM,
+    leftAgoMs: 2_600,
+    requests: 0,
+    readyHosts: 14,
+  }],
   ["left, idle, no other ready", {
     ...CALM,
     leftAgoMs: 2_600,
