Test silences of all servers, of single runs and beyond the retry budget

The model test also demands that no other run may write when a stream ends; it fails if the claim before the end is taken out.

--- a/packages/forwarding/_lib/create_concurrent_runs_test.ts
+++ b/packages/forwarding/_lib/create_concurrent_runs_test.ts
@@ -174,6 +174,7 @@
     },
     end: () => {
       if (res.isEnded) faults.push("ended twice");
+      if (runs.list().length !== 1) faults.push("ended while another run may write");
       res.isEnded = true;
     },
   });
--- a/packages/forwarding/concurrent_runs_test.ts
+++ b/packages/forwarding/concurrent_runs_test.ts
@@ -277,3 +277,70 @@
     t.deepEqual([status, body, host.arrivals.length], [200, WHOLE, 2]);
   });
 }
+
+test("a silence of both servers of a request ends with one whole answer", async (t) => {
+  for (const first of Object.values(SILENCES)) {
+    const second: ServerBehaviour = async (req, res) => {
+      await wait(SILENCE_MS);
+      const resumeAfter = Number(req.headers["resume-after"] ?? 0);
+      if (!res.destroyed) res.writeHead(200, HEAD).end(events(resumeAfter + 1, 4));
+    };
+    const host = await createTestHost([first, second]);
+    t.teardown(() => host.close());
+    const { body, isComplete } = await host.call({ kind: ROUTE_KIND.STREAMING });
+    t.deepEqual([body, isComplete], [WHOLE, true]);
+  }
+});
+
+const SINGLE_RUNS = {
+  "a call that must run once": { kind: ROUTE_KIND.NON_IDEMPOTENT, place: "before the head" },
+  "a call that must run once and has begun": {
+    kind: ROUTE_KIND.NON_IDEMPOTENT,
+    place: "between two events",
+  },
+  "a stream that cannot resume": { kind: ROUTE_KIND.STREAMING, place: "before the head" },
+  "a stream that cannot resume and has begun": {
+    kind: ROUTE_KIND.STREAMING,
+    place: "between two events",
+  },
+  "a stream that cannot resume and has only to end": {
+    kind: ROUTE_KIND.STREAMING,
+    place: "after the last event",
+  },
+};
+for (const [request, { kind, place }] of Object.entries(SINGLE_RUNS)) {
+  test(`${request} is run once by a server that is silent for 1.8 s`, async (t) => {
+    const first = SILENCES[place] as ServerBehaviour;
+    const host = await createTestHost([first, answer(200, WHOLE)], {
+      maxAttempts: 2,
+      isResumable: false,
+    });
+    t.teardown(() => host.close());
+    const { status, body, isComplete } = await host.call({ kind });
+    t.deepEqual([status, body, isComplete], [200, WHOLE, true]);
+    t.is(host.arrivals.length, 1);
+  });
+}
+
+test("requests whose second run the retry budget refuses stay with their silent server", async (t) => {
+  const SECOND_RUNS = 3;
+  let retries = 0;
+  const host = await createTestHost([sendInTwo(""), answer(500, "failed")], {
+    timeoutMs: 20_000,
+    place(job) {
+      if (job.isRetry && ++retries > SECOND_RUNS) {
+        return { kind: "refused", reason: "retry_budget", retryAfterMs: 500 };
+      }
+      const serverId = job.isRetry ? "1" : "0";
+      return { kind: "placed", serverId, helperIds: [], tickets: [], partMs: 0, expectedMs: 10 };
+    },
+  });
+  t.teardown(() => host.close());
+  const calls = Array.from(
+    { length: 30 },
+    () => host.call({ kind: ROUTE_KIND.STREAMING, deadlineMs: 20_000 }),
+  );
+  const results = await Promise.all(calls);
+  t.true(results.every(({ body, isComplete }) => isComplete && body === WHOLE));
+  t.true(host.arrivals.filter(({ server }) => server === 1).length <= SECOND_RUNS);
+});
