Read a refused request's body before it is given up after a stall

A host that stood still for more than a second while the body of a refused request arrived gave the body up although the rest was in its socket, and closed the connection over the requests behind it. The timer ran before the socket was read. Now the socket is read first.

Before: the new test of pipelined_requests_test (event loop blocked for 1.5 s) got status 404 and then the end of the connection. After: 404 and 200.

--- a/packages/forwarding/pipelined_requests_test.ts
+++ b/packages/forwarding/pipelined_requests_test.ts
@@ -6,7 +6,7 @@
 import type { ExecutionContext } from "ava";
 import { createTestHost } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour, TestHost } from "./_testing/create_test_host.ts";
-import { MAX_UNREAD_BODY_BYTES } from "./constants.ts";
+import { MAX_UNREAD_BODY_BYTES, UNREAD_BODY_IDLE_MS } from "./constants.ts";
 import { ROUTE_KIND } from "./types.ts";
 
 /** Time that a request takes at its server. */
@@ -139,3 +139,19 @@
   await once(socket, "end");
   t.regex(text(), /^HTTP\/1.1 413 [^]*Connection: close\r\n/);
 });
+
+test.serial("a request behind a refused one is answered although the rest of a body arrives while the event loop is blocked", async (t) => {
+  const host = await createTestHost([answer]);
+  const socket = await connectTo(t, host);
+  const text = collect(socket);
+  socket.write(postWith("none", "Content-Length: 4\r\n", "ab"));
+  await waitFor(() => text().includes("unknown_route"), CALL_MS);
+  // Timers run next, before the sockets are read.
+  setImmediate(() => {
+    socket.write(`cd${post(ROUTE_KIND.IDEMPOTENT)}`);
+    const endMs = performance.now() + 1.5 * UNREAD_BODY_IDLE_MS;
+    while (performance.now() < endMs);
+  });
+  await waitFor(() => text().includes("whole"), CALL_MS);
+  t.deepEqual(text().match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 404", "HTTP/1.1 200"]);
+});
--- a/packages/kernel/discard_body.ts
+++ b/packages/kernel/discard_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { runAfterRead } from "./run_after_read.ts";
 import type { Millis } from "./types.ts";
 
 /** Options of {@linkcode discardBody}. */
@@ -30,13 +31,21 @@
   if (req.readableEnded || req.destroyed) return Promise.resolve(req.readableEnded);
   return new Promise((resolve) => {
     let length = 0;
+    let isFinished = false;
     const finish = () => {
+      isFinished = true;
       clearTimeout(timer);
       clearTimeout(endTimer);
       req.off("data", onData).off("end", finish).off("close", finish);
       resolve(req.readableEnded);
     };
-    const timer = setTimeout(finish, idleTimeoutMs);
+    const timer = setTimeout(() => {
+      const idleLength = length;
+      // Data may have arrived while the process stood still.
+      runAfterRead(() => {
+        if (!isFinished && length === idleLength) finish();
+      });
+    }, idleTimeoutMs);
     const endTimer = timeoutMs === undefined ? undefined : setTimeout(finish, timeoutMs);
     const onData = (chunk: Buffer) => {
       length += chunk.length;
