Answer the requests in front of one for a tunnel

A CONNECT request made Node.js close its connection at once, without an answer to it and over whole requests in progress in front of it.

Such a request is now refused with status 400 if nothing is in progress on its connection; otherwise the connection is closed after the answers, as for bytes that are no request.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -245,6 +245,7 @@
     void forwarder.handle(req, res);
   }));
   front.on("checkContinue", (req, res) => void forwarder.handleExpecting(req, res));
+  front.on("connect", (_req, socket) => forwarder.handleTunnelRequest(socket as Socket));
   front.on("connection", (socket) => forwarder.accept(socket));
   front.on("timeout", (socket) => forwarder.handleIdleTimeout(socket));
   front.on("clientError", (err, socket) => forwarder.handleProtocolError(err, socket as Socket));
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -17,6 +17,7 @@
 import { createBodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
+import { handleTunnelRequest } from "./_lib/handle_tunnel_request.ts";
 import { readBody } from "./_lib/read_body.ts";
 import type { CallerRequest, ForwardingContext } from "./_lib/request_context.ts";
 import { runAttempts } from "./_lib/run_attempts.ts";
@@ -51,6 +52,8 @@
   accept(socket: Socket): void;
   /** Handles an error on a caller's connection, as the event `clientError` reports it. */
   handleProtocolError(err: Error, socket: Socket): void;
+  /** Handles a request for a tunnel on a caller's connection, as the event `connect` reports it. */
+  handleTunnelRequest(socket: Socket): void;
   /** Handles the end of a connection's idle time, as the event `timeout` reports it. */
   handleIdleTimeout(socket: Socket): void;
   /** Number of requests in progress. */
@@ -185,6 +188,7 @@
       if (isHeaderTimeout(err)) timeouts.handleHeaderTimeout(socket, handle);
       else handle();
     },
+    handleTunnelRequest: (socket) => handleTunnelRequest({ connections, closer }, socket),
     size: () => size,
     connectionCounts: () => closer.counts(),
     cutOff: () => monitor.cutOff(),
--- a/packages/forwarding/pipelined_requests_test.ts
+++ b/packages/forwarding/pipelined_requests_test.ts
@@ -155,3 +155,50 @@
   await waitFor(() => text().includes("whole"), CALL_MS);
   t.deepEqual(text().match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 404", "HTTP/1.1 200"]);
 });
+
+const CONNECT = "CONNECT a.example:80 HTTP/1.1\r\nHost: a.example\r\n\r\n";
+
+test("a request for a tunnel is refused", async (t) => {
+  const host = await createTestHost([answer]);
+  const socket = await connectTo(t, host);
+  const text = collect(socket);
+  socket.write(CONNECT);
+  await once(socket, "end");
+  t.regex(text(), /^HTTP\/1.1 400 [^]*Connection: close\r\n/);
+});
+
+test("requests in front of one for a tunnel are answered, then the connection is closed", async (t) => {
+  const host = await createTestHost([answer]);
+  const socket = await connectTo(t, host);
+  const text = collect(socket);
+  socket.write(post(ROUTE_KIND.NON_IDEMPOTENT).repeat(2) + CONNECT);
+  await once(socket, "end");
+  t.deepEqual(text().match(/HTTP\/1.1 200 OK\r\n(?:[^\r\n]+\r\n)+\r\nwhole/g)?.length, 2);
+  await waitFor(() => host.size() === 0, CALL_MS);
+  t.is(host.size(), 0);
+});
+
+test("a large answer in front of a request for a tunnel is passed on to a slow caller", async (t) => {
+  const size = 16 * 1024 * 1024;
+  const host = await createTestHost([
+    (_req, res) => void res.writeHead(200, { Attempt: "a1", Seal: "s" }).end("x".repeat(size)),
+  ]);
+  const socket = await connectTo(t, host);
+  let length = 0;
+  socket.write(post(ROUTE_KIND.IDEMPOTENT) + CONNECT);
+  await wait(300);
+  socket.on("data", (chunk: Buffer) => length += chunk.length);
+  await once(socket, "end");
+  t.true(length > size);
+});
+
+test("a caller that leaves behind a request for a tunnel has its requests cancelled", async (t) => {
+  const host = await createTestHost([slow], { timeoutMs: 4 * CALL_MS });
+  const socket = await connectTo(t, host);
+  socket.write(post(ROUTE_KIND.IDEMPOTENT).repeat(2) + CONNECT);
+  await waitFor(() => host.arrivals.length === 2, CALL_MS);
+  socket.resetAndDestroy();
+  await waitFor(() => host.size() === 0, CALL_MS / 2);
+  t.is(host.size(), 0);
+  t.deepEqual(host.outcomes, ["cancelled", "cancelled"]);
+});
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -126,6 +126,7 @@
     noDelay: true,
   }, (req, res) => void forwarder.handle(req, res));
   server.on("checkContinue", (req, res) => void forwarder.handleExpecting(req, res));
+  server.on("connect", (_req, socket) => forwarder.handleTunnelRequest(socket as Socket));
   const { headersTimeout } = server;
   const limits = () => cluster.view.configuration()?.limits;
   const lowerHeaderTimeout = createGradualLimit(clock);
