Ask for time for a silence only when a stopping host takes a prompt

Since the margin for a silence, a prompt that had waited for servers was refused at its placement if the margin had passed during the wait.

The test of a waiting prompt states that now; it failed before. The test of a prompt with a margin at its arrival stays as a case of its own.

--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -4,19 +4,15 @@
 import { computeStopAnswerMs } from "../compute_stop_answer_ms.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
-/** Longest time between two looks at the time that is left for a waiting request. */
-const MAX_LOOK_MS = 100;
-
 /** The parts of a request that decide whether its answer can end before the host does. */
-export type StoppableRequest = Pick<
-  CallerRequest,
-  "arrivalMs" | "endMs" | "metadata" | "service"
->;
+export type StoppableRequest = Pick<CallerRequest, "endMs" | "metadata" | "service">;
 
 /** What is known of the time that an answer takes. */
 export interface AnswerTimeOptions {
   /** Expected milliseconds to the first byte, once the request is placed. */
   firstByteMs?: Millis;
+  /** Converts the expected time of the whole answer to the time that must be left for it. */
+  addMargin?: (answerMs: Millis) => Millis;
 }
 
 /**
@@ -24,8 +20,9 @@
  *
  * During a stop, a request is taken if its deadline is before the end of the host. One that may last
  * longer is taken only from callers that cannot know of the stop yet or have no other host, and only
- * if its answer is expected to end in time. All others are refused, so that their callers try another
- * host at once.
+ * if its answer is expected to end in time with a margin. All others are refused, so that their
+ * callers try another host at once. The margin is not asked for again once the request has waited,
+ * since its caller has less time left for another host.
  *
  * @param context services of the host
  * @param request the request
@@ -40,8 +37,13 @@
   const stopTime = context.stop.time();
   if (stopTime === undefined) return true;
   if (context.stop.exit.aborted) return false;
+  const { elapsedMs } = stopTime;
+  const hasOtherHosts = context.stop.hasOtherHosts();
   const endsBeforeHost = request.endMs <= context.clock.nowMs() + stopTime.remainingMs;
-  return endsBeforeHost || (context.stop.isNeeded(requests) && canStart(context, request));
+  return endsBeforeHost ||
+    (context.stop.isNeeded(requests) && canStart(context, request, {
+      addMargin: (answerMs) => computeStopAnswerMs(answerMs, { elapsedMs, hasOtherHosts }),
+    }));
 }
 
 /** Reports whether the answer of a request that is sent now is expected to end before the host. */
@@ -66,23 +68,21 @@
 ): () => void {
   const { signal } = context.stop;
   let timer: NodeJS.Timeout | undefined;
-  const look = () => {
+  const startTimer = () => {
     const waitMs = findLatestStartMs(context, request) - context.clock.nowMs();
-    if (waitMs < 0) onTooLate();
-    // The time also depends on the other hosts, which come and go during the wait.
-    else if (waitMs < Infinity) timer = setTimeout(look, Math.min(waitMs + 1, MAX_LOOK_MS));
+    if (waitMs < Infinity) timer = setTimeout(onTooLate, Math.max(0, waitMs));
   };
-  if (signal.aborted) look();
-  else signal.addEventListener("abort", look, { once: true });
+  if (signal.aborted) startTimer();
+  else signal.addEventListener("abort", startTimer, { once: true });
   return () => {
     clearTimeout(timer);
-    signal.removeEventListener("abort", look);
+    signal.removeEventListener("abort", startTimer);
   };
 }
 
 function findLatestStartMs(
   context: ForwardingContext,
-  { arrivalMs, endMs, metadata, service }: StoppableRequest,
+  { endMs, metadata, service }: StoppableRequest,
   options: AnswerTimeOptions = {},
 ): Millis {
   const stopTime = context.stop.time();
@@ -90,10 +90,7 @@
   const profile = context.configuration()?.services.get(service)?.engine;
   // How long a call to a plain service takes is unknown, so that only its deadline bounds it.
   const expectedMs = profile === undefined ? Infinity : computeAnswerMs(metadata, profile, options);
-  const nowMs = context.clock.nowMs();
-  const answerMs = computeStopAnswerMs(expectedMs, {
-    elapsedMs: stopTime.elapsedMs - (nowMs - arrivalMs),
-    hasOtherHosts: context.stop.hasOtherHosts(),
-  });
-  return computeLatestStartMs({ endMs, answerMs }, nowMs + stopTime.remainingMs);
+  const answerMs = options.addMargin?.(expectedMs) ?? expectedMs;
+  const hostEndMs = context.clock.nowMs() + stopTime.remainingMs;
+  return computeLatestStartMs({ endMs, answerMs }, hostEndMs);
 }
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -232,7 +232,7 @@
   const service = chooseTarget(route, context.random);
   if (service === undefined) throw new ForwardingError(503, FAILURE.NO_SERVER);
   const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
-  const stoppable = { arrivalMs, endMs: arrivalMs + timeoutMs, metadata, service };
+  const stoppable = { endMs: arrivalMs + timeoutMs, metadata, service };
   if (!canTakeRequest(context, stoppable, otherRequests)) {
     throw new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
   }
