Wait for the request in a test of reservations at the exit

The test got 504 in place of 503 in 3 of 5 runs beside other tests, at a load average of 15 to 28 on 8 cores, and in none of 7 alone. It gave the request 100 ms to arrive; a request that is read after the start of the exit meets a host whose stop has not begun, which no process is. It waits until the host has the request now.

--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -209,6 +209,7 @@
 test("a request whose memory is being reserved at the exit is refused and not sent later", async (t) => {
   const host = await startHost(t, { reservationMs: 300 });
   const call = host.call({ kind: ROUTE_KIND.STREAMING });
+  while (host.size() === 0) await wait(5);
   await wait(100);
   host.beginExit();
   t.is((await call).status, 503);
