Tell hosts of a departure before the first change that names the host

A hub sends a host that connects the whole list of live hosts, and to all hosts the changes since its last tick (300 ms). A host that came and left between two ticks was in that list and in no change, so that hosts that had connected meanwhile named it in the directory until they changed their hub.

The change of the next tick now counts from what was sent to each host, such lists included.

--- a/packages/fleet/_lib/hosts_diff.ts
+++ b/packages/fleet/_lib/hosts_diff.ts
@@ -5,6 +5,8 @@
 export interface HostsDiff {
   /** Returns the changes since the last call; undefined when there are none. */
   takeChange(): HostsChange | undefined;
+  /** Lists all live hosts for a new receiver of changes, to whom the next change applies as well. */
+  listAll(): HostEntry[];
 }
 
 /**
@@ -20,13 +22,21 @@
  */
 export function createHostsDiff(list: () => HostEntry[]): HostsDiff {
   let known = new Map<string, HostEntry>();
+  /** Hosts that new receivers know of and that no change has named yet. */
+  const listed = new Set<string>();
   return {
+    listAll() {
+      const entries = list();
+      for (const { host } of entries) listed.add(host);
+      return entries;
+    },
     takeChange() {
       const present = new Map(list().map((entry) => [entry.host, entry]));
       const joined = [...present.values()]
         .filter(({ host, incarnation }) => known.get(host)?.incarnation !== incarnation);
-      const left = [...known.keys()].filter((host) => !present.has(host));
+      const left = [...new Set([...known.keys(), ...listed])].filter((host) => !present.has(host));
       known = present;
+      listed.clear();
       return joined.length === 0 && left.length === 0 ? undefined : { joined, left };
     },
   };
--- a/packages/fleet/_lib/hosts_diff_test.ts
+++ b/packages/fleet/_lib/hosts_diff_test.ts
@@ -24,3 +24,16 @@
   hosts = [host("a", "2")];
   t.deepEqual(diff.takeChange(), { joined: [host("a", "2")], left: ["b"] });
 });
+
+test("a host that left before the next change counts as left if it was sent", (t) => {
+  let hosts = [host("a")];
+  const diff = createHostsDiff(() => hosts);
+  diff.takeChange();
+  hosts = [host("a"), host("b"), host("c")];
+  t.deepEqual(diff.listAll(), hosts);
+  hosts = [host("a"), host("c")];
+  t.deepEqual(diff.takeChange(), { joined: [host("c")], left: ["b"] });
+  hosts = [host("a")];
+  t.deepEqual(diff.takeChange(), { joined: [], left: ["c"] });
+  t.is(diff.takeChange(), undefined);
+});
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -158,7 +158,7 @@
     const member = { entry, isDraining, link };
     members.set(entry.host, member);
     for (const table of Object.values(TABLE)) link.sendLine(encodeChanges(table, revisions[table]));
-    link.send({ type: "hosts", change: { joined: listAnnounced(), left: [] } });
+    link.send({ type: "hosts", change: { joined: hostsDiff.listAll(), left: [] } });
     const items = options.gossip.list();
     if (items.length > 0) link.send({ type: "gossip", items });
     link.send(describeView());
