Leave time for a silence when a prompt is placed after a wait in a stop

Callers saw answers cut off at the exit whose prompts had waited at the signal of their host. The margin for a silence was asked for at the arrival only.

A placement of a stopping host asks for it too if enough other hosts accept callers. The wait itself ends no sooner: with the margin there, prompts gave up waits that would have ended in time.

The test of a prompt that waits stated the opposite; it is replaced by one with other hosts, which failed before (the prompt was sent), and one without, which passed.

--- a/packages/forwarding/_lib/place_unless_aborted.ts
+++ b/packages/forwarding/_lib/place_unless_aborted.ts
@@ -1,17 +1,24 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
+import { STOP_SILENCE_MARGIN_MS } from "../constants.ts";
 import type { AnswerHandler, Attempt } from "./attempt.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import { canStart, watchLatestStart } from "./stop_limit.ts";
 
-/** Reports whether a placed request may still be sent, although the host may be stopping. */
+/**
+ * Reports whether a placed request may still be sent, although the host may be stopping. Servers that
+ * are free now are free for another host as well, so that a caller that has one loses little time.
+ */
 export function isInTime(
   context: ForwardingContext,
   request: CallerRequest,
   { decision, handler }: Pick<Attempt, "decision" | "handler">,
 ): boolean {
-  return hasBegun(handler) ||
-    canStart(context, request, { firstByteMs: decision.expectedMs });
+  const marginMs = context.stop.hasOtherHosts() ? STOP_SILENCE_MARGIN_MS : 0;
+  return hasBegun(handler) || canStart(context, request, {
+    firstByteMs: decision.expectedMs,
+    addMargin: (answerMs) => answerMs + marginMs,
+  });
 }
 
 /** A stream that has begun goes on during a stop, since its caller cannot start it again. */
--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -21,8 +21,7 @@
  * During a stop, a request is taken if its deadline is before the end of the host. One that may last
  * longer is taken only from callers that cannot know of the stop yet or have no other host, and only
  * if its answer is expected to end in time with a margin. All others are refused, so that their
- * callers try another host at once. The margin is not asked for again once the request has waited,
- * since its caller has less time left for another host.
+ * callers try another host at once.
  *
  * @param context services of the host
  * @param request the request
--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -75,14 +75,20 @@
   t.deepEqual([short.status, long.status, host.arrivals.length], [200, 503, 1]);
 });
 
-test("a prompt that waits when its host stops is not refused for a silence that its server may have", async (t) => {
-  const host = await startHost(t, { engine: ENGINE, placementMs: 500 });
-  const call = host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 100, deadlineMs: 5_000 });
-  while (host.size() === 0) await wait(5);
-  host.stop({ remainingMs: 2_000, isNeeded: true, hasOtherHosts: true });
-  const { status } = await call;
-  t.deepEqual({ status, arrivals: host.arrivals.length }, { status: 200, arrivals: 1 });
-});
+for (const hasOtherHosts of [true, false]) {
+  const end = hasOtherHosts ? "goes to another host" : "is sent if callers have no other host";
+  test(`a prompt that is placed in a stop and whose answer a silence of its server would let be cut off ${end}`, async (t) => {
+    const host = await startHost(t, { engine: ENGINE, placementMs: 500 });
+    const call = host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 100, deadlineMs: 5_000 });
+    while (host.size() === 0) await wait(5);
+    host.stop({ remainingMs: 2_000, isNeeded: true, hasOtherHosts });
+    const { status } = await call;
+    t.deepEqual(
+      { status, arrivals: host.arrivals.length },
+      hasOtherHosts ? { status: 503, arrivals: 0 } : { status: 200, arrivals: 1 },
+    );
+  });
+}
 
 test("a new prompt is refused if a silence of its server would let its answer be cut off and callers have other hosts", async (t) => {
   const host = await startHost(t, { engine: ENGINE });
