Read the sockets of the other servers before an idle timeout closes them

Cause: the directory, readiness and metrics servers left the close of idle connections to Node.js, which runs timers before it reads sockets. A request that arrived during a stall of the process beyond the idle timeout was reset, although the connection was announced as open. Found by a review on a bare server.

Change: the idle timeout of these servers looks at the socket first, as that of callers' connections does.

--- a/packages/forwarding_host/_lib/create_endable_server.ts
+++ b/packages/forwarding_host/_lib/create_endable_server.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { CLOSE_LINGER_MS, CLOSING_ANSWER } from "@jaypass/forwarding";
-import { closeListener, endConnection } from "@jaypass/kernel";
+import { closeListener, createCallerTimeouts, createClock, endConnection } from "@jaypass/kernel";
 import type { CloseListenerOptions } from "@jaypass/kernel";
 
 /** Handles a request; the answer may end later. */
@@ -53,13 +53,21 @@
     // The refusal of an idle connection answers the request.
     if (socket.writableEnded) return;
     addRequests(socket, 1);
+    timeouts.requestArrived(socket);
     res.once("close", () => {
+      timeouts.requestEnded(socket);
       addRequests(socket, -1);
       endIfIdle(socket);
     });
     if (stopSignal.aborted) res.setHeader("Connection", "close");
     void handle(req, res);
   });
+  const timeouts = createCallerTimeouts({
+    clock: createClock(),
+    idleTimeoutMs: () => server.keepAliveTimeout,
+  });
+  // Without a listener Node.js closes the connection by itself, also if a request waits unread.
+  server.on("timeout", (socket) => timeouts.handleIdleTimeout(socket, () => socket.destroy()));
   server.on("connection", (socket: Socket) => {
     requestCounts.set(socket, 0);
     socket.once("close", () => requestCounts.delete(socket));
--- a/packages/forwarding_host/_lib/create_endable_server_test.ts
+++ b/packages/forwarding_host/_lib/create_endable_server_test.ts
@@ -2,6 +2,7 @@
 import { connect } from "node:net";
 import type { AddressInfo } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
+import { Worker } from "node:worker_threads";
 import test from "ava";
 import type { ExecutionContext } from "ava";
 import { createEndableServer } from "./create_endable_server.ts";
@@ -67,3 +68,50 @@
   socket.write(REQUEST);
   t.regex(await ended, /^HTTP\/1.1 200 OK\r\n[^]*Connection: close/);
 });
+
+/** Sends a second request on its connection when the flag is 1, then sets it to 2. */
+const KEPT_CALLER = `
+  const { connect } = require("node:net");
+  const { parentPort, workerData: { flag, port } } = require("node:worker_threads");
+  const request = "GET / HTTP/1.1\\r\\nHost: a.example\\r\\n\\r\\n";
+  const socket = connect(port, "127.0.0.1");
+  let answers = 0;
+  socket.on("error", () => {});
+  socket.on("close", () => parentPort.postMessage(answers));
+  socket.on("data", () => {
+    answers += 1;
+    parentPort.postMessage("answer " + answers);
+    if (answers !== 1) return;
+    Atomics.wait(flag, 0, 0);
+    socket.write(request, () => {
+      Atomics.store(flag, 0, 2);
+      Atomics.notify(flag, 0);
+    });
+  });
+  socket.write(request);
+`;
+
+test.serial("a request that arrives while the process is stalled beyond the idle timeout is answered", async (t) => {
+  const { server } = createEndableServer(
+    (_req, res) => void res.end("ok"),
+    new AbortController().signal,
+  );
+  server.keepAliveTimeout = 2_000;
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const flag = new Int32Array(new SharedArrayBuffer(4));
+  const worker = new Worker(KEPT_CALLER, { eval: true, workerData: { flag, port } });
+  t.teardown(() => worker.terminate());
+  t.deepEqual(await once(worker, "message"), ["answer 1"]);
+  const next = once(worker, "message");
+  // Timers run right after this phase of the event loop.
+  await new Promise((resolve) => setImmediate(resolve));
+  Atomics.store(flag, 0, 1);
+  Atomics.notify(flag, 0);
+  Atomics.wait(flag, 0, 1, 10_000);
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, server.keepAliveTimeout + 1_500);
+  t.deepEqual(await next, ["answer 2"]);
+  server.closeAllConnections();
+  server.close();
+});
