Count the deadline of a request from its arrival while it waits for status 100

A request that expects status 100 and came behind another one on its connection got its deadline anew when its turn came, since took the time of arrival after the wait; it was sent to a server although its caller's deadline had passed. The time is taken before the wait, and a request whose deadline passes before its body is read is not placed.

--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -116,8 +116,8 @@
     req: IncomingMessage,
     res: ServerResponse,
     monitored: MonitoredRequest,
+    arrivalMs: Millis,
   ) => {
-    const arrivalMs = context.clock.nowMs();
     const resolved = resolveRequest(context, req, { arrivalMs, otherRequests: size - 1 });
     monitor.accepted(monitored, resolved.route.name);
     const body = await readBody(req, {
@@ -142,11 +142,12 @@
       req.resume();
       return;
     }
+    const arrivalMs = context.clock.nowMs();
     timeouts.requestArrived(socket);
     size += 1;
     const monitored = monitor.add(req, res);
     try {
-      await runUntilExit(prepare().then(() => serve(req, res, monitored)), {
+      await runUntilExit(prepare().then(() => serve(req, res, monitored, arrivalMs)), {
         exit: context.stop.exit,
         findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
       });
@@ -279,8 +280,8 @@
   });
   const onClose = () => controller.abort();
   res.once("close", onClose);
-  // The caller may have disconnected while its body was read.
-  if (res.destroyed || req.socket.destroyed) controller.abort();
+  // The deadline may have passed, or the caller disconnected, while the body was awaited.
+  if (remainingMs <= 0 || res.destroyed || req.socket.destroyed) controller.abort();
   const { exit } = context.stop;
   // A request that is refused at the exit must not be sent afterwards.
   const onExit = () => {
--- a/packages/forwarding/pipelined_requests_test.ts
+++ b/packages/forwarding/pipelined_requests_test.ts
@@ -95,6 +95,21 @@
   t.deepEqual(text().match(/HTTP\/1.1 \d+/g), ["HTTP/1.1 200", "HTTP/1.1 100", "HTTP/1.1 200"]);
 });
 
+test("a request that expects status 100 and waits for its turn until its deadline is not run", async (t) => {
+  const late: ServerBehaviour = async (_req, res) => {
+    await wait(1_000);
+    res.writeHead(200, { Attempt: "a1", Seal: "s" }).end("whole");
+  };
+  const host = await createTestHost([late]);
+  const socket = await connectTo(t, host);
+  const text = collect(socket);
+  const fields = "Deadline: 500\r\nContent-Length: 4\r\nExpect: 100-continue\r\n";
+  socket.write(post(ROUTE_KIND.IDEMPOTENT) + postWith(ROUTE_KIND.NON_IDEMPOTENT, fields, "body"));
+  await waitFor(() => (text().match(/HTTP\/1.1 [2-5]\d+/g)?.length ?? 0) > 1, CALL_MS);
+  t.deepEqual(text().match(/HTTP\/1.1 [2-5]\d+/g), ["HTTP/1.1 200", "HTTP/1.1 504"]);
+  t.is(host.arrivals.length, 1);
+});
+
 test("a request behind one that expects status 100 and is refused is answered", async (t) => {
   const host = await createTestHost([answer]);
   const socket = await connectTo(t, host);
