Do not delay a deadline for the memory reservation of the only run

The only unsent run is dropped as well; its memory is released when the reservation ends. The test failed before for both kinds.

--- a/packages/forwarding/_lib/run_concurrently.ts
+++ b/packages/forwarding/_lib/run_concurrently.ts
@@ -93,9 +93,8 @@
       finishIfEnded();
     };
 
-    // A memory reservation for another server must not delay the end of the request.
+    // A memory reservation must not delay the end of the request.
     const onAbort = () => {
-      if (runs.list().length < 2) return;
       runs.dropUnsent();
       finishIfEnded();
     };
--- a/packages/forwarding/concurrent_runs_test.ts
+++ b/packages/forwarding/concurrent_runs_test.ts
@@ -229,6 +229,21 @@
     t.true(performance.now() - startMs < 15_000);
   });
 
+  test(`${kind}: a reservation for the only run does not delay the deadline`, async (t) => {
+    const host = await createTestHost([answer(200, WHOLE)], {
+      reservationMs: 1,
+      canReserve: async () => {
+        await wait(20_000, undefined, { ref: false });
+        return true;
+      },
+    });
+    t.teardown(() => host.close());
+    const startMs = performance.now();
+    const { status } = await host.call({ kind, deadlineMs: 500 });
+    t.deepEqual([status, host.arrivals.length, host.outcomes], [504, 0, ["cancelled"]]);
+    t.true(performance.now() - startMs < 15_000);
+  });
+
   test(`${kind}: data of the first server ends a second run whose memory is not reserved yet`, async (t) => {
     let reservations = 0;
     const first: ServerBehaviour = async (_req, res) => {
