Keep the time left of a stopping host in a test of its prompts

The test counted 2 s of real time from the start of the stop, and a prompt that needs 1 s of them was refused in one run at a load average of 31: the request had to arrive within 1 s. The time left stays at 2 s now.

--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -52,7 +52,7 @@
 
 test("a stopping host takes a prompt only if its answer is expected to end in time", async (t) => {
   const host = await startHost(t, { engine: ENGINE });
-  host.stop({ remainingMs: 2_000, isNeeded: true });
+  host.setStopTime({ elapsedMs: 500, remainingMs: 2_000 }, { isNeeded: true });
   const call = (answerTokens: number) => host.call({ kind: ROUTE_KIND.STREAMING, answerTokens });
   t.snapshot({ short: await call(1_000), long: await call(2_500), arrivals: host.arrivals.length });
 });
