--- a/packages/forwarding/compute_stop_answer_ms.ts
+++ b/packages/forwarding/compute_stop_answer_ms.ts
@@ -8,7 +8,8 @@
  * ends before it; without other hosts, they lose the answer by a refusal as well.
  *
  * @param answerMs expected milliseconds of the answer
- * @param stop elapsedMs: milliseconds since the signal; hasOtherHosts: whether enough other hosts accept callers
+ * @param stop elapsedMs: milliseconds since the signal; hasOtherHosts: whether enough other hosts accept
+ * callers
  * @returns milliseconds
  *
  * @example
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -65,8 +65,8 @@
 export const FIRST_BYTE_GOAL_FACTOR = 2;
 
 /**
- * Silence after which another server gets the request as well. Sound servers may be silent for a second or so,
- * and callers abandon a stream after 2 s at the earliest, so that another server needs the rest.
+ * Silence after which another server gets the request as well. Sound servers may be silent for a second
+ * or so, and callers abandon a stream after 2 s at the earliest, so that another server needs the rest.
  */
 export const SILENCE_TOLERANCE_MS = 1_400;
 
--- a/packages/forwarding_host/decide_stop_step.ts
+++ b/packages/forwarding_host/decide_stop_step.ts
@@ -64,7 +64,7 @@
     const canLeave = readyHosts >= MIN_READY_SHARE * usualHosts && turnInMs <= 0;
     return canLeave || remainingMs <= LISTED_MS ? STOP_STEP.LEAVE : STOP_STEP.STAY;
   }
-  const isAlone = recentHosts >= FULL_STRENGTH_SHARE * usualHosts;
-  const stayMs = isAlone ? DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR : LISTED_MS;
+  const areOthersComplete = recentHosts >= FULL_STRENGTH_SHARE * usualHosts;
+  const stayMs = areOthersComplete ? DIRECTORY_TTL_MS * DIRECTORY_TTL_FACTOR : LISTED_MS;
   return requests === 0 && leftAgoMs >= stayMs ? STOP_STEP.EXIT : STOP_STEP.STAY;
 }
