Keep a server that sends data although a check finds no process

The host ended the exchange 21 ms after the last data of its server. Its entry was gone, so that it was checked at once, and a refused connection or another instance at the address counted as the end of its process. A server that leaves can close its listener while it ends its answers.

--- a/packages/forwarding/_lib/create_silence_watch.ts
+++ b/packages/forwarding/_lib/create_silence_watch.ts
@@ -4,6 +4,7 @@
   SERVER_CHECK_PERIOD_MS,
   SILENCE_POLL_MS,
   SILENCE_SLACK_MS,
+  SILENCE_TOLERANCE_MS,
   UNREACHABLE_TOLERANCE_MS,
 } from "../constants.ts";
 import { SERVER_STATUS } from "../types.ts";
@@ -42,9 +43,11 @@
  * data centre or network is gone. A silent engine may also be reading a long prompt, and an engine
  * that has left the directory may still be answering, so neither is a reason to give up. The server
  * is checked once it has been silent for longer than expected, or at once when its entry is gone or
- * names another start. A server whose process has ended is given up. One that is only unreachable
- * may become reachable again with its answer, and is reported after several checks in a row, not
- * before a sound server would have gone on.
+ * names another start. A check that finds no process does not show that the exchange has ended, since
+ * a server that leaves may close its listener, and its address may be used again, while it ends its
+ * answers. Therefore the server is given up only if it has also been silent for longer than a sound
+ * server may be. One that is only unreachable may become reachable again with its answer, and is
+ * reported after several checks in a row.
  *
  * @param context services of the host
  * @param options the server and its expected times
@@ -85,6 +88,9 @@
     options.onLost();
   };
 
+  /** Monotonic time from which a server whose check finds no process counts as lost. */
+  const lostFromMs = () => silentSinceMs + SILENCE_TOLERANCE_MS;
+
   /** Checks that share a result may follow each other closely, so that their number is not enough. */
   const isUnreachableForLong = () =>
     unreachableCount >= MAX_UNREACHABLE_CHECKS &&
@@ -99,8 +105,10 @@
     // Data that arrived during the check shows that the exchange goes on.
     if (isStopped || isLost || silentSinceMs > startMs) return;
     unreachableCount = status === SERVER_STATUS.UNREACHABLE ? unreachableCount + 1 : 0;
-    if (status === SERVER_STATUS.LOST) giveUp();
-    else if (isUnreachableForLong()) options.onUnreachable();
+    if (status === SERVER_STATUS.LOST) {
+      if (clock.nowMs() > lostFromMs()) giveUp();
+      else nextCheckMs = Math.min(nextCheckMs, lostFromMs());
+    } else if (isUnreachableForLong()) options.onUnreachable();
   };
 
   const timer = setInterval(() => void check(), SILENCE_POLL_MS);
