--- a/packages/bench/simulate_stops_test.ts
+++ b/packages/bench/simulate_stops_test.ts
@@ -69,19 +69,14 @@
   policy: StopPolicy,
   seeds: readonly number[],
 ): StopResult {
-  const sum: StopResult = {
-    requests: 0,
-    answered: 0,
-    refused: 0,
-    cut: 0,
-    outlasted: 0,
-    refusedByIdle: 0,
-  };
-  for (const seed of seeds) {
-    const result = simulateStops({ ...load, perHostPerSecond: 2, seed }, policy);
-    for (const key of Object.keys(sum) as (keyof StopResult)[]) sum[key] += result[key];
-  }
-  return sum;
+  const results = seeds.map((seed) =>
+    simulateStops({ ...load, perHostPerSecond: 2, seed }, policy)
+  );
+  return results.reduce((sum, result) => {
+    const total = { ...sum };
+    for (const key of Object.keys(sum) as (keyof StopResult)[]) total[key] += result[key];
+    return total;
+  });
 }
 
 /** Seeds of the tests with silent servers, in which cuts are rare. */
--- a/packages/forwarding/concurrent_runs_test.ts
+++ b/packages/forwarding/concurrent_runs_test.ts
@@ -3,6 +3,7 @@
 import { MAX_BUFFERED_ANSWER_BYTES, SILENCE_TOLERANCE_MS } from "./constants.ts";
 import { createTestHost, resetConnection } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour, TestHost } from "./_testing/create_test_host.ts";
+import { TOKEN_ENGINE } from "./_testing/token_engine.ts";
 import { ROUTE_KIND } from "./types.ts";
 
 /** Silence after which the first server goes on, while a second one has the request. */
@@ -13,20 +14,6 @@
 
 const HEAD = { Attempt: "a1", Seal: "s" };
 
-const ENGINE = {
-  slots: 1,
-  memoryTokens: 100_000,
-  stepMs: 1,
-  perWriterMs: 0,
-  contextMsPerThousand: 0,
-  readTokensPerMs: 100,
-  pairMsPerMillion: 0,
-  stepsPerPass: 10,
-  chunkTokens: 2_000,
-  usualPromptTokens: 1_000,
-  usualAnswerTokens: 100,
-};
-
 const events = (first: number, last: number) =>
   Array.from({ length: last - first + 1 }, (_, at) => `id: ${first + at}\ndata: x\n\n`).join("");
 
@@ -278,7 +265,7 @@
 
 test("no second run is started on a host whose stop leaves no time for it", async (t) => {
   const host = await createTestHost([sendInTwo(""), answer(200, WHOLE)], {
-    engine: ENGINE,
+    engine: TOKEN_ENGINE,
     timeoutMs: LONG_MS,
   });
   t.teardown(() => host.close());
--- a/packages/forwarding/stop_test.ts
+++ b/packages/forwarding/stop_test.ts
@@ -5,27 +5,13 @@
 import type { ExecutionContext } from "ava";
 import { createTestHost } from "./_testing/create_test_host.ts";
 import type { ServerBehaviour, TestHostOptions } from "./_testing/create_test_host.ts";
+import { TOKEN_ENGINE } from "./_testing/token_engine.ts";
 import { ROUTE_KIND } from "./types.ts";
 
 const SEALED = { Attempt: "a1", Seal: "s" };
 
 const answer: ServerBehaviour = (_req, res) => void res.writeHead(200, SEALED).end("done");
 
-/** An engine that decodes a token a millisecond. */
-const ENGINE = {
-  slots: 1,
-  memoryTokens: 100_000,
-  stepMs: 1,
-  perWriterMs: 0,
-  contextMsPerThousand: 0,
-  readTokensPerMs: 100,
-  pairMsPerMillion: 0,
-  stepsPerPass: 10,
-  chunkTokens: 2_000,
-  usualPromptTokens: 1_000,
-  usualAnswerTokens: 100,
-};
-
 async function startHost(
   t: ExecutionContext,
   { servers = [answer, answer], ...options }: TestHostOptions & { servers?: ServerBehaviour[] } =
@@ -51,14 +37,14 @@
 });
 
 test("a stopping host takes a prompt only if its answer is expected to end in time", async (t) => {
-  const host = await startHost(t, { engine: ENGINE });
+  const host = await startHost(t, { engine: TOKEN_ENGINE });
   host.setStopTime({ elapsedMs: 500, remainingMs: 2_000 }, { isNeeded: true });
   const call = (answerTokens: number) => host.call({ kind: ROUTE_KIND.STREAMING, answerTokens });
   t.snapshot({ short: await call(1_000), long: await call(2_500), arrivals: host.arrivals.length });
 });
 
 test("late in a stop, a host that callers need takes a prompt only if its answer may take twice as long as expected", async (t) => {
-  const host = await startHost(t, { engine: ENGINE, timeoutMs: 9_000 });
+  const host = await startHost(t, { engine: TOKEN_ENGINE, timeoutMs: 9_000 });
   host.setStopTime({ elapsedMs: 3_000, remainingMs: 5_000 }, { isNeeded: true });
   const call = (answerTokens: number) =>
     host.call({ kind: ROUTE_KIND.STREAMING, answerTokens, deadlineMs: 9_000 });
@@ -67,7 +53,7 @@
 });
 
 test("late in a stop, a prompt is not taken whose answer would be cut off after a silence of its server", async (t) => {
-  const host = await startHost(t, { engine: ENGINE });
+  const host = await startHost(t, { engine: TOKEN_ENGINE });
   host.setStopTime({ elapsedMs: 4_000, remainingMs: 2_300 }, { isNeeded: true });
   const call = (answerTokens: number) =>
     host.call({ kind: ROUTE_KIND.STREAMING, answerTokens, deadlineMs: 9_000 });
@@ -78,7 +64,7 @@
 for (const hasOtherHosts of [true, false]) {
   const end = hasOtherHosts ? "goes to another host" : "is sent if callers have no other host";
   test(`a prompt that is placed in a stop and whose answer a silence of its server would let be cut off ${end}`, async (t) => {
-    const host = await startHost(t, { engine: ENGINE, placementMs: 500 });
+    const host = await startHost(t, { engine: TOKEN_ENGINE, placementMs: 500 });
     const call = host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 100, deadlineMs: 5_000 });
     while (host.size() === 0) await wait(5);
     host.stop({ remainingMs: 2_000, isNeeded: true, hasOtherHosts });
@@ -91,7 +77,7 @@
 }
 
 test("a new prompt is refused if a silence of its server would let its answer be cut off and callers have other hosts", async (t) => {
-  const host = await startHost(t, { engine: ENGINE });
+  const host = await startHost(t, { engine: TOKEN_ENGINE });
   host.stop({ remainingMs: 2_000, isNeeded: true, hasOtherHosts: true });
   const call = { kind: ROUTE_KIND.STREAMING, answerTokens: 100, deadlineMs: 5_000 };
   const { status } = await host.call(call);
@@ -99,14 +85,14 @@
 });
 
 test("a stopping host refuses prompts of callers that use an expired directory answer", async (t) => {
-  const host = await startHost(t, { engine: ENGINE });
+  const host = await startHost(t, { engine: TOKEN_ENGINE });
   host.stop({ remainingMs: 2_000 });
   const result = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 100 });
   t.snapshot({ result, arrivals: host.arrivals.length });
 });
 
 test("a prompt that is placed too late during a stop is refused and not sent", async (t) => {
-  const host = await startHost(t, { engine: ENGINE, placementMs: 5_000 });
+  const host = await startHost(t, { engine: TOKEN_ENGINE, placementMs: 5_000 });
   const call = host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
   await wait(50);
   host.stop({ remainingMs: 1_200, isNeeded: true });
@@ -114,7 +100,7 @@
 });
 
 test("a prompt whose engine is expected to answer late is not sent during a stop", async (t) => {
-  const host = await startHost(t, { engine: ENGINE, expectedMs: 1_500 });
+  const host = await startHost(t, { engine: TOKEN_ENGINE, expectedMs: 1_500 });
   host.stop({ remainingMs: 2_000, isNeeded: true });
   const result = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
   t.snapshot({ result, arrivals: host.arrivals.length, outcomes: host.outcomes });
@@ -125,7 +111,7 @@
   const onWarning = (warning: Error) => void warnings.push(warning.name);
   process.on("warning", onWarning);
   t.teardown(() => void process.off("warning", onWarning));
-  const host = await startHost(t, { engine: ENGINE, placementMs: 500 });
+  const host = await startHost(t, { engine: TOKEN_ENGINE, placementMs: 500 });
   await Promise.all(Array.from({ length: 20 }, () => host.call()));
   t.deepEqual(warnings, []);
 });
@@ -143,7 +129,7 @@
 });
 
 test("a request whose memory is reserved too late during a stop is not sent", async (t) => {
-  const host = await startHost(t, { engine: ENGINE, reservationMs: 1_500 });
+  const host = await startHost(t, { engine: TOKEN_ENGINE, reservationMs: 1_500 });
   host.stop({ remainingMs: 2_000, isNeeded: true });
   const { status } = await host.call({ kind: ROUTE_KIND.STREAMING, answerTokens: 1_000 });
   t.deepEqual({ status, arrivals: host.arrivals.length }, { status: 503, arrivals: 0 });
