--- a/packages/forwarding/_lib/create_concurrent_runs.ts
+++ b/packages/forwarding/_lib/create_concurrent_runs.ts
@@ -11,7 +11,7 @@
   recordSend(): void;
   /** Records that the server has been silent for so long that another run may be started. */
   recordSilence(): void;
-  /** Records data of the server; drops a run that another one has not needed to send yet. */
+  /** Records data of the server, and drops all other runs whose request is not sent yet. */
   recordData(): void;
   /**
    * Must be called before each part of the answer is written. All other runs are dropped, since they
@@ -20,10 +20,10 @@
    * @returns true if this run may write
    */
   claim(): boolean;
-  /** Records that the run has ended; a silent one that is left is told. */
+  /** Records that the run has ended, and calls the listener of the last run left if it is silent. */
   end(): void;
-  /** Sets what is called when the other run has ended while this one is silent; undefined for nothing. */
-  setAloneListener(listener: (() => void) | undefined): void;
+  /** Sets the listener that is called when this run is the last one left and silent; none by default. */
+  setLastRunListener(listener: (() => void) | undefined): void;
   /** True until the run has ended or is dropped. */
   isActive(): boolean;
   /** True if the server has sent nothing since its silence was recorded. */
@@ -37,9 +37,9 @@
 /** The runs of one request. */
 export interface ConcurrentRuns {
   /**
-   * Starts a run. If as many are in progress as may be, the oldest one that has written nothing is
-   * dropped, provided that all are silent. The one that has written may only have to end its answer,
-   * which no other run can do.
+   * Starts a run. If the most allowed are in progress and all are silent, the oldest one that has
+   * written nothing is dropped. A run that has written is kept, since it may have sent the whole answer
+   * but its end, which no other run can send.
    *
    * @returns the run; undefined if none may be started
    */
@@ -65,7 +65,7 @@
 interface RunEntry extends Run {
   isSent(): boolean;
   hasWritten(): boolean;
-  notifyAlone(): void;
+  notifyLastRun(): void;
   drop(): void;
 }
 
@@ -107,7 +107,7 @@
     let isSent = false;
     let hasWritten = false;
     let isSilent = false;
-    let aloneListener: (() => void) | undefined;
+    let lastRunListener: (() => void) | undefined;
     let lastDataMs = clock.nowMs();
     const others = () => active.filter((other) => other !== run);
     const run: RunEntry = {
@@ -133,11 +133,11 @@
       end() {
         if (!run.isActive()) return;
         active = others();
-        const [left] = active;
-        if (active.length === 1 && left?.isSilent()) left.notifyAlone();
+        const [last] = active;
+        if (active.length === 1 && last?.isSilent()) last.notifyLastRun();
       },
-      setAloneListener: (listener) => void (aloneListener = listener),
-      notifyAlone: () => aloneListener?.(),
+      setLastRunListener: (listener) => void (lastRunListener = listener),
+      notifyLastRun: () => lastRunListener?.(),
       isActive: () => active.includes(run),
       isSilent: () => isSilent,
       silentMs: () => clock.nowMs() - lastDataMs,
@@ -162,7 +162,7 @@
       active.push(run);
       return run;
     },
-    // The newest run has been silent for the shortest time, so that the others are not given up sooner.
+    // The newest run is the last one to be silent for long, so only its silence allows a replacement.
     mayStartBeside: (run) =>
       active.some((other) => other === run) && active.every((other) => other.isSilent()) &&
       (!isFull() || active.at(-1) === run),
--- a/packages/forwarding/_lib/create_concurrent_runs_test.ts
+++ b/packages/forwarding/_lib/create_concurrent_runs_test.ts
@@ -94,15 +94,15 @@
   t.deepEqual([first.signal.aborted, next.signal.aborted], [false, true]);
 });
 
-test("a run that is left and silent is told that the other one has ended", (t) => {
+test("the last run left is told that the other one has ended if it is silent", (t) => {
   let calls = 0;
   const { first, second } = startTwo();
-  first.setAloneListener(() => void (calls += 1));
+  first.setLastRunListener(() => void (calls += 1));
   second.end();
   second.end();
   t.is(calls, 1);
   const sound = startTwo();
-  sound.first.setAloneListener(() => void (calls += 1));
+  sound.first.setLastRunListener(() => void (calls += 1));
   sound.second.recordSend();
   sound.first.recordData();
   sound.second.end();
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -69,7 +69,7 @@
   request.signal.addEventListener("abort", onAbort, { once: true });
   run.signal.addEventListener("abort", onAbort, { once: true });
   const successors = createSuccessorSearch(context, request, attempt);
-  run.setAloneListener(() => successors.start("other_failed"));
+  run.setLastRunListener(() => successors.start("other_failed"));
   /** Timers run before sockets are read, so that data may have arrived during a stall of the process. */
   const searchAfterRead = (reason: SilenceReason) => {
     const earlierCount = receivedCount;
@@ -135,7 +135,7 @@
     state.inFlightCount -= 1;
     clearInterval(firstByteTimer);
     silence.stop();
-    run.setAloneListener(undefined);
+    run.setLastRunListener(undefined);
     successors.cancel();
     request.signal.removeEventListener("abort", onAbort);
     run.signal.removeEventListener("abort", onAbort);
--- a/packages/forwarding/_lib/find_dropped_outcome.ts
+++ b/packages/forwarding/_lib/find_dropped_outcome.ts
@@ -4,8 +4,8 @@
 import type { CallerRequest } from "./request_context.ts";
 
 /**
- * Finds the outcome of a run that was dropped. Placement avoids a server that stayed silent while
- * another one has continued the answer, and none that was only the second to go on.
+ * Finds the outcome of a run that was dropped. Placement avoids a server that was still silent when
+ * another one continued the answer, but not a server that was sending data itself.
  *
  * @param request the caller's request
  * @param run the dropped run
--- a/packages/forwarding/_lib/place_unless_aborted.ts
+++ b/packages/forwarding/_lib/place_unless_aborted.ts
@@ -6,8 +6,9 @@
 import { canStart, watchLatestStart } from "./stop_limit.ts";
 
 /**
- * Reports whether a placed request may still be sent, although the host may be stopping. Servers that
- * are free now are free for another host as well, so that a caller that has one loses little time.
+ * Reports whether a placed request may still be sent, although the host may be stopping. If callers have
+ * other hosts, time for a silence of the server must be left: a refused caller loses little, since the
+ * servers that are free now can serve it through another host.
  */
 export function isInTime(
   context: ForwardingContext,
