--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -6,22 +6,21 @@
 
 /**
  * Starts an engine at a fixed address and keeps its row in the store.
- * Options: store, service, zone, ip, port, slots, workMs, coldMs(), onArrival(request),
- * onRun(request, engine), run(request, answer, engine) for streams, crashes(request).
+ * Options: store, service, zone, name, ip, port, slots, workMs, kvTotal, onArrival(request, engine),
+ * onRun(request, engine), run({ request, res, headers, engine, crash }) for answers of another kind, downMs.
  */
 export async function startEngine(options) {
   const { store, service, zone, ip, port, slots = 6, workMs = 5, onArrival = () => {}, onRun = () => {} } = options;
-  const { kvTotal = 0, onMemory = () => {} } = options;
+  const { kvTotal = 0 } = options;
   const engine = { id: "", isUp: false, running: 0, crashCount: 0 };
-  const memory = createMemory({ kvTotal, onMemory: (what, ticket) => onMemory(what, ticket, engine) });
-  engine.memory = memory;
+  const memory = createMemory(kvTotal);
   let startCount = 0;
   let sequence = 0;
   let heartbeat;
   let server;
   let isClosed = false;
 
-  const row = (extra = {}) => ({
+  const row = () => ({
     service,
     address: `${ip}:${port}`,
     zone,
@@ -31,7 +30,6 @@
     cold_left_ms: 0,
     born: engine.bornMs,
     sequence: ++sequence,
-    ...extra,
   });
 
   const handle = async (req, res) => {
@@ -61,10 +59,6 @@
     engine.running += 1;
     res.once("close", () => engine.running -= 1);
     onRun(request, engine);
-    if (options.crashes?.(request)) {
-      await wait(options.crashAfterMs ?? 20);
-      return end();
-    }
     const headers = { "Jaypass-Attempt-Id": attempt, "Jaypass-Engine-Seal": `seal.${engine.id}.${attempt}` };
     if (options.run !== undefined) return await options.run({ request, res, headers, engine, crash: end });
     await wait(workMs);
@@ -79,11 +73,9 @@
     server = createServer((req, res) => void handle(req, res).catch(() => res.destroy()));
     await new Promise((resolve, reject) => server.once("error", reject).listen(port, ip, resolve));
     engine.isUp = true;
-    const write = (extra) => store.write("servers", engine.id, row(extra));
-    const coldMs = options.coldMs?.(startCount) ?? 0;
-    write({ cold_left_ms: coldMs });
-    const coldUntilMs = performance.now() + coldMs;
-    heartbeat = setInterval(() => write({ cold_left_ms: Math.max(0, Math.round(coldUntilMs - performance.now())) }), HEARTBEAT_MS);
+    const write = () => store.write("servers", engine.id, row());
+    write();
+    heartbeat = setInterval(write, HEARTBEAT_MS);
   };
 
   /** The process ends: its connections are reset, and it says nothing; its row lapses later. */
@@ -112,41 +104,29 @@
 }
 
 /** Memory that is set aside under tickets: its lease time runs from the arrival of the last order. */
-function createMemory({ kvTotal, onMemory }) {
+function createMemory(kvTotal) {
   const tickets = new Map();
   const held = () => [...tickets.values()].reduce((sum, { tokens }) => sum + tokens, 0);
-  const end = (ticket, what) => {
+  const end = (ticket) => {
     clearTimeout(ticket.timer);
     tickets.delete(ticket.id);
-    ticket.endMs = performance.now();
-    onMemory(what, ticket);
   };
   const extend = (ticket, holdMs) => {
     clearTimeout(ticket.timer);
-    ticket.timer = setTimeout(() => end(ticket, "expired"), holdMs);
+    ticket.timer = setTimeout(() => end(ticket), holdMs);
   };
   return {
     held,
     list: () => [...tickets.values()].map(({ id, tokens, state, sinceMs }) => ({ id, tokens, state, age_ms: Math.round(performance.now() - sinceMs) })),
-    /** A request uses the memory of a ticket. */
-    use(id) {
-      const ticket = tickets.get(id);
-      if (ticket === undefined) return false;
-      ticket.state = "used";
-      ticket.usedMs ??= performance.now();
-      onMemory("used", ticket);
-      return true;
-    },
     order({ operation, id, tokens, hold_ms: holdMs }) {
       const known = tickets.get(id);
       if (operation === "release") {
-        if (known !== undefined) end(known, "released");
+        if (known !== undefined) end(known);
         return { status: 200, free: kvTotal - held() };
       }
       if (operation !== "reserve") return { status: 400 };
       if (known !== undefined) {
         extend(known, holdMs);
-        onMemory("renewed", known);
         return { status: 200, free: kvTotal - held() };
       }
       if (tokens > kvTotal) return { status: 400 };
@@ -154,7 +134,6 @@
       const ticket = { id, tokens, state: "held", sinceMs: performance.now() };
       tickets.set(id, ticket);
       extend(ticket, holdMs);
-      onMemory("reserved", ticket);
       return { status: 200, free: kvTotal - held() };
     },
   };
--- a/review/lib/spoiled_answers.mjs
+++ b/review/lib/spoiled_answers.mjs
@@ -62,7 +62,7 @@
   onEnd(() => record.flush());
   const network = await chooseNetwork();
   const storePort = network.port + 30;
-  const addresses = Array.from({ length: HOSTS }, (_, at) => ({ reader: at, ip: network.ip(100 + at), port: storePort }));
+  const addresses = Array.from({ length: HOSTS }, (_, at) => ({ ip: network.ip(100 + at), port: storePort }));
   const store = await startStore({ addresses });
   onEnd(() => store.close());
   store.write("op", "config", CONFIG);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -7,11 +7,8 @@
 /** Time for which the store keeps idle connections open. */
 const IDLE_TIMEOUT_MS = Number(process.env.STORE_IDLE_MS ?? 60_000);
 
-/**
- * Starts the store on one address for each reader, so that it can be told which host calls.
- * Options: onCall(reader, method, path) and hold(reader, path), which delays or drops an answer.
- */
-export async function startStore({ addresses, onCall = () => {} }) {
+/** Starts the store on an address for each host. */
+export async function startStore({ addresses }) {
   const rows = new Map();
   let version = 0;
   const waiters = new Set();
@@ -28,14 +25,12 @@
     put(table, key, value === undefined ? undefined : Buffer.from(JSON.stringify(value)).toString("base64"));
   const list = (table) =>
     [...rows.values()].filter((row) => row.table === table).sort((a, b) => (a.key < b.key ? -1 : 1));
-  const state = { isSilentFor: () => false };
 
-  const handle = async (reader, req, res) => {
+  const handle = async (req, res) => {
     const url = new URL(req.url, "http://store");
     let body = "";
     for await (const chunk of req.setEncoding("utf8")) body += chunk;
-    onCall(reader, req.method, url.pathname, url.searchParams.get("table"));
-    if (state.isSilentFor(reader) || muted.has(req.socket)) return;
+    if (muted.has(req.socket)) return;
     await wait(ANSWER_MS);
     const send = (status, fields) => {
       if (res.destroyed || muted.has(req.socket)) return;
@@ -92,8 +87,8 @@
   const sockets = new Set();
   const muted = new WeakSet();
   const servers = [];
-  for (const { reader, ip, port } of addresses) {
-    const server = createServer((req, res) => void handle(reader, req, res).catch(() => res.destroy()));
+  for (const { ip, port } of addresses) {
+    const server = createServer((req, res) => void handle(req, res).catch(() => res.destroy()));
     server.keepAliveTimeout = IDLE_TIMEOUT_MS;
     server.on("connection", (socket) => {
       sockets.add(socket);
@@ -104,7 +99,6 @@
   }
   return {
     write,
-    state,
     /** All open connections go silent for good, without a reset; new ones work. */
     muteOpenConnections() {
       for (const socket of sockets) muted.add(socket);
--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -95,7 +95,7 @@
       env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: "C", JAYPASS_SETTINGS: settings, ...env },
       stdio: ["ignore", "pipe", "inherit"],
     });
-    const host = { name, at, ip, zone, child, address: `${ip}:${port}`, exited: false, log: [] };
+    const host = { name, at, ip, zone, child, settings, address: `${ip}:${port}`, exited: false, log: [] };
     child.once("exit", (code, signal) => {
       host.exited = true;
       host.exit = { code, signal };
