--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,101 +1,98 @@
-// A request that crashes each server that begins to run it comes again every few seconds, at any host.
+// The open connections to the store go silent for good while new ones work; then the configuration changes.
 import { call, chooseNetwork, EXIT, isTrouble, openRecord, play, startHosts, wait, ZONES } from "../lib/world.mjs";
 import { startEngine } from "../lib/engine.mjs";
 import { startStore } from "../lib/store.mjs";
 
-const HOSTS = 6;
-const RUN_MS = 75_000;
-const POISON_EVERY_MS = 5_000;
+const HOSTS = Number(process.env.HOSTS ?? 18);
+const CONFIG_MS = 2_000;
 const STABLE_WINDOW_MS = 3_000;
-/** Retries of the request that may reach servers later than the window after its third crash. */
-const MAX_RETRIES = 3;
-/** Calls a second on the other service, whose servers are never in trouble. */
-const OTHER_PER_S = 8;
+const CALLS_PER_S = 60;
+const CALM_MS = 12_000;
+const WATCH_MS = 15_000;
 
-const CONFIG = {
-  version: 3,
+const config = (version, service, keys) => ({
+  version,
   routes: [
     { name: "lookup", host: "front.example", prefix: "/lookup/", kind: "idempotent", timeout_ms: 2_500,
-      target_latency_ms: 300, priority: 1, service: "desk", max_attempts: 2, public: false, sticky: false, resumable: false },
-    { name: "notes", host: "front.example", prefix: "/notes/", kind: "idempotent", timeout_ms: 2_500,
-      target_latency_ms: 300, priority: 1, service: "notes", max_attempts: 2, public: false, sticky: false, resumable: false },
+      target_latency_ms: 300, priority: 1, service, max_attempts: 2, public: false, sticky: false, resumable: false },
   ],
-  services: ["desk", "notes"].map((name) => ({ name, health_path: "/health", max_conns: 248, protocol: "h1", tls: false,
-    cold_start_s: 0, cold_per_s: 0 })),
+  services: ["desk-old", "desk-new"].map((name) => ({ name, health_path: "/health", max_conns: 248, protocol: "h1",
+    tls: false, cold_start_s: 0, cold_per_s: 0 })),
   limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
-  tenants: [{ name: "tenant-a", api_keys: ["key-a"], priority: 1 }],
-};
-
-const isPoison = ({ url }) => url === "/lookup/customer-77";
+  tenants: [{ name: "tenant-a", api_keys: keys, priority: 1 }],
+});
 
 await play(async (onEnd) => {
   const record = openRecord(new URL("record.txt", import.meta.url).pathname);
   onEnd(() => record.flush());
   const network = await chooseNetwork();
   const storePort = network.port + 30;
-  const addresses = Array.from({ length: HOSTS }, (_, at) => ({ reader: at, ip: network.ip(200 + at), port: storePort }));
+  const addresses = Array.from({ length: HOSTS }, (_, at) => ({ ip: network.ip(100 + at), port: storePort }));
   const store = await startStore({ addresses });
   onEnd(() => store.close());
-  store.write("op", "config", CONFIG);
-
-  const crashes = [];
-  const arrivals = [];
-  const seen = new Set();
-  const onArrival = (request, engine) => {
-    const isRetry = seen.has(request.attempt);
-    seen.add(request.attempt);
-    if (!isPoison(request)) return;
-    arrivals.push({ atMs: performance.now(), isRetry });
-    record.add("ran", engine.id, request.attempt, isRetry ? "retry" : "first", "lookup/customer-77");
-  };
-  for (const service of ["desk", "notes"]) {
+  store.write("op", "config", config(3, "desk-old", ["key-a", "key-b"]));
+  const sent = new Map();
+  const runs = [];
+  for (const service of ["desk-old", "desk-new"]) {
     for (const [at, zone] of ZONES.entries()) {
       const engine = await startEngine({
-        store, service, zone, name: `${service}-${zone}`, ip: network.ip(150 + at), port: network.port + (service === "desk" ? 40 : 41),
-        slots: 6, workMs: 40, onArrival, downMs: 3_000, crashAfterMs: 20,
-        crashes(request) {
-          if (!isTrouble || !isPoison(request)) return false;
-          crashes.push(performance.now());
-          record.add("crash", engine.id);
-          return true;
+        store, service, zone, name: `${service}-${zone}`, ip: network.ip(150 + at),
+        port: network.port + (service === "desk-old" ? 40 : 41), slots: 6, workMs: 15,
+        onRun(request, { id }) {
+          record.add("ran", id, request.attempt);
+          runs.push({ service, ...sent.get(request.attempt) });
         },
       });
       onEnd(() => engine.close());
     }
   }
-  const fleet = await startHosts({ count: HOSTS, network, storeAddress: (_name, at) => `${network.ip(200 + at)}:${storePort}` });
+  const fleet = await startHosts({ count: HOSTS, network, storeAddress: (_name, at) => `${network.ip(100 + at)}:${storePort}` });
   onEnd(() => fleet.stop());
   if (!await fleet.waitReady()) return EXIT.NOT_RUN;
-  await wait(4_000);
+  await wait(CALM_MS);
 
-  const headers = { "Jaypass-Key": "key-a" };
   const statuses = {};
+  const pending = [];
   let isOver = false;
-  const others = (async () => {
+  const traffic = (async () => {
     for (let at = 0; !isOver; at++) {
       const host = fleet.hosts[at % HOSTS];
-      void call({ ip: host.ip, port: network.port, method: "GET", path: `/notes/n${at}`, headers, deadlineMs: 2_503 })
-        .then(({ status }) => statuses[status] = (statuses[status] ?? 0) + 1);
-      await wait(1_000 / OTHER_PER_S);
+      const attempt = `l${at}`;
+      // Every fifth call has the key that version 8 takes away.
+      const key = at % 5 === 0 ? "key-b" : "key-a";
+      sent.set(attempt, { sentMs: performance.now(), key });
+      record.add("sent", host.name, attempt, key);
+      pending.push(
+        call({ ip: host.ip, port: network.port, method: "GET", path: `/lookup/c${at}`, headers: { "Jaypass-Key": key }, deadlineMs: 2_503, attempt })
+          .then(({ status }) => {
+            statuses[status] = (statuses[status] ?? 0) + 1;
+            record.add("answer", host.name, attempt, status);
+          }),
+      );
+      await wait(1_000 / CALLS_PER_S);
     }
   })();
-  const endMs = performance.now() + RUN_MS;
-  for (let at = 0; performance.now() < endMs; at++) {
-    const host = fleet.hosts[at % HOSTS];
-    const answer = await call({ ip: host.ip, port: network.port, method: "GET", path: "/lookup/customer-77", headers, deadlineMs: 2_503 });
-    record.add("answer", host.name, answer.attempt, answer.status, answer.retryAfter ?? "");
-    await wait(Math.max(0, POISON_EVERY_MS - answer.elapsedMs));
-  }
+  await wait(2_000);
+  const muteMs = performance.now();
+  if (isTrouble) record.add("open connections to the store go silent:", store.muteOpenConnections());
+  await wait(100);
+  store.write("op", "config", config(8, "desk-new", ["key-a"]));
+  const ackMs = performance.now();
+  record.add("configuration 8 acknowledged");
+  await wait(WATCH_MS);
   isOver = true;
-  await others;
-  record.add("other calls by status", JSON.stringify(statuses));
-  const hasEnded = fleet.hosts.some(({ exited }) => exited);
-  const thirdMs = crashes[2] ?? Infinity;
-  const late = arrivals.filter(({ atMs }) => atMs > thirdMs + STABLE_WINDOW_MS);
-  const lateRetries = late.filter(({ isRetry }) => isRetry).length;
-  const summary = `crashes=${crashes.length} late_arrivals=${late.length} late_retries=${lateRetries} allowed=${MAX_RETRIES}`;
+  await traffic;
+  await Promise.all(pending);
+
+  // In touch: no reset of connections in the whole stable window before the request.
+  const fromMs = Math.max(ackMs + CONFIG_MS, isTrouble ? muteMs + STABLE_WINDOW_MS : 0);
+  const late = runs.filter(({ service, sentMs }) => service === "desk-old" && sentMs > fromMs);
+  const dropped = runs.filter(({ key, sentMs }) => key === "key-b" && sentMs > fromMs);
+  const lastMs = Math.max(0, ...runs.filter(({ service }) => service === "desk-old").map(({ sentMs }) => sentMs - ackMs));
+  const summary = `run_by_old_service_too_late=${late.length} run_with_dropped_key_too_late=${dropped.length} last_after_ack_ms=${Math.round(lastMs)} ` +
+    `bound_ms=${Math.round(fromMs - ackMs)} statuses=${JSON.stringify(statuses)}`;
   record.add(summary);
-  console.log(summary, JSON.stringify(statuses));
-  if (arrivals.length === 0 || hasEnded) return EXIT.NOT_RUN;
-  return lateRetries > MAX_RETRIES ? EXIT.BROKEN : EXIT.HELD;
+  console.log(summary);
+  if (fleet.hosts.some(({ exited }) => exited) || runs.length === 0) return EXIT.NOT_RUN;
+  return late.length + dropped.length > 0 ? EXIT.BROKEN : EXIT.HELD;
 });
