--- a/packages/forwarding/_lib/create_caller_answer.ts
+++ b/packages/forwarding/_lib/create_caller_answer.ts
@@ -1,7 +1,9 @@
 import { once } from "node:events";
+import { validateHeaderName, validateHeaderValue } from "node:http";
 import { CALLER_BUFFER_BYTES } from "../constants.ts";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
+import type { HeaderList } from "../types.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /**
@@ -14,7 +16,7 @@
   /**
    * Sends the head of an answer whose body follows in parts.
    *
-   * @throws {ForwardingError} if a head was sent before
+   * @throws {ForwardingError} if a head was sent before, or this one cannot be sent
    */
   begin(answer: ServerAnswer): void;
   /**
@@ -28,7 +30,7 @@
   /**
    * Sends a whole answer.
    *
-   * @throws {ForwardingError} if a head was sent before
+   * @throws {ForwardingError} if a head was sent before, or this one cannot be sent
    */
   send(answer: ServerAnswer, body: Buffer): void;
 }
@@ -50,6 +52,7 @@
   const sendHead = (answer: ServerAnswer, length: number | undefined) => {
     if (hasBegun) throw new ForwardingError(502, FAILURE.INVALID_ANSWER);
     const headers = context.codec.writeCallerAnswer(answer.headers);
+    assertValidHeaders(headers);
     if (length !== undefined) headers.push("Content-Length", String(length));
     if (request.shouldClose()) headers.push("Connection", "close");
     res.writeHead(answer.status, answer.statusText, headers);
@@ -75,3 +78,18 @@
     },
   };
 }
+
+/**
+ * Checks the headers before any state of the answer changes: a head that Node.js rejects halfway would
+ * spoil the failure that is sent in its place.
+ */
+function assertValidHeaders(headers: HeaderList): void {
+  try {
+    for (let at = 0; at + 1 < headers.length; at += 2) {
+      validateHeaderName(headers[at] ?? "");
+      validateHeaderValue(headers[at] ?? "", headers[at + 1] ?? "");
+    }
+  } catch (err) {
+    throw new ForwardingError(502, FAILURE.INVALID_ANSWER, { cause: err });
+  }
+}
--- a/packages/forwarding/_lib/send_failure.ts
+++ b/packages/forwarding/_lib/send_failure.ts
@@ -17,7 +17,7 @@
 }
 
 /**
- * Answers a request with a failure as JSON; never rejects.
+ * Answers a request with a failure as JSON.
  *
  * The rest of a body that is still arriving is read and discarded. Closing the connection meanwhile
  * would reset it, and the caller could lose the answer, and the answers to the requests that it has
@@ -29,6 +29,7 @@
  * @param res the answer to the caller
  * @param failure status, reason and retry delay
  * @param options whether and how the connection is closed, and the limit of the body
+ * @throws what Node.js throws if the head cannot be written
  */
 export async function sendFailure(
   context: ForwardingContext,
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -333,7 +333,10 @@
     .slice(0, FINGERPRINT_HEX_DIGITS);
 }
 
-/** Answers with a failure, or closes the connection if an answer has been started already. */
+/**
+ * Answers with a failure, or closes the connection if an answer has been started already or the failure
+ * cannot be sent; never rejects.
+ */
 async function answerWithFailure(
   context: ForwardingContext,
   { req, res, err, monitor, monitored, connections, closer }: {
@@ -349,8 +352,9 @@
   const failure = err instanceof ForwardingError
     ? err
     : new ForwardingError(502, FAILURE.INTERNAL, { cause: err });
+  const requestId = context.codec.readCaller(req.rawHeaders).attemptId;
   const fields = {
-    requestId: context.codec.readCaller(req.rawHeaders).attemptId,
+    requestId,
     status: failure.status,
     reason: failure.reason,
     hasBegun: res.headersSent,
@@ -370,13 +374,18 @@
     breakOff(closer, res);
     return;
   }
-  await sendFailure(context, req, res, failure, {
-    shouldClose: connections.shouldClose(req.socket),
-    // A body that was within the limit when its caller sent it may be over it now.
-    maxUnreadBytes: Math.max(
-      context.configuration()?.limits.maxBodyBytes ?? 0,
-      MAX_UNREAD_BODY_BYTES,
-    ),
-    closeAfterAnswers: () => connections.closeAfterAnswers(req.socket, CLOSE_REASON.REFUSED_BODY),
-  });
+  try {
+    await sendFailure(context, req, res, failure, {
+      shouldClose: connections.shouldClose(req.socket),
+      // A body that was within the limit when its caller sent it may be over it now.
+      maxUnreadBytes: Math.max(
+        context.configuration()?.limits.maxBodyBytes ?? 0,
+        MAX_UNREAD_BODY_BYTES,
+      ),
+      closeAfterAnswers: () => connections.closeAfterAnswers(req.socket, CLOSE_REASON.REFUSED_BODY),
+    });
+  } catch (err) {
+    context.log.error({ requestId, err }, "Failure cannot be sent; closing the connection");
+    breakOff(closer, res);
+  }
 }
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -1,4 +1,4 @@
-import { request } from "node:http";
+import { request, STATUS_CODES } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { runAfterRead } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
@@ -15,6 +15,9 @@
   "ERR_HTTP_INVALID_HEADER_VALUE",
 ]);
 
+/** Reason phrases that HTTP allows. The parser of Node.js accepts others, but its server rejects them. */
+const REASON_PHRASE = /^[\t\x20-\x7e\x80-\xff]*$/;
+
 /** Methods whose requests usually have no body; an empty one then needs no `Content-Length`. */
 const METHODS_WITHOUT_BODY = new Set(["GET", "HEAD", "DELETE", "OPTIONS"]);
 
@@ -63,7 +66,7 @@
 export interface ServerAnswer {
   /** Status code. */
   status: number;
-  /** Reason phrase. */
+  /** Reason phrase; the usual one of the status if the server's own has bytes that HTTP does not allow. */
   statusText: string;
   /** Header fields in order. */
   headers: HeaderList;
@@ -165,13 +168,14 @@
       }
     });
     req.once("response", (res: IncomingMessage) => {
+      const { statusCode: status = 0 } = res;
       // A later socket error is thrown by the body's iteration, or concerns bytes after its end.
       res.on("error", () => {});
       response = res;
       onReceived();
       resolve({
-        status: res.statusCode ?? 0,
-        statusText: res.statusMessage ?? "",
+        status,
+        statusText: chooseReasonPhrase(status, res.statusMessage),
         headers: res.rawHeaders,
         endsWithConnection: endsWithConnection(serverRequest.method, res),
         body: readAnswerBody(res, {
@@ -205,6 +209,10 @@
   return { answer, cancel: () => {} };
 }
 
+function chooseReasonPhrase(status: number, phrase = ""): string {
+  return REASON_PHRASE.test(phrase) ? phrase : STATUS_CODES[status] ?? "";
+}
+
 /** Adds `Content-Length`, also for an empty body if the method usually has a body. */
 function addContentLength({ method, headers, body }: ServerRequest): HeaderList {
   const hasBody = body.length > 0 || !METHODS_WITHOUT_BODY.has(method);
