--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -15,6 +15,9 @@
   "ERR_HTTP_INVALID_HEADER_VALUE",
 ]);
 
+/** Lowest status of an answer that ends a request; lower ones are informational or not valid. */
+const MIN_FINAL_STATUS = 200;
+
 /** Reason phrases that HTTP allows. The parser of Node.js accepts others, but its server rejects them. */
 const REASON_PHRASE = /^[\t\x20-\x7e\x80-\xff]*$/;
 
@@ -167,8 +170,17 @@
         req.destroy(new Error("Too many informational answers"));
       }
     });
+    // Node.js reports neither an error nor a response for an answer that switches the protocol.
+    req.once("close", () => {
+      clearTimeout(connectTimer);
+      reject(createExchangeError(new Error("Connection was closed without an answer")));
+    });
     req.once("response", (res: IncomingMessage) => {
       const { statusCode: status = 0 } = res;
+      if (status < MIN_FINAL_STATUS) {
+        req.destroy(new Error(`Answer has status ${status}, which ends no request`));
+        return;
+      }
       // A later socket error is thrown by the body's iteration, or concerns bytes after its end.
       res.on("error", () => {});
       response = res;
