--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -65,6 +65,9 @@
 /** Milliseconds to establish a link. */
 export const LINK_CONNECT_TIMEOUT_MS = 400;
 
+/** Milliseconds from a connect to the first view of a hub whose last link has failed. */
+export const RECONNECT_VIEW_TIMEOUT_MS = LINK_CONNECT_TIMEOUT_MS;
+
 /** Milliseconds for which a host that could not be reached is not selected as a hub again. */
 export const HUB_RETRY_DELAY_MS = 2_000;
 
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -1,4 +1,4 @@
-import { ESSENTIAL, sleepUntilTick } from "@jaypass/kernel";
+import { ESSENTIAL, runAfterRead, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Millis, TaskGroup } from "@jaypass/kernel";
 import { chooseHubs } from "./choose_hubs.ts";
 import {
@@ -7,6 +7,7 @@
   HUB_SELECTION_INTERVAL_MS,
   LINK_CONNECT_TIMEOUT_MS,
   LINK_IDLE_TIMEOUT_MS,
+  RECONNECT_VIEW_TIMEOUT_MS,
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { parseHubMessage } from "./_lib/parse_message.ts";
@@ -16,6 +17,7 @@
 import type { HubScheduler } from "./create_hub_server.ts";
 import type { HubMessage, MemberMessage, MessageParsers } from "./messages.ts";
 import { shouldFollowStore } from "./should_follow_store.ts";
+import { shouldReconnectToHub } from "./should_reconnect_to_hub.ts";
 import { rankHubs } from "./rank_hubs.ts";
 import { TABLE } from "./types.ts";
 import type { Gossip, HostEntry, Row, RowBatch, Table } from "./types.ts";
@@ -119,6 +121,10 @@
   timeouts: number;
   /** Live hosts by name; undefined before the hub has sent them. */
   hosts: Map<string, HostEntry> | undefined;
+  /** Time at which the connect began. */
+  openedAtMs: Millis;
+  /** Time of the last message from the hub. */
+  heardAtMs: Millis;
   /** Time of the first view from the hub. */
   firstViewAtMs: Millis;
   /** Time at which the hub or one of its members last read the servers table. */
@@ -129,6 +135,12 @@
   storeRecoveredAtMs: Millis;
 }
 
+/** How a link to a hub is opened. */
+interface LinkOptions {
+  /** Time from the connect to the first view, after which the link fails; no limit by default. */
+  viewTimeoutMs?: Millis;
+}
+
 /** Consecutive placement timeouts after which the link to a hub is closed. */
 const MAX_CONSECUTIVE_TIMEOUTS = 3;
 
@@ -151,6 +163,8 @@
   const hubs = new Map<string, Hub>();
   let fallbackRank = 0;
   const retryAtMs = new Map<string, Millis>();
+  /** Times at which hubs were connected to again after their links had failed. */
+  const reconnectedAtMs = new Map<string, Millis>();
   let hubOrder: string[] = [];
   let nextCallNumber = 1;
   const linkWaiters = new Set<() => void>();
@@ -203,6 +217,7 @@
   };
 
   const handleMessage = (hub: Hub, message: HubMessage<Decision>) => {
+    hub.heardAtMs = clock.nowMs();
     if (message.type === "rows") applyRows(hub, message);
     else if (message.type === "view") {
       const now = clock.nowMs();
@@ -225,8 +240,36 @@
     else hub.pendingPlacements.get(message.call)?.settle(message.decision);
   };
 
-  const runLink = async (hub: Hub) => {
+  /** Gives up the link to a hub, and connects to it again or selects another one. */
+  const giveUpLink = (hub: Hub) => {
     const { entry } = hub;
+    const now = clock.nowMs();
+    // A link that was opened since says nothing about the connections of this one's age.
+    const others = [...hubs.values()].filter((other) =>
+      other !== hub && other.link !== undefined && other.openedAtMs < hub.heardAtMs
+    );
+    const key = processKey(entry);
+    closeHub(hub);
+    const shouldReconnect = shouldReconnectToHub({
+      wasReady: hub.isReady,
+      heardAgoMs: now - hub.heardAtMs,
+      othersHeardAgoMs: others.map((other) => now - other.heardAtMs),
+      reconnectedAgoMs: now - (reconnectedAtMs.get(key) ?? -Infinity),
+    });
+    if (shouldReconnect) {
+      for (const [known, atMs] of reconnectedAtMs) {
+        if (now - atMs > HUB_RETRY_DELAY_MS) reconnectedAtMs.delete(known);
+      }
+      reconnectedAtMs.set(key, now);
+      openHub(entry, { viewTimeoutMs: RECONNECT_VIEW_TIMEOUT_MS });
+    } else deferRetry(entry);
+    selectHubs();
+  };
+
+  /** With `viewTimeoutMs`, the link fails if the hub has sent no view on it by then. */
+  const runLink = async (hub: Hub, { viewTimeoutMs }: LinkOptions) => {
+    const { entry } = hub;
+    let viewTimer: NodeJS.Timeout | undefined;
     try {
       const socket = await connectSocket(entry.linkAddress, LINK_CONNECT_TIMEOUT_MS);
       if (hubs.get(entry.host) !== hub) return void socket.destroy();
@@ -235,6 +278,10 @@
         parse: (value) => parseHubMessage(value, options.parsers),
       });
       hub.link = link;
+      if (viewTimeoutMs !== undefined) {
+        const closeUnlessReady = () => void (hub.isReady || link.close());
+        viewTimer = setTimeout(() => runAfterRead(closeUnlessReady), viewTimeoutMs);
+      }
       link.send({
         type: "hello",
         entry: self,
@@ -251,13 +298,13 @@
     } catch (err) {
       if (hubs.get(entry.host) !== hub) return;
       log.info({ hub: entry.host, err: String(err), [ESSENTIAL]: true }, "Link to hub failed");
-      deferRetry(entry);
-      closeHub(hub);
-      selectHubs();
+      giveUpLink(hub);
+    } finally {
+      clearTimeout(viewTimer);
     }
   };
 
-  const openHub = (entry: HostEntry) => {
+  const openHub = (entry: HostEntry, linkOptions: LinkOptions = {}) => {
     const hub: Hub = {
       entry,
       link: undefined,
@@ -265,6 +312,8 @@
       pendingPlacements: new Map(),
       timeouts: 0,
       hosts: undefined,
+      openedAtMs: clock.nowMs(),
+      heardAtMs: -Infinity,
       firstViewAtMs: -Infinity,
       viewFreshAtMs: -Infinity,
       hubReadAtMs: -Infinity,
@@ -275,7 +324,7 @@
     if (isSelf(entry.host)) {
       scheduler.forget(self.host);
       for (const report of options.currentReports()) scheduler.report(self.host, report);
-    } else tasks.run(`link to hub ${entry.host}`, () => runLink(hub));
+    } else tasks.run(`link to hub ${entry.host}`, () => runLink(hub, linkOptions));
   };
 
   /** State that the current selection was made from; the same state gives the same selection. */
@@ -326,9 +375,7 @@
       "Hub did not place job in time",
     );
     if (hub.timeouts < MAX_CONSECUTIVE_TIMEOUTS || hubs.get(hub.entry.host) !== hub) return;
-    deferRetry(hub.entry);
-    closeHub(hub);
-    selectHubs();
+    giveUpLink(hub);
   };
 
   const requestPlacement = (hub: Hub, job: Job, timeouts: PlaceTimeouts) =>
