--- a/packages/bench/simulate_crashes.ts
+++ b/packages/bench/simulate_crashes.ts
@@ -14,6 +14,10 @@
   crashingPerSecond: number;
   /** Number of parts that crash servers. */
   crashingParts: number;
+  /** Time from the first byte of a crashing request to the end of its server; 50 ms by default. */
+  crashDelayMs?: number;
+  /** Time from the arrival to the end of a sound answer; 700 ms by default. */
+  answerMs?: number;
   /** Mean crashes per second of each server for other reasons. */
   otherCrashesPerSecond: number;
   /** Share of the servers that end at once in the middle of the simulation. */
@@ -43,6 +47,8 @@
   crashes: number;
   /** Crashing requests sent more than three seconds after the fifth of these ends. */
   late: number;
+  /** Those of them that had crashed a server before, as the same request. */
+  lateRetries: number;
   sound: number;
   /** Sound requests that were refused as quarantined. */
   soundRefused: number;
@@ -54,7 +60,6 @@
 
 const ANSWER_MS = 700;
 
-/** Time from the first byte of a crashing request to the end of its server. */
 const CRASH_DELAY_MS = 50;
 
 const RESTART_MS = 2_500;
@@ -100,6 +105,7 @@
   const queue = createEventQueue();
   const random = createRandom(load.seed);
   const endMs = load.seconds * 1_000;
+  const { crashDelayMs = CRASH_DELAY_MS, answerMs = ANSWER_MS } = load;
   const servers: SimulatedServer[] = Array.from({ length: load.servers }, (_, index) => ({
     id: `s${index}`,
     service: "model",
@@ -116,7 +122,14 @@
     placer.setServers(servers.filter(({ isUp }) => isUp).map(toPlacementServer));
   announce();
 
-  const result = { crashes: 0, late: 0, sound: 0, soundRefused: 0, soundAnswered: 0 };
+  const result = {
+    crashes: 0,
+    late: 0,
+    lateRetries: 0,
+    sound: 0,
+    soundRefused: 0,
+    soundAnswered: 0,
+  };
   const crashedKeys = new Set<string>();
   let fifthMs = Infinity;
 
@@ -144,12 +157,15 @@
     const startMs = queue.nowMs();
     const isRunning = () => server.bornMs === bornMs && server.running.get(id) === req;
     server.running.set(id, req);
-    if (req.isCrashing && startMs > fifthMs + LATE_AFTER_MS) result.late += 1;
+    if (req.isCrashing && startMs > fifthMs + LATE_AFTER_MS) {
+      result.late += 1;
+      if (attempts > 1) result.lateRetries += 1;
+    }
     queue.at(startMs + FIRST_BYTE_MS, () => {
       if (isRunning()) placer.started(`${id}.${attempts}`);
     });
     if (req.isCrashing) {
-      queue.at(startMs + FIRST_BYTE_MS + CRASH_DELAY_MS, () => {
+      queue.at(startMs + FIRST_BYTE_MS + crashDelayMs, () => {
         if (!isRunning()) return;
         result.crashes += 1;
         if (result.crashes === COUNTED_CRASHES) fifthMs = queue.nowMs();
@@ -157,7 +173,7 @@
       });
       return;
     }
-    queue.at(startMs + ANSWER_MS, () => {
+    queue.at(startMs + answerMs, () => {
       if (!isRunning()) return;
       server.running.delete(id);
       placer.finished(`${id}.${attempts}`, JOB_OUTCOME.ANSWERED);
--- a/packages/bench/simulate_crashes_test.ts
+++ b/packages/bench/simulate_crashes_test.ts
@@ -39,11 +39,38 @@
   },
 };
 
+/** Crashes in the middle of answers, beside sound answers that take longer. */
+const LATE_CRASHING: Record<string, Partial<CrashLoad>> = {
+  "0.7 s after the first byte": { crashDelayMs: 700, answerMs: 1_900 },
+  "0.7 s after the first byte, seldom": {
+    crashDelayMs: 700,
+    answerMs: 1_900,
+    crashingPerSecond: 0.5,
+  },
+  "3 s after the first byte": {
+    crashDelayMs: 3_000,
+    answerMs: 5_000,
+    crashingPerSecond: 1,
+    // Longer answers occupy the slots longer.
+    soundPerSecond: 6,
+  },
+};
+
 const ORDINARY: Record<string, Partial<CrashLoad>> = {
   "a third of the servers lost at once": { lostShare: 1 / 3 },
   "all servers lost at once": { lostShare: 1 },
   "each server ends every 50 s": { otherCrashesPerSecond: 0.02 },
   "each server ends every 10 s": { otherCrashesPerSecond: 0.1 },
+  "each server ends every 20 s, answers take 8 s": {
+    otherCrashesPerSecond: 0.05,
+    answerMs: 8_000,
+    soundPerSecond: 6,
+  },
+  "a third of the servers lost at once, answers take 8 s": {
+    lostShare: 1 / 3,
+    answerMs: 8_000,
+    soundPerSecond: 6,
+  },
 };
 
 async function simulateAll(changes: Partial<CrashLoad>, rule: CrashRule) {
@@ -55,6 +82,7 @@
   return {
     crashes: Math.max(...results.map(({ crashes }) => crashes)),
     late: Math.max(...results.map(({ late }) => late)),
+    lateRetries: Math.max(...results.map(({ lateRetries }) => lateRetries)),
     answeredShare: sum("soundAnswered") / sum("sound"),
     soundRefused: sum("soundRefused"),
   };
@@ -69,6 +97,16 @@
   });
 }
 
+for (const [name, changes] of Object.entries(LATE_CRASHING)) {
+  test(`few servers end under requests with a part that crashes them ${name}`, async (t) => {
+    const load = { crashingParts: 1, crashingPerSecond: 4, ...changes };
+    const parts = await simulateAll(load, CRASH_RULE.PARTS);
+    t.log(parts);
+    t.true(parts.late <= MAX_LATE_REQUESTS);
+    t.true(parts.answeredShare >= MIN_ANSWERED_SHARE);
+  });
+}
+
 for (const [name, changes] of Object.entries(ORDINARY)) {
   test(`no sound request is refused for crashes without a crashing part: ${name}`, async (t) => {
     const parts = await simulateAll(changes, CRASH_RULE.PARTS);
--- a/packages/placement/_lib/create_crash_guard.ts
+++ b/packages/placement/_lib/create_crash_guard.ts
@@ -1,5 +1,10 @@
 import type { Clock, Millis } from "@jaypass/kernel";
-import { CRASH_REVIEW_INTERVAL_MS, HARMLESS_AFTER_MS, QUARANTINE_HOLD_MS } from "../constants.ts";
+import {
+  CRASH_REVIEW_INTERVAL_MS,
+  HARMLESS_AFTER_MS,
+  HARMLESS_RUN_FACTOR,
+  QUARANTINE_HOLD_MS,
+} from "../constants.ts";
 import { createCrashEvidence } from "../create_crash_evidence.ts";
 import type { CrashVerdict } from "../create_crash_evidence.ts";
 import { createQuarantineList } from "../create_quarantine_list.ts";
@@ -20,8 +25,8 @@
   sentMs: Millis;
   /** Time of the first byte of the answer; undefined before it. */
   writingSinceMs?: Millis;
-  /** True once the job has counted as answered for the evidence. */
-  isHarmless?: boolean;
+  /** Longest run of the job that the evidence knows of. */
+  recordedRunMs?: Millis;
 }
 
 /** Keeps requests from servers that would end under them. */
@@ -75,8 +80,17 @@
   const evidence = createCrashEvidence(clock, quarantine.listHeld);
   let reviewedMs = -Infinity;
 
-  const isHarmless = ({ writingSinceMs }: SentJob) =>
-    writingSinceMs !== undefined && clock.nowMs() - writingSinceMs >= HARMLESS_AFTER_MS;
+  const computeRunMs = ({ writingSinceMs }: SentJob): Millis =>
+    writingSinceMs === undefined ? 0 : clock.nowMs() - writingSinceMs;
+
+  /** Records that a job has run for a while; the next record follows once it shows clearly more. */
+  const recordRun = (sent: SentJob) => {
+    const { job, recordedRunMs = 0 } = sent;
+    const ranMs = computeRunMs(sent);
+    if (ranMs < Math.max(HARMLESS_AFTER_MS, HARMLESS_RUN_FACTOR * recordedRunMs)) return;
+    sent.recordedRunMs = ranMs;
+    evidence.recordRun(job.service, listContentKeys(job), ranMs);
+  };
 
   /**
    * Lists the suspect keys of a job that occur in the fewest crashes. Sound requests are more likely
@@ -101,16 +115,15 @@
   /** Lists the running jobs with suspect content that have not proved to be harmless. */
   const listUnproved = (): SentJob[] => {
     for (const [id, sent] of suspects) {
-      if (isHarmless(sent) || listSuspectKeys(sent.job).length === 0) suspects.delete(id);
+      recordRun(sent);
+      if (listSuspectKeys(sent.job).length === 0) suspects.delete(id);
     }
     return [...suspects.values()];
   };
 
-  const recordHarmless = (sent: SentJob) => {
-    if (sent.isHarmless) return;
-    sent.isHarmless = true;
+  const recordAnswer = (sent: SentJob) => {
     const keys = listContentKeys(sent.job);
-    evidence.recordAnswer(sent.job.service, keys);
+    evidence.recordAnswer(sent.job.service, keys, computeRunMs(sent));
     quarantine.release(keys);
   };
 
@@ -145,18 +158,19 @@
       if (isAnswer || outcome === JOB_OUTCOME.FAILED) {
         evidence.recordServerAlive(serverStart, sentMs);
       }
-      if (isAnswer || isHarmless(sent)) recordHarmless(sent);
+      if (isAnswer) recordAnswer(sent);
       else if (outcome === JOB_OUTCOME.BROKEN) {
         const keys = listContentKeys(job);
-        evidence.recordCrash({ serverStart, service: job.service, keys, sentMs });
+        const ranMs = computeRunMs(sent);
+        evidence.recordCrash({ serverStart, service: job.service, keys, sentMs, ranMs });
         for (const other of running()) trackIfSuspect(other);
-      }
+      } else recordRun(sent);
     },
     review() {
       const now = clock.nowMs();
       if (now - reviewedMs < CRASH_REVIEW_INTERVAL_MS || !evidence.isReviewDue()) return;
       reviewedMs = now;
-      for (const sent of running()) if (isHarmless(sent)) recordHarmless(sent);
+      for (const sent of running()) recordRun(sent);
       for (const verdict of evidence.takeVerdicts()) {
         onVerdict?.(verdict);
         quarantine.add(verdict);
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -81,11 +81,17 @@
 export const MAX_CRASH_RECORDS = 200;
 
 /** Maximum number of attempts that are remembered of one crash. */
-export const MAX_CRASH_ATTEMPTS = 16;
+export const MAX_CRASH_ATTEMPTS = 32;
 
-/** Milliseconds from the first byte of an answer after which its request did not crash the server. */
+/**
+ * Milliseconds from the first byte of an answer after which its content is not the cause of crashes
+ * before or shortly after the first byte.
+ */
 export const HARMLESS_AFTER_MS = 500;
 
+/** Multiple of the time from the first byte to a crash after which a run shows that it was another's. */
+export const HARMLESS_RUN_FACTOR = 2;
+
 /** Milliseconds for which content is held in quarantine before the first trial. */
 export const QUARANTINE_HOLD_MS = 120_000;
 
--- a/packages/placement/create_crash_evidence.ts
+++ b/packages/placement/create_crash_evidence.ts
@@ -12,8 +12,11 @@
   SUSPECT_CRASH_ROUNDS,
 } from "./constants.ts";
 import { computeCrashRounds } from "./compute_crash_rounds.ts";
+import { createRunCounts } from "./create_run_counts.ts";
+import type { RunCounts } from "./create_run_counts.ts";
+import { isHarmlessRun } from "./is_harmless_run.ts";
 
-/** An attempt that had not proved to be harmless when its server ended. */
+/** An attempt whose server ended before its answer did. */
 export interface CrashedAttempt {
   /** Start of the server that ended. */
   serverStart: string;
@@ -23,6 +26,8 @@
   keys: readonly string[];
   /** Time at which the attempt was sent. */
   sentMs: Millis;
+  /** Time from the first byte of the answer to the end of the server; 0 if there was none. */
+  ranMs: Millis;
 }
 
 /** Content that crashes the servers that begin to answer it. */
@@ -37,8 +42,16 @@
 export interface CrashEvidence {
   /** Records an attempt whose server ended. */
   recordCrash(attempt: CrashedAttempt): void;
-  /** Records that a server of the service has answered a request with these keys. */
-  recordAnswer(service: string, keys: readonly string[]): void;
+  /**
+   * Records that a server of the service has answered a request with these keys, `ranMs` after the
+   * first byte.
+   */
+  recordAnswer(service: string, keys: readonly string[], ranMs: Millis): void;
+  /**
+   * Records that a server has been writing the answer to a request with these keys for a time. It clears
+   * the keys of crashes that came sooner after the first byte, and says nothing of later ones.
+   */
+  recordRun(service: string, keys: readonly string[], ranMs: Millis): void;
   /** Records that a server answers an attempt that was sent at the given time. */
   recordServerAlive(serverStart: string, sentMs: Millis): void;
   /** True while there are crashes to review, of which all attempts have been reported. */
@@ -63,10 +76,12 @@
   attempts: Set<string>[];
   /** Time at which the last attempt with a key was sent. */
   sentMsByKey: Map<string, Millis>;
+  /** Longest run of an attempt with a key. */
+  ranMsByKey: Map<string, Millis>;
   /** Number of suspect attempts, cleared ones included. */
   attemptCount: number;
-  /** Answers of the service before the crash. */
-  earlierAnswers: number;
+  /** Answers of the service before the crash, by the length of their runs. */
+  earlierAnswers: RunCounts;
   isReviewed: boolean;
 }
 
@@ -78,7 +93,9 @@
   crashCount: number;
   /** Time of the second crash, from which on the key is under suspicion. */
   suspectSinceMs: Millis;
-  /** Answers without the key since its first crash. */
+  /** Longest run of an attempt with the key before a crash. */
+  ranMs: Millis;
+  /** Answers without the key since its first crash that took as long as its attempts had run. */
   answerCount: number;
   /** Crashed attempts without the key since its first crash. */
   otherCrashCount: number;
@@ -88,11 +105,13 @@
  * Creates an empty collection of evidence.
  *
  * Content that crashes servers does so on each server. One answer therefore clears all keys of a
- * request, and only keys without an answer, shortly before the crash or since, stay suspect. Servers
+ * request, and only keys without an answer, shortly before the crash or since, stay suspect. A request
+ * that is still being answered clears its keys of crashes that came sooner after the first byte only, as
+ * content can crash servers at any moment of its answer. Servers
  * also end for other reasons, many at once, and under requests that have nothing to do with it. So
  * crashes count in rounds: an attempt of the next round is sent after the last crash was known. The
- * rounds that are needed depend on how many requests without the key crash meanwhile, and nothing is
- * concluded while no such request is answered. A key that occurs beside more specific ones is given
+ * rounds that are needed depend on how many requests without the key crash meanwhile; only answers that
+ * took as long count as survivals, and nothing is concluded while there is none. A key that occurs beside more specific ones is given
  * time for an answer first. Crashes that content in quarantine explains do not count against other
  * content.
  *
@@ -110,28 +129,42 @@
   listQuarantined: () => readonly (readonly string[])[],
 ): CrashEvidence {
   let records: CrashRecord[] = [];
-  /** Content that is likely to crash another server, with the time of the last crash. */
-  let likelyCauses: { keys: string[]; atMs: Millis }[] = [];
-  const answersByService = new Map<string, number>();
-  const countAnswers = (service: string) => answersByService.get(service) ?? 0;
-  /** Times of the last answers to requests with a key, oldest first. */
-  const answeredMs = new Map<string, Millis>();
+  /** Content that is likely to crash another server, with the time of the last crash and its runs. */
+  let likelyCauses: { keys: string[]; atMs: Millis; ranMs: Millis }[] = [];
+  const answersByService = new Map<string, RunCounts>();
+  const answersOf = (service: string) => answersByService.get(service) ?? NO_ANSWERS;
+  /** Last harmless runs of requests with a key, oldest first; the run of a whole answer is infinite. */
+  const harmlessRuns = new Map<string, { atMs: Millis; ranMs: Millis }>();
+
+  const findRecentRunMs = (name: string): Millis => {
+    const run = harmlessRuns.get(name);
+    return run !== undefined && clock.nowMs() - run.atMs <= ANSWER_MEMORY_MS ? run.ranMs : 0;
+  };
 
-  const rememberAnswer = (service: string, keys: readonly string[]) => {
-    answersByService.set(service, countAnswers(service) + 1);
+  const rememberRun = (service: string, keys: readonly string[], ranMs: Millis) => {
     for (const key of keys) {
       const name = `${service} ${key}`;
-      answeredMs.delete(name);
-      answeredMs.set(name, clock.nowMs());
+      if (findRecentRunMs(name) > ranMs) continue;
+      harmlessRuns.delete(name);
+      harmlessRuns.set(name, { atMs: clock.nowMs(), ranMs });
     }
-    for (const name of answeredMs.keys()) {
-      if (answeredMs.size <= MAX_ANSWERED_KEYS) break;
-      answeredMs.delete(name);
+    for (const name of harmlessRuns.keys()) {
+      if (harmlessRuns.size <= MAX_ANSWERED_KEYS) break;
+      harmlessRuns.delete(name);
     }
   };
 
-  const wasJustAnswered = (service: string, key: string) =>
-    clock.nowMs() - (answeredMs.get(`${service} ${key}`) ?? -Infinity) <= ANSWER_MEMORY_MS;
+  /** Records a run that did not crash its server so far; an infinite one is a whole answer. */
+  const recordHarmlessRun = (service: string, keys: readonly string[], ranMs: Millis) => {
+    rememberRun(service, keys, ranMs);
+    if (records.length === 0) return;
+    const ofService = records.filter((record) => record.service === service);
+    const hasCleared = ofService.map((record) => clearKeys(record, keys, ranMs)).includes(true);
+    if (hasCleared) suspectKeysByService.clear();
+    likelyCauses = likelyCauses.filter((cause) =>
+      !isHarmlessRun(ranMs, cause.ranMs) || !cause.keys.some((key) => keys.includes(key))
+    );
+  };
 
   const removeExpired = () => {
     const oldestMs = clock.nowMs() - CRASH_EVIDENCE_MS;
@@ -174,9 +207,11 @@
       rounds: 0,
       crashCount: 0,
       suspectSinceMs: Infinity,
+      ranMs: 0,
       answerCount: 0,
       otherCrashCount: 0,
     };
+    let earlierAnswers: RunCounts = NO_ANSWERS;
     let knownMs = -Infinity;
     for (const record of records) {
       if (record.service !== service || isExplained(record, key)) continue;
@@ -185,15 +220,16 @@
         if (weighed.crashCount > 0) weighed.otherCrashCount += record.attemptCount;
         continue;
       }
-      if (weighed.crashCount === 0) {
-        weighed.answerCount = countAnswers(service) - record.earlierAnswers;
-      }
+      if (weighed.crashCount === 0) earlierAnswers = record.earlierAnswers;
       weighed.crashCount += 1;
+      weighed.ranMs = Math.max(weighed.ranMs, record.ranMsByKey.get(key) ?? 0);
       if (weighed.crashCount === 2) weighed.suspectSinceMs = record.atMs;
       if (sentMs <= knownMs) continue;
       weighed.rounds += 1;
       knownMs = record.atMs;
     }
+    weighed.answerCount = answersOf(service).countFrom(weighed.ranMs) -
+      earlierAnswers.countFrom(weighed.ranMs);
     return weighed;
   };
 
@@ -247,7 +283,8 @@
     if (!hasRounds || (isEarly && hasSpecificKeys(record, first))) {
       // A crash that was reviewed too early is reviewed again, and must not be listed twice.
       likelyCauses = likelyCauses.filter((known) => known.atMs !== record.atMs);
-      likelyCauses.push(...groups.map((keys) => ({ keys, atMs: record.atMs })));
+      const { ranMs } = first;
+      likelyCauses.push(...groups.map((keys) => ({ keys, atMs: record.atMs, ranMs })));
       record.isReviewed = !hasRounds;
       return [];
     }
@@ -257,7 +294,7 @@
   };
 
   return {
-    recordCrash({ serverStart, service, keys, sentMs }) {
+    recordCrash({ serverStart, service, keys, sentMs, ranMs }) {
       removeExpired();
       suspectKeysByService.clear();
       let record = records.find((known) => known.serverStart === serverStart);
@@ -268,28 +305,29 @@
           atMs: clock.nowMs(),
           attempts: [],
           sentMsByKey: new Map(),
+          ranMsByKey: new Map(),
           attemptCount: 0,
-          earlierAnswers: countAnswers(service),
+          earlierAnswers: answersOf(service),
           isReviewed: false,
         };
         records.push(record);
       }
       record.attemptCount += 1;
       if (record.attempts.length === MAX_CRASH_ATTEMPTS) return;
-      const suspectKeys = keys.filter((key) => !wasJustAnswered(service, key));
+      const suspectKeys = keys.filter((key) =>
+        !isHarmlessRun(findRecentRunMs(`${service} ${key}`), ranMs)
+      );
       record.attempts.push(new Set(suspectKeys));
       for (const key of suspectKeys) {
         record.sentMsByKey.set(key, Math.max(sentMs, record.sentMsByKey.get(key) ?? -Infinity));
+        record.ranMsByKey.set(key, Math.max(ranMs, record.ranMsByKey.get(key) ?? 0));
       }
     },
-    recordAnswer(service, keys) {
-      rememberAnswer(service, keys);
-      if (records.length === 0) return;
-      const ofService = records.filter((record) => record.service === service);
-      const hasCleared = ofService.map((record) => clearKeys(record, keys)).includes(true);
-      if (hasCleared) suspectKeysByService.clear();
-      likelyCauses = likelyCauses.filter((cause) => !cause.keys.some((key) => keys.includes(key)));
+    recordAnswer(service, keys, ranMs) {
+      answersByService.set(service, answersOf(service).add(ranMs));
+      recordHarmlessRun(service, keys, Infinity);
     },
+    recordRun: recordHarmlessRun,
     recordServerAlive(serverStart, sentMs) {
       if (records.length === 0) return;
       const kept = records.filter((record) =>
@@ -308,6 +346,8 @@
 
 const NO_KEYS: ReadonlyMap<string, number> = new Map();
 
+const NO_ANSWERS = createRunCounts();
+
 function isSubset(keys: readonly string[], others: readonly string[]): boolean {
   return keys.every((key) => others.includes(key));
 }
@@ -316,9 +356,11 @@
   return (attempt: Set<string>) => keys.every((key) => attempt.has(key));
 }
 
-/** Clears the keys of an answered request; returns true if one of them was suspect. */
-function clearKeys(record: CrashRecord, answered: readonly string[]): boolean {
-  const cleared = answered.filter((key) => record.sentMsByKey.delete(key));
+/** Clears the keys of a harmless run in crashes that came sooner; returns true if one was suspect. */
+function clearKeys(record: CrashRecord, keys: readonly string[], ranMs: Millis): boolean {
+  const cleared = keys.filter((key) =>
+    isHarmlessRun(ranMs, record.ranMsByKey.get(key) ?? 0) && record.sentMsByKey.delete(key)
+  );
   for (const attempt of record.attempts) for (const key of cleared) attempt.delete(key);
   return cleared.length > 0;
 }
--- a/packages/placement/create_placer_test.ts
+++ b/packages/placement/create_placer_test.ts
@@ -150,9 +150,12 @@
     clock.advance(10);
     return { job, serverId: decision.kind === "placed" ? decision.serverId : undefined };
   };
-  const answer = (changes: Partial<PlacementJob>) => {
-    for (let count = 0; count < ANSWER_COUNT; count++) {
-      placer.finished(place(changes).job.id, JOB_OUTCOME.ANSWERED);
+  const answer = (changes: Partial<PlacementJob>, { writtenMs = 0 } = {}) => {
+    for (let count = 0; count < ANSWER_COUNT; count += servers.length) {
+      const jobs = servers.map(() => place(changes).job);
+      for (const { id } of jobs) placer.started(id);
+      clock.advance(writtenMs);
+      for (const { id } of jobs) placer.finished(id, JOB_OUTCOME.ANSWERED);
     }
   };
   const crash = (changes: Partial<PlacementJob>, { writtenMs }: { writtenMs?: number } = {}) => {
@@ -204,17 +207,45 @@
   }, { crashing: "quarantined", elsewhere: "quarantined", sound: "placed" });
 });
 
-test("a crash after the first bytes of an answer counts, and one long after them clears the request", (t) => {
-  const crashWhileWriting = (writtenMs: number) => {
-    const { crash, answer, describePlacing } = createCrashes();
+/** Ends servers `writtenMs` after the first bytes of requests, beside answers of others that take `otherMs`. */
+function crashWhileWriting({ writtenMs, otherMs }: { writtenMs: number; otherMs: number }) {
+  const crashes = createCrashes();
+  for (let count = 0; count < MIN_CRASH_ROUNDS; count++) {
+    crashes.crash({ parts: ["p"], fingerprint: `c${count}` }, { writtenMs });
+    crashes.answer({ fingerprint: `s${count}` }, { writtenMs: otherMs });
+  }
+  return crashes;
+}
+
+// Guards against content that counts as harmless because it crashes servers late in its answers.
+test("a crash counts at any time after the first bytes of an answer, beside answers that take as long", (t) => {
+  for (const writtenMs of [40, HARMLESS_AFTER_MS, 700, 3_000]) {
+    const { describePlacing } = crashWhileWriting({ writtenMs, otherMs: 2 * writtenMs });
+    t.is(describePlacing({ parts: ["p"], fingerprint: "new" }), "quarantined", `${writtenMs} ms`);
+  }
+});
+
+test("content whose answers take longer than those of others is not held to be the cause as soon", (t) => {
+  const { describePlacing } = crashWhileWriting({ writtenMs: 3_000, otherMs: 40 });
+  t.is(describePlacing({ parts: ["p"], fingerprint: "new" }), "placed");
+});
+
+test("an answer that went on clearly longer than those that ended with their servers clears its content", (t) => {
+  const writtenMs = 700;
+  for (
+    const [ranMs, expected] of [[writtenMs, "quarantined"], [2 * writtenMs, "placed"]] as const
+  ) {
+    const { placer, clock, crash, answer, place, describePlacing } = createCrashes();
     for (let count = 0; count < MIN_CRASH_ROUNDS; count++) {
       crash({ parts: ["p"], fingerprint: `c${count}` }, { writtenMs });
-      answer({ fingerprint: `s${count}` });
+      const { job } = place({ parts: ["p"], fingerprint: `r${count}` });
+      placer.started(job.id);
+      clock.advance(ranMs);
+      placer.finished(job.id, JOB_OUTCOME.CANCELLED);
+      answer({ fingerprint: `s${count}` }, { writtenMs: 2 * writtenMs });
     }
-    return describePlacing({ parts: ["p"], fingerprint: "new" });
-  };
-  t.is(crashWhileWriting(40), "quarantined");
-  t.is(crashWhileWriting(HARMLESS_AFTER_MS), "placed");
+    t.is(describePlacing({ parts: ["p"], fingerprint: "new" }), expected);
+  }
 });
 
 test("a queued prompt is refused when its content turns out to crash servers", async (t) => {
