--- a/packages/bench/simulate_crashes_test.ts
+++ b/packages/bench/simulate_crashes_test.ts
@@ -107,6 +107,13 @@
   });
 }
 
+test("crashing requests of a service without other requests are not sent to a second server for long", async (t) => {
+  const load = { soundPerSecond: 0, crashingParts: 1, crashingPerSecond: 0.2, seconds: 120 };
+  const parts = await simulateAll(load, CRASH_RULE.PARTS);
+  t.log(parts);
+  t.true(parts.lateRetries <= MAX_LATE_REQUESTS);
+});
+
 for (const [name, changes] of Object.entries(ORDINARY)) {
   test(`no sound request is refused for crashes without a crashing part: ${name}`, async (t) => {
     const parts = await simulateAll(changes, CRASH_RULE.PARTS);
--- a/packages/placement/create_crash_evidence.ts
+++ b/packages/placement/create_crash_evidence.ts
@@ -111,7 +111,8 @@
  * also end for other reasons, many at once, and under requests that have nothing to do with it. So
  * crashes count in rounds: an attempt of the next round is sent after the last crash was known. The
  * rounds that are needed depend on how many requests without the key crash meanwhile; only answers that
- * took as long count as survivals, and nothing is concluded while there is none. A key that occurs beside more specific ones is given
+ * took as long count as survivals. While there is none, nothing is concluded but that another server
+ * must not be tried. A key that occurs beside more specific ones is given
  * time for an answer first. Crashes that content in quarantine explains do not count against other
  * content.
  *
@@ -275,10 +276,11 @@
     if (record.sentMsByKey.size === 0) return [];
     const strongest = listStrongest(record);
     const [first] = strongest;
-    if (first === undefined || first.answerCount === 0) return [];
+    if (first === undefined) return [];
     if (first.rounds < computeCrashRounds(first, SUSPECT_CRASH_ROUNDS)) return [];
     const groups = groupByAttempt(record, strongest);
-    const hasRounds = first.rounds >= computeCrashRounds(first, MIN_CRASH_ROUNDS);
+    const hasRounds = first.answerCount > 0 &&
+      first.rounds >= computeCrashRounds(first, MIN_CRASH_ROUNDS);
     const isEarly = clock.nowMs() - first.suspectSinceMs < MIN_SUSPICION_MS;
     if (!hasRounds || (isEarly && hasSpecificKeys(record, first))) {
       // A crash that was reviewed too early is reviewed again, and must not be listed twice.
--- a/packages/placement/create_crash_evidence_test.ts
+++ b/packages/placement/create_crash_evidence_test.ts
@@ -224,3 +224,15 @@
     t.deepEqual(review(), []);
   }
 });
+
+test("without an answer to others a server is spared a retry after several crashes, and nothing else follows", (t) => {
+  const { evidence, crash, review } = setUp();
+  for (let round = 0; round < MAX_CRASH_ROUNDS; round++) {
+    t.false(evidence.isLikelyCause(["p", "own"]));
+    crash(["p", "own"]);
+    t.deepEqual(review(), []);
+  }
+  t.true(evidence.isLikelyCause(["p", "own"]));
+  evidence.recordAnswer(SERVICE, ["p", "other"], 0);
+  t.false(evidence.isLikelyCause(["p", "own"]));
+});
