--- a/packages/forwarding_host/apply_settings.ts
+++ b/packages/forwarding_host/apply_settings.ts
@@ -1,8 +1,8 @@
 import type { ForwardingHostSettings } from "./types.ts";
 
 /**
- * Applies changed settings to a running host. Only the limits can change while it runs; addresses
- * and names take effect at the next start of the process.
+ * Applies changed settings to a running host. Limits and times can change while it runs; addresses,
+ * names and the share of processors take effect at the next start of the process.
  *
  * @param current settings in use, which are updated in place
  * @param next newly read settings
@@ -17,6 +17,8 @@
 ): string[] {
   Object.assign(current.retryLimits, next.retryLimits);
   Object.assign(current.coldLimits, next.coldLimits);
+  current.stopGraceMs = next.stopGraceMs;
+  current.maxDirectoryTtlMs = next.maxDirectoryTtlMs;
   return Object.keys(next).filter((name) => {
     const key = name as keyof ForwardingHostSettings;
     return typeof next[key] !== "object" && next[key] !== current[key];
--- a/packages/forwarding_host/create_forwarding_host.ts
+++ b/packages/forwarding_host/create_forwarding_host.ts
@@ -46,7 +46,8 @@
     name: SERVICE.STOP_STATE,
     needs: [SERVICE.TASKS, SERVICE.CLUSTER],
     start(lookup) {
-      const stop = createStopState({ clock, graceMs: settings.stopGraceMs, turn: random() });
+      const graceMs = () => settings.stopGraceMs;
+      const stop = createStopState({ clock, graceMs, turn: random() });
       const { fleet } = lookup(SERVICE.CLUSTER);
       lookup(SERVICE.TASKS).run("count hosts", async (signal) => {
         while (!signal.aborted) {
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -35,21 +35,29 @@
  * A stopping host is not ready and closes connections after requests. When it leaves the directory
  * and exits depends on how many other hosts accept callers; see {@linkcode decideStopStep}.
  *
- * @param options clock, the time between the signal and the forced end of the process, and the turn
- * of the host among hosts that stop at the same moment, from 0 to 1
+ * The settings may change before a stop and during one. Of the times that are in force from the signal
+ * on, the shortest counts, since it is not known which of them the platform uses.
+ *
+ * @param options clock; `graceMs` returns the time between the signal and the forced end of the process
+ * that is in force now; the turn of the host among hosts that stop at the same moment, from 0 to 1
  * @returns the state
  *
  * @example
- * const stop = createStopState({ clock, graceMs: 8_000 });
+ * const stop = createStopState({ clock, graceMs: () => settings.stopGraceMs });
  */
 export function createStopState(
-  options: { clock: Clock; graceMs: Millis; turn?: number },
+  options: { clock: Clock; graceMs: () => Millis; turn?: number },
 ): StopState {
   const { clock, graceMs, turn = 0 } = options;
   const controller = new AbortController();
   const exitController = new AbortController();
-  const marginMs = Math.min(STOP_MARGIN_MS, graceMs * STOP_MARGIN_MAX_SHARE);
-  const longestStopMs = graceMs - marginMs;
+  let shortestGraceMs = Infinity;
+  const readGraceMs = () => {
+    shortestGraceMs = Math.min(shortestGraceMs, graceMs());
+    return shortestGraceMs;
+  };
+  const readMarginMs = () => Math.min(STOP_MARGIN_MS, readGraceMs() * STOP_MARGIN_MAX_SHARE);
+  const readLongestStopMs = () => readGraceMs() - readMarginMs();
   const usualPeak = createPeakWindow({ clock, lengthMs: USUAL_HOSTS_WINDOW_MS });
   const recentPeak = createPeakWindow({ clock, lengthMs: RECENT_HOSTS_WINDOW_MS });
   let startMs: Millis | undefined;
@@ -57,10 +65,11 @@
   let readyHosts = 0;
   let usualHosts = 0;
   const elapsedMs = () => startMs === undefined ? 0 : clock.nowMs() - startMs;
+  const remainingMs = () => readLongestStopMs() - elapsedMs();
   const describe = (requests: number): StoppingHost => ({
     turnInMs: turn * LEAVE_SPREAD_MS - elapsedMs(),
     leftAgoMs: leaveMs === undefined ? undefined : clock.nowMs() - leaveMs,
-    remainingMs: longestStopMs - elapsedMs(),
+    remainingMs: remainingMs(),
     requests,
     readyHosts,
     recentHosts: Math.max(readyHosts, recentPeak.peak()),
@@ -72,6 +81,7 @@
     begin(atMs = clock.nowMs()) {
       if (startMs !== undefined) return;
       startMs = atMs;
+      shortestGraceMs = Infinity;
       usualHosts = usualPeak.peak();
       controller.abort();
     },
@@ -83,13 +93,11 @@
       recentPeak.add(count);
     },
     time: () =>
-      startMs === undefined
-        ? undefined
-        : { elapsedMs: elapsedMs(), remainingMs: longestStopMs - elapsedMs() },
+      startMs === undefined ? undefined : { elapsedMs: elapsedMs(), remainingMs: remainingMs() },
     isNeeded: (requests) => isStoppingHostNeeded(describe(requests)),
     hasOtherHosts: () => isStoppingHostReplaceable({ readyHosts, usualHosts }),
     nextStep: (requests) =>
       startMs === undefined ? STOP_STEP.STAY : decideStopStep(describe(requests)),
-    exitRemainingMs: () => Math.max(0, longestStopMs + marginMs / 2 - elapsedMs()),
+    exitRemainingMs: () => Math.max(0, remainingMs() + readMarginMs() / 2),
   };
 }
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -6,7 +6,7 @@
   let nowMs = 0;
   const stop = createStopState({
     clock: { nowMs: () => nowMs, wallMs: () => nowMs },
-    graceMs: 8_000,
+    graceMs: () => 8_000,
   });
   const look = (requests: number) => ({
     at: nowMs,
@@ -37,7 +37,7 @@
   let nowMs = 1_000;
   const stop = createStopState({
     clock: { nowMs: () => nowMs, wallMs: () => nowMs },
-    graceMs: 8_000,
+    graceMs: () => 8_000,
   });
   t.is(stop.time(), undefined);
   stop.begin();
@@ -52,7 +52,10 @@
 for (const graceMs of [1_000, 2_000]) {
   test(`a grace period of ${graceMs} ms does not end before its last sixth while a request runs`, (t) => {
     let nowMs = 0;
-    const stop = createStopState({ clock: { nowMs: () => nowMs, wallMs: () => nowMs }, graceMs });
+    const stop = createStopState({
+      clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+      graceMs: () => graceMs,
+    });
     stop.begin();
     nowMs = Math.floor(graceMs * 5 / 6);
     t.not(stop.nextStep(1), STOP_STEP.EXIT);
@@ -63,7 +66,7 @@
   let nowMs = 0;
   const stop = createStopState({
     clock: { nowMs: () => nowMs, wallMs: () => nowMs },
-    graceMs: 8_000,
+    graceMs: () => 8_000,
   });
   stop.observeHosts(17);
   nowMs = 1_000;
@@ -73,3 +76,26 @@
   stop.observeHosts(9);
   t.is(stop.nextStep(0), STOP_STEP.LEAVE);
 });
+
+// Guards against a stop that the platform ends before the host expects it.
+test("a stop is planned with the grace period in force, and with the shortest one since its signal", (t) => {
+  let nowMs = 0;
+  let graceMs = 8_000;
+  const stop = createStopState({
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    graceMs: () => graceMs,
+  });
+  const remainingMs = () => stop.time()?.remainingMs;
+  graceMs = 4_000;
+  nowMs = 1_000;
+  stop.begin();
+  t.true((remainingMs() ?? Infinity) < 4_000);
+  t.true((remainingMs() ?? 0) > 3_000);
+  graceMs = 20_000;
+  t.true((remainingMs() ?? Infinity) < 4_000);
+  graceMs = 2_000;
+  t.true((remainingMs() ?? Infinity) < 2_000);
+  t.true(stop.exitRemainingMs() < 2_000);
+  nowMs = 3_000;
+  t.is(stop.nextStep(1), STOP_STEP.EXIT);
+});
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -164,8 +164,8 @@
 
 function createDirectoryHandler(context: HostContext, cluster: Cluster): RequestHandler {
   const { publicCalls } = context.adapter;
-  const ttlMs = Math.min(DIRECTORY_TTL_MS, context.settings.maxDirectoryTtlMs);
   return (req, res) => {
+    const ttlMs = Math.min(DIRECTORY_TTL_MS, context.settings.maxDirectoryTtlMs);
     if (!publicCalls.isDirectoryCall(req.method ?? "", req.url ?? "")) {
       sendText(res, 404, "");
       return;
