--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -16,6 +16,7 @@
 import { createInvalidRowLog } from "./_lib/create_invalid_row_log.ts";
 import type { MessageParsers } from "./messages.ts";
 import { parseHostEntry } from "./parse_host_entry.ts";
+import { rankAmongHosts } from "./rank_among_hosts.ts";
 import { TABLE } from "./types.ts";
 import type { Gossip, HostEntry, Row, RowBatch, RowStore, Table } from "./types.ts";
 
@@ -94,6 +95,10 @@
   hubLimitShare(): number;
   /** The share that it may use alone; 0 until it has read the hosts. */
   ownLimitShare(): number;
+  /** Position of this host among the hosts with a row, in an order that depends on the key. */
+  rankAmongHosts(key: string): number;
+  /** Milliseconds since this host became a hub; 0 while it is none. */
+  hubForMs(): Millis;
   /** Reports whether a host with a row accepts callers or links at an address. */
   hasHostAt(address: string): boolean;
   /** True while this host is a hub and places jobs of other hosts. */
@@ -346,6 +351,9 @@
     hostCount: () => knownHosts().length,
     hubLimitShare: () => hasReadHosts() ? 1 - countUnlinked() / knownHosts().length : 0,
     ownLimitShare: () => hasReadHosts() ? 1 / knownHosts().length : 0,
+    rankAmongHosts: (key) =>
+      rankAmongHosts(self.host, { hosts: knownHosts().map(({ host }) => host), key }),
+    hubForMs: () => hubClient.hubForMs(),
     hasHostAt: (address) => hostAddresses().has(address),
     storeRecoveredAgoMs,
   };
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -98,6 +98,8 @@
   liveHosts(): HostEntry[] | undefined;
   /** True when this host is one of its own hubs. */
   isHub(): boolean;
+  /** Milliseconds since this host became one of its own hubs; 0 while it is none. */
+  hubForMs(): Millis;
   /** Closes all links. */
   stop(): void;
 }
@@ -509,6 +511,10 @@
       return hosts && [...hosts.values()];
     },
     isHub: () => hubs.has(self.host),
+    hubForMs() {
+      const own = hubs.get(self.host);
+      return own === undefined ? 0 : clock.nowMs() - own.openedAtMs;
+    },
     stop() {
       clearTimeout(reviewTimer);
       for (const hub of [...hubs.values()]) closeHub(hub);
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -3,7 +3,7 @@
 import { createFleet, FLEET_TICK_MS } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
 import { createServerNotices } from "@jaypass/forwarding";
-import { createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
+import { COLD_WINDOW_MS, createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
 import type { PlacementServer } from "@jaypass/placement";
 import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
 import { ageJob } from "./age_job.ts";
@@ -64,6 +64,9 @@
     retryLimits,
     coldLimits,
     share: () => fleet.hubLimitShare(),
+    rank: (serverId) => fleet.isIsolated() ? fleet.rankAmongHosts(serverId) : 0,
+    // Members report their running requests to a new hub, and not those that have just ended.
+    knowsRecentSends: () => fleet.hubForMs() >= COLD_WINDOW_MS,
     quarantine: quarantine.shared,
     onVerdict: quarantine.logVerdict,
     onDecision: (record) => log.info(record, "Placement decided"),
@@ -77,6 +80,7 @@
     retryLimits,
     coldLimits,
     share: () => fleet.ownLimitShare(),
+    rank: (serverId) => fleet.rankAmongHosts(serverId),
     quarantine: quarantine.local,
     onVerdict: quarantine.logVerdict,
     canQueue: () => false,
--- a/packages/placement/_lib/create_server_registry.ts
+++ b/packages/placement/_lib/create_server_registry.ts
@@ -5,7 +5,10 @@
 import type { ColdLimits } from "../placer_types.ts";
 import type { EngineProfile, PlacementJob, PlacementServer, PlacementService } from "../types.ts";
 
-/** Unused share of the cold limit, because windows of hosts and servers are not aligned. */
+/**
+ * Share of the cold limit that is kept for hosts that place alone, beside requests that a hub has placed
+ * in the same second, and because windows of hosts and servers are not aligned.
+ */
 const COLD_RESERVED_SHARE = 0.3;
 
 /** Registry of a placer's servers and services, with the load of each server. */
@@ -37,6 +40,10 @@
   coldLimits: ColdLimits;
   /** Share of the common limits that this placer may use, between 0 and 1. */
   share: () => number;
+  /** Rank of the host for a server among the hosts that share its limit. */
+  rank?: (serverId: string) => number;
+  /** False while requests of the last second may be unknown. */
+  knowsRecentSends?: () => boolean;
   /** Seed of the order in which equally loaded servers are chosen. */
   seed: string;
 }
@@ -44,6 +51,7 @@
 /** Creates an empty registry. */
 export function createServerRegistry(options: ServerRegistryOptions): ServerRegistry {
   const { clock, coldLimits, share, seed } = options;
+  const { rank = () => 0, knowsRecentSends = () => true } = options;
   const services = new Map<string, PlacementService>();
   const loads = new Map<string, ServerLoad>();
   /** Start times of the servers that leave, by id. */
@@ -55,8 +63,12 @@
   const isWithinColdLimit = (load: ServerLoad, limitShare: () => number) => {
     const rate = services.get(load.server.service)?.coldRequestsPerS ?? 0;
     if (rate === 0 || clock.nowMs() > load.server.coldUntilMs) return true;
-    const limit = (rate * coldLimits.multiplier + coldLimits.slack) * limitShare();
-    return load.recentSends() + 1 <= Math.max(1, limit * (1 - COLD_RESERVED_SHARE));
+    const limit = rate * coldLimits.multiplier + coldLimits.slack;
+    const ownLimit = limit * (1 - COLD_RESERVED_SHARE) * limitShare();
+    if (ownLimit >= 1) return knowsRecentSends() && load.recentSends() + 1 <= ownLimit;
+    // A request of each host would exceed the limit, so that only a few of them send one.
+    const senderCount = Math.max(1, Math.floor(limit * COLD_RESERVED_SHARE));
+    return load.recentSends() === 0 && rank(load.server.id) < senderCount;
   };
 
   const getRank = (serverId: string): string => {
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -62,6 +62,16 @@
   coldLimits: ColdLimits;
   /** Share of the common limits that this placer may use, between 0 and 1. */
   share: () => number;
+  /**
+   * Rank of the host for a server among the hosts that share its limit, where the share of each is
+   * less than a request; always the first by default.
+   */
+  rank?: (serverId: string) => number;
+  /**
+   * False while hosts may have sent requests in the last second that this placer does not know of; true
+   * by default.
+   */
+  knowsRecentSends?: () => boolean;
   /** True while prompts may be queued, because the placer knows most of the load. */
   canQueue: () => boolean;
   /** True while other hosts place requests on the same servers without reporting them here. */
