--- a/packages/kernel/run_with_backup.ts
+++ b/packages/kernel/run_with_backup.ts
@@ -23,23 +23,31 @@
   signal?: AbortSignal,
 ): Promise<T> {
   return new Promise((resolve, reject) => {
-    const superfluous = new AbortController();
-    const signals = signal === undefined ? [superfluous.signal] : [superfluous.signal, signal];
-    const options = { signal: AbortSignal.any(signals) };
+    const controller = new AbortController();
+    // `AbortSignal.any` would leave an entry in a signal that outlives the operation.
+    const onAbort = () => controller.abort(signal?.reason);
+    if (signal?.aborted) onAbort();
+    else signal?.addEventListener("abort", onAbort, { once: true });
     let runningCount = 0;
     let hasBackup = false;
+    const finish = () => {
+      signal?.removeEventListener("abort", onAbort);
+      controller.abort();
+    };
     const start = () => {
       runningCount += 1;
-      run({ ...options, startBackup }).then((result) => {
+      run({ signal: controller.signal, startBackup }).then((result) => {
         resolve(result);
-        superfluous.abort();
+        finish();
       }, (err) => {
         runningCount -= 1;
-        if (runningCount === 0) reject(err);
+        if (runningCount > 0) return;
+        reject(err);
+        finish();
       });
     };
     const startBackup = () => {
-      if (hasBackup || options.signal.aborted) return;
+      if (hasBackup || controller.signal.aborted) return;
       hasBackup = true;
       start();
     };
--- a/packages/kernel/run_with_backup_test.ts
+++ b/packages/kernel/run_with_backup_test.ts
@@ -1,3 +1,4 @@
+import { getEventListeners } from "node:events";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
 import { runWithBackup } from "./run_with_backup.ts";
@@ -49,3 +50,10 @@
   await t.throwsAsync(result);
   t.is(count, 1);
 });
+
+test("an operation leaves no listener in a signal that outlives it", async (t) => {
+  const { signal } = new AbortController();
+  await runWithBackup(() => Promise.resolve(), signal);
+  await t.throwsAsync(runWithBackup(() => Promise.reject(new Error("Try failed")), signal));
+  t.deepEqual(getEventListeners(signal, "abort"), []);
+});
