--- a/packages/placement/create_crash_evidence.ts
+++ b/packages/placement/create_crash_evidence.ts
@@ -105,16 +105,18 @@
  * Creates an empty collection of evidence.
  *
  * Content that crashes servers does so on each server. One answer therefore clears all keys of a
- * request, and only keys without an answer, shortly before the crash or since, stay suspect. A request
- * that is still being answered clears its keys of crashes that came sooner after the first byte only, as
- * content can crash servers at any moment of its answer. Servers
- * also end for other reasons, many at once, and under requests that have nothing to do with it. So
- * crashes count in rounds: an attempt of the next round is sent after the last crash was known. The
- * rounds that are needed depend on how many requests without the key crash meanwhile; only answers that
- * took as long count as survivals. While there is none, nothing is concluded but that another server
- * must not be tried. A key that occurs beside more specific ones is given
- * time for an answer first. Crashes that content in quarantine explains do not count against other
- * content.
+ * request, and only keys without an answer, shortly before the crash or since, stay suspect. Content can
+ * crash servers at any moment of its answer, so that a request that is still being answered clears its
+ * keys only of crashes that came sooner after the first byte.
+ *
+ * Servers also end for other reasons, many at once, and under requests that have nothing to do with it.
+ * So crashes count in rounds: an attempt of the next round is sent after the last crash was known. The
+ * rounds that are needed depend on how many requests without the key crash meanwhile, compared with
+ * those that were answered and took as long. Without such an answer there is no verdict; retries are
+ * refused after several rounds all the same, as they cost another server.
+ *
+ * A key that occurs beside more specific ones is given time for an answer first. Crashes that content
+ * in quarantine explains do not count against other content.
  *
  * @param clock monotonic time source
  * @param listQuarantined returns the keys of each content that is in quarantine
