--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -246,7 +246,7 @@
   const giveUpLink = (hub: Hub) => {
     const { entry } = hub;
     const now = clock.nowMs();
-    // A link that was opened since says nothing about the connections of this one's age.
+    // A link that was opened after this hub's last message cannot have failed together with its link.
     const others = [...hubs.values()].filter((other) =>
       other !== hub && other.link !== undefined && other.openedAtMs < hub.heardAtMs
     );
--- a/packages/fleet/rank_among_hosts.ts
+++ b/packages/fleet/rank_among_hosts.ts
@@ -4,8 +4,8 @@
 const HASH_BYTES = 6;
 
 /**
- * Ranks a host among others, so that a few of them can be told apart without an agreement. Each key
- * rotates the order, so that other hosts come first for other keys.
+ * Ranks a host among others, so that hosts can select a few of them without messages. Each key rotates
+ * the order, so that other hosts come first for other keys.
  *
  * @param host name of the host, which is one of `hosts`
  * @param options names of all hosts in any order, and the key
--- a/packages/fleet/should_reconnect_to_hub.ts
+++ b/packages/fleet/should_reconnect_to_hub.ts
@@ -7,7 +7,7 @@
   wasReady: boolean;
   /** Milliseconds since the hub's last message. */
   heardAgoMs: Millis;
-  /** The same of the links to other hubs that were open when this one was last heard. */
+  /** The same for each other hub whose link was open at the last message of this one. */
   othersHeardAgoMs: readonly Millis[];
   /** Milliseconds since the host last connected to this hub again; Infinity if it never did. */
   reconnectedAgoMs: Millis;
--- a/packages/forwarding_host/apply_settings.ts
+++ b/packages/forwarding_host/apply_settings.ts
@@ -2,7 +2,8 @@
 
 /**
  * Applies changed settings to a running host. Limits and times can change while it runs; addresses,
- * names and the share of processors take effect at the next start of the process.
+ * names and the share of processors take effect at the next start of the process. The window of the
+ * retry limit is read at the first use of a service, so that a later change of it has no effect.
  *
  * @param current settings in use, which are updated in place
  * @param next newly read settings
