State the age of each table, and why a call to the store failed

Silence, a stale table and a slow hub could not be told apart.

Hubs state the age of each table in their views, and a host logs when its copy becomes stale, with the time since a hub read it and since each hub was heard; jaypass_table_age_ms holds it. A failed call tells whether no byte or a part of an answer came, and on what kind of connection. Nothing decides by it yet. A view of an earlier release states the servers table only, which stands for all.

--- a/packages/fleet/_lib/parse_message.ts
+++ b/packages/fleet/_lib/parse_message.ts
@@ -1,7 +1,13 @@
 import { createFieldReader, DecodeError } from "@jaypass/kernel";
 import type { FieldReader, NumberRange } from "@jaypass/kernel";
 import { MAX_AGE_MS } from "../constants.ts";
-import type { HubMessage, MemberMessage, MessageParsers, RowPatch } from "../messages.ts";
+import type {
+  HubMessage,
+  MemberMessage,
+  MessageParsers,
+  RowPatch,
+  TableAgesMs,
+} from "../messages.ts";
 import { parseHostEntry } from "../parse_host_entry.ts";
 import { TABLE } from "../types.ts";
 import type { Row, RowBatch, Table } from "../types.ts";
@@ -51,7 +57,7 @@
     case "want":
       return { type, table: parseTable(fields), revision: parseVersion(fields, "revision") };
     case "fresh":
-      return { type };
+      return { type, ...fields.has("table") && { table: parseTable(fields) } };
     case "gossip":
       return { type, items: fields.values("items") };
     case "invite":
@@ -88,6 +94,8 @@
         type,
         ageMs: fields.number("ageMs", AGE_RANGE),
         ownAgeMs: fields.number("ownAgeMs", AGE_RANGE),
+        ...parseAges(fields, "otherAgesMs"),
+        ...parseAges(fields, "otherOwnAgesMs"),
         recoveredAgoMs: fields.value("recoveredAgoMs") === null
           ? null
           : fields.number("recoveredAgoMs", AGE_RANGE),
@@ -135,6 +143,18 @@
   return revisions;
 }
 
+function parseAges<Name extends string>(
+  fields: FieldReader,
+  name: Name,
+): { [key in Name]?: TableAgesMs } {
+  const ages = fields.object(name);
+  if (ages === undefined) return {};
+  const entries = Object.values(TABLE).flatMap((table) =>
+    ages.has(table) ? [[table, ages.number(table, AGE_RANGE)]] : []
+  );
+  return { [name]: Object.fromEntries(entries) } as { [key in Name]: TableAgesMs };
+}
+
 function parseBatch(value: unknown): RowBatch {
   const fields = createFieldReader(value);
   return {
--- a/packages/fleet/_lib/parse_message_test.ts
+++ b/packages/fleet/_lib/parse_message_test.ts
@@ -39,6 +39,7 @@
   { type: "rows", table: "servers", batch: BATCH },
   { type: "want", table: "hosts", revision: undefined },
   { type: "fresh" },
+  { type: "fresh", table: "operators" },
   { type: "invite", hosts: { ...BATCH, isWhole: true, sinceRevision: undefined } },
 ];
 const HUB_MESSAGES: HubMessage<string>[] = [
@@ -50,6 +51,14 @@
   },
   { type: "view", ageMs: 0, ownAgeMs: Number.MAX_SAFE_INTEGER, recoveredAgoMs: null },
   { type: "view", ageMs: 1, ownAgeMs: 2, recoveredAgoMs: 3 },
+  {
+    type: "view",
+    ageMs: 1,
+    ownAgeMs: 2,
+    otherAgesMs: { operators: 4, hosts: 5 },
+    otherOwnAgesMs: { operators: 4, hosts: 6 },
+    recoveredAgoMs: 3,
+  },
   { type: "hosts", change: { joined: [ENTRY], left: ["h2"] } },
   { type: "waiting", call: 1 },
   { type: "placed", call: 1, decision: "d" },
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -3,24 +3,24 @@
  *
  * @module
  */
+import type { Millis } from "@jaypass/kernel";
+import { TABLE } from "./types.ts";
+import type { Table } from "./types.ts";
 
 /**
- * Milliseconds from the end of one poll of the servers table to the next one. Well below the drain
- * bound, so that hosts learn of a draining server in time.
+ * How a table is polled: milliseconds that the store holds a poll open while nothing changes, and from
+ * the end of one poll to the next one. The servers table is read often enough to learn of a draining
+ * server within the drain bound. The others are read again almost at once, so that each of several
+ * changes in a row is read promptly.
  */
-export const SERVERS_POLL_DELAY_MS = 600;
-
-/** Milliseconds that the store holds a poll of the servers table open while nothing changes. */
-export const SERVERS_LONG_POLL_MS = 200;
-
-/** Milliseconds that the store holds a poll of a rarely changed table open while nothing changes. */
-export const TABLE_LONG_POLL_MS = 2_000;
-
-/**
- * Milliseconds from the end of one poll of a rarely changed table to the next one. Short, so that
- * each of several changes in a row is read promptly.
- */
-export const TABLE_POLL_DELAY_MS = 50;
+export const TABLE_POLL: Readonly<Record<Table, { waitMs: Millis; delayMs: Millis }>> = {
+  [TABLE.SERVERS]: { waitMs: 200, delayMs: 600 },
+  [TABLE.OPERATORS]: { waitMs: 2_000, delayMs: 50 },
+  [TABLE.HOSTS]: { waitMs: 2_000, delayMs: 50 },
+};
+
+/** Milliseconds beyond the interval of its polls after which a copy of a table is stale. */
+export const STALE_SLACK_MS = 500;
 
 /** Milliseconds after which a store call times out, in addition to its long-poll time. */
 export const STORE_TIMEOUT_MS = 800;
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -1,6 +1,7 @@
-import { sleep, sleepUntilTick } from "@jaypass/kernel";
+import { ESSENTIAL, sleep, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, Millis, RandomSource, TaskGroup } from "@jaypass/kernel";
 import {
+  FLEET_TICK_MS,
   HOST_ROW_EXPIRY_MS,
   INVITE_INTERVAL_MS,
   STORE_TIMEOUT_MS,
@@ -12,8 +13,10 @@
 import type { HubScheduler } from "./create_hub_server.ts";
 import { createRowCache } from "./create_row_cache.ts";
 import { createStoreFollower } from "./create_store_follower.ts";
+import { createTableAges } from "./create_table_ages.ts";
 import { checkHostRow } from "./_lib/check_host_row.ts";
 import { createInvalidRowLog } from "./_lib/create_invalid_row_log.ts";
+import { createStaleTableLog } from "./_lib/create_stale_table_log.ts";
 import type { MessageParsers } from "./messages.ts";
 import { parseHostEntry } from "./parse_host_entry.ts";
 import { rankAmongHosts } from "./rank_among_hosts.ts";
@@ -128,6 +131,7 @@
   const { self, store, scheduler, clock, random, log, metrics, tasks } = options;
   const { gossip = NO_GOSSIP } = options;
   const cache = createRowCache();
+  const ages = createTableAges(clock);
   const startMs = clock.nowMs();
   let isLeaving = false;
   const isDraining = () => isLeaving;
@@ -163,6 +167,10 @@
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
     const changed = cache.apply(table, batch);
     if (changed.length === 0) return;
+    if (table === TABLE.OPERATORS) {
+      const { revision } = batch;
+      log.info({ origin, revision, [ESSENTIAL]: true }, "Rows of the operators changed");
+    }
     if (table === TABLE.HOSTS) {
       known = readKnownHosts();
       hubClient.reviewHubs({ isFirstRead: sinceRevision === undefined });
@@ -180,10 +188,9 @@
     scheduler,
     changesSince: (table, revision) => cache.changesSince(table, revision),
     onRows: (table, batch) => applyBatch(table, batch, "member"),
-    storeAge: () => ({
-      ageMs: follower.ageMs(),
-      recoveredAgoMs: follower.recoveredAgoMs(),
-    }),
+    readAgoMs: (table) => follower.ageMs(table),
+    recoveredAgoMs: () => follower.recoveredAgoMs(),
+    onMemberRead: (table) => ages.record(table, { ageMs: 0, hubAgeMs: Infinity }),
     knownHosts,
     hostRows: () => cache.changesSince(TABLE.HOSTS, undefined),
     gossip,
@@ -205,6 +212,7 @@
     revision: (table) => cache.revision(table),
     revisionForHub: (table) => cache.revisionForHub(table),
     findRow: (table, key) => cache.find(table, key),
+    onTableAge: (table, age) => ages.record(table, age),
     onRows: (table, batch) => applyBatch(table, batch, "hub"),
     gossip,
     parsers: options.parsers,
@@ -221,11 +229,22 @@
     metrics,
     tasks,
     shouldFollow: () => hubClient.shouldFollow(),
-    onServersRead: () => hubClient.notifyServersRead(),
+    onRead(table) {
+      ages.record(table, { ageMs: 0, hubAgeMs: hubClient.isHub() ? 0 : Infinity });
+      hubClient.notifyRead(table);
+    },
     revision: (table) => cache.revision(table),
     onBatch: (table, batch) => applyBatch(table, batch, "store"),
   });
 
+  const checkTableAges = createStaleTableLog({
+    ageOf: (table) => ages.of(table),
+    describeHubs: () => ({ isHub: hubClient.isHub(), hubs: hubClient.describeHubs() }),
+    clock,
+    log,
+    metrics,
+  });
+
   /**
    * An outage counts only when all hubs observed it. As long as some hosts reached the store, the
    * servers may have reached it, too, and kept their rows up to date.
@@ -321,6 +340,12 @@
       await hubServer.start();
       tasks.run("register host", register);
       tasks.run("remove expired hosts", removeExpiredHosts);
+      tasks.run("watch the ages of tables", async (signal) => {
+        while (!signal.aborted) {
+          await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
+          checkTableAges();
+        }
+      });
     },
     async leave() {
       isLeaving = true;
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -11,6 +11,7 @@
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { parseHubMessage } from "./_lib/parse_message.ts";
+import { decodeViewAges } from "./_lib/view_ages.ts";
 import { applyRowPatches } from "./_lib/row_patches.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
@@ -20,7 +21,7 @@
 import { shouldReconnectToHub } from "./should_reconnect_to_hub.ts";
 import { rankHubs } from "./rank_hubs.ts";
 import { TABLE } from "./types.ts";
-import type { Gossip, HostEntry, Row, RowBatch, Table } from "./types.ts";
+import type { Gossip, HostEntry, Row, RowBatch, Table, TableAge } from "./types.ts";
 
 /** Options of {@linkcode createHubClient}. */
 export interface HubClientOptions<Job, Decision, Report> {
@@ -46,6 +47,8 @@
   findRow: (table: Table, key: string) => Row | undefined;
   /** Facts that a new hub is told, and the receiver of those that hubs send. */
   gossip: Gossip;
+  /** Receives the age of a table that a hub stated, after its rows. */
+  onTableAge: (table: Table, age: TableAge) => void;
   /** Receives rows that a hub sent. */
   onRows: (table: Table, batch: RowBatch) => void;
   /** Parsers of jobs, decisions and reports in messages. */
@@ -83,8 +86,8 @@
   sendRows(table: Table, batch: RowBatch): void;
   /** Reviews the hubs after a change of the known hosts, at once after the first read of them. */
   reviewHubs(options: { isFirstRead: boolean }): void;
-  /** Tells the hubs that this host has just read the servers table. */
-  notifyServersRead(): void;
+  /** Tells the hubs that this host has just read a table. */
+  notifyRead(table: Table): void;
   /** True while this host has to read the store itself. */
   shouldFollow(): boolean;
   /**
@@ -100,10 +103,21 @@
   isHub(): boolean;
   /** Milliseconds since this host became one of its own hubs; 0 while it is none. */
   hubForMs(): Millis;
+  /** Describes the hubs other than this host for the log. */
+  describeHubs(): HubState[];
   /** Closes all links. */
   stop(): void;
 }
 
+/** State of the link to a hub. */
+export interface HubState {
+  hub: string;
+  /** True once the hub has sent its first view. */
+  isReady: boolean;
+  /** Milliseconds since the last message of the hub; undefined before the first one. */
+  heardAgoMs: Millis | undefined;
+}
+
 /** A job that a hub has been asked to place and has not decided on. */
 interface PendingPlacement<Decision> {
   /** Ends the wait; undefined when the hub cannot decide. */
@@ -233,6 +247,8 @@
       hub.viewFreshAtMs = Math.max(hub.firstViewAtMs, now - message.ageMs);
       hub.hubReadAtMs = Math.max(hub.firstViewAtMs, now - message.ownAgeMs);
       hub.storeRecoveredAtMs = now - (message.recoveredAgoMs ?? Infinity);
+      const ages = decodeViewAges(message);
+      for (const table of Object.values(TABLE)) options.onTableAge(table, ages[table]);
     } else if (message.type === "hosts") {
       hub.hosts ??= new Map();
       for (const host of message.change.left) hub.hosts.delete(host);
@@ -487,8 +503,8 @@
         selectHubs();
       }, HUB_REVIEW_DELAY_MS);
     },
-    notifyServersRead() {
-      for (const hub of hubs.values()) hub.link?.send({ type: "fresh" });
+    notifyRead(table) {
+      for (const hub of hubs.values()) hub.link?.send({ type: "fresh", table });
     },
     shouldFollow() {
       const ready = readyHubs();
@@ -515,6 +531,14 @@
       const own = hubs.get(self.host);
       return own === undefined ? 0 : clock.nowMs() - own.openedAtMs;
     },
+    describeHubs: () =>
+      [...hubs.values()].filter((hub) => !isSelf(hub.entry.host)).map((hub) => ({
+        hub: hub.entry.host,
+        isReady: hub.isReady,
+        heardAgoMs: Number.isFinite(hub.heardAtMs)
+          ? Math.round(clock.nowMs() - hub.heardAtMs)
+          : undefined,
+      })),
     stop() {
       clearTimeout(reviewTimer);
       for (const hub of [...hubs.values()]) closeHub(hub);
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -7,18 +7,18 @@
   INVITE_INTERVAL_MS,
   LINK_CONNECT_TIMEOUT_MS,
   LINK_IDLE_TIMEOUT_MS,
-  MAX_AGE_MS,
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { encodeMessage } from "./_lib/encode_message.ts";
 import { parseMemberMessage } from "./_lib/parse_message.ts";
+import { encodeViewAges } from "./_lib/view_ages.ts";
 import { createRowPatches } from "./_lib/row_patches.ts";
 import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubMessage, MemberMessage, MessageParsers } from "./messages.ts";
 import { TABLE } from "./types.ts";
-import type { Gossip, HostEntry, Row, RowBatch, Table } from "./types.ts";
+import type { Gossip, HostEntry, Row, RowBatch, Table, TableAge } from "./types.ts";
 
 /** Places the jobs of a hub's members. */
 export interface HubScheduler<Job, Decision, Report> {
@@ -44,8 +44,12 @@
   onRows: (table: Table, batch: RowBatch) => void;
   /** Facts that a new member is told, and the receiver of those that members send. */
   gossip: Gossip;
-  /** State of this host's own connection to the store. */
-  storeAge: () => { ageMs: Millis; recoveredAgoMs: Millis };
+  /** Milliseconds since this host itself read a table. */
+  readAgoMs: (table: Table) => Millis;
+  /** Milliseconds since the last outage of the store that this host observed ended. */
+  recoveredAgoMs: () => Millis;
+  /** Called after a member has read a table from the store and sent the changes. */
+  onMemberRead: (table: Table) => void;
   /** Hosts that have a row, this one included. */
   knownHosts: () => HostEntry[];
   /** The whole hosts table, which an invited host uses to find its hubs. */
@@ -113,15 +117,19 @@
   };
   const hostsDiff = createHostsDiff(listAnnounced);
 
-  let memberReadAtMs = -Infinity;
-  const roundAge = (ageMs: Millis) => Number.isFinite(ageMs) ? Math.round(ageMs) : MAX_AGE_MS;
+  const memberReadAtMs = new Map<Table, Millis>();
+
+  const describeAge = (table: Table): TableAge => {
+    const hubAgeMs = options.readAgoMs(table);
+    const memberAgeMs = clock.nowMs() - (memberReadAtMs.get(table) ?? -Infinity);
+    return { ageMs: Math.min(hubAgeMs, memberAgeMs), hubAgeMs };
+  };
 
   const describeView = (): HubMessage<Decision> => {
-    const { ageMs, recoveredAgoMs } = options.storeAge();
+    const recoveredAgoMs = options.recoveredAgoMs();
     return {
       type: "view",
-      ageMs: roundAge(Math.min(ageMs, clock.nowMs() - memberReadAtMs)),
-      ownAgeMs: roundAge(ageMs),
+      ...encodeViewAges(describeAge),
       recoveredAgoMs: Number.isFinite(recoveredAgoMs) ? Math.round(recoveredAgoMs) : null,
     };
   };
@@ -186,7 +194,8 @@
 
   const handleMessage = (member: Member<Decision>, message: MemberMessage<Job, Report>) => {
     const { host } = member.entry;
-    if (message.type === "ping") {
+    if (message.type === "place") handlePlace(member, message.call, message.job);
+    else if (message.type === "ping") {
       const hasChanged = member.isDraining !== message.isDraining;
       member.isDraining = message.isDraining;
       if (hasChanged) announceHosts();
@@ -195,8 +204,11 @@
     else if (message.type === "gossip") options.gossip.receive(message.items);
     else if (message.type === "want") {
       member.link.sendLine(encodeChanges(message.table, message.revision));
-    } else if (message.type === "fresh") memberReadAtMs = clock.nowMs();
-    else if (message.type === "place") handlePlace(member, message.call, message.job);
+    } else if (message.type === "fresh") {
+      const { table = TABLE.SERVERS } = message;
+      memberReadAtMs.set(table, clock.nowMs());
+      options.onMemberRead(table);
+    }
   };
 
   const serveLink = async (socket: Socket) => {
--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -3,14 +3,12 @@
 import {
   FLEET_TICK_MS,
   OUTAGE_MIN_MS,
-  SERVERS_LONG_POLL_MS,
-  SERVERS_POLL_DELAY_MS,
   STORE_RETRY_MS,
   STORE_TIMEOUT_MS,
-  TABLE_LONG_POLL_MS,
-  TABLE_POLL_DELAY_MS,
+  TABLE_POLL,
 } from "./constants.ts";
-import { HistoryLostError } from "./errors.ts";
+import { HistoryLostError, STORE_FAILURE } from "./errors.ts";
+import type { StoreError } from "./errors.ts";
 import { TABLE } from "./types.ts";
 import type { RowBatch, RowStore, Table } from "./types.ts";
 
@@ -34,14 +32,14 @@
   revision: (table: Table) => number | undefined;
   /** Receives each batch that was read. */
   onBatch: (table: Table, batch: RowBatch) => void;
-  /** Called after each read of the servers table, once its batch was passed to `onBatch`. */
-  onServersRead: () => void;
+  /** Called after each read of a table, once its batch was passed to `onBatch`. */
+  onRead: (table: Table) => void;
 }
 
 /** State of a host's own connection to the store. */
 export interface StoreFollower {
-  /** Milliseconds since the servers table was last read; Infinity when it never was. */
-  ageMs(): Millis;
+  /** Milliseconds since this host last read a table; Infinity when it never did. */
+  ageMs(table: Table): Millis;
   /** Milliseconds since the last outage of the store ended; Infinity when there was none. */
   recoveredAgoMs(): Millis;
 }
@@ -58,14 +56,14 @@
  */
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
   const { store, clock, random, log, metrics, tasks } = options;
-  let serversReadAtMs = -Infinity;
+  const readAtMs = new Map<Table, Millis>();
   let failingSinceMs: Millis | undefined;
   let recoveredAtMs = -Infinity;
   let failures = 0;
 
   const onSuccess = (table: Table) => {
     const now = clock.nowMs();
-    if (table === TABLE.SERVERS) serversReadAtMs = now;
+    readAtMs.set(table, now);
     if (failingSinceMs === undefined) return;
     const lengthMs = now - failingSinceMs;
     failingSinceMs = undefined;
@@ -76,11 +74,16 @@
   };
 
   const onFailure = (table: Table, err: unknown) => {
-    metrics.increment("store_failure", { table });
+    const { reason } = err as Partial<StoreError>;
+    metrics.increment("store_failure", { table, reason: reason ?? STORE_FAILURE.OTHER });
     failures += 1;
     if (failingSinceMs !== undefined) return;
     failingSinceMs = clock.nowMs();
-    log.warn({ table, err: String(err) }, "Store call failed; retrying");
+    const { cause } = err as Error;
+    log.warn(
+      { table, reason, err: String(err), cause: cause && String(cause) },
+      "Store call failed; retrying",
+    );
   };
 
   /**
@@ -100,7 +103,7 @@
     if (since === undefined) {
       return store.readTable(table, { timeoutMs: STORE_TIMEOUT_MS, signal });
     }
-    const waitMs = table === TABLE.SERVERS ? SERVERS_LONG_POLL_MS : TABLE_LONG_POLL_MS;
+    const { waitMs } = TABLE_POLL[table];
     return store.followTable(table, since, {
       waitMs,
       timeoutMs: waitMs + STORE_TIMEOUT_MS,
@@ -125,8 +128,8 @@
       });
       onSuccess(table);
       options.onBatch(table, batch);
-      if (table === TABLE.SERVERS) options.onServersRead();
-      await sleep(table === TABLE.SERVERS ? SERVERS_POLL_DELAY_MS : TABLE_POLL_DELAY_MS, signal);
+      options.onRead(table);
+      await sleep(TABLE_POLL[table].delayMs, signal);
     } catch (err) {
       if (signal.aborted) throw err;
       onFailure(table, err);
@@ -143,7 +146,7 @@
     });
   }
   return {
-    ageMs: () => clock.nowMs() - serversReadAtMs,
+    ageMs: (table) => clock.nowMs() - (readAtMs.get(table) ?? -Infinity),
     recoveredAgoMs: () => clock.nowMs() - recoveredAtMs,
   };
 }
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -7,6 +7,9 @@
 import type { TextPatch } from "./_lib/text_patch.ts";
 import type { HostEntry, RowBatch, Table } from "./types.ts";
 
+/** Milliseconds since tables were read. */
+export type TableAgesMs = Partial<Record<Table, Millis>>;
+
 /** A row that is sent as the difference from an older version. */
 export interface RowPatch {
   key: string;
@@ -54,8 +57,11 @@
   | { type: "rows"; table: Table; batch: RowBatch }
   /** Requests the rows changed since a revision, after a patch did not match the member's rows. */
   | { type: "want"; table: Table; revision: number | undefined }
-  /** The member has just read the servers table from the store and sent the changes. */
-  | { type: "fresh" }
+  /**
+   * The member has just read a table from the store and sent the changes; the servers table if none
+   * is named.
+   */
+  | { type: "fresh"; table?: Table }
   | GossipMessage
   /** Sent by a hub to a host without a link to it, on a connection of its own. */
   | { type: "invite"; hosts: RowBatch };
@@ -69,6 +75,10 @@
     ageMs: Millis;
     /** Milliseconds since the hub itself read the servers table. */
     ownAgeMs: Millis;
+    /** `ageMs` of the other tables; hosts of earlier releases do not send it. */
+    otherAgesMs?: TableAgesMs;
+    /** `ownAgeMs` of the other tables, unless all are the same as in `otherAgesMs`. */
+    otherOwnAgesMs?: TableAgesMs;
     /** Milliseconds since the last outage of the store ended; null when there was none. */
     recoveredAgoMs: Millis | null;
   }
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -12,6 +12,7 @@
 export * from "./create_hub_server.ts";
 export * from "./create_row_cache.ts";
 export * from "./create_store_follower.ts";
+export * from "./create_table_ages.ts";
 export * from "./errors.ts";
 export * from "./is_address.ts";
 export * from "./messages.ts";
--- a/packages/fleet/types.ts
+++ b/packages/fleet/types.ts
@@ -18,6 +18,14 @@
 /** A value of {@linkcode TABLE}. */
 export type Table = typeof TABLE[keyof typeof TABLE];
 
+/** Age of a copy of a table, in milliseconds; Infinity while there is none. */
+export interface TableAge {
+  /** Time since the copy was complete, whichever host read the store. */
+  ageMs: Millis;
+  /** Time since a hub itself read the table; at least `ageMs`. */
+  hubAgeMs: Millis;
+}
+
 /** Table of quarantined content, which hubs read and write themselves. */
 export const QUARANTINES_TABLE = "quarantines";
 
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -357,6 +357,7 @@
     requestId,
     status: failure.status,
     reason: failure.reason,
+    configuration: context.configuration()?.version,
     hasBegun: res.headersSent,
     hasCallerLeft: res.destroyed,
     ...monitor.describe(monitored),
