Find connections to the store that go silent in the middle of an answer

Cause: the first byte stood for the answer. A call that had received a byte never reported silence, and a connection that had received one counted as sound, so the calls went from one silent connection to the next, each for its whole time limit. A poll of the operators' table that was silent alone took 2.8 s.

Now only a whole answer proves a connection. The operators' table is polled for 1 s instead of 2 s, so that a poll that is silent alone is noticed within the bound on configurations.

--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -15,7 +15,7 @@
  */
 export const TABLE_POLL: Readonly<Record<Table, { waitMs: Millis; delayMs: Millis }>> = {
   [TABLE.SERVERS]: { waitMs: 200, delayMs: 600 },
-  [TABLE.OPERATORS]: { waitMs: 2_000, delayMs: 50 },
+  [TABLE.OPERATORS]: { waitMs: 1_000, delayMs: 50 },
   [TABLE.HOSTS]: { waitMs: 2_000, delayMs: 50 },
 };
 
--- a/packages/kernel/create_connection_pool.ts
+++ b/packages/kernel/create_connection_pool.ts
@@ -4,15 +4,13 @@
 
 /** A call whose connection is known. */
 export interface PooledCall {
-  /** Reports whether a byte has arrived on the connection since the call was sent. */
-  hasReceived(): boolean;
   /**
-   * Records that the call got no byte within its time limit: every connection that has been silent since
+   * Records that the call's answer is overdue: every connection that has delivered no whole answer since
    * before the call was sent becomes suspect.
    */
   reportSilence(): void;
-  /** Ends the call; its connection may be used for the next one if a whole response has arrived. */
-  end(): void;
+  /** Ends the call; `isWhole` tells whether a whole answer has arrived. */
+  end(isWhole: boolean): void;
 }
 
 /** Kept connections to one address, and what the silence of one says about the others. */
@@ -30,19 +28,20 @@
 
 interface Connection {
   openedMs: Millis;
-  /** Time of the last byte that is known to have arrived; that of the opening before the first one. */
-  receivedMs: Millis;
-  call: { bytesAtSend: number; onSuspect: () => void } | undefined;
+  /** Time of the last whole answer; that of the opening before the first one. */
+  provenMs: Millis;
+  call: { onSuspect: () => void } | undefined;
 }
 
 /**
  * Creates a pool without connections.
  *
- * Connections can go silent without a reset, all of one age at once, while new ones work. If each were
- * found silent by a call of its own, as many time limits would pass as there are connections. Therefore
- * one silent call makes all connections suspect that were open when it was sent and have received
- * nothing since. Idle ones are closed. The calls in progress are only told, since a long poll is silent
- * for other reasons too: they can be repeated on a new connection and keep the first one meanwhile.
+ * Connections can go silent without a reset, all of one age at once and even in the middle of an answer,
+ * while new ones work. If each were found silent by a call of its own, as many time limits would pass as
+ * there are connections. Therefore one silent call makes all connections suspect that were open when it
+ * was sent and have delivered no whole answer since. Idle ones are closed. The calls in progress are only
+ * told, since a long poll is silent for other reasons too: they can be repeated on a new connection and
+ * keep the first one meanwhile.
  *
  * @param clock monotonic time source
  * @returns the pool
@@ -57,22 +56,15 @@
 
   const register = (socket: Socket): Connection => {
     const now = clock.nowMs();
-    const connection = { openedMs: now, receivedMs: now, call: undefined };
+    const connection = { openedMs: now, provenMs: now, call: undefined };
     connections.set(socket, connection);
     socket.once("close", () => connections.delete(socket));
     return connection;
   };
 
-  const updateReceived = (socket: Socket, connection: Connection) => {
-    const { call } = connection;
-    if (call === undefined || socket.bytesRead === call.bytesAtSend) return;
-    connection.receivedMs = clock.nowMs();
-  };
-
   const suspectSince = (sinceMs: Millis) => {
     for (const [socket, connection] of [...connections]) {
-      updateReceived(socket, connection);
-      if (connection.openedMs >= sinceMs || connection.receivedMs > sinceMs) continue;
+      if (connection.openedMs >= sinceMs || connection.provenMs > sinceMs) continue;
       const { call } = connection;
       if (call === undefined) socket.destroy();
       else call.onSuspect();
@@ -88,7 +80,6 @@
       const sentMs = known === undefined ? connection.openedMs : clock.nowMs();
       let isToldSuspect = false;
       const call = {
-        bytesAtSend: socket.bytesRead,
         onSuspect() {
           if (isToldSuspect) return;
           isToldSuspect = true;
@@ -97,11 +88,10 @@
       };
       connection.call = call;
       return {
-        hasReceived: () => socket.bytesRead > call.bytesAtSend,
         reportSilence: () => suspectSince(sentMs),
-        end() {
+        end(isWhole) {
           if (connection.call !== call) return;
-          updateReceived(socket, connection);
+          if (isWhole) connection.provenMs = clock.nowMs();
           connection.call = undefined;
         },
       };
--- a/packages/kernel/run_with_backup.ts
+++ b/packages/kernel/run_with_backup.ts
@@ -2,6 +2,8 @@
 export interface TryOptions {
   /** Aborted when the result of the try is not needed any more. */
   signal: AbortSignal;
+  /** False for the first try, true for the second one. */
+  isBackup: boolean;
   /** Starts the second try beside the first one; without effect in the second one. */
   startBackup: () => void;
 }
@@ -34,9 +36,9 @@
       signal?.removeEventListener("abort", onAbort);
       controller.abort();
     };
-    const start = () => {
+    const start = (isBackup: boolean) => {
       runningCount += 1;
-      run({ signal: controller.signal, startBackup }).then((result) => {
+      run({ signal: controller.signal, isBackup, startBackup }).then((result) => {
         resolve(result);
         finish();
       }, (err) => {
@@ -49,8 +51,8 @@
     const startBackup = () => {
       if (hasBackup || controller.signal.aborted) return;
       hasBackup = true;
-      start();
+      start(true);
     };
-    start();
+    start(false);
   });
 }
