Read each table whatever the reads of the others do

What callers would see: a server that drains, or a change of the configuration, noticed late although the store answers.

Cause: the failure of one table's read stood for that of the store. Now a table that fails alone does not hold up the others; while all fail, one after another is tried, as rarely as before. A poll that is overdue does not wait for changes, so that the end of an outage is noticed at once.

--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -1,5 +1,6 @@
 import { ESSENTIAL, sleep, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, Millis, RandomSource, TaskGroup } from "@jaypass/kernel";
+import { computeStaleMs } from "./compute_stale_ms.ts";
 import {
   FLEET_TICK_MS,
   OUTAGE_MIN_MS,
@@ -26,8 +27,8 @@
   metrics: Metrics;
   /** Runs one task for each table. */
   tasks: TaskGroup;
-  /** True while this host has to read the store itself. */
-  shouldFollow: () => boolean;
+  /** True while this host has to read a table itself. */
+  shouldFollow: (table: Table) => boolean;
   /** Revision after which to read the changes of a table; undefined to read the whole table. */
   revision: (table: Table) => number | undefined;
   /** Receives each batch that was read. */
@@ -59,15 +60,20 @@
   const readAtMs = new Map<Table, Millis>();
   let failingSinceMs: Millis | undefined;
   let recoveredAtMs = -Infinity;
-  let failures = 0;
+  /** Tables whose last read failed. */
+  const failing = new Map<Table, { count: number; lastMs: Millis }>();
+  /** Time from which on the store is tried again while the reads of all tables fail. */
+  let nextTryMs = -Infinity;
+
+  const ageMs = (table: Table) => clock.nowMs() - (readAtMs.get(table) ?? -Infinity);
 
   const onSuccess = (table: Table) => {
     const now = clock.nowMs();
     readAtMs.set(table, now);
+    failing.delete(table);
     if (failingSinceMs === undefined) return;
     const lengthMs = now - failingSinceMs;
     failingSinceMs = undefined;
-    failures = 0;
     if (lengthMs < OUTAGE_MIN_MS) return;
     recoveredAtMs = now;
     log.info({ table, lengthMs: Math.round(lengthMs), [ESSENTIAL]: true }, "Store outage ended");
@@ -76,9 +82,11 @@
   const onFailure = (table: Table, err: unknown) => {
     const { reason } = err as Partial<StoreError>;
     metrics.increment("store_failure", { table, reason: reason ?? STORE_FAILURE.OTHER });
-    failures += 1;
-    if (failingSinceMs !== undefined) return;
-    failingSinceMs = clock.nowMs();
+    const now = clock.nowMs();
+    failingSinceMs ??= now;
+    const count = (failing.get(table)?.count ?? 0) + 1;
+    failing.set(table, { count, lastMs: now });
+    if (count > 1) return;
     const { cause } = err as Error;
     log.warn(
       { table, reason, err: String(err), cause: cause && String(cause) },
@@ -87,13 +95,23 @@
   };
 
   /**
-   * Whether a table is read now. While the store fails, only one table is, because failing calls
-   * load the store as well.
+   * Whether a table is read now. While the reads of all tables fail, one after another is tried, because
+   * failing calls load the store as well. A table that fails alone does not hold up the others.
    */
-  const mayRead = (table: Table) => failingSinceMs === undefined || table === TABLE.OPERATORS;
+  const mayRead = (table: Table) => {
+    const own = failing.get(table);
+    if (own === undefined) return true;
+    const followed = Object.values(TABLE).filter(options.shouldFollow);
+    if (followed.some((other) => !failing.has(other))) return true;
+    const isNext = followed.every((other) =>
+      own.lastMs <= (failing.get(other)?.lastMs ?? Infinity)
+    );
+    return isNext && clock.nowMs() >= nextTryMs;
+  };
 
-  const retryDelayMs = () => {
-    const limitMs = Math.min(STORE_RETRY_MS.max, STORE_RETRY_MS.min * 2 ** failures);
+  const retryDelayMs = (table: Table) => {
+    const { count = 0 } = failing.get(table) ?? {};
+    const limitMs = Math.min(STORE_RETRY_MS.max, STORE_RETRY_MS.min * 2 ** count);
     return limitMs * (0.5 + random() / 2);
   };
 
@@ -103,7 +121,8 @@
     if (since === undefined) {
       return store.readTable(table, { timeoutMs: STORE_TIMEOUT_MS, signal });
     }
-    const { waitMs } = TABLE_POLL[table];
+    // An overdue poll does not wait, since its answer tells at once that the copy is current.
+    const waitMs = ageMs(table) >= computeStaleMs(table) ? 0 : TABLE_POLL[table].waitMs;
     return store.followTable(table, since, {
       waitMs,
       timeoutMs: waitMs + STORE_TIMEOUT_MS,
@@ -133,20 +152,22 @@
     } catch (err) {
       if (signal.aborted) throw err;
       onFailure(table, err);
-      await sleep(retryDelayMs(), signal);
+      const delayMs = retryDelayMs(table);
+      nextTryMs = clock.nowMs() + delayMs;
+      await sleep(delayMs, signal);
     }
   };
 
   for (const table of Object.values(TABLE)) {
     tasks.run(`follow ${table}`, async (signal) => {
       while (!signal.aborted) {
-        if (options.shouldFollow() && mayRead(table)) await followOnce(table, signal);
+        if (options.shouldFollow(table) && mayRead(table)) await followOnce(table, signal);
         else await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
       }
     });
   }
   return {
-    ageMs: (table) => clock.nowMs() - (readAtMs.get(table) ?? -Infinity),
+    ageMs,
     recoveredAgoMs: () => clock.nowMs() - recoveredAtMs,
   };
 }
