Judge each table of the hubs by its own age

Cause: the age of one table stood for all, and a hub counted as fresh from its first view on, so that a series of lost hubs kept every host waiting.

A host now decides for each table by the age of its own copy, which outlasts its links and takes the newest of what hubs state and what it has read. The hosts that fall back read only the table that is stale. A copy that still waits for rows that were requested again gets no newer.

--- a/packages/fleet/_testing/create_memory_store.ts
+++ b/packages/fleet/_testing/create_memory_store.ts
@@ -1,4 +1,5 @@
 import { EventEmitter, once } from "node:events";
+import { setTimeout as wait } from "node:timers/promises";
 import { HistoryLostError, StoreError } from "../errors.ts";
 import { QUARANTINES_TABLE, TABLE } from "../types.ts";
 import type { Row, RowStore, StoredTable, Table } from "../types.ts";
@@ -13,6 +14,8 @@
   remove(table: Table, key: string): void;
   /** Names of hosts whose calls are rejected; "all" rejects every host. */
   rejectedHosts: Set<string>;
+  /** Polls that get no answer; each is the name of a host and a table, as in "h1 servers". */
+  silentPolls: Set<string>;
   /** Discards the history of changes. */
   compact(): void;
   /** Number of calls so far, including rejected ones. */
@@ -25,6 +28,7 @@
     [...Object.values(TABLE), QUARANTINES_TABLE as StoredTable].map((table) => [table, new Map()]),
   );
   const turnedAway = new Set<string>();
+  const silentPolls = new Set<string>();
   /** Emits the name of a table whose rows have changed. */
   const changes = new EventEmitter().setMaxListeners(0);
   let revision = 1;
@@ -58,6 +62,7 @@
   };
   return {
     rejectedHosts: turnedAway,
+    silentPolls,
     write: put,
     remove: (table, key) => put(table, key, undefined),
     compact: () => void (oldest = revision),
@@ -68,8 +73,12 @@
         const rows = [...rowsOf(table).values()].filter((row) => row.value !== undefined);
         return Promise.resolve({ revision, rows, isWhole: true, sinceRevision: undefined });
       },
-      async followTable(table, sinceRevision, { waitMs, signal }) {
+      async followTable(table, sinceRevision, { waitMs, timeoutMs, signal }) {
         check(host);
+        if (silentPolls.has(`${host} ${table}`)) {
+          await wait(timeoutMs, undefined, { signal });
+          throw new StoreError("Poll got no answer in time");
+        }
         if (sinceRevision < oldest) throw new HistoryLostError("History was discarded");
         const changedRows = () =>
           [...rowsOf(table).values()].filter((row) => row.version > sinceRevision);
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -28,8 +28,8 @@
 /** Delay in milliseconds before a failed store call is retried, doubled with each failure. */
 export const STORE_RETRY_MS = { min: 150, max: 1_000 } as const;
 
-/** Milliseconds without fresh rows from a hub after which a host reads the store itself. */
-export const VIEW_STALE_MS = 1_300;
+/** Milliseconds after the start in which all hosts with a row count as live if no hub tells. */
+export const HOST_ROW_TRUST_MS = 2_600;
 
 /**
  * Hosts that start to read the store as soon as no hub reaches it. One host with a path to the store
@@ -39,7 +39,7 @@
 export const FALLBACK_FOLLOWER_COUNT = 8;
 
 /**
- * Milliseconds beyond VIEW_STALE_MS after which the remaining hosts start to read the store, one
+ * Milliseconds beyond the age of a stale table after which the remaining hosts start to read the store, one
  * after another. By then a store call of the first followers has been answered or has timed out.
  */
 export const FALLBACK_DELAY_MS = 1_500;
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -3,9 +3,9 @@
 import {
   FLEET_TICK_MS,
   HOST_ROW_EXPIRY_MS,
+  HOST_ROW_TRUST_MS,
   INVITE_INTERVAL_MS,
   STORE_TIMEOUT_MS,
-  VIEW_STALE_MS,
 } from "./constants.ts";
 import { createHubClient } from "./create_hub_client.ts";
 import type { PlaceTimeouts } from "./create_hub_client.ts";
@@ -212,6 +212,7 @@
     revision: (table) => cache.revision(table),
     revisionForHub: (table) => cache.revisionForHub(table),
     findRow: (table, key) => cache.find(table, key),
+    tableAge: (table) => ages.of(table),
     onTableAge: (table, age) => ages.record(table, age),
     onRows: (table, batch) => applyBatch(table, batch, "hub"),
     gossip,
@@ -228,7 +229,7 @@
     log,
     metrics,
     tasks,
-    shouldFollow: () => hubClient.shouldFollow(),
+    shouldFollow: (table) => hubClient.shouldFollow(table),
     onRead(table) {
       ages.record(table, { ageMs: 0, hubAgeMs: hubClient.isHub() ? 0 : Infinity });
       hubClient.notifyRead(table);
@@ -310,7 +311,7 @@
   const listLive = (): HostEntry[] => {
     const others = hubClient.isHub()
       ? hubServer.liveMembers()
-      : hubClient.liveHosts() ?? (clock.nowMs() - startMs < VIEW_STALE_MS * 2 ? knownHosts() : []);
+      : hubClient.liveHosts() ?? (clock.nowMs() - startMs < HOST_ROW_TRUST_MS ? knownHosts() : []);
     const withoutSelf = others.filter((entry) => entry.host !== self.host);
     return isLeaving ? withoutSelf : [self, ...withoutSelf];
   };
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -1,6 +1,7 @@
 import { ESSENTIAL, runAfterRead, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Millis, TaskGroup } from "@jaypass/kernel";
 import { chooseHubs } from "./choose_hubs.ts";
+import { computeStaleMs } from "./compute_stale_ms.ts";
 import {
   HUB_RETRY_DELAY_MS,
   HUB_REVIEW_DELAY_MS,
@@ -47,6 +48,8 @@
   findRow: (table: Table, key: string) => Row | undefined;
   /** Facts that a new hub is told, and the receiver of those that hubs send. */
   gossip: Gossip;
+  /** Age of this host's copy of a table. */
+  tableAge: (table: Table) => TableAge;
   /** Receives the age of a table that a hub stated, after its rows. */
   onTableAge: (table: Table, age: TableAge) => void;
   /** Receives rows that a hub sent. */
@@ -88,8 +91,8 @@
   reviewHubs(options: { isFirstRead: boolean }): void;
   /** Tells the hubs that this host has just read a table. */
   notifyRead(table: Table): void;
-  /** True while this host has to read the store itself. */
-  shouldFollow(): boolean;
+  /** True while this host has to read a table itself. */
+  shouldFollow(table: Table): boolean;
   /**
    * Milliseconds since the last outage of the store that all other hubs observed ended; Infinity
    * when one of them observed none, undefined when there is no other hub.
@@ -137,16 +140,12 @@
   timeouts: number;
   /** Live hosts by name; undefined before the hub has sent them. */
   hosts: Map<string, HostEntry> | undefined;
+  /** Tables whose rows were requested because a patch did not match; their copies lack changes. */
+  awaitedTables: Set<Table>;
   /** Time at which the connect began. */
   openedAtMs: Millis;
   /** Time of the last message from the hub. */
   heardAtMs: Millis;
-  /** Time of the first view from the hub. */
-  firstViewAtMs: Millis;
-  /** Time at which the hub or one of its members last read the servers table. */
-  viewFreshAtMs: Millis;
-  /** Time at which the hub itself last read the servers table. */
-  hubReadAtMs: Millis;
   /** Time at which the last outage of the store ended, as observed by the hub. */
   storeRecoveredAtMs: Millis;
 }
@@ -224,7 +223,11 @@
   const applyRows = (hub: Hub, message: HubMessage<Decision> & { type: "rows" }) => {
     const { table, patches = [] } = message;
     const batch = applyRowPatches(message.batch, patches, (key) => options.findRow(table, key));
-    if (batch !== undefined) return options.onRows(table, batch);
+    if (batch !== undefined) {
+      hub.awaitedTables.delete(table);
+      return options.onRows(table, batch);
+    }
+    hub.awaitedTables.add(table);
     log.info(
       { hub: hub.entry.host, table },
       "Row patch does not match the local version; requesting whole rows",
@@ -236,19 +239,15 @@
     hub.heardAtMs = clock.nowMs();
     if (message.type === "rows") applyRows(hub, message);
     else if (message.type === "view") {
-      const now = clock.nowMs();
       if (!hub.isReady) {
-        hub.firstViewAtMs = now;
         hub.isReady = true;
         notifyLinkWaiters();
       }
-      // Rows count as fresh at the first view, so that a hub that has just started has time to read
-      // the store.
-      hub.viewFreshAtMs = Math.max(hub.firstViewAtMs, now - message.ageMs);
-      hub.hubReadAtMs = Math.max(hub.firstViewAtMs, now - message.ownAgeMs);
-      hub.storeRecoveredAtMs = now - (message.recoveredAgoMs ?? Infinity);
+      hub.storeRecoveredAtMs = clock.nowMs() - (message.recoveredAgoMs ?? Infinity);
       const ages = decodeViewAges(message);
-      for (const table of Object.values(TABLE)) options.onTableAge(table, ages[table]);
+      for (const table of Object.values(TABLE)) {
+        if (!hub.awaitedTables.has(table)) options.onTableAge(table, ages[table]);
+      }
     } else if (message.type === "hosts") {
       hub.hosts ??= new Map();
       for (const host of message.change.left) hub.hosts.delete(host);
@@ -330,11 +329,9 @@
       pendingPlacements: new Map(),
       timeouts: 0,
       hosts: undefined,
+      awaitedTables: new Set(),
       openedAtMs: clock.nowMs(),
       heardAtMs: -Infinity,
-      firstViewAtMs: -Infinity,
-      viewFreshAtMs: -Infinity,
-      hubReadAtMs: -Infinity,
       storeRecoveredAtMs: -Infinity,
     };
     hubs.set(entry.host, hub);
@@ -506,14 +503,13 @@
     notifyRead(table) {
       for (const hub of hubs.values()) hub.link?.send({ type: "fresh", table });
     },
-    shouldFollow() {
-      const ready = readyHubs();
-      const lacksConfiguration = options.revision(TABLE.OPERATORS) === undefined;
-      if (ready.length === 0 || hubs.has(self.host) || lacksConfiguration) return true;
+    shouldFollow(table) {
+      const isUnread = options.revision(table) === undefined;
+      if (readyHubs().length === 0 || hubs.has(self.host) || isUnread) return true;
       return shouldFollowStore({
         fallbackRank,
-        hubAgeMs: clock.nowMs() - Math.max(...ready.map((hub) => hub.hubReadAtMs)),
-        viewAgeMs: clock.nowMs() - Math.max(...ready.map((hub) => hub.viewFreshAtMs)),
+        staleMs: computeStaleMs(table),
+        ...options.tableAge(table),
       });
     },
     recoveredAgoMs() {
