Have hubs request rows that a member read before they were linked

What callers would see: a change that one host has read and the others do not learn, for as long as the hubs cannot read the store. Found because a test on lost hubs failed for 20 s: a host sent rows to its hubs only at the moment at which they changed in its own copy. Hubs that it was linked to later never got them, and its message that it had just read the table made their views say that the rows were fresh. The rows that a starting host had read also went out as changes without removals, so that a hub could count as up to date and keep a row that is gone.

Cause: that a host had read the store stood for the hub having the rows. The message now states the revisions between which its sender knows every change; a hub that lacks earlier ones requests them, and does not count as fresh until it has them. A hub with a stale copy requests what a joining host knows beyond it. A first copy is passed on as a whole table, with what is gone, and rows of the store are sent even if their reader had them from another hub.

stale_tables_test: the new test failed (20 s), passes.

--- a/packages/fleet/_lib/parse_message.ts
+++ b/packages/fleet/_lib/parse_message.ts
@@ -5,6 +5,7 @@
   HubMessage,
   MemberMessage,
   MessageParsers,
+  RevisionSpan,
   RowPatch,
   TableAgesMs,
 } from "../messages.ts";
@@ -57,7 +58,11 @@
     case "want":
       return { type, table: parseTable(fields), revision: parseVersion(fields, "revision") };
     case "fresh":
-      return { type, ...fields.has("table") && { table: parseTable(fields) } };
+      return {
+        type,
+        ...fields.has("table") && { table: parseTable(fields) },
+        ...fields.has("span") && { span: parseSpan(fields.value("span")) },
+      };
     case "gossip":
       return { type, items: fields.values("items") };
     case "invite":
@@ -105,6 +110,8 @@
       const joined = change.values("joined").map(parseHostEntry);
       return { type, change: { joined, left: change.strings("left") } };
     }
+    case "want":
+      return { type, table: parseTable(fields), revision: parseVersion(fields, "revision") };
     case "gossip":
       return { type, items: fields.values("items") };
     case "waiting":
@@ -143,6 +150,14 @@
   return revisions;
 }
 
+function parseSpan(value: unknown): RevisionSpan {
+  const fields = createFieldReader(value);
+  return {
+    since: fields.integer("since", VERSION_RANGE),
+    until: fields.integer("until", VERSION_RANGE),
+  };
+}
+
 function parseAges<Name extends string>(
   fields: FieldReader,
   name: Name,
--- a/packages/fleet/_lib/parse_message_test.ts
+++ b/packages/fleet/_lib/parse_message_test.ts
@@ -39,7 +39,7 @@
   { type: "rows", table: "servers", batch: BATCH },
   { type: "want", table: "hosts", revision: undefined },
   { type: "fresh" },
-  { type: "fresh", table: "operators" },
+  { type: "fresh", table: "operators", span: { since: 3, until: 7 } },
   { type: "invite", hosts: { ...BATCH, isWhole: true, sinceRevision: undefined } },
 ];
 const HUB_MESSAGES: HubMessage<string>[] = [
@@ -60,6 +60,7 @@
     recoveredAgoMs: 3,
   },
   { type: "hosts", change: { joined: [ENTRY], left: ["h2"] } },
+  { type: "want", table: "servers", revision: 4 },
   { type: "waiting", call: 1 },
   { type: "placed", call: 1, decision: "d" },
 ];
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -7,6 +7,7 @@
   INVITE_INTERVAL_MS,
   STORE_TIMEOUT_MS,
 } from "./constants.ts";
+import { computeStaleMs } from "./compute_stale_ms.ts";
 import { createHubClient } from "./create_hub_client.ts";
 import type { PlaceTimeouts } from "./create_hub_client.ts";
 import { createHubServer } from "./create_hub_server.ts";
@@ -152,7 +153,10 @@
     return origin === "store" ? rows : rows.map((row) => options.checkRow(table, row));
   };
 
-  /** Merges rows and forwards the changed ones; rows of a hub are not sent back to the hubs. */
+  /**
+   * Merges rows and forwards the changed ones. Rows of a hub are not sent back to the hubs, and those of
+   * the store are sent to them even if this host knew them, since a hub may not.
+   */
   const applyBatch = (table: Table, received: RowBatch, origin: RowOrigin) => {
     const batch = { ...received, rows: checkRows(table, received.rows, origin) };
     // A row that another host found invalid is logged there.
@@ -166,6 +170,7 @@
     const sinceRevision = cache.revision(table);
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
     const changed = cache.apply(table, batch);
+    if (origin === "store" && batch.rows.length > 0) hubClient.sendRows(table, batch);
     if (changed.length === 0) return;
     if (table === TABLE.OPERATORS) {
       const { revision } = batch;
@@ -177,9 +182,12 @@
     }
     options.onChange(table, changed);
     const revision = cache.revision(table) ?? batch.revision;
-    const changes: RowBatch = { revision, rows: changed, isWhole: false, sinceRevision };
+    // Only a whole table tells which rows are gone.
+    const changes: RowBatch = sinceRevision === undefined
+      ? cache.changesSince(table, undefined)
+      : { revision, rows: changed, isWhole: false, sinceRevision };
     hubServer.broadcast(table, changes, before);
-    if (origin !== "hub") hubClient.sendRows(table, changes);
+    if (origin === "member") hubClient.sendRows(table, changes);
   };
 
   const hubServer = createHubServer<Job, Decision, Report>({
@@ -190,7 +198,13 @@
     onRows: (table, batch) => applyBatch(table, batch, "member"),
     readAgoMs: (table) => follower.ageMs(table),
     recoveredAgoMs: () => follower.recoveredAgoMs(),
-    onMemberRead: (table) => ages.record(table, { ageMs: 0, hubAgeMs: Infinity }),
+    revision: (table) => cache.revision(table),
+    isStale: (table) => ages.of(table).ageMs >= computeStaleMs(table),
+    onMemberRead(table, span) {
+      if (span !== undefined && !cache.extend(table, span)) return false;
+      ages.record(table, { ageMs: 0, hubAgeMs: Infinity });
+      return true;
+    },
     knownHosts,
     hostRows: () => cache.changesSince(TABLE.HOSTS, undefined),
     gossip,
@@ -211,6 +225,7 @@
     ageJob: options.ageJob,
     revision: (table) => cache.revision(table),
     revisionForHub: (table) => cache.revisionForHub(table),
+    changesSince: (table, revision) => cache.changesSince(table, revision),
     findRow: (table, key) => cache.find(table, key),
     tableAge: (table) => ages.of(table),
     onTableAge: (table, age) => ages.record(table, age),
@@ -230,9 +245,9 @@
     metrics,
     tasks,
     shouldFollow: (table) => hubClient.shouldFollow(table),
-    onRead(table) {
+    onRead(table, { revision, sinceRevision = revision }) {
       ages.record(table, { ageMs: 0, hubAgeMs: hubClient.isHub() ? 0 : Infinity });
-      hubClient.notifyRead(table);
+      hubClient.notifyRead(table, { since: sinceRevision, until: revision });
     },
     revision: (table) => cache.revision(table),
     onBatch: (table, batch) => applyBatch(table, batch, "store"),
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -17,7 +17,7 @@
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubScheduler } from "./create_hub_server.ts";
-import type { HubMessage, MemberMessage, MessageParsers } from "./messages.ts";
+import type { HubMessage, MemberMessage, MessageParsers, RevisionSpan } from "./messages.ts";
 import { shouldFollowStore } from "./should_follow_store.ts";
 import { shouldReconnectToHub } from "./should_reconnect_to_hub.ts";
 import { rankHubs } from "./rank_hubs.ts";
@@ -44,6 +44,8 @@
   revision: (table: Table) => number | undefined;
   /** Revision after which a new hub sends the changes of a table; undefined for all rows. */
   revisionForHub: (table: Table) => number | undefined;
+  /** Returns the changes of a table after a revision, for a hub that lacks them. */
+  changesSince: (table: Table, revision: number | undefined) => RowBatch;
   /** Finds a row in this host's copy of a table. */
   findRow: (table: Table, key: string) => Row | undefined;
   /** Facts that a new hub is told, and the receiver of those that hubs send. */
@@ -89,8 +91,8 @@
   sendRows(table: Table, batch: RowBatch): void;
   /** Reviews the hubs after a change of the known hosts, at once after the first read of them. */
   reviewHubs(options: { isFirstRead: boolean }): void;
-  /** Tells the hubs that this host has just read a table. */
-  notifyRead(table: Table): void;
+  /** Tells the hubs that this host has just read a table and sent the changes. */
+  notifyRead(table: Table, span: RevisionSpan): void;
   /** True while this host has to read a table itself. */
   shouldFollow(table: Table): boolean;
   /**
@@ -252,6 +254,9 @@
       hub.hosts ??= new Map();
       for (const host of message.change.left) hub.hosts.delete(host);
       for (const entry of message.change.joined) hub.hosts.set(entry.host, entry);
+    } else if (message.type === "want") {
+      const { table, revision } = message;
+      hub.link?.send({ type: "rows", table, batch: options.changesSince(table, revision) });
     } else if (message.type === "gossip") options.gossip.receive(message.items);
     else if (message.type === "waiting") hub.pendingPlacements.get(message.call)?.extendTimeout();
     else hub.pendingPlacements.get(message.call)?.settle(message.decision);
@@ -500,8 +505,8 @@
         selectHubs();
       }, HUB_REVIEW_DELAY_MS);
     },
-    notifyRead(table) {
-      for (const hub of hubs.values()) hub.link?.send({ type: "fresh", table });
+    notifyRead(table, span) {
+      for (const hub of hubs.values()) hub.link?.send({ type: "fresh", table, span });
     },
     shouldFollow(table) {
       const isUnread = options.revision(table) === undefined;
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -16,7 +16,7 @@
 import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
-import type { HubMessage, MemberMessage, MessageParsers } from "./messages.ts";
+import type { HubMessage, MemberMessage, MessageParsers, RevisionSpan } from "./messages.ts";
 import { TABLE } from "./types.ts";
 import type { Gossip, HostEntry, Row, RowBatch, Table, TableAge } from "./types.ts";
 
@@ -48,8 +48,15 @@
   readAgoMs: (table: Table) => Millis;
   /** Milliseconds since the last outage of the store that this host observed ended. */
   recoveredAgoMs: () => Millis;
-  /** Called after a member has read a table from the store and sent the changes. */
-  onMemberRead: (table: Table) => void;
+  /**
+   * Called after a member has read a table from the store and sent the changes in a span of revisions.
+   * Returns false if this host lacks earlier changes.
+   */
+  onMemberRead: (table: Table, span: RevisionSpan | undefined) => boolean;
+  /** Revision of this host's copy of a table; undefined without one. */
+  revision: (table: Table) => number | undefined;
+  /** True while this host's copy of a table is stale. */
+  isStale: (table: Table) => boolean;
   /** Hosts that have a row, this one included. */
   knownHosts: () => HostEntry[];
   /** The whole hosts table, which an invited host uses to find its hubs. */
@@ -170,10 +177,24 @@
     const items = options.gossip.list();
     if (items.length > 0) link.send({ type: "gossip", items });
     link.send(describeView());
+    for (const table of Object.values(TABLE)) {
+      const isBehind = (revisions[table] ?? -1) > (options.revision(table) ?? -1);
+      if (isBehind && options.isStale(table)) requestRows(member, table);
+    }
     log.info({ member: entry.host, reports: reports.length, [ESSENTIAL]: true }, "Member joined");
     return member;
   };
 
+  const requestedAtMs = new Map<Table, Millis>();
+
+  /** Requests the rows that this host lacks; of hosts that join together, only one is asked. */
+  const requestRows = ({ link }: Member<Decision>, table: Table) => {
+    const now = clock.nowMs();
+    if (now - (requestedAtMs.get(table) ?? -Infinity) < VIEW_INTERVAL_MS) return;
+    requestedAtMs.set(table, now);
+    link.send({ type: "want", table, revision: options.revision(table) });
+  };
+
   const handlePlace = (member: Member<Decision>, call: number, job: Job) => {
     const decision = scheduler.place(member.entry.host, job);
     if (!(decision instanceof Promise)) {
@@ -205,9 +226,9 @@
     else if (message.type === "want") {
       member.link.sendLine(encodeChanges(message.table, message.revision));
     } else if (message.type === "fresh") {
-      const { table = TABLE.SERVERS } = message;
-      memberReadAtMs.set(table, clock.nowMs());
-      options.onMemberRead(table);
+      const { table = TABLE.SERVERS, span } = message;
+      if (options.onMemberRead(table, span)) memberReadAtMs.set(table, clock.nowMs());
+      else requestRows(member, table);
     }
   };
 
--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -1,3 +1,4 @@
+import type { RevisionSpan } from "./messages.ts";
 import { TABLE } from "./types.ts";
 import type { Row, RowBatch, Table } from "./types.ts";
 
@@ -5,6 +6,11 @@
 export interface RowCache {
   /** Merges a batch and returns the rows whose content changed. */
   apply(table: Table, batch: RowBatch): Row[];
+  /**
+   * Extends the revision of a copy to the end of a span of revisions in which it has every change; false
+   * if it lacks changes before the span.
+   */
+  extend(table: Table, span: RevisionSpan): boolean;
   /** Revision up to which the copy of a table is complete; undefined before the first whole table. */
   revision(table: Table): number | undefined;
   /**
@@ -115,6 +121,12 @@
       if (!hasGap(copy, batch)) copy.revision = Math.max(copy.revision ?? 0, batch.revision);
       return changed;
     },
+    extend(table, { since, until }) {
+      const copy = cachedTable(table);
+      if (copy.revision === undefined || since > copy.revision) return false;
+      copy.revision = Math.max(copy.revision, until);
+      return true;
+    },
     revision: (table) => cachedTable(table).revision,
     revisionForHub(table) {
       const { revision, unknownKeys } = cachedTable(table);
--- a/packages/fleet/create_row_cache_test.ts
+++ b/packages/fleet/create_row_cache_test.ts
@@ -130,3 +130,15 @@
   cache.apply(TABLE.SERVERS, changes(11, 12, [row("a", "1", 12)]));
   t.deepEqual(cache.rows(TABLE.SERVERS).map(({ key }) => key).sort(), ["a", "b"]);
 });
+
+test("a copy is extended only by a span of revisions that begins within it", (t) => {
+  const cache = createRowCache();
+  t.false(cache.extend(TABLE.SERVERS, { since: 0, until: 5 }));
+  cache.apply(TABLE.SERVERS, { revision: 5, rows: [], isWhole: true, sinceRevision: undefined });
+  t.false(cache.extend(TABLE.SERVERS, { since: 6, until: 9 }));
+  t.is(cache.revision(TABLE.SERVERS), 5);
+  t.true(cache.extend(TABLE.SERVERS, { since: 4, until: 9 }));
+  t.is(cache.revision(TABLE.SERVERS), 9);
+  t.true(cache.extend(TABLE.SERVERS, { since: 3, until: 7 }));
+  t.is(cache.revision(TABLE.SERVERS), 9);
+});
--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -34,7 +34,7 @@
   /** Receives each batch that was read. */
   onBatch: (table: Table, batch: RowBatch) => void;
   /** Called after each read of a table, once its batch was passed to `onBatch`. */
-  onRead: (table: Table) => void;
+  onRead: (table: Table, batch: RowBatch) => void;
 }
 
 /** State of a host's own connection to the store. */
@@ -147,7 +147,7 @@
       });
       onSuccess(table);
       options.onBatch(table, batch);
-      options.onRead(table);
+      options.onRead(table, batch);
       await sleep(TABLE_POLL[table].delayMs, signal);
     } catch (err) {
       if (signal.aborted) throw err;
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -10,6 +10,12 @@
 /** Milliseconds since tables were read. */
 export type TableAgesMs = Partial<Record<Table, Millis>>;
 
+/** Revisions between which a reader of the store knows every change. */
+export interface RevisionSpan {
+  since: number;
+  until: number;
+}
+
 /** A row that is sent as the difference from an older version. */
 export interface RowPatch {
   key: string;
@@ -58,10 +64,10 @@
   /** Requests the rows changed since a revision, after a patch did not match the member's rows. */
   | { type: "want"; table: Table; revision: number | undefined }
   /**
-   * The member has just read a table from the store and sent the changes; the servers table if none
-   * is named.
+   * The member has just read a table from the store and sent the changes. Hosts of earlier releases
+   * state nothing more, and mean the servers table.
    */
-  | { type: "fresh"; table?: Table }
+  | { type: "fresh"; table?: Table; span?: RevisionSpan }
   | GossipMessage
   /** Sent by a hub to a host without a link to it, on a connection of its own. */
   | { type: "invite"; hosts: RowBatch };
@@ -83,6 +89,8 @@
     recoveredAgoMs: Millis | null;
   }
   | { type: "hosts"; change: HostsChange }
+  /** Requests the rows changed since a revision, because the member knows a later one. */
+  | { type: "want"; table: Table; revision: number | undefined }
   | GossipMessage
   /** The job is queued; its decision follows later. */
   | { type: "waiting"; call: number }
--- a/packages/fleet/stale_tables_test.ts
+++ b/packages/fleet/stale_tables_test.ts
@@ -3,7 +3,13 @@
 import { computeStaleMs } from "./compute_stale_ms.ts";
 import { FLEET_TICK_MS, TABLE_POLL } from "./constants.ts";
 import { rankHubs } from "./rank_hubs.ts";
-import { startHosts, waitUntil } from "./_testing/start_fleet_hosts.ts";
+import {
+  makeEntry,
+  serverKeysOf,
+  startHost,
+  startHosts,
+  waitUntil,
+} from "./_testing/start_fleet_hosts.ts";
 import type { TestHost } from "./_testing/start_fleet_hosts.ts";
 import { TABLE } from "./types.ts";
 import type { Table } from "./types.ts";
@@ -72,3 +78,20 @@
   const elapsedMs = await noticed;
   t.true(elapsedMs < noticeMs(TABLE.SERVERS) + computeStaleMs(TABLE.SERVERS), `${elapsedMs} ms`);
 });
+
+// Guards against a host that knows newer rows than its hubs and says only that it has read the store.
+test.serial("hubs that cannot read a table get what a host knew before it had a link to them", async (t) => {
+  const { store, hosts } = await startHosts(t, 4);
+  store.write(TABLE.SERVERS, "gone", "{}");
+  await waitUntil(() => hosts.every(({ fleet }) => fleet.rows(TABLE.SERVERS).length === 1));
+  for (const { entry } of hosts) store.silentPolls.add(`${entry.host} ${TABLE.SERVERS}`);
+  await wait(noticeMs(TABLE.SERVERS));
+  store.write(TABLE.SERVERS, "new", "{}");
+  store.remove(TABLE.SERVERS, "gone");
+  const startMs = performance.now();
+  const late = await startHost(t, store, makeEntry(4));
+  const knowsAll = (host: TestHost) => serverKeysOf(host).join() === "new";
+  await waitUntil(() => [...hosts, late].every(knowsAll));
+  const elapsedMs = performance.now() - startMs;
+  t.true(elapsedMs < noticeMs(TABLE.SERVERS), `${elapsedMs} ms`);
+});
