Count a continued answer as a run of its own length

Cause: a second server continued the stream for its last 0.2 s, and this answer cleared the content of the crash at 1.5 s, as a whole one does. Sound answers of 1.7 s did not count in comparison, since lengths were counted in classes of a factor of 1.4.

A job now says whether its answer continues another one; the answer then speaks for the time that it took.

--- a/packages/bench/simulate_crashes_test.ts
+++ b/packages/bench/simulate_crashes_test.ts
@@ -73,6 +73,17 @@
   },
 };
 
+/** Crashes so late that the rest of the answer is written elsewhere before the next one. */
+const CONTINUED: Record<string, Partial<CrashLoad>> = {
+  "each second": { crashingPerSecond: 1 },
+  "each 5 s": { crashingPerSecond: 0.2, seconds: 80 },
+  "each 5 s beside other crashes": {
+    crashingPerSecond: 0.2,
+    otherCrashesPerSecond: 0.005,
+    seconds: 80,
+  },
+};
+
 async function simulateAll(changes: Partial<CrashLoad>, rule: CrashRule) {
   const results = await Promise.all(
     SEEDS.map((seed) => simulateCrashes({ ...CALM, ...changes, seed }, rule)),
@@ -107,6 +118,16 @@
   });
 }
 
+// Guards against a continuation that clears its content as a whole answer does.
+for (const [name, changes] of Object.entries(CONTINUED)) {
+  test(`few retries continue answers that crash servers near their end: ${name}`, async (t) => {
+    const load = { crashingParts: 1, crashDelayMs: 1_500, answerMs: 1_850, isResumable: true };
+    const parts = await simulateAll({ ...load, soundPerSecond: 20, ...changes }, CRASH_RULE.PARTS);
+    t.log(parts);
+    t.true(parts.lateRetries <= MAX_LATE_REQUESTS);
+  });
+}
+
 test("crashing requests of a service without other requests are not sent to a second server for long", async (t) => {
   const load = { soundPerSecond: 0, crashingParts: 1, crashingPerSecond: 0.2, seconds: 120 };
   const parts = await simulateAll(load, CRASH_RULE.PARTS);
--- a/packages/bench/simulate_placement.ts
+++ b/packages/bench/simulate_placement.ts
@@ -249,6 +249,7 @@
     isRetry: false,
     fingerprint: id,
     parts: [],
+    isContinuation: false,
     isRepeatable: true,
   }).then((choice) => {
     if (hasEnded) return;
--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -28,6 +28,7 @@
     elapsedMs: now - request.arrivalMs,
     excludedIds: [...new Set([...excludedIds, ...unusable.map(({ id }) => id)])],
     isRetry: state.sendCount > 0,
+    isContinuation: (handler.resumeAfter() ?? metadata.lastEventId) !== undefined,
     fingerprint: request.fingerprint,
     parts: metadata.promptParts,
     isRepeatable: isRepeatable(request),
--- a/packages/forwarding_host/check_row_test.ts
+++ b/packages/forwarding_host/check_row_test.ts
@@ -146,6 +146,7 @@
         isRetry: false,
         fingerprint: "f",
         parts: [],
+        isContinuation: false,
         isRepeatable: true,
       });
       return isEvacuated || decision.kind === "placed" && decision.serverId === "sound";
--- a/packages/forwarding_host/create_placement_client_test.ts
+++ b/packages/forwarding_host/create_placement_client_test.ts
@@ -18,6 +18,7 @@
   isRetry: false,
   fingerprint: "f",
   parts: [],
+  isContinuation: false,
   isRepeatable: true,
 };
 
--- a/packages/forwarding_host/create_placement_parsers.ts
+++ b/packages/forwarding_host/create_placement_parsers.ts
@@ -52,6 +52,7 @@
     elapsedMs: fields.number("elapsedMs", TIME_RANGE),
     excludedIds: fields.strings("excludedIds"),
     isRetry: fields.boolean("isRetry"),
+    isContinuation: fields.boolean("isContinuation"),
     fingerprint: fields.string("fingerprint"),
     // Missing in jobs of an earlier version.
     parts: fields.has("parts") ? fields.strings("parts") : [],
--- a/packages/forwarding_host/create_placement_parsers_test.ts
+++ b/packages/forwarding_host/create_placement_parsers_test.ts
@@ -22,6 +22,7 @@
   isRetry: true,
   fingerprint: "f",
   parts: [],
+  isContinuation: false,
   isRepeatable: false,
 };
 const PLACES = {
--- a/packages/placement/_lib/create_crash_guard.ts
+++ b/packages/placement/_lib/create_crash_guard.ts
@@ -158,7 +158,8 @@
       if (isAnswer || outcome === JOB_OUTCOME.FAILED) {
         evidence.recordServerAlive(serverStart, sentMs);
       }
-      if (isAnswer) recordAnswer(sent);
+      // The rest of an answer says nothing of the moments that were passed at another server.
+      if (isAnswer && !job.isContinuation) recordAnswer(sent);
       else if (outcome === JOB_OUTCOME.BROKEN) {
         const keys = listContentKeys(job);
         const ranMs = computeRunMs(sent);
--- a/packages/placement/_testing/fixtures.ts
+++ b/packages/placement/_testing/fixtures.ts
@@ -53,6 +53,7 @@
     isRetry: false,
     fingerprint: "f",
     parts: [],
+    isContinuation: false,
     isRepeatable: true,
     ...changes,
   };
--- a/packages/placement/create_run_counts.ts
+++ b/packages/placement/create_run_counts.ts
@@ -2,7 +2,7 @@
 import { HARMLESS_AFTER_MS } from "./constants.ts";
 
 /** Classes of run lengths for each doubling. */
-const CLASSES_PER_DOUBLING = 2;
+const CLASSES_PER_DOUBLING = 8;
 
 /** Numbers of runs by their length. */
 export interface RunCounts {
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -93,6 +93,8 @@
   excludedIds: readonly string[];
   /** True for the second and later attempts of a request. */
   isRetry: boolean;
+  /** True if the answer continues one that broke off, so that it is not the whole one. */
+  isContinuation: boolean;
   /** Hash of the content, which identifies repeats of a request that crashes servers. */
   fingerprint: string;
   /** Ids of the parts of the prompt, of which one may crash servers. */
