--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,15 +1,5 @@
 // The open connections to the store go silent for good while new ones work; then the configuration changes.
-import {
-  call,
-  chooseNetwork,
-  EXIT,
-  isTrouble,
-  openRecord,
-  play,
-  startHosts,
-  wait,
-  ZONES,
-} from "../lib/world.mjs";
+import { call, chooseNetwork, EXIT, isTrouble, openRecord, play, startHosts, wait, ZONES } from "../lib/world.mjs";
 import { startEngine } from "../lib/engine.mjs";
 import { startStore } from "../lib/store.mjs";
 
@@ -23,36 +13,12 @@
 const config = (version, service, keys) => ({
   version,
   routes: [
-    {
-      name: "lookup",
-      host: "front.example",
-      prefix: "/lookup/",
-      kind: "idempotent",
-      timeout_ms: 2_500,
-      target_latency_ms: 300,
-      priority: 1,
-      service,
-      max_attempts: 2,
-      public: false,
-      sticky: false,
-      resumable: false,
-    },
+    { name: "lookup", host: "front.example", prefix: "/lookup/", kind: "idempotent", timeout_ms: 2_500,
+      target_latency_ms: 300, priority: 1, service, max_attempts: 2, public: false, sticky: false, resumable: false },
   ],
-  services: ["desk-old", "desk-new"].map((name) => ({
-    name,
-    health_path: "/health",
-    max_conns: 248,
-    protocol: "h1",
-    tls: false,
-    cold_start_s: 0,
-    cold_per_s: 0,
-  })),
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 4_194_304,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
+  services: ["desk-old", "desk-new"].map((name) => ({ name, health_path: "/health", max_conns: 248, protocol: "h1",
+    tls: false, cold_start_s: 0, cold_per_s: 0 })),
+  limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
   tenants: [{ name: "tenant-a", api_keys: keys, priority: 1 }],
 });
 
@@ -61,10 +27,7 @@
   onEnd(() => record.flush());
   const network = await chooseNetwork();
   const storePort = network.port + 30;
-  const addresses = Array.from(
-    { length: HOSTS },
-    (_, at) => ({ ip: network.ip(100 + at), port: storePort }),
-  );
+  const addresses = Array.from({ length: HOSTS }, (_, at) => ({ ip: network.ip(100 + at), port: storePort }));
   const store = await startStore({ addresses });
   onEnd(() => store.close());
   store.write("op", "config", config(3, "desk-old", ["key-a", "key-b"]));
@@ -73,14 +36,8 @@
   for (const service of ["desk-old", "desk-new"]) {
     for (const [at, zone] of ZONES.entries()) {
       const engine = await startEngine({
-        store,
-        service,
-        zone,
-        name: `${service}-${zone}`,
-        ip: network.ip(150 + at),
-        port: network.port + (service === "desk-old" ? 40 : 41),
-        slots: 6,
-        workMs: 15,
+        store, service, zone, name: `${service}-${zone}`, ip: network.ip(150 + at),
+        port: network.port + (service === "desk-old" ? 40 : 41), slots: 6, workMs: 15,
         onRun(request, { id }) {
           record.add("ran", id, request.attempt);
           runs.push({ service, ...sent.get(request.attempt) });
@@ -89,11 +46,7 @@
       onEnd(() => engine.close());
     }
   }
-  const fleet = await startHosts({
-    count: HOSTS,
-    network,
-    storeAddress: (_name, at) => `${network.ip(100 + at)}:${storePort}`,
-  });
+  const fleet = await startHosts({ count: HOSTS, network, storeAddress: (_name, at) => `${network.ip(100 + at)}:${storePort}` });
   onEnd(() => fleet.stop());
   if (!await fleet.waitReady()) return EXIT.NOT_RUN;
   await wait(CALM_MS);
@@ -110,15 +63,7 @@
       sent.set(attempt, { sentMs: performance.now(), key });
       record.add("sent", host.name, attempt, key);
       pending.push(
-        call({
-          ip: host.ip,
-          port: network.port,
-          method: "GET",
-          path: `/lookup/c${at}`,
-          headers: { "Jaypass-Key": key },
-          deadlineMs: 2_503,
-          attempt,
-        })
+        call({ ip: host.ip, port: network.port, method: "GET", path: `/lookup/c${at}`, headers: { "Jaypass-Key": key }, deadlineMs: 2_503, attempt })
           .then(({ status }) => {
             statuses[status] = (statuses[status] ?? 0) + 1;
             record.add("answer", host.name, attempt, status);
@@ -129,9 +74,7 @@
   })();
   await wait(2_000);
   const muteMs = performance.now();
-  if (isTrouble) {
-    record.add("open connections to the store go silent:", store.muteOpenConnections());
-  }
+  if (isTrouble) record.add("open connections to the store go silent:", store.muteOpenConnections());
   await wait(100);
   store.write("op", "config", config(8, "desk-new", ["key-a"]));
   const ackMs = performance.now();
@@ -145,14 +88,8 @@
   const fromMs = Math.max(ackMs + CONFIG_MS, isTrouble ? muteMs + STABLE_WINDOW_MS : 0);
   const late = runs.filter(({ service, sentMs }) => service === "desk-old" && sentMs > fromMs);
   const dropped = runs.filter(({ key, sentMs }) => key === "key-b" && sentMs > fromMs);
-  const lastMs = Math.max(
-    0,
-    ...runs.filter(({ service }) => service === "desk-old").map(({ sentMs }) => sentMs - ackMs),
-  );
-  const summary =
-    `run_by_old_service_too_late=${late.length} run_with_dropped_key_too_late=${dropped.length} last_after_ack_ms=${
-      Math.round(lastMs)
-    } ` +
+  const lastMs = Math.max(0, ...runs.filter(({ service }) => service === "desk-old").map(({ sentMs }) => sentMs - ackMs));
+  const summary = `run_by_old_service_too_late=${late.length} run_with_dropped_key_too_late=${dropped.length} last_after_ack_ms=${Math.round(lastMs)} ` +
     `bound_ms=${Math.round(fromMs - ackMs)} statuses=${JSON.stringify(statuses)}`;
   record.add(summary);
   console.log(summary);
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,15 +1,5 @@
 // A stream that crashes each model engine a little after its first events comes again every few seconds.
-import {
-  call,
-  chooseNetwork,
-  EXIT,
-  isTrouble,
-  openRecord,
-  play,
-  startHosts,
-  wait,
-  ZONES,
-} from "../lib/world.mjs";
+import { call, chooseNetwork, EXIT, isTrouble, openRecord, play, startHosts, wait, ZONES } from "../lib/world.mjs";
 import { startEngine } from "../lib/engine.mjs";
 import { startStore } from "../lib/store.mjs";
 
@@ -29,56 +19,14 @@
 
 const CONFIG = {
   version: 3,
-  routes: [{
-    name: "questions",
-    host: "front.example",
-    prefix: "/questions/",
-    kind: "streaming",
-    timeout_ms: 10_000,
-    target_latency_ms: 300,
-    priority: 1,
-    service: "models",
-    max_attempts: 2,
-    public: false,
-    sticky: true,
-    resumable: true,
-    gap_goal_ms: 250,
-  }],
-  services: [{
-    name: "models",
-    health_path: "/health",
-    max_conns: 976,
-    protocol: "h1",
-    tls: false,
-    cold_start_s: 3,
-    cold_per_s: 36,
-    engine: {
-      slot_count: 11,
-      kv_tokens: 405_000,
-      token_kv_bytes: 163_840,
-      link_mbps: 400_000,
-      stride: 34,
-      models: [{ name: "m" }],
-      step_ms: 1.31,
-      per_seq_ms: 0.00133,
-      context_per_k: 0.00213,
-      read_per_s: 154_000,
-      pairs_per_m: 0.162,
-      chunk: 2_048,
-      report_lag_ms: 200,
-      loads_per_s: 0,
-      loads_at_once: 8,
-      usual: { prompt: 4_960, answer: 1_266 },
-      hop_ms: 0.1,
-      delays: [],
-    },
-  }],
-  limits: {
-    max_header_bytes: 16_384,
-    max_body_bytes: 4_194_304,
-    header_timeout_ms: 3_000,
-    idle_timeout_ms: 15_000,
-  },
+  routes: [{ name: "questions", host: "front.example", prefix: "/questions/", kind: "streaming", timeout_ms: 10_000,
+    target_latency_ms: 300, priority: 1, service: "models", max_attempts: 2, public: false, sticky: true, resumable: true,
+    gap_goal_ms: 250 }],
+  services: [{ name: "models", health_path: "/health", max_conns: 976, protocol: "h1", tls: false, cold_start_s: 3, cold_per_s: 36,
+    engine: { slot_count: 11, kv_tokens: 405_000, token_kv_bytes: 163_840, link_mbps: 400_000, stride: 34, models: [{ name: "m" }],
+      step_ms: 1.31, per_seq_ms: 0.00133, context_per_k: 0.00213, read_per_s: 154_000, pairs_per_m: 0.162, chunk: 2_048,
+      report_lag_ms: 200, loads_per_s: 0, loads_at_once: 8, usual: { prompt: 4_960, answer: 1_266 }, hop_ms: 0.1, delays: [] } }],
+  limits: { max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
   tenants: [{ name: "tenant-a", api_keys: ["key-a"], priority: 1 }],
 };
 
@@ -89,10 +37,7 @@
   onEnd(() => record.flush());
   const network = await chooseNetwork();
   const storePort = network.port + 30;
-  const addresses = Array.from(
-    { length: HOSTS },
-    (_, at) => ({ ip: network.ip(100 + at), port: storePort }),
-  );
+  const addresses = Array.from({ length: HOSTS }, (_, at) => ({ ip: network.ip(100 + at), port: storePort }));
   const store = await startStore({ addresses });
   onEnd(() => store.close());
   store.write("op", "config", CONFIG);
@@ -127,25 +72,12 @@
   };
   for (let at = 0; at < ENGINES; at++) {
     const engine = await startEngine({
-      store,
-      service: "models",
-      zone: ZONES[at % 3],
-      name: `model-${at}`,
-      ip: network.ip(150 + at),
-      port: network.port + 40,
-      slots: 11,
-      kvTotal: 405_000,
-      run,
-      onArrival,
-      downMs: 3_000,
+      store, service: "models", zone: ZONES[at % 3], name: `model-${at}`, ip: network.ip(150 + at), port: network.port + 40,
+      slots: 11, kvTotal: 405_000, run, onArrival, downMs: 3_000,
     });
     onEnd(() => engine.close());
   }
-  const fleet = await startHosts({
-    count: HOSTS,
-    network,
-    storeAddress: (_name, at) => `${network.ip(100 + at)}:${storePort}`,
-  });
+  const fleet = await startHosts({ count: HOSTS, network, storeAddress: (_name, at) => `${network.ip(100 + at)}:${storePort}` });
   onEnd(() => fleet.stop());
   if (!await fleet.waitReady()) return EXIT.NOT_RUN;
   await wait(4_000);
@@ -154,38 +86,21 @@
   const send = async (at, path, part) => {
     const host = fleet.hosts[at % HOSTS];
     const answer = await call({
-      ip: host.ip,
-      port: network.port,
-      path,
-      body: "x".repeat(400),
-      deadlineMs: 10_008,
-      headers: {
-        "Jaypass-Key": "key-a",
-        "Jaypass-Model": "m",
-        "Jaypass-Token-Counts": "4960,1266",
-        "Jaypass-Prompt-Prefix": `5c1e07a2:40,${part}:4920`,
-      },
+      ip: host.ip, port: network.port, path, body: "x".repeat(400), deadlineMs: 10_008,
+      headers: { "Jaypass-Key": "key-a", "Jaypass-Model": "m", "Jaypass-Token-Counts": "4960,1266",
+        "Jaypass-Prompt-Prefix": `5c1e07a2:40,${part}:4920` },
     });
-    record.add(
-      "answer",
-      host.name,
-      answer.attempt,
-      path,
-      answer.status,
-      answer.isComplete ? "complete" : "cut",
-    );
+    record.add("answer", host.name, answer.attempt, path, answer.status, answer.isComplete ? "complete" : "cut");
     return answer;
   };
   let isOver = false;
   const pending = [];
   const sound = (async () => {
     for (let at = 0; !isOver; at++) {
-      pending.push(
-        send(at, `/questions/q${at}`, (at + 4_096).toString(16)).then(({ status, isComplete }) => {
-          const key = `${status}${isComplete ? "" : " cut"}`;
-          statuses[key] = (statuses[key] ?? 0) + 1;
-        }),
-      );
+      pending.push(send(at, `/questions/q${at}`, (at + 4_096).toString(16)).then(({ status, isComplete }) => {
+        const key = `${status}${isComplete ? "" : " cut"}`;
+        statuses[key] = (statuses[key] ?? 0) + 1;
+      }));
       await wait(1_000 / SOUND_PER_S);
     }
   })();
@@ -200,10 +115,7 @@
   const thirdMs = crashes[2] ?? Infinity;
   const late = arrivals.filter(({ atMs }) => atMs > thirdMs + STABLE_WINDOW_MS);
   const lateRetries = late.filter(({ isRetry }) => isRetry).length;
-  const summary =
-    `crashes=${crashes.length} late_arrivals=${late.length} late_retries=${lateRetries} allowed=${MAX_RETRIES} sound=${
-      JSON.stringify(statuses)
-    }`;
+  const summary = `crashes=${crashes.length} late_arrivals=${late.length} late_retries=${lateRetries} allowed=${MAX_RETRIES} sound=${JSON.stringify(statuses)}`;
   record.add(summary);
   console.log(summary);
   if (arrivals.length === 0 || fleet.hosts.some(({ exited }) => exited)) return EXIT.NOT_RUN;
--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -10,17 +10,7 @@
  * onRun(request, engine), run({ request, res, headers, engine, crash }) for answers of another kind, downMs.
  */
 export async function startEngine(options) {
-  const {
-    store,
-    service,
-    zone,
-    ip,
-    port,
-    slots = 6,
-    workMs = 5,
-    onArrival = () => {},
-    onRun = () => {},
-  } = options;
+  const { store, service, zone, ip, port, slots = 6, workMs = 5, onArrival = () => {}, onRun = () => {} } = options;
   const { kvTotal = 0 } = options;
   const engine = { id: "", isUp: false, running: 0, crashCount: 0 };
   const memory = createMemory(kvTotal);
@@ -50,50 +40,27 @@
     if (expected !== undefined && expected !== engine.id) {
       return void res.writeHead(421, { "Jaypass-Instance-Id": engine.id }).end();
     }
-    if (req.url === "/health") {
-      return void res.writeHead(200, { "Jaypass-Instance-Id": engine.id }).end();
-    }
+    if (req.url === "/health") return void res.writeHead(200, { "Jaypass-Instance-Id": engine.id }).end();
     if (req.url === "/report") {
-      const report = {
-        stage: "unified",
-        models: [],
-        busy: false,
-        sequence: 0,
-        queued: 0,
-        running: engine.running,
-        kv_used: memory.held(),
-        kv_total: kvTotal,
-        handles: 0,
-        tickets: memory.list(),
-        born: engine.bornMs,
-      };
-      return void res.writeHead(200, { "Content-Type": "application/json" }).end(
-        JSON.stringify(report),
-      );
+      const report = { stage: "unified", models: [], busy: false, sequence: 0, queued: 0,
+        running: engine.running, kv_used: memory.held(), kv_total: kvTotal, handles: 0, tickets: memory.list(), born: engine.bornMs };
+      return void res.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(report));
     }
     if (req.url === "/order") {
       const { status, ...answer } = memory.order(JSON.parse(body.toString("utf8")));
-      return void res.writeHead(status, { "Content-Type": "application/json" }).end(
-        JSON.stringify(answer),
-      );
+      return void res.writeHead(status, { "Content-Type": "application/json" }).end(JSON.stringify(answer));
     }
     const attempt = req.headers["jaypass-attempt-id"] ?? "";
     const request = { attempt, method: req.method, url: req.url, headers: req.headers, body };
     onArrival(request, engine);
     if (engine.running >= slots + 24) {
-      return void res.writeHead(503, { "Jaypass-Not-Executed": "1", "Jaypass-Attempt-Id": attempt })
-        .end();
+      return void res.writeHead(503, { "Jaypass-Not-Executed": "1", "Jaypass-Attempt-Id": attempt }).end();
     }
     engine.running += 1;
     res.once("close", () => engine.running -= 1);
     onRun(request, engine);
-    const headers = {
-      "Jaypass-Attempt-Id": attempt,
-      "Jaypass-Engine-Seal": `seal.${engine.id}.${attempt}`,
-    };
-    if (options.run !== undefined) {
-      return await options.run({ request, res, headers, engine, crash: end });
-    }
+    const headers = { "Jaypass-Attempt-Id": attempt, "Jaypass-Engine-Seal": `seal.${engine.id}.${attempt}` };
+    if (options.run !== undefined) return await options.run({ request, res, headers, engine, crash: end });
     await wait(workMs);
     if (!res.destroyed) res.writeHead(200, headers).end(`done ${attempt}`);
   };
@@ -150,13 +117,7 @@
   };
   return {
     held,
-    list: () =>
-      [...tickets.values()].map(({ id, tokens, state, sinceMs }) => ({
-        id,
-        tokens,
-        state,
-        age_ms: Math.round(performance.now() - sinceMs),
-      })),
+    list: () => [...tickets.values()].map(({ id, tokens, state, sinceMs }) => ({ id, tokens, state, age_ms: Math.round(performance.now() - sinceMs) })),
     order({ operation, id, tokens, hold_ms: holdMs }) {
       const known = tickets.get(id);
       if (operation === "release") {
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -22,16 +22,9 @@
     return version;
   };
   const write = (table, key, value) =>
-    put(
-      table,
-      key,
-      value === undefined ? undefined : Buffer.from(JSON.stringify(value)).toString("base64"),
-    );
+    put(table, key, value === undefined ? undefined : Buffer.from(JSON.stringify(value)).toString("base64"));
   const list = (table) =>
-    [...rows.values()].filter((row) => row.table === table).sort((
-      a,
-      b,
-    ) => (a.key < b.key ? -1 : 1));
+    [...rows.values()].filter((row) => row.table === table).sort((a, b) => (a.key < b.key ? -1 : 1));
 
   const handle = async (req, res) => {
     const url = new URL(req.url, "http://store");
@@ -42,9 +35,7 @@
     const send = (status, fields) => {
       if (res.destroyed || muted.has(req.socket)) return;
       res.writeHead(status, { "Content-Type": "application/json" });
-      res.end(
-        JSON.stringify({ ...fields, row_version: version, now_ms: Math.round(performance.now()) }),
-      );
+      res.end(JSON.stringify({ ...fields, row_version: version, now_ms: Math.round(performance.now()) }));
     };
     const query = url.searchParams;
     if (url.pathname === "/rows-tx") {
@@ -57,9 +48,7 @@
         return known?.value === undefined ? 0 : known.row_version;
       };
       if (expected.some((row) => versionOf(row) !== row.row_version)) {
-        return send(412, {
-          rows: expected.flatMap((row) => rows.get(`${row.table}/${row.key}`) ?? []),
-        });
+        return send(412, { rows: expected.flatMap((row) => rows.get(`${row.table}/${row.key}`) ?? []) });
       }
       for (const row of upserts) put(row.table, row.key, row.value);
       for (const row of remove) put(row.table, row.key, undefined);
--- a/review/lib/world.mjs
+++ b/review/lib/world.mjs
@@ -21,9 +21,7 @@
   for (let tries = 0; tries < 50; tries++) {
     const net = `127.${20 + random(200)}.${random(250)}`;
     const port = 20_000 + random(9_000);
-    const isFree = await Promise.all(
-      [0, 1, 2, 3].map((step) => canListen(`${net}.1`, port + step)),
-    );
+    const isFree = await Promise.all([0, 1, 2, 3].map((step) => canListen(`${net}.1`, port + step)));
     if (!isFree.includes(false)) return { net, port, ip: (at) => `${net}.${at}` };
   }
   throw new Error("No free ports");
@@ -77,83 +75,27 @@
     const zone = ZONES[at % ZONES.length];
     const name = `front-${zone}-${at + 1}`;
     const settings = join(folder, `${name}.conf`);
-    writeFileSync(
-      settings,
-      [
-        `node=${name}`,
-        "role=host",
-        "machine_class=front",
-        "serves=front,directory",
-        `ip=${ip}`,
-        `zone=${zone}`,
-        "region=region-a",
-        ...ZONES.map((each) => `zones.${each}=region-a`),
-        `listen.front=${ip}:${port}`,
-        `listen.ready=${ip}:${port + 1}`,
-        `listen.directory=${ip}:${port + 2}`,
-        `port_range=${port + 5},${port + 20}`,
-        "seeds=",
-        "bootstrap=true",
-        "in_tolerance=false",
-        "limits.cpu_share=0.459",
-        "limits.cores=1",
-        "limits.memory_mb=272",
-        "limits.max_fds=2069",
-        "limits.link_mbps=490",
-        "limits.disk_mb=0",
-        "discovery=platform",
-        "entry=directory",
-        "heartbeat_ms=1200",
-        "bounds.reuse_after_s=2",
-        "bounds.stable_window_ms=3000",
-        "bounds.drain_ms=2000",
-        `bounds.grace_s=${graceS}`,
-        "bounds.loss_slack_ms=200",
-        "bounds.config_ms=2000",
-        "bounds.rollback_slack_ms=250",
-        "bounds.stretch_max_ms=5000",
-        "bounds.retry_ratio=0.2",
-        "bounds.retry_window_s=10",
-        "bounds.retry_slack=234",
-        "bounds.cold_multiplier=1.5",
-        "bounds.cold_slack=5",
-        "bounds.evacuate_ms=5000",
-        "bounds.recover_s=12",
-        "bounds.pass_ms=120",
-        "bounds.stall_ms=1500",
-        "bounds.hold_max_ms=20000",
-        "bounds.free_ms=4000",
-        "bounds.idle_max_ms=9000",
-        "bounds.ttl_max_s=5",
-        `platform.address=${storeAddress(name, at)}`,
-        "platform.form=table",
-        "platform.writes_per_s=400",
-        "platform.reads_per_s=2000",
-        "platform.row_bytes=65536",
-        "platform.history_s=20",
-      ].join("\n") + "\n",
-    );
+    writeFileSync(settings, [
+      `node=${name}`, "role=host", "machine_class=front", "serves=front,directory", `ip=${ip}`, `zone=${zone}`,
+      "region=region-a", ...ZONES.map((each) => `zones.${each}=region-a`),
+      `listen.front=${ip}:${port}`, `listen.ready=${ip}:${port + 1}`, `listen.directory=${ip}:${port + 2}`,
+      `port_range=${port + 5},${port + 20}`, "seeds=", "bootstrap=true", "in_tolerance=false",
+      "limits.cpu_share=0.459", "limits.cores=1", "limits.memory_mb=272", "limits.max_fds=2069",
+      "limits.link_mbps=490", "limits.disk_mb=0", "discovery=platform", "entry=directory", "heartbeat_ms=1200",
+      "bounds.reuse_after_s=2", "bounds.stable_window_ms=3000", "bounds.drain_ms=2000", `bounds.grace_s=${graceS}`,
+      "bounds.loss_slack_ms=200", "bounds.config_ms=2000", "bounds.rollback_slack_ms=250",
+      "bounds.stretch_max_ms=5000", "bounds.retry_ratio=0.2", "bounds.retry_window_s=10", "bounds.retry_slack=234",
+      "bounds.cold_multiplier=1.5", "bounds.cold_slack=5", "bounds.evacuate_ms=5000", "bounds.recover_s=12",
+      "bounds.pass_ms=120", "bounds.stall_ms=1500", "bounds.hold_max_ms=20000", "bounds.free_ms=4000",
+      "bounds.idle_max_ms=9000", "bounds.ttl_max_s=5", `platform.address=${storeAddress(name, at)}`,
+      "platform.form=table", "platform.writes_per_s=400", "platform.reads_per_s=2000", "platform.row_bytes=65536",
+      "platform.history_s=20",
+    ].join("\n") + "\n");
     const child = spawn(program, args, {
-      env: {
-        PATH: process.env.PATH,
-        HOME: process.env.HOME,
-        LANG: "C",
-        JAYPASS_SETTINGS: settings,
-        ...env,
-      },
+      env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: "C", JAYPASS_SETTINGS: settings, ...env },
       stdio: ["ignore", "pipe", "inherit"],
     });
-    const host = {
-      name,
-      at,
-      ip,
-      zone,
-      child,
-      settings,
-      address: `${ip}:${port}`,
-      exited: false,
-      log: [],
-    };
+    const host = { name, at, ip, zone, child, settings, address: `${ip}:${port}`, exited: false, log: [] };
     child.once("exit", (code, signal) => {
       host.exited = true;
       host.exit = { code, signal };
@@ -171,12 +113,7 @@
   for (let at = 0; at < count; at++) start(at);
   const isReady = (host) =>
     new Promise((resolve) => {
-      const req = request({
-        host: host.ip,
-        port: network.port + 1,
-        path: "/readiness",
-        agent: false,
-      }, (res) => {
+      const req = request({ host: host.ip, port: network.port + 1, path: "/readiness", agent: false }, (res) => {
         res.resume();
         resolve(res.statusCode === 200);
       });
@@ -210,48 +147,18 @@
 export const newAttemptId = () => `a${run}x${(nextAttempt++).toString(36)}`;
 
 /** Sends one client attempt on a new connection; resolves with status 0 if the connection ends early. */
-export function call(
-  {
-    ip,
-    port,
-    method = "POST",
-    path,
-    host = "front.example",
-    headers = {},
-    body,
-    deadlineMs = 4_000,
-    attempt = newAttemptId(),
-    agent = false,
-    onEvent,
-  },
-) {
+export function call({ ip, port, method = "POST", path, host = "front.example", headers = {}, body, deadlineMs = 4_000, attempt = newAttemptId(), agent = false, onEvent }) {
   return new Promise((resolve) => {
-    const answer = {
-      attempt,
-      status: 0,
-      body: "",
-      isComplete: false,
-      retryAfter: undefined,
-      startMs: performance.now(),
-    };
+    const answer = { attempt, status: 0, body: "", isComplete: false, retryAfter: undefined, startMs: performance.now() };
     const done = () => {
       clearTimeout(timer);
       answer.elapsedMs = Math.round(performance.now() - answer.startMs);
       resolve(answer);
     };
     const req = request({
-      host: ip,
-      port,
-      method,
-      path,
-      agent,
-      headers: {
-        Host: host,
-        "Jaypass-Attempt-Id": attempt,
-        "Jaypass-Deadline-Ms": String(deadlineMs),
-        ...headers,
-        ...(body === undefined ? {} : { "Content-Length": Buffer.byteLength(body) }),
-      },
+      host: ip, port, method, path, agent,
+      headers: { Host: host, "Jaypass-Attempt-Id": attempt, "Jaypass-Deadline-Ms": String(deadlineMs), ...headers,
+        ...(body === undefined ? {} : { "Content-Length": Buffer.byteLength(body) }) },
     }, (res) => {
       answer.status = res.statusCode;
       answer.retryAfter = res.headers["retry-after"];
