--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -39,7 +39,7 @@
 export const FALLBACK_FOLLOWER_COUNT = 8;
 
 /**
- * Milliseconds beyond the age of a stale table after which the remaining hosts start to read the store, one
+ * Milliseconds from the age at which a table is stale until the remaining hosts start to read it, one
  * after another. By then a store call of the first followers has been answered or has timed out.
  */
 export const FALLBACK_DELAY_MS = 1_500;
--- a/packages/placement/_lib/create_crash_guard.ts
+++ b/packages/placement/_lib/create_crash_guard.ts
@@ -158,7 +158,7 @@
       if (isAnswer || outcome === JOB_OUTCOME.FAILED) {
         evidence.recordServerAlive(serverStart, sentMs);
       }
-      // The rest of an answer says nothing of the moments that were passed at another server.
+      // A continuation does not repeat the earlier part of the answer, in which another server may have crashed.
       if (isAnswer && !job.isContinuation) recordAnswer(sent);
       else if (outcome === JOB_OUTCOME.BROKEN) {
         const keys = listContentKeys(job);
