Log how long a stop signal can have waited, and when the event loop stood still

A monitor in the kernel records when the event loop polled last; a signal that is handled now has arrived later. The line of a stop states the difference, the lines of the exit the time since the signal, and a poll that is 300 ms late is logged with the processor time used in it, so that a process that was paused or got no processor can be told from one that was busy. No logic changes.

--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -66,6 +66,12 @@
 /** Largest part of the grace period that this time may take. */
 export const STOP_MARGIN_MAX_SHARE = 1 / 8;
 
+/** Interval at which a host records that its event loop polls: the error of the time of a signal. */
+export const POLL_CHECK_MS = 100;
+
+/** Shortest time without a poll of the event loop that is logged and counted. */
+export const MIN_REPORTED_STALL_MS = 300;
+
 /** Interval of the checks whether a stopping host can exit. */
 export const STOP_CHECK_MS = 50;
 
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -1,6 +1,12 @@
-import { ESSENTIAL, sleep } from "@jaypass/kernel";
-import type { Clock, Millis } from "@jaypass/kernel";
-import { EXIT_CHECK_MS, EXIT_LINGER_MS, STOP_CHECK_MS } from "./constants.ts";
+import { createPollMonitor, ESSENTIAL, sleep } from "@jaypass/kernel";
+import type { Clock, Millis, PollMonitor } from "@jaypass/kernel";
+import {
+  EXIT_CHECK_MS,
+  EXIT_LINGER_MS,
+  MIN_REPORTED_STALL_MS,
+  POLL_CHECK_MS,
+  STOP_CHECK_MS,
+} from "./constants.ts";
 import { createForwardingHost } from "./create_forwarding_host.ts";
 import type { HostContext } from "./host_context.ts";
 import { waitUntilStopEnds } from "./_lib/wait_until_stop_ends.ts";
@@ -13,25 +19,30 @@
  */
 export async function runForwardingHost(context: HostContext): Promise<void> {
   const { settings, clock, log, incarnation } = context;
+  const polls = monitorPolls(context);
   const kernel = createForwardingHost(context);
   // Callers that know the address may be served before the start has completed.
-  const stopSignal = waitForSignal(clock);
+  const stopSignal = waitForSignal(clock, polls);
   await kernel.start();
   log.info({ incarnation, callers: settings.callerAddress, [ESSENTIAL]: true }, "Host started");
 
-  const { signal, atMs } = await stopSignal;
+  const { signal, atMs, pendingMs } = await stopSignal;
   const stop = kernel.lookup(SERVICE.STOP_STATE);
   const forwarder = kernel.lookup(SERVICE.FORWARDER);
   const servers = kernel.lookup(SERVICE.PUBLIC_SERVERS);
-  const describeConnections = () => ({
+  const describeProgress = () => ({
+    sinceSignalMs: Math.round(stop.time()?.elapsedMs ?? 0),
     requests: forwarder.size(),
     ...forwarder.connectionCounts(),
     [ESSENTIAL]: true,
   });
-  log.info({ signal, ...describeConnections() }, "Host stopping; waiting for its requests to end");
   stop.begin(atMs);
+  log.info(
+    { signal, pendingMs: Math.round(pendingMs), ...describeProgress() },
+    "Host stopping; waiting for its requests to end",
+  );
   const { left } = await waitUntilStopEnds(context, kernel);
-  log.info(describeConnections(), "Host exiting");
+  log.info(describeProgress(), "Host exiting");
   stop.beginExit();
   const exitMs = stop.exitRemainingMs();
   await servers.stopListening(() => stop.exitRemainingMs() < exitMs / 2);
@@ -46,12 +57,28 @@
       { clock, timeoutMs: Math.min(EXIT_LINGER_MS, stop.exitRemainingMs()) },
     ),
   ]);
-  log.info(describeConnections(), "Host stopped");
+  log.info(describeProgress(), "Host stopped");
   // Requests may still end during the wait above, so this comes last.
   forwarder.cutOff();
   forwarder.closeConnections();
 }
 
+/** Logs and counts the times for which the process handled neither signals nor data. */
+function monitorPolls({ clock, log, metrics }: HostContext): PollMonitor {
+  return createPollMonitor({
+    clock,
+    intervalMs: POLL_CHECK_MS,
+    minStallMs: MIN_REPORTED_STALL_MS,
+    onStall({ stallMs, processorMs }) {
+      metrics.timing("event_loop_stall_ms", stallMs);
+      log.warn(
+        { stallMs: Math.round(stallMs), processorMs: Math.round(processorMs), [ESSENTIAL]: true },
+        "Event loop did not poll in time",
+      );
+    },
+  });
+}
+
 /** Waits until callers have closed all connections, at most for a timeout. */
 async function waitForCallers(
   connectionCount: () => number,
@@ -61,10 +88,22 @@
   while (connectionCount() > 0 && clock.nowMs() < endMs) await sleep(EXIT_CHECK_MS);
 }
 
+/** A signal to stop. */
+interface StopSignal {
+  signal: string;
+  /** Monotonic time at which it was handled. */
+  atMs: Millis;
+  /** Longest time for which it can have waited to be handled. */
+  pendingMs: Millis;
+}
+
 /** Waits for the first signal to stop; further ones do not end the process. */
-function waitForSignal(clock: Clock): Promise<{ signal: string; atMs: Millis }> {
+function waitForSignal(clock: Clock, polls: PollMonitor): Promise<StopSignal> {
   return new Promise((resolve) => {
-    const onSignal = (signal: string) => resolve({ signal, atMs: clock.nowMs() });
+    const onSignal = (signal: string) => {
+      const atMs = clock.nowMs();
+      resolve({ signal, atMs, pendingMs: atMs - polls.polledAtMs() });
+    };
     for (const signal of ["SIGTERM", "SIGINT"] as const) process.on(signal, onSignal);
   });
 }
--- /dev/null
+++ b/packages/kernel/create_poll_monitor.ts
@@ -0,0 +1,81 @@
+import type { Clock, Millis } from "./types.ts";
+
+/** A time for which the event loop did not poll, although it was due to. */
+export interface EventLoopStall {
+  /** Milliseconds between two polls. */
+  stallMs: Millis;
+  /**
+   * Milliseconds of processor time that the process used meanwhile. Far less than the stall shows that
+   * the process was paused or got no processor time.
+   */
+  processorMs: Millis;
+}
+
+/** Tells since when signals and data that are handled now can have been waiting. */
+export interface PollMonitor {
+  /**
+   * Monotonic time at which the last completed poll began. What had reached the process before has
+   * been handled, so that whatever is handled now has arrived later.
+   */
+  polledAtMs(): Millis;
+  /** Ends the monitor. */
+  stop(): void;
+}
+
+/** Options of {@linkcode createPollMonitor}. */
+export interface PollMonitorOptions {
+  clock: Pick<Clock, "nowMs">;
+  /** Milliseconds between two looks, and the largest error of the time of a poll in a calm process. */
+  intervalMs: Millis;
+  /** Stalls of this length and longer are reported. */
+  minStallMs: Millis;
+  onStall: (stall: EventLoopStall) => void;
+  /** Processor time that the process has used so far; that of the running process by default. */
+  processorMs?: () => Millis;
+  /** Calls a function periodically, and returns the function that ends this; a timer by default. */
+  repeat?: (run: () => void, intervalMs: Millis) => () => void;
+  /** Calls a function after the next poll; `setImmediate` by default. */
+  afterPoll?: (run: () => void) => void;
+}
+
+/**
+ * Creates a monitor of the event loop, which handles signals and data only when it polls. A process
+ * that is paused, gets no processor time or is busy handles them late, while the times of those who
+ * have sent them go on.
+ *
+ * @param options clock, times and callback
+ * @returns the monitor
+ *
+ * @example
+ * const monitor = createPollMonitor({ clock, intervalMs: 100, minStallMs: 250, onStall });
+ * process.on("SIGTERM", () => stop.begin(monitor.polledAtMs()));
+ */
+export function createPollMonitor(options: PollMonitorOptions): PollMonitor {
+  const { clock, intervalMs, minStallMs, onStall } = options;
+  const { processorMs = readProcessorMs, repeat = repeatOnTimer, afterPoll = setImmediate } =
+    options;
+  let polledAtMs = clock.nowMs();
+  let usedMs = processorMs();
+  const endRepeat = repeat(() => {
+    const startMs = clock.nowMs();
+    afterPoll(() => {
+      const stallMs = startMs - polledAtMs;
+      const nextUsedMs = processorMs();
+      polledAtMs = startMs;
+      if (stallMs >= minStallMs) onStall({ stallMs, processorMs: nextUsedMs - usedMs });
+      usedMs = nextUsedMs;
+    });
+  }, intervalMs);
+  return { polledAtMs: () => polledAtMs, stop: endRepeat };
+}
+
+function readProcessorMs(): Millis {
+  const { user, system } = process.cpuUsage();
+  return (user + system) / 1_000;
+}
+
+function repeatOnTimer(run: () => void, intervalMs: Millis): () => void {
+  const timer = setInterval(run, intervalMs);
+  timer.unref();
+  return () => clearInterval(timer);
+}
--- /dev/null
+++ b/packages/kernel/create_poll_monitor_test.ts
@@ -0,0 +1,75 @@
+import test from "ava";
+import { createPollMonitor } from "./create_poll_monitor.ts";
+import type { EventLoopStall } from "./create_poll_monitor.ts";
+
+/** Creates a monitor on an event loop that the test drives. */
+function setUp() {
+  const loop = { nowMs: 1_000, usedMs: 50, tick: () => {}, poll: () => {} };
+  const stalls: EventLoopStall[] = [];
+  const monitor = createPollMonitor({
+    clock: { nowMs: () => loop.nowMs },
+    intervalMs: 100,
+    minStallMs: 250,
+    onStall: (stall) => void stalls.push(stall),
+    processorMs: () => loop.usedMs,
+    repeat(run) {
+      loop.tick = run;
+      return () => {};
+    },
+    afterPoll: (run) => loop.poll = run,
+  });
+  return { loop, monitor, stalls };
+}
+
+test("a signal that is handled after a stall counts as waiting since the last poll before it", (t) => {
+  const { loop, monitor } = setUp();
+  loop.nowMs = 1_100;
+  loop.tick();
+  loop.poll();
+  loop.nowMs = 1_900;
+  t.is(monitor.polledAtMs(), 1_100);
+  // The timer is overdue and runs before the poll that handles the signal.
+  loop.tick();
+  t.is(monitor.polledAtMs(), 1_100);
+  loop.poll();
+  t.is(monitor.polledAtMs(), 1_900);
+});
+
+test("a poll counts from its begin, since a signal may have come while its events were handled", (t) => {
+  const { loop, monitor } = setUp();
+  loop.nowMs = 1_100;
+  loop.tick();
+  loop.nowMs = 1_700;
+  loop.poll();
+  t.is(monitor.polledAtMs(), 1_100);
+});
+
+test("stalls are reported with the processor time that the process used in them", (t) => {
+  const { loop, stalls } = setUp();
+  for (
+    const { atMs, usedMs } of [
+      { atMs: 1_100, usedMs: 51 },
+      { atMs: 1_349, usedMs: 52 },
+      { atMs: 2_149, usedMs: 53 },
+      { atMs: 2_449, usedMs: 350 },
+    ]
+  ) {
+    loop.nowMs = atMs;
+    loop.usedMs = usedMs;
+    loop.tick();
+    loop.poll();
+  }
+  t.deepEqual(stalls, [{ stallMs: 800, processorMs: 1 }, { stallMs: 300, processorMs: 297 }]);
+});
+
+test("in a calm process the last poll is at most some intervals ago", async (t) => {
+  const clock = { nowMs: () => performance.now() };
+  const monitor = createPollMonitor({ clock, intervalMs: 10, minStallMs: 1, onStall() {} });
+  t.teardown(() => monitor.stop());
+  let leastAgeMs = Infinity;
+  for (let i = 0; i < 20; i++) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    leastAgeMs = Math.min(leastAgeMs, clock.nowMs() - monitor.polledAtMs());
+  }
+  t.true(leastAgeMs <= 20, `${leastAgeMs}`);
+});
--- a/packages/kernel/mod.ts
+++ b/packages/kernel/mod.ts
@@ -15,6 +15,7 @@
 export * from "./create_kernel.ts";
 export * from "./create_logger.ts";
 export * from "./create_metrics.ts";
+export * from "./create_poll_monitor.ts";
 export * from "./create_task_group.ts";
 export * from "./create_prometheus_metrics.ts";
 export * from "./discard_body.ts";
