Count a stop from the earliest time at which its signal can have been sent

Callers lost streams that a host took more than 3 s after its SIGTERM, and calls that ran at its end got no answer: the platform killed the host at the end of the grace period, before the exit that the host had planned. The host counted the grace period, and whether a request comes late, from the moment at which it handled the signal. The platform counts from the moment at which it sends it, and a process that is paused or gets no processor time handles signals late.

Now the stop begins at the last poll of the event loop that was completed before the signal was handled. Such a poll handles all signals that have reached the process, so that this one was sent later; in a calm process the difference is 0.1 s at most.

--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -15,7 +15,7 @@
 
 /** Phase of a host's graceful stop. */
 export interface StopState extends HostStop {
-  /** Starts the graceful stop; `atMs` is the monotonic time of the signal, now by default. */
+  /** Starts the graceful stop; `atMs` is the earliest monotonic time of the signal, now by default. */
   begin(atMs?: Millis): void;
   /** Starts the exit: no request is taken any more, and those in progress are answered. */
   beginExit(): void;
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -91,9 +91,9 @@
 /** A signal to stop. */
 interface StopSignal {
   signal: string;
-  /** Monotonic time at which it was handled. */
+  /** Earliest monotonic time at which it can have been sent; the platform counts from the sending. */
   atMs: Millis;
-  /** Longest time for which it can have waited to be handled. */
+  /** Milliseconds from then until the signal was handled. */
   pendingMs: Millis;
 }
 
@@ -101,8 +101,8 @@
 function waitForSignal(clock: Clock, polls: PollMonitor): Promise<StopSignal> {
   return new Promise((resolve) => {
     const onSignal = (signal: string) => {
-      const atMs = clock.nowMs();
-      resolve({ signal, atMs, pendingMs: atMs - polls.polledAtMs() });
+      const atMs = polls.polledAtMs();
+      resolve({ signal, atMs, pendingMs: clock.nowMs() - atMs });
     };
     for (const signal of ["SIGTERM", "SIGINT"] as const) process.on(signal, onSignal);
   });
