Plan the exit of a host with the stalls that it has had

A call that ran at the end of a host's grace period got no answer: the host planned to exit 0.5 s before the forced end, did not run at that moment, and was killed. A process that has stood still (paused, or without processor time) may do so again at its exit.

Now the margin before the forced end grows by the longest stall of the last 15 s, up to the eighth of the grace period that it may take at most.

--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -3,6 +3,7 @@
 import {
   LEAVE_SPREAD_MS,
   RECENT_HOSTS_WINDOW_MS,
+  STALL_WINDOW_MS,
   STOP_MARGIN_MAX_SHARE,
   STOP_MARGIN_MS,
   USUAL_HOSTS_WINDOW_MS,
@@ -23,6 +24,8 @@
   leave(): void;
   /** Records the number of other hosts that accept callers now. */
   observeHosts(count: number): void;
+  /** Records a time for which the process did not run or was busy, in milliseconds. */
+  observeStall(stallMs: Millis): void;
   /** Decides what the host does next, given the number of requests in progress. */
   nextStep(requests: number): StopStep;
   /** Time in which the exit must be complete, before the forced end of the process. */
@@ -35,6 +38,8 @@
  * A stopping host is not ready and closes connections after requests. When it leaves the directory
  * and exits depends on how many other hosts accept callers; see {@linkcode decideStopStep}.
  *
+ * A process that has stood still of late may do so again at its exit, so that it exits sooner by as much.
+ *
  * The settings may change before a stop and during one. Of the times that are in force from the signal
  * on, the shortest counts, since it is not known which of them the platform uses.
  *
@@ -56,7 +61,9 @@
     shortestGraceMs = Math.min(shortestGraceMs, graceMs());
     return shortestGraceMs;
   };
-  const readMarginMs = () => Math.min(STOP_MARGIN_MS, readGraceMs() * STOP_MARGIN_MAX_SHARE);
+  const stallPeak = createPeakWindow({ clock, lengthMs: STALL_WINDOW_MS });
+  const readMarginMs = () =>
+    Math.min(STOP_MARGIN_MS + stallPeak.peak(), readGraceMs() * STOP_MARGIN_MAX_SHARE);
   const readLongestStopMs = () => readGraceMs() - readMarginMs();
   const usualPeak = createPeakWindow({ clock, lengthMs: USUAL_HOSTS_WINDOW_MS });
   const recentPeak = createPeakWindow({ clock, lengthMs: RECENT_HOSTS_WINDOW_MS });
@@ -92,6 +99,7 @@
       usualPeak.add(count);
       recentPeak.add(count);
     },
+    observeStall: (stallMs) => stallPeak.add(stallMs),
     time: () =>
       startMs === undefined ? undefined : { elapsedMs: elapsedMs(), remainingMs: remainingMs() },
     isNeeded: (requests) => isStoppingHostNeeded(describe(requests)),
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -99,3 +99,20 @@
   nowMs = 3_000;
   t.is(stop.nextStep(1), STOP_STEP.EXIT);
 });
+
+test("a host that has stood still of late exits sooner by as much, and not before the last sixth of its grace period", (t) => {
+  let nowMs = 0;
+  const stop = createStopState({
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    graceMs: () => 8_000,
+  });
+  const remainingMs = () => stop.time()?.remainingMs;
+  stop.begin();
+  t.is(remainingMs(), 7_500);
+  stop.observeStall(300);
+  t.is(remainingMs(), 7_200);
+  stop.observeStall(2_000);
+  t.is(remainingMs(), 7_000);
+  nowMs = 20_000;
+  t.is(remainingMs(), 7_500 - 20_000);
+});
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -7,6 +7,7 @@
   POLL_CHECK_MS,
   STOP_CHECK_MS,
 } from "./constants.ts";
+import type { StopState } from "./create_stop_state.ts";
 import { createForwardingHost } from "./create_forwarding_host.ts";
 import type { HostContext } from "./host_context.ts";
 import { waitUntilStopEnds } from "./_lib/wait_until_stop_ends.ts";
@@ -19,15 +20,17 @@
  */
 export async function runForwardingHost(context: HostContext): Promise<void> {
   const { settings, clock, log, incarnation } = context;
-  const polls = monitorPolls(context);
   const kernel = createForwardingHost(context);
+  let observeStall: StopState["observeStall"] = () => {};
+  const polls = monitorPolls(context, (stallMs) => observeStall(stallMs));
   // Callers that know the address may be served before the start has completed.
   const stopSignal = waitForSignal(clock, polls);
   await kernel.start();
+  const stop = kernel.lookup(SERVICE.STOP_STATE);
+  observeStall = stop.observeStall;
   log.info({ incarnation, callers: settings.callerAddress, [ESSENTIAL]: true }, "Host started");
 
   const { signal, atMs, pendingMs } = await stopSignal;
-  const stop = kernel.lookup(SERVICE.STOP_STATE);
   const forwarder = kernel.lookup(SERVICE.FORWARDER);
   const servers = kernel.lookup(SERVICE.PUBLIC_SERVERS);
   const describeProgress = () => ({
@@ -64,12 +67,16 @@
 }
 
 /** Logs and counts the times for which the process handled neither signals nor data. */
-function monitorPolls({ clock, log, metrics }: HostContext): PollMonitor {
+function monitorPolls(
+  { clock, log, metrics }: HostContext,
+  observeStall: (stallMs: Millis) => void,
+): PollMonitor {
   return createPollMonitor({
     clock,
     intervalMs: POLL_CHECK_MS,
     minStallMs: MIN_REPORTED_STALL_MS,
     onStall({ stallMs, processorMs }) {
+      observeStall(stallMs);
       metrics.timing("event_loop_stall_ms", stallMs);
       log.warn(
         { stallMs: Math.round(stallMs), processorMs: Math.round(processorMs), [ESSENTIAL]: true },
