Let answers that have begun go on after an early exit

A host that stands still before its SIGTERM takes the signal to be as old as the stall, and one that has had stalls exits sooner, so that streams were cut off up to a second and more before the forced end.

The exit still refuses and answers everything else at the earliest time. Answers that have begun go on until the margin before the latest possible forced end, counted from the handling of the signal: if the end by force comes sooner, their callers lose no more than by the cut.

--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -16,8 +16,13 @@
 
 /** Phase of a host's graceful stop. */
 export interface StopState extends HostStop {
-  /** Starts the graceful stop; `atMs` is the earliest monotonic time of the signal, now by default. */
-  begin(atMs?: Millis): void;
+  /**
+   * Starts the graceful stop.
+   *
+   * @param atMs earliest monotonic time of the signal, now by default
+   * @param latestMs latest one; the earliest by default
+   */
+  begin(atMs?: Millis, latestMs?: Millis): void;
   /** Starts the exit: no request is taken any more, and those in progress are answered. */
   beginExit(): void;
   /** Records that the host leaves the directory now. */
@@ -30,6 +35,11 @@
   nextStep(requests: number): StopStep;
   /** Time in which the exit must be complete, before the forced end of the process. */
   exitRemainingMs(): Millis;
+  /**
+   * Time for which answers that have begun may go on after the exit. The platform may have sent the
+   * signal as late as possible, and a forced end costs their callers no more than a cut.
+   */
+  answersRemainingMs(): Millis;
 }
 
 /**
@@ -62,12 +72,14 @@
     return shortestGraceMs;
   };
   const stallPeak = createPeakWindow({ clock, lengthMs: STALL_WINDOW_MS });
-  const readMarginMs = () =>
-    Math.min(STOP_MARGIN_MS + stallPeak.peak(), readGraceMs() * STOP_MARGIN_MAX_SHARE);
+  const limitMargin = (marginMs: Millis) =>
+    Math.min(marginMs, readGraceMs() * STOP_MARGIN_MAX_SHARE);
+  const readMarginMs = () => limitMargin(STOP_MARGIN_MS + stallPeak.peak());
   const readLongestStopMs = () => readGraceMs() - readMarginMs();
   const usualPeak = createPeakWindow({ clock, lengthMs: USUAL_HOSTS_WINDOW_MS });
   const recentPeak = createPeakWindow({ clock, lengthMs: RECENT_HOSTS_WINDOW_MS });
   let startMs: Millis | undefined;
+  let latestStartMs = 0;
   let leaveMs: Millis | undefined;
   let readyHosts = 0;
   let usualHosts = 0;
@@ -85,9 +97,10 @@
   return {
     signal: controller.signal,
     exit: exitController.signal,
-    begin(atMs = clock.nowMs()) {
+    begin(atMs = clock.nowMs(), latestMs = atMs) {
       if (startMs !== undefined) return;
       startMs = atMs;
+      latestStartMs = latestMs;
       shortestGraceMs = Infinity;
       usualHosts = usualPeak.peak();
       controller.abort();
@@ -107,5 +120,9 @@
     nextStep: (requests) =>
       startMs === undefined ? STOP_STEP.STAY : decideStopStep(describe(requests)),
     exitRemainingMs: () => Math.max(0, remainingMs() + readMarginMs() / 2),
+    answersRemainingMs() {
+      const endMs = latestStartMs + readGraceMs() - limitMargin(STOP_MARGIN_MS);
+      return Math.max(0, endMs - clock.nowMs());
+    },
   };
 }
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -116,3 +116,18 @@
   nowMs = 20_000;
   t.is(remainingMs(), 7_500 - 20_000);
 });
+
+test("answers that have begun may go on for as long as the signal may have waited", (t) => {
+  let nowMs = 1_000;
+  const stop = createStopState({
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    graceMs: () => 8_000,
+  });
+  stop.begin(1_000, 2_200);
+  stop.observeStall(1_200);
+  nowMs = 8_000;
+  t.is(stop.nextStep(1), STOP_STEP.EXIT);
+  t.is(stop.answersRemainingMs(), 1_700);
+  nowMs = 9_800;
+  t.is(stop.answersRemainingMs(), 0);
+});
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -30,7 +30,7 @@
   observeStall = stop.observeStall;
   log.info({ incarnation, callers: settings.callerAddress, [ESSENTIAL]: true }, "Host started");
 
-  const { signal, atMs, pendingMs } = await stopSignal;
+  const { signal, atMs, handledMs } = await stopSignal;
   const forwarder = kernel.lookup(SERVICE.FORWARDER);
   const servers = kernel.lookup(SERVICE.PUBLIC_SERVERS);
   const describeProgress = () => ({
@@ -39,9 +39,9 @@
     ...forwarder.connectionCounts(),
     [ESSENTIAL]: true,
   });
-  stop.begin(atMs);
+  stop.begin(atMs, handledMs);
   log.info(
-    { signal, pendingMs: Math.round(pendingMs), ...describeProgress() },
+    { signal, pendingMs: Math.round(handledMs - atMs), ...describeProgress() },
     "Host stopping; waiting for its requests to end",
   );
   const { left } = await waitUntilStopEnds(context, kernel);
@@ -55,10 +55,11 @@
   // the host's row, since a hub may remove it as well.
   await Promise.all([
     Promise.race([left, sleep(Math.min(STOP_CHECK_MS, stop.exitRemainingMs()))]),
-    waitForCallers(
+    waitForZero(
       () => forwarder.connectionCounts().connections + servers.otherConnectionCount(),
       { clock, timeoutMs: Math.min(EXIT_LINGER_MS, stop.exitRemainingMs()) },
     ),
+    waitForZero(() => forwarder.size(), { clock, timeoutMs: stop.answersRemainingMs() }),
   ]);
   log.info(describeProgress(), "Host stopped");
   // Requests may still end during the wait above, so this comes last.
@@ -86,13 +87,13 @@
   });
 }
 
-/** Waits until callers have closed all connections, at most for a timeout. */
-async function waitForCallers(
-  connectionCount: () => number,
+/** Waits until a count is 0, at most for a timeout. */
+async function waitForZero(
+  count: () => number,
   { clock, timeoutMs }: { clock: Clock; timeoutMs: Millis },
 ): Promise<void> {
   const endMs = clock.nowMs() + timeoutMs;
-  while (connectionCount() > 0 && clock.nowMs() < endMs) await sleep(EXIT_CHECK_MS);
+  while (count() > 0 && clock.nowMs() < endMs) await sleep(EXIT_CHECK_MS);
 }
 
 /** A signal to stop. */
@@ -100,16 +101,15 @@
   signal: string;
   /** Earliest monotonic time at which it can have been sent; the platform counts from the sending. */
   atMs: Millis;
-  /** Milliseconds from then until the signal was handled. */
-  pendingMs: Millis;
+  /** Monotonic time at which it was handled, the latest time of its sending. */
+  handledMs: Millis;
 }
 
 /** Waits for the first signal to stop; further ones do not end the process. */
 function waitForSignal(clock: Clock, polls: PollMonitor): Promise<StopSignal> {
   return new Promise((resolve) => {
     const onSignal = (signal: string) => {
-      const atMs = polls.polledAtMs();
-      resolve({ signal, atMs, pendingMs: clock.nowMs() - atMs });
+      resolve({ signal, atMs: polls.polledAtMs(), handledMs: clock.nowMs() });
     };
     for (const signal of ["SIGTERM", "SIGINT"] as const) process.on(signal, onSignal);
   });
