Have a hub that stood still send cold servers nothing for a second

A cold server got 14 and 13 requests in a second where 11 are allowed. A hub counts the requests of the last second, and the other hosts turn to the other hub while it stands still. When it ran again, it placed what had waited in its sockets by what it knew before, in the same turn of the event loop in which it learned that its members had left, and used the whole limit beside the other hub.

The term of a hub is kept by its members and not by itself. A host without other hosts goes on.

--- a/packages/forwarding_host/create_forwarding_host.ts
+++ b/packages/forwarding_host/create_forwarding_host.ts
@@ -1,5 +1,5 @@
 import { createKernel, createTaskGroup, sleepUntilTick } from "@jaypass/kernel";
-import type { Kernel, ServiceDefinition, TaskGroup } from "@jaypass/kernel";
+import type { Kernel, PollMonitor, ServiceDefinition, TaskGroup } from "@jaypass/kernel";
 import { HOST_COUNT_INTERVAL_MS } from "./constants.ts";
 import { createStopState } from "./create_stop_state.ts";
 import type { StopState } from "./create_stop_state.ts";
@@ -12,17 +12,21 @@
  * Creates the kernel that runs all services of a forwarding host.
  *
  * @param context settings, platform adapter, clock, log and metrics
+ * @param polls monitor of the event loop
  * @returns the kernel, which is not started yet
  *
  * @example
- * const kernel = createForwardingHost(context);
+ * const kernel = createForwardingHost(context, polls);
  * await kernel.start();
  */
-export function createForwardingHost(context: HostContext): Kernel {
+export function createForwardingHost(
+  context: HostContext,
+  polls: Pick<PollMonitor, "steadyForMs">,
+): Kernel {
   return createKernel([
     defineTasks(context),
     defineStopState(context),
-    defineClusterService(context),
+    defineClusterService(context, polls),
     defineForwarderService(context),
     definePublicServers(context),
   ]);
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -1,5 +1,5 @@
 import { sleep, sleepUntilTick } from "@jaypass/kernel";
-import type { ServiceDefinition } from "@jaypass/kernel";
+import type { PollMonitor, ServiceDefinition } from "@jaypass/kernel";
 import { createFleet, FLEET_TICK_MS } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
 import { createServerNotices } from "@jaypass/forwarding";
@@ -23,15 +23,19 @@
  * Defines the service that contains the fleet, the cluster view and the placement.
  *
  * @param context settings, platform adapter, clock, log and metrics
+ * @param polls monitor of the event loop
  * @returns the definition
  */
-export function defineClusterService(context: HostContext): ServiceDefinition<Cluster> {
+export function defineClusterService(
+  context: HostContext,
+  polls: Pick<PollMonitor, "steadyForMs">,
+): ServiceDefinition<Cluster> {
   return {
     name: SERVICE.CLUSTER,
     needs: [SERVICE.TASKS],
     async start(lookup) {
       const tasks = lookup(SERVICE.TASKS);
-      const cluster = createCluster(context, tasks);
+      const cluster = createCluster(context, polls, tasks);
       await cluster.fleet.start();
       tasks.run("remove missing servers", async (signal) => {
         while (!signal.aborted) {
@@ -46,6 +50,7 @@
 
 function createCluster(
   context: HostContext,
+  polls: Pick<PollMonitor, "steadyForMs">,
   tasks: Parameters<typeof createFleet>[0]["tasks"],
 ): Cluster {
   const { settings, adapter, clock, random, log, metrics } = context;
@@ -65,8 +70,11 @@
     coldLimits,
     share: () => fleet.hubLimitShare(),
     rank: (serverId) => fleet.isIsolated() ? fleet.rankAmongHosts(serverId) : 0,
-    // Members report their running requests to a new hub, and not those that have just ended.
-    knowsRecentSends: () => fleet.hubForMs() >= COLD_WINDOW_MS,
+    // Members report their running requests to a new hub, and not those that have just ended. They
+    // also turn to another hub while this one stands still.
+    knowsRecentSends: () =>
+      fleet.hubForMs() >= COLD_WINDOW_MS &&
+      (fleet.hostCount() === 1 || polls.steadyForMs() >= COLD_WINDOW_MS),
     quarantine: quarantine.shared,
     onVerdict: quarantine.logVerdict,
     onDecision: (record) => log.info(record, "Placement decided"),
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -20,9 +20,9 @@
  */
 export async function runForwardingHost(context: HostContext): Promise<void> {
   const { settings, clock, log, incarnation } = context;
-  const kernel = createForwardingHost(context);
   let observeStall: StopState["observeStall"] = () => {};
   const polls = monitorPolls(context, (stallMs) => observeStall(stallMs));
+  const kernel = createForwardingHost(context, polls);
   // Callers that know the address may be served before the start has completed.
   const stopSignal = waitForSignal(clock, polls);
   await kernel.start();
--- a/packages/kernel/create_poll_monitor.ts
+++ b/packages/kernel/create_poll_monitor.ts
@@ -18,6 +18,11 @@
    * been handled, so that whatever is handled now has arrived later.
    */
   polledAtMs(): Millis;
+  /**
+   * Milliseconds since the last stall that was reported has ended; 0 while the event loop is overdue,
+   * until all that has waited meanwhile is handled, and Infinity before the first stall.
+   */
+  steadyForMs(): Millis;
   /** Ends the monitor. */
   stop(): void;
 }
@@ -55,6 +60,7 @@
   const { processorMs = readProcessorMs, repeat = repeatOnTimer, afterPoll = setImmediate } =
     options;
   let polledAtMs = clock.nowMs();
+  let stalledUntilMs = -Infinity;
   let usedMs = processorMs();
   const endRepeat = repeat(() => {
     const startMs = clock.nowMs();
@@ -62,11 +68,19 @@
       const stallMs = startMs - polledAtMs;
       const nextUsedMs = processorMs();
       polledAtMs = startMs;
-      if (stallMs >= minStallMs) onStall({ stallMs, processorMs: nextUsedMs - usedMs });
+      if (stallMs >= minStallMs) {
+        stalledUntilMs = clock.nowMs();
+        onStall({ stallMs, processorMs: nextUsedMs - usedMs });
+      }
       usedMs = nextUsedMs;
     });
   }, intervalMs);
-  return { polledAtMs: () => polledAtMs, stop: endRepeat };
+  return {
+    polledAtMs: () => polledAtMs,
+    steadyForMs: () =>
+      clock.nowMs() - polledAtMs >= minStallMs ? 0 : clock.nowMs() - stalledUntilMs,
+    stop: endRepeat,
+  };
 }
 
 function readProcessorMs(): Millis {
--- a/packages/kernel/create_poll_monitor_test.ts
+++ b/packages/kernel/create_poll_monitor_test.ts
@@ -62,6 +62,21 @@
   t.deepEqual(stalls, [{ stallMs: 800, processorMs: 1 }, { stallMs: 300, processorMs: 297 }]);
 });
 
+test("the event loop is steady again when what has waited during a stall is handled", (t) => {
+  const { loop, monitor } = setUp();
+  t.is(monitor.steadyForMs(), Infinity);
+  loop.nowMs = 1_249;
+  t.is(monitor.steadyForMs(), Infinity);
+  loop.nowMs = 1_900;
+  t.is(monitor.steadyForMs(), 0);
+  loop.tick();
+  loop.nowMs = 1_950;
+  t.is(monitor.steadyForMs(), 0);
+  loop.poll();
+  loop.nowMs = 2_050;
+  t.is(monitor.steadyForMs(), 100);
+});
+
 test("in a calm process the last poll is at most some intervals ago", async (t) => {
   const clock = { nowMs: () => performance.now() };
   const monitor = createPollMonitor({ clock, intervalMs: 10, minStallMs: 1, onStall() {} });
