Stop by the grace period that is in force at the signal

Callers got 502 at 3.5 s after a SIGTERM, and streams were cut off then, although the platform gave the host 8 s: the settings had been lengthened from 4 s shortly before, without a signal or with a SIGHUP that the host handled together with the SIGTERM. The shortest grace period since the signal counts, and a period that the host had not yet replaced by the one in the file counted as one of them.

Now the periods count from the reading of the settings that the signal triggers.

--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -2,6 +2,7 @@
 import type { HostStop } from "@jaypass/forwarding";
 import {
   LEAVE_SPREAD_MS,
+  MIN_REPORTED_STALL_MS,
   RECENT_HOSTS_WINDOW_MS,
   STALL_WINDOW_MS,
   STOP_MARGIN_MAX_SHARE,
@@ -23,6 +24,8 @@
    * @param latestMs latest one; the earliest by default
    */
   begin(atMs?: Millis, latestMs?: Millis): void;
+  /** Records that the settings have been read after the signal; until then they may be old. */
+  settingsRead(): void;
   /** Starts the exit: no request is taken any more, and those in progress are answered. */
   beginExit(): void;
   /** Records that the host leaves the directory now. */
@@ -37,7 +40,8 @@
   exitRemainingMs(): Millis;
   /**
    * Time for which answers that have begun may go on after the exit. The platform may have sent the
-   * signal as late as possible, and a forced end costs their callers no more than a cut.
+   * signal as late as possible and use the longest grace period, and a forced end costs their callers
+   * no more than a cut.
    */
   answersRemainingMs(): Millis;
 }
@@ -51,7 +55,8 @@
  * A process that has stood still of late may do so again at its exit, so that it exits sooner by as much.
  *
  * The settings may change before a stop and during one. Of the times that are in force from the signal
- * on, the shortest counts, since it is not known which of them the platform uses.
+ * on, the shortest counts, since it is not known which of them the platform uses. Answers that have
+ * begun may go on for the longest.
  *
  * @param options clock; `graceMs` returns the time between the signal and the forced end of the process
  * that is in force now; the turn of the host among hosts that stop at the same moment, from 0 to 1
@@ -67,14 +72,19 @@
   const controller = new AbortController();
   const exitController = new AbortController();
   let shortestGraceMs = Infinity;
+  let longestGraceMs = 0;
+  const forgetGraces = () => {
+    shortestGraceMs = Infinity;
+    longestGraceMs = 0;
+  };
   const readGraceMs = () => {
     shortestGraceMs = Math.min(shortestGraceMs, graceMs());
+    longestGraceMs = Math.max(longestGraceMs, graceMs());
     return shortestGraceMs;
   };
   const stallPeak = createPeakWindow({ clock, lengthMs: STALL_WINDOW_MS });
-  const limitMargin = (marginMs: Millis) =>
-    Math.min(marginMs, readGraceMs() * STOP_MARGIN_MAX_SHARE);
-  const readMarginMs = () => limitMargin(STOP_MARGIN_MS + stallPeak.peak());
+  const readMarginMs = () =>
+    Math.min(STOP_MARGIN_MS + stallPeak.peak(), readGraceMs() * STOP_MARGIN_MAX_SHARE);
   const readLongestStopMs = () => readGraceMs() - readMarginMs();
   const usualPeak = createPeakWindow({ clock, lengthMs: USUAL_HOSTS_WINDOW_MS });
   const recentPeak = createPeakWindow({ clock, lengthMs: RECENT_HOSTS_WINDOW_MS });
@@ -101,10 +111,14 @@
       if (startMs !== undefined) return;
       startMs = atMs;
       latestStartMs = latestMs;
-      shortestGraceMs = Infinity;
+      forgetGraces();
       usualHosts = usualPeak.peak();
       controller.abort();
     },
+    settingsRead() {
+      // If the signal may have waited, the settings may have changed after it.
+      if (latestStartMs - (startMs ?? 0) < MIN_REPORTED_STALL_MS) forgetGraces();
+    },
     beginExit: () => exitController.abort(),
     leave: () => void (leaveMs ??= clock.nowMs()),
     observeHosts(count) {
@@ -121,8 +135,9 @@
       startMs === undefined ? STOP_STEP.STAY : decideStopStep(describe(requests)),
     exitRemainingMs: () => Math.max(0, remainingMs() + readMarginMs() / 2),
     answersRemainingMs() {
-      const endMs = latestStartMs + readGraceMs() - limitMargin(STOP_MARGIN_MS);
-      return Math.max(0, endMs - clock.nowMs());
+      readGraceMs();
+      const marginMs = Math.min(STOP_MARGIN_MS, longestGraceMs * STOP_MARGIN_MAX_SHARE);
+      return Math.max(0, latestStartMs + longestGraceMs - marginMs - clock.nowMs());
     },
   };
 }
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -131,3 +131,34 @@
   nowMs = 9_800;
   t.is(stop.answersRemainingMs(), 0);
 });
+
+/** Begins a stop whose signal waited, with settings that were old until they were read after it. */
+function beginWithOldSettings({ waitedMs }: { waitedMs: number }) {
+  let graceMs = 4_000;
+  const stop = createStopState({
+    clock: { nowMs: () => 1_000, wallMs: () => 1_000 },
+    graceMs: () => graceMs,
+  });
+  stop.begin(1_000 - waitedMs, 1_000);
+  const remainingMs = () => stop.time()?.remainingMs;
+  const beforeMs = remainingMs();
+  graceMs = 8_000;
+  stop.settingsRead();
+  return { beforeMs, afterMs: remainingMs(), answersMs: stop.answersRemainingMs() };
+}
+
+test("a longer grace period that is read at the signal is the one in force", (t) => {
+  t.deepEqual(beginWithOldSettings({ waitedMs: 100 }), {
+    beforeMs: 3_400,
+    afterMs: 7_400,
+    answersMs: 7_500,
+  });
+});
+
+test("a longer grace period that may have come after the signal holds only for answers that have begun", (t) => {
+  t.deepEqual(beginWithOldSettings({ waitedMs: 600 }), {
+    beforeMs: 2_900,
+    afterMs: 2_900,
+    answersMs: 7_500,
+  });
+});
--- a/packages/forwarding_host/host_context.ts
+++ b/packages/forwarding_host/host_context.ts
@@ -5,6 +5,8 @@
 export interface HostContext {
   /** Settings at the start of the process. */
   settings: ForwardingHostSettings;
+  /** Reads the settings again, which may have changed without a signal; never rejects. */
+  reloadSettings: () => Promise<void>;
   /** Adapter to the platform. */
   adapter: PlatformAdapter;
   /** Id of this run of the process. */
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -40,6 +40,8 @@
     [ESSENTIAL]: true,
   });
   stop.begin(atMs, handledMs);
+  // A stop follows the settings in force, and the file may have changed without a signal.
+  void context.reloadSettings().then(() => stop.settingsRead());
   log.info(
     { signal, pendingMs: Math.round(handledMs - atMs), ...describeProgress() },
     "Host stopping; waiting for its requests to end",
