--- a/packages/forwarding/_lib/create_stop_monitor.ts
+++ b/packages/forwarding/_lib/create_stop_monitor.ts
@@ -38,6 +38,8 @@
   remove(request: MonitoredRequest): void;
   /** Log fields that place a request in the stop; empty before the stop. */
   describe(request: MonitoredRequest): { sinceSignalMs?: Millis; isOnKeptConnection?: boolean };
+  /** Logs each request in progress, whose answer goes on after the exit and may be cut off without a line. */
+  logRemaining(): void;
   /** Logs each request in progress as cut off and closes its connection, for a host that exits now. */
   cutOff(): void;
 }
@@ -64,9 +66,9 @@
     metrics.increment("stop_request", { result });
   const readId = ({ req }: MonitoredRequest) => codec.readCaller(req.rawHeaders).attemptId;
 
-  const logCut = (request: MonitoredRequest, { elapsedMs }: StopTime) => {
+  const describeInProgress = (request: MonitoredRequest, { elapsedMs }: StopTime) => {
     const ageMs = clock.nowMs() - request.arrivalMs;
-    log.warn({
+    return {
       requestId: readId(request),
       route: request.route,
       ageMs: Math.round(ageMs),
@@ -75,9 +77,9 @@
       isOnKeptConnection: request.isOnKeptConnection,
       isPassedOn: (request.attempts?.sendCount ?? 0) > 0,
       hasBegun: request.res.headersSent,
-    }, "Request cut off by the exit of the host");
-    count("cut");
+    };
   };
+  const listUnfinished = () => [...inProgress].filter(({ res }) => !res.writableFinished);
 
   return {
     add(req, res) {
@@ -115,12 +117,19 @@
       const { isOnKeptConnection } = request;
       return { sinceSignalMs: Math.round(time.elapsedMs), isOnKeptConnection };
     },
+    logRemaining() {
+      const time = stopTime();
+      if (time === undefined) return;
+      for (const request of listUnfinished()) {
+        log.info(describeInProgress(request, time), "Answer goes on after the exit of the host");
+      }
+    },
     cutOff() {
       const time = stopTime();
       if (time === undefined) return;
-      for (const request of inProgress) {
-        if (request.res.writableFinished) continue;
-        logCut(request, time);
+      for (const request of listUnfinished()) {
+        log.warn(describeInProgress(request, time), "Request cut off by the exit of the host");
+        count("cut");
         breakOff(closer, request.res, CLOSE_REASON.EXIT);
       }
     },
--- a/packages/forwarding/_lib/create_stop_monitor_test.ts
+++ b/packages/forwarding/_lib/create_stop_monitor_test.ts
@@ -124,3 +124,19 @@
   t.is(facts(reserving).length, 1);
   t.like(facts(reserving)[0], { isPassedOn: false, hasBegun: false });
 });
+
+// Guards against answers that a forced end cuts off without any line on them.
+test("an answer that goes on after the exit of its host is logged, and goes on", async (t) => {
+  const host = await startHost(t, answerInPart);
+  host.setStopTime({ elapsedMs: 4_000, remainingMs: 3_500 });
+  const call = host.call({ kind: ROUTE_KIND.STREAMING });
+  await until(() => "first_event_ms" in host.counters);
+  host.logRemaining();
+  const remaining = linesOf(host, "Answer goes on after the exit of the host");
+  t.is(remaining.length, 1);
+  t.like(remaining[0]?.fields, { requestId: "a1", isPassedOn: true, hasBegun: true });
+  t.is(host.size(), 1);
+  t.deepEqual(stopRequests(host), { "stop_request taken": 1 });
+  host.cutOff();
+  t.false((await call).isComplete);
+});
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -60,6 +60,8 @@
   size(): number;
   /** Numbers of open connections of callers. */
   connectionCounts(): ConnectionCounts;
+  /** Logs the requests in progress, whose answers go on after the exit of the host. */
+  logRemaining(): void;
   /**
    * Logs and counts the requests in progress as cut off, for a stopping host that exits now, and
    * closes their connections, so that no answer looks complete.
@@ -192,6 +194,7 @@
     handleTunnelRequest: (socket) => handleTunnelRequest({ connections, closer }, socket),
     size: () => size,
     connectionCounts: () => closer.counts(),
+    logRemaining: () => monitor.logRemaining(),
     cutOff: () => monitor.cutOff(),
     endConnections: () => connections.closeForExit(),
     closeConnections: () => closer.closeAll(),
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -61,8 +61,12 @@
       () => forwarder.connectionCounts().connections + servers.otherConnectionCount(),
       { clock, timeoutMs: Math.min(EXIT_LINGER_MS, stop.exitRemainingMs()) },
     ),
-    waitForZero(() => forwarder.size(), { clock, timeoutMs: stop.answersRemainingMs() }),
   ]);
+  if (forwarder.size() > 0 && stop.answersRemainingMs() > 0) {
+    // The platform may end the process in this wait.
+    forwarder.logRemaining();
+    await waitForZero(() => forwarder.size(), { clock, timeoutMs: stop.answersRemainingMs() });
+  }
   log.info(describeProgress(), "Host stopped");
   // Requests may still end during the wait above, so this comes last.
   forwarder.cutOff();
