Judge the silence of a host by what its coordinator knows after it has asked it

A coordinator of a quota shard frees the slots of a host that has been silent for the longest request. It computed the silence before it asked the host for its incarnation. After a stall of its own, the reports of all hosts wait in its sockets and are handled while it asks; it freed their slots nevertheless, so that a workspace could get more requests at once than its limit. The same came about when a new process of the host reported meanwhile: its slots were freed with those of the former one.

Now the silence is judged after the question, and only for the record that was asked about. Two of the three new tests failed before (0 slots in use instead of 2); the third one shows that slots are still freed after the longest request and when a process was replaced.

--- a/packages/admission/create_quota_coordinator.ts
+++ b/packages/admission/create_quota_coordinator.ts
@@ -101,11 +101,13 @@
     while (!signal.aborted) {
       await sleep(HOST_SILENCE_MS / 3, signal);
       for (const [id, record] of [...hosts]) {
-        const silentMs = clock.nowMs() - record.seenMs;
-        if (silentMs < HOST_SILENCE_MS || record.held.size === 0) continue;
+        const silentMs = () => clock.nowMs() - record.seenMs;
+        if (silentMs() < HOST_SILENCE_MS || record.held.size === 0) continue;
         const answer = await membership.askIncarnation(record.owner.address).catch(() => undefined);
+        // A report may have waited while this process stood still, or come meanwhile.
+        if (hosts.get(id) !== record) continue;
         const isReplaced = answer?.host === id && answer.incarnation > record.owner.incarnation;
-        if (isReplaced || silentMs > options.longestRequestMs()) hosts.delete(id);
+        if (isReplaced || silentMs() > options.longestRequestMs()) hosts.delete(id);
       }
     }
   });
