Have a hub read its links before it places requests on cold servers

A cold server got 14 requests in a second where 11 are allowed, beside a hub that stood still for 0.25 s. Hosts turn to the other hub after 60 ms without a decision and give up the link after three, so that a stall too short to count as one let both hubs use the limit. The reports of the others, and the end of their links, waited in the sockets of the hub while it placed the requests of its own callers.

Now, while a server is cold, a hub places requests and dispatches queued ones once it has read its sockets in a short turn of the event loop; a request that is cancelled meanwhile, or whose host leaves or has placed it, is dropped. A hub whose member has given up its link sends cold servers nothing for a second, since members do not report requests that have ended. Members that were silent before do not count.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -103,6 +103,11 @@
   rankAmongHosts(key: string): number;
   /** Milliseconds since this host became a hub; 0 while it is none. */
   hubForMs(): Millis;
+  /**
+   * Milliseconds since a member of this host has given up its link and may have turned to another hub;
+   * Infinity if none has.
+   */
+  memberLostAgoMs(): Millis;
   /** Reports whether a host with a row accepts callers or links at an address. */
   hasHostAt(address: string): boolean;
   /** True while this host is a hub and places jobs of other hosts. */
@@ -395,6 +400,7 @@
     rankAmongHosts: (key) =>
       rankAmongHosts(self.host, { hosts: knownHosts().map(({ host }) => host), key }),
     hubForMs: () => hubClient.hubForMs(),
+    memberLostAgoMs: () => hubServer.memberLostAgoMs(),
     hasHostAt: (address) => hostAddresses().has(address),
     storeRecoveredAgoMs,
   };
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -89,6 +89,11 @@
   liveMembers(): HostEntry[];
   /** Milliseconds since a host's link ended; 0 while it is linked, undefined if it never was. */
   disconnectedMs(host: string): Millis | undefined;
+  /**
+   * Milliseconds since a member has given up its link and may have turned to another hub; Infinity if
+   * none has. Links on which a member was silent before do not count, since other hubs lose it too.
+   */
+  memberLostAgoMs(): Millis;
 }
 
 interface Member<Decision> {
@@ -113,6 +118,7 @@
   const { self, scheduler, clock, log, tasks } = options;
   const members = new Map<string, Member<Decision>>();
   const disconnectedAtMs = new Map<string, Millis>();
+  let memberLostAtMs = -Infinity;
   const sockets = new Set<Socket>();
 
   const listLive = () =>
@@ -167,6 +173,7 @@
     link: JsonLink<unknown, HubMessage<Decision>>,
   ): Member<Decision> => {
     const { entry, isDraining, reports, revisions } = message;
+    if (members.has(entry.host)) memberLostAtMs = clock.nowMs();
     members.get(entry.host)?.link.close();
     scheduler.forget(entry.host);
     for (const report of reports) scheduler.report(entry.host, report);
@@ -238,8 +245,10 @@
       parse: (value) => parseMemberMessage(value, options.parsers),
     });
     let member: Member<Decision> | undefined;
+    let heardAtMs = clock.nowMs();
     try {
       for await (const message of link.messages()) {
+        heardAtMs = clock.nowMs();
         if (message.type === "hello") member = addMember(message, link);
         else if (message.type === "invite") options.onRows("hosts", message.hosts);
         else if (member !== undefined) handleMessage(member, message);
@@ -255,6 +264,9 @@
       if (member !== undefined && members.get(member.entry.host) === member) {
         members.delete(member.entry.host);
         disconnectedAtMs.set(member.entry.host, clock.nowMs());
+        // Members ping more often, and a timer may fire a little early.
+        const isSilent = clock.nowMs() - heardAtMs >= LINK_IDLE_TIMEOUT_MS - VIEW_INTERVAL_MS;
+        if (!member.isDraining && !isSilent) memberLostAtMs = clock.nowMs();
         // The members of a hub that leaves go to another one, and their jobs go on.
         if (!options.isDraining()) scheduler.forget(member.entry.host);
         log.info({ member: member.entry.host, [ESSENTIAL]: true }, "Member left");
@@ -319,6 +331,7 @@
     sendGossip: (items) => broadcast({ type: "gossip", items }),
     announceDraining: announceHosts,
     liveMembers: listLive,
+    memberLostAgoMs: () => clock.nowMs() - memberLostAtMs,
     disconnectedMs(host) {
       if (members.has(host)) return 0;
       const at = disconnectedAtMs.get(host);
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -9,6 +9,12 @@
 /** Time within which a hub must answer a placement; an unloaded round trip takes under 5 ms. */
 export const PLACEMENT_TIMEOUT_MS = 60;
 
+/**
+ * Longest turn of the event loop after which the reports that have reached a hub count as read: hosts
+ * do not turn to another hub in a shorter time.
+ */
+export const MAX_READ_TURN_MS = PLACEMENT_TIMEOUT_MS / 2;
+
 /** Longest time that a prompt waits for a link to a hub that is being established. */
 export const MAX_LINK_WAIT_MS = 150;
 
--- a/packages/forwarding_host/create_hub_scheduler.ts
+++ b/packages/forwarding_host/create_hub_scheduler.ts
@@ -1,6 +1,6 @@
 import type { HubScheduler } from "@jaypass/fleet";
 import type { ServerInstance } from "@jaypass/forwarding";
-import { JOB_OUTCOME } from "@jaypass/placement";
+import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "@jaypass/placement";
 import type {
   JobOutcome,
   PlacementDecision,
@@ -16,18 +16,49 @@
   | { kind: "finished"; jobId: string; outcome: JobOutcome; faultyServerId?: string }
   | { kind: "leaving"; serverId: string; bornMs: number };
 
+/** Options of {@linkcode createHubScheduler}. */
+export interface HubSchedulerOptions {
+  /** Calls a function once what has reached the process is read. */
+  afterRead: (run: () => void) => void;
+}
+
 /**
  * Creates the scheduler of a hub, which places the requests of all members and tracks them by host.
  *
+ * While a server is cold, reports that have arrived are read before a request is placed. Members whose
+ * requests were not placed in time have turned to another hub and report what it has placed.
+ *
  * @param placer places requests within the undivided limits of all hosts
+ * @param options the event loop
  * @returns the scheduler
  *
  * @example
- * const scheduler = createHubScheduler(placer);
+ * const scheduler = createHubScheduler(placer, { afterRead: runAfterRead });
  */
 export function createHubScheduler(
   placer: Placer,
+  { afterRead }: HubSchedulerOptions,
 ): HubScheduler<PlacementJob, PlacementDecision, JobReport> {
+  /** Ends the placements that wait until reports are read, by job. */
+  const unread = new Map<string, (decision: PlacementDecision) => void>();
+  const placeAfterRead = (
+    job: PlacementJob,
+    place: () => PlacementDecision | Promise<PlacementDecision>,
+  ) =>
+    new Promise<PlacementDecision>((resolve, reject) => {
+      unread.set(job.id, resolve);
+      afterRead(() => {
+        if (unread.delete(job.id)) Promise.resolve().then(place).then(resolve, reject);
+      });
+    });
+  const cancelUnread = (jobId: string) => {
+    unread.get(jobId)?.({
+      kind: "refused",
+      reason: PLACEMENT_REFUSAL.UNSERVABLE,
+      retryAfterMs: 0,
+    });
+    unread.delete(jobId);
+  };
   const jobsByHost = new Map<string, Set<string>>();
   const jobsOf = (host: string) => {
     const known = jobsByHost.get(host);
@@ -44,25 +75,32 @@
     place(host, job) {
       // Also tracks queued jobs, which must leave the queue when the link to their host ends.
       jobsOf(host).add(job.id);
-      const decision = placer.place(job);
-      if (decision instanceof Promise) {
-        return decision.then((settled) => untrackIfRefused(host, job, settled));
-      }
-      return untrackIfRefused(host, job, decision);
+      const placeNow = () => {
+        const decision = placer.place(job);
+        return decision instanceof Promise
+          ? decision.then((settled) => untrackIfRefused(host, job, settled))
+          : untrackIfRefused(host, job, decision);
+      };
+      return placer.hasColdServers() ? placeAfterRead(job, placeNow) : placeNow();
     },
     report(host, report) {
       if (report.kind === "running") {
+        cancelUnread(report.running.job.id);
         jobsOf(host).add(report.running.job.id);
         placer.addRunning(report.running);
       } else if (report.kind === "started") placer.started(report.jobId);
       else if (report.kind === "leaving") placer.markLeaving(report.serverId, report.bornMs);
       else {
+        cancelUnread(report.jobId);
         jobsOf(host).delete(report.jobId);
         placer.finished(report.jobId, report.outcome, report.faultyServerId);
       }
     },
     forget(host) {
-      for (const jobId of jobsOf(host)) placer.finished(jobId, JOB_OUTCOME.CANCELLED);
+      for (const jobId of jobsOf(host)) {
+        cancelUnread(jobId);
+        placer.finished(jobId, JOB_OUTCOME.CANCELLED);
+      }
       jobsByHost.delete(host);
     },
   };
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -1,11 +1,11 @@
-import { sleep, sleepUntilTick } from "@jaypass/kernel";
+import { runAfterRead, sleep, sleepUntilTick } from "@jaypass/kernel";
 import type { PollMonitor, ServiceDefinition } from "@jaypass/kernel";
 import { createFleet, FLEET_TICK_MS } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
 import { createServerNotices } from "@jaypass/forwarding";
 import { COLD_WINDOW_MS, createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
 import type { PlacementServer } from "@jaypass/placement";
-import { HUB_PROBE_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
+import { HUB_PROBE_MS, MAX_READ_TURN_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
 import { ageJob } from "./age_job.ts";
 import { checkRow } from "./check_row.ts";
 import { createClusterQuarantine } from "./create_cluster_quarantine.ts";
@@ -63,6 +63,18 @@
     log,
     metrics,
   });
+  const afterRead = (run: () => void) => {
+    const runOrLog = () => {
+      try {
+        run();
+      } catch (err) {
+        log.error({ err }, "Placing queued prompts failed");
+      }
+    };
+    const readOptions = { clock, maxTurnMs: MAX_READ_TURN_MS };
+    // The end of a link is read one turn after its last data.
+    runAfterRead(() => runAfterRead(runOrLog, readOptions), readOptions);
+  };
   // The hub's placer knows all requests; the local one is used if no hub answers.
   const hubPlacer = createPlacer({
     clock,
@@ -71,10 +83,11 @@
     share: () => fleet.hubLimitShare(),
     rank: (serverId) => fleet.isIsolated() ? fleet.rankAmongHosts(serverId) : 0,
     // Members report their running requests to a new hub, and not those that have just ended. They
-    // also turn to another hub while this one stands still.
+    // also turn to another hub while this one stands still, and may give up their link to it.
     knowsRecentSends: () =>
-      fleet.hubForMs() >= COLD_WINDOW_MS &&
+      fleet.hubForMs() >= COLD_WINDOW_MS && fleet.memberLostAgoMs() >= COLD_WINDOW_MS &&
       (fleet.hostCount() === 1 || polls.steadyForMs() >= COLD_WINDOW_MS),
+    afterRead,
     quarantine: quarantine.shared,
     onVerdict: quarantine.logVerdict,
     onDecision: (record) => log.info(record, "Placement decided"),
@@ -139,7 +152,7 @@
   const fleet: PlacementFleet = createFleet({
     self: describeSelf(context),
     store: adapter.store,
-    scheduler: createHubScheduler(hubPlacer),
+    scheduler: createHubScheduler(hubPlacer, { afterRead }),
     currentReports: () => [
       ...notices.listLeaving().map(createLeavingReport),
       ...placement.currentReports(),
@@ -161,6 +174,7 @@
       // Only hubs have queued prompts.
       if (fleet.isHub()) await sleep(QUEUE_CHECK_INTERVAL_MS, signal);
       else await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
+      if (hubPlacer.hasColdServers()) await new Promise<void>(afterRead);
       hubPlacer.dispatchReady();
     }
   });
--- a/packages/kernel/run_after_read.ts
+++ b/packages/kernel/run_after_read.ts
@@ -1,8 +1,8 @@
 import { createClock } from "./create_clock.ts";
 import type { Clock, Millis } from "./types.ts";
 
-/** Longest turn of the event loop after which what had arrived at its end counts as read. */
-const MAX_TURN_MS = 5;
+/** Longest turn of the event loop after which what had arrived at its end counts as read, by default. */
+const DEFAULT_MAX_TURN_MS = 5;
 
 /** Turns after which the function is called even if all of them were longer. */
 const MAX_TURNS = 20;
@@ -11,6 +11,8 @@
 export interface RunAfterReadOptions {
   /** Time after which the function is called after the next look at the sockets; no limit by default. */
   maxWaitMs?: Millis;
+  /** Longest turn of the event loop after which what has arrived counts as read; 5 ms by default. */
+  maxTurnMs?: Millis;
   /** Monotonic time source; that of the process by default. */
   clock?: Pick<Clock, "nowMs">;
   /** Calls a function after the next look at the sockets; `setImmediate` by default. */
@@ -32,7 +34,8 @@
  * }), timeoutMs);
  */
 export function runAfterRead(run: () => void, options: RunAfterReadOptions = {}): void {
-  const { clock = createClock(), afterPoll = setImmediate, maxWaitMs = Infinity } = options;
+  const { clock = createClock(), afterPoll = setImmediate } = options;
+  const { maxWaitMs = Infinity, maxTurnMs = DEFAULT_MAX_TURN_MS } = options;
   const beginMs = clock.nowMs();
   let turnCount = 0;
   const startTurn = () => {
@@ -40,7 +43,7 @@
     turnCount += 1;
     afterPoll(() => {
       const nowMs = clock.nowMs();
-      const isRead = nowMs - startMs <= MAX_TURN_MS;
+      const isRead = nowMs - startMs <= maxTurnMs;
       if (isRead || turnCount === MAX_TURNS || nowMs - beginMs >= maxWaitMs) run();
       else startTurn();
     });
--- a/packages/placement/_lib/create_server_registry.ts
+++ b/packages/placement/_lib/create_server_registry.ts
@@ -28,6 +28,8 @@
   profileOf(service: string): EngineProfile | undefined;
   /** Lists the servers that may get the job; suspect servers only if there are no others. */
   listUsable(job: PlacementJob): ServerLoad[];
+  /** Reports whether a server has a cold limit now. */
+  hasColdServers(): boolean;
   /** Lists the usable servers whose cold limit allows another request now. */
   listAvailable(job: PlacementJob): ServerLoad[];
 }
@@ -79,6 +81,16 @@
     return rank;
   };
 
+  let coldUntilMs = -Infinity;
+  const updateCold = () => {
+    coldUntilMs = Math.max(
+      -Infinity,
+      ...[...loads.values()].filter(({ server }) =>
+        (services.get(server.service)?.coldRequestsPerS ?? 0) > 0
+      ).map(({ server }) => server.coldUntilMs),
+    );
+  };
+
   const sortServers = () => {
     loadsByService.clear();
     const ordered = [...loads.values()]
@@ -118,6 +130,7 @@
         }
       }
       sortServers();
+      updateCold();
     },
     markLeaving(serverId, bornMs) {
       if (loads.get(serverId)?.server.bornMs === bornMs) leaving.set(serverId, bornMs);
@@ -128,10 +141,12 @@
       for (const load of loads.values()) {
         load.setProfile(services.get(load.server.service)?.engine);
       }
+      updateCold();
     },
     find: (serverId) => loads.get(serverId),
     profileOf: (service) => services.get(service)?.engine,
     listUsable,
+    hasColdServers: () => clock.nowMs() <= coldUntilMs,
     listAvailable(job) {
       // Counting the hosts is slow, so that it is done at most once, and only for a cold server.
       let known: number | undefined;
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -47,6 +47,7 @@
  */
 export function createPlacer(options: PlacerOptions): Placer {
   const { clock, retryLimits, share, canQueue, isUncoordinated } = options;
+  const { afterRead = (run) => run() } = options;
   const registry = createServerRegistry(options);
   const placedJobs = new Map<string, PlacedJob>();
   const crashGuard = createCrashGuard({ ...options, running: () => placedJobs.values() });
@@ -311,6 +312,7 @@
   return {
     setServers: registry.setServers,
     markLeaving: registry.markLeaving,
+    hasColdServers: registry.hasColdServers,
     setServices: registry.setServices,
     place,
     applyReport: (serverId, report) => registry.find(serverId)?.applyReport(report),
@@ -341,7 +343,9 @@
       const entry = removeLoad(jobId);
       if (entry === undefined) return;
       recordOutcome(entry, outcome, faultyServerId);
-      slotQueue.dispatchReady();
+      if (slotQueue.size() === 0) return;
+      if (registry.hasColdServers()) afterRead(() => slotQueue.dispatchReady());
+      else slotQueue.dispatchReady();
     },
   };
 }
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -72,6 +72,11 @@
    * by default.
    */
   knowsRecentSends?: () => boolean;
+  /**
+   * Calls a function once what other placers have reported before is counted; at once by default. Queued
+   * prompts wait for it while a server is cold.
+   */
+  afterRead?: (run: () => void) => void;
   /** True while prompts may be queued, because the placer knows most of the load. */
   canQueue: () => boolean;
   /** True while other hosts place requests on the same servers without reporting them here. */
@@ -120,6 +125,8 @@
   setServices(services: readonly PlacementService[]): void;
   /** Places a job, at once or after a wait; a placed job counts as load until it is finished. */
   place(job: PlacementJob): PlacementDecision | Promise<PlacementDecision>;
+  /** Reports whether a server is cold, so that the requests to it are limited. */
+  hasColdServers(): boolean;
   /** Places the queued jobs that are due and refuses those that can no longer be answered. */
   dispatchReady(): void;
   /** Applies an engine's report of its load. */
