--- a/packages/forwarding/_lib/create_stop_monitor.ts
+++ b/packages/forwarding/_lib/create_stop_monitor.ts
@@ -38,8 +38,11 @@
   remove(request: MonitoredRequest): void;
   /** Log fields that place a request in the stop; empty before the stop. */
   describe(request: MonitoredRequest): { sinceSignalMs?: Millis; isOnKeptConnection?: boolean };
-  /** Logs each request in progress, whose answer goes on after the exit and may be cut off without a line. */
-  logRemaining(): void;
+  /**
+   * Logs each request in progress, whose answer goes on after the exit and may be cut off without a line.
+   * Answers in HTTP/1.0 are cut off at once, since a forced end would make them look complete.
+   */
+  continueAfterExit(): void;
   /** Logs each request in progress as cut off and closes its connection, for a host that exits now. */
   cutOff(): void;
 }
@@ -79,6 +82,11 @@
       hasBegun: request.res.headersSent,
     };
   };
+  const cut = (request: MonitoredRequest, time: StopTime) => {
+    log.warn(describeInProgress(request, time), "Request cut off by the exit of the host");
+    count("cut");
+    breakOff(closer, request.res, CLOSE_REASON.EXIT);
+  };
   const listUnfinished = () => [...inProgress].filter(({ res }) => !res.writableFinished);
 
   return {
@@ -117,21 +125,21 @@
       const { isOnKeptConnection } = request;
       return { sinceSignalMs: Math.round(time.elapsedMs), isOnKeptConnection };
     },
-    logRemaining() {
+    continueAfterExit() {
       const time = stopTime();
       if (time === undefined) return;
       for (const request of listUnfinished()) {
-        log.info(describeInProgress(request, time), "Answer goes on after the exit of the host");
+        if (request.req.httpVersion === "1.0") cut(request, time);
+        else {log.info(
+            describeInProgress(request, time),
+            "Answer goes on after the exit of the host",
+          );}
       }
     },
     cutOff() {
       const time = stopTime();
       if (time === undefined) return;
-      for (const request of listUnfinished()) {
-        log.warn(describeInProgress(request, time), "Request cut off by the exit of the host");
-        count("cut");
-        breakOff(closer, request.res, CLOSE_REASON.EXIT);
-      }
+      for (const request of listUnfinished()) cut(request, time);
     },
   };
 }
--- a/packages/forwarding/_lib/create_stop_monitor_test.ts
+++ b/packages/forwarding/_lib/create_stop_monitor_test.ts
@@ -131,7 +131,7 @@
   host.setStopTime({ elapsedMs: 4_000, remainingMs: 3_500 });
   const call = host.call({ kind: ROUTE_KIND.STREAMING });
   await until(() => "first_event_ms" in host.counters);
-  host.logRemaining();
+  host.continueAfterExit();
   const remaining = linesOf(host, "Answer goes on after the exit of the host");
   t.is(remaining.length, 1);
   t.like(remaining[0]?.fields, { requestId: "a1", isPassedOn: true, hasBegun: true });
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -56,8 +56,8 @@
   setStopTime(time: StopTime, options?: { isNeeded: boolean }): void;
   /** Logs the requests in progress as cut off and closes their connections. */
   cutOff(): void;
-  /** Logs the requests in progress as going on after the exit. */
-  logRemaining(): void;
+  /** Lets the answers in progress go on after the exit. */
+  continueAfterExit(): void;
   /** Closes all connections of callers, as a process does that ends. */
   closeConnections(): void;
   /** Numbers of open connections of callers. */
@@ -270,7 +270,7 @@
     },
     endConnections: () => forwarder.endConnections(),
     cutOff: () => forwarder.cutOff(),
-    logRemaining: () => forwarder.logRemaining(),
+    continueAfterExit: () => forwarder.continueAfterExit(),
     closeConnections: () => forwarder.closeConnections(),
     connectionCounts: () => forwarder.connectionCounts(),
     lines,
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -60,8 +60,11 @@
   size(): number;
   /** Numbers of open connections of callers. */
   connectionCounts(): ConnectionCounts;
-  /** Logs the requests in progress, whose answers go on after the exit of the host. */
-  logRemaining(): void;
+  /**
+   * Logs the requests in progress, whose answers go on after the exit of the host until its forced end.
+   * Answers in HTTP/1.0 are cut off, since they would look complete then.
+   */
+  continueAfterExit(): void;
   /**
    * Logs and counts the requests in progress as cut off, for a stopping host that exits now, and
    * closes their connections, so that no answer looks complete.
@@ -194,7 +197,7 @@
     handleTunnelRequest: (socket) => handleTunnelRequest({ connections, closer }, socket),
     size: () => size,
     connectionCounts: () => closer.counts(),
-    logRemaining: () => monitor.logRemaining(),
+    continueAfterExit: () => monitor.continueAfterExit(),
     cutOff: () => monitor.cutOff(),
     endConnections: () => connections.closeForExit(),
     closeConnections: () => closer.closeAll(),
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -64,7 +64,7 @@
   ]);
   if (forwarder.size() > 0 && stop.answersRemainingMs() > 0) {
     // The platform may end the process in this wait.
-    forwarder.logRemaining();
+    forwarder.continueAfterExit();
     await waitForZero(() => forwarder.size(), { clock, timeoutMs: stop.answersRemainingMs() });
   }
   log.info(describeProgress(), "Host stopped");
