Have a host that exits at once leave the directory first

Callers got no connection from a host that other hosts still named: if its signal may be as old as the grace period, a host exits at its first look, and one that exits did not leave the directory. Now it leaves before it exits.

--- a/packages/forwarding_host/_lib/wait_until_stop_ends.ts
+++ b/packages/forwarding_host/_lib/wait_until_stop_ends.ts
@@ -24,13 +24,14 @@
     const readyHosts = fleet.liveOtherCount();
     if (readyHosts !== undefined) stop.observeHosts(readyHosts);
     const step = stop.nextStep(forwarder.size());
-    if (step === STOP_STEP.EXIT) return { left };
-    if (step === STOP_STEP.LEAVE) {
+    // A host whose signal has waited for most of the grace period exits without a turn to leave.
+    if (step === STOP_STEP.LEAVE || (step === STOP_STEP.EXIT && left === undefined)) {
       const sinceSignalMs = Math.round(stop.time()?.elapsedMs ?? 0);
       log.info({ readyHosts, sinceSignalMs, [ESSENTIAL]: true }, "Host leaves the directory");
       stop.leave();
       left = fleet.leave();
     }
+    if (step === STOP_STEP.EXIT) return { left };
     await sleep(STOP_CHECK_MS);
   }
 }
