Tell waiting placements of hosts apart, and bound their wait

Two hosts that ask for placements with the same id, which repeats of their caller may have, shared an entry, so that the second one never got a decision; a report of one host dropped the request of the other. Entries are now kept by host and job, and each of the two reads takes 60 ms at most. The first new test failed before, and pending decisions of the same host and id are refused.

Also: one constant for the shortest stall, which has one meaning now, and verb-first names.

--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -78,8 +78,11 @@
 /** Interval at which a host records that its event loop polls, half the error of the time of a signal. */
 export const POLL_CHECK_MS = 50;
 
-/** Shortest time without a poll of the event loop that is logged and counted. */
-export const MIN_REPORTED_STALL_MS = 300;
+/**
+ * Shortest time without a poll of the event loop that counts as a stall: it is logged, a hub does not know
+ * what was placed meanwhile, and a signal that may have waited so long may be older than the settings.
+ */
+export const MIN_STALL_MS = 300;
 
 /** Interval of the checks whether a stopping host can exit. */
 export const STOP_CHECK_MS = 50;
--- a/packages/forwarding_host/create_hub_scheduler.ts
+++ b/packages/forwarding_host/create_hub_scheduler.ts
@@ -39,26 +39,31 @@
   placer: Placer,
   { afterRead }: HubSchedulerOptions,
 ): HubScheduler<PlacementJob, PlacementDecision, JobReport> {
-  /** Ends the placements that wait until reports are read, by job. */
+  /** Ends the placements that wait until reports are read, by host and job. */
   const unread = new Map<string, (decision: PlacementDecision) => void>();
+  // Two hosts may get a request with the same id of their caller.
+  const toKey = (host: string, jobId: string) => `${host} ${jobId}`;
+  const cancelUnread = (key: string) => {
+    unread.get(key)?.({
+      kind: "refused",
+      reason: PLACEMENT_REFUSAL.UNSERVABLE,
+      retryAfterMs: 0,
+    });
+    unread.delete(key);
+  };
   const placeAfterRead = (
-    job: PlacementJob,
+    key: string,
     place: () => PlacementDecision | Promise<PlacementDecision>,
   ) =>
     new Promise<PlacementDecision>((resolve, reject) => {
-      unread.set(job.id, resolve);
+      cancelUnread(key);
+      unread.set(key, resolve);
       afterRead(() => {
-        if (unread.delete(job.id)) Promise.resolve().then(place).then(resolve, reject);
+        if (unread.get(key) !== resolve) return;
+        unread.delete(key);
+        Promise.resolve().then(place).then(resolve, reject);
       });
     });
-  const cancelUnread = (jobId: string) => {
-    unread.get(jobId)?.({
-      kind: "refused",
-      reason: PLACEMENT_REFUSAL.UNSERVABLE,
-      retryAfterMs: 0,
-    });
-    unread.delete(jobId);
-  };
   const jobsByHost = new Map<string, Set<string>>();
   const jobsOf = (host: string) => {
     const known = jobsByHost.get(host);
@@ -81,24 +86,24 @@
           ? decision.then((settled) => untrackIfRefused(host, job, settled))
           : untrackIfRefused(host, job, decision);
       };
-      return placer.hasColdServers() ? placeAfterRead(job, placeNow) : placeNow();
+      return placer.hasColdServers() ? placeAfterRead(toKey(host, job.id), placeNow) : placeNow();
     },
     report(host, report) {
       if (report.kind === "running") {
-        cancelUnread(report.running.job.id);
+        cancelUnread(toKey(host, report.running.job.id));
         jobsOf(host).add(report.running.job.id);
         placer.addRunning(report.running);
       } else if (report.kind === "started") placer.started(report.jobId);
       else if (report.kind === "leaving") placer.markLeaving(report.serverId, report.bornMs);
       else {
-        cancelUnread(report.jobId);
+        cancelUnread(toKey(host, report.jobId));
         jobsOf(host).delete(report.jobId);
         placer.finished(report.jobId, report.outcome, report.faultyServerId);
       }
     },
     forget(host) {
       for (const jobId of jobsOf(host)) {
-        cancelUnread(jobId);
+        cancelUnread(toKey(host, jobId));
         placer.finished(jobId, JOB_OUTCOME.CANCELLED);
       }
       jobsByHost.delete(host);
--- a/packages/forwarding_host/create_hub_scheduler_test.ts
+++ b/packages/forwarding_host/create_hub_scheduler_test.ts
@@ -52,3 +52,19 @@
   ]);
   t.deepEqual(actions, ["finished a", "finished b", "running c"]);
 });
+
+test("requests with the same id are placed for each of their hosts while a server is cold", async (t) => {
+  const { scheduler, actions, read } = setUp({ hasColdServers: true });
+  const decisions = ["h1", "h2"].map((host) => scheduler.place(host, toJob("a")));
+  read();
+  t.deepEqual(await Promise.all(decisions), [PLACED, PLACED]);
+  t.deepEqual(actions, ["place a", "place a"]);
+});
+
+test("of two placements of one host with the same id, the first one is refused and the second one counts", async (t) => {
+  const { scheduler, actions, read } = setUp({ hasColdServers: true });
+  const decisions = [1, 2].map(() => scheduler.place("h1", toJob("a")));
+  read();
+  t.deepEqual((await Promise.all(decisions)).map(({ kind }) => kind), ["refused", "placed"]);
+  t.deepEqual(actions, ["place a"]);
+});
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -2,7 +2,7 @@
 import type { HostStop } from "@jaypass/forwarding";
 import {
   LEAVE_SPREAD_MS,
-  MIN_REPORTED_STALL_MS,
+  MIN_STALL_MS,
   RECENT_HOSTS_WINDOW_MS,
   STALL_WINDOW_MS,
   STOP_MARGIN_MAX_SHARE,
@@ -25,7 +25,7 @@
    */
   begin(atMs?: Millis, latestMs?: Millis): void;
   /** Records that the settings have been read after the signal; until then they may be old. */
-  settingsRead(): void;
+  recordSettingsRead(): void;
   /** Starts the exit: no request is taken any more, and those in progress are answered. */
   beginExit(): void;
   /** Records that the host leaves the directory now. */
@@ -115,9 +115,9 @@
       usualHosts = usualPeak.peak();
       controller.abort();
     },
-    settingsRead() {
+    recordSettingsRead() {
       // If the signal may have waited, the settings may have changed after it.
-      if (latestStartMs - (startMs ?? 0) < MIN_REPORTED_STALL_MS) forgetGraces();
+      if (latestStartMs - (startMs ?? 0) < MIN_STALL_MS) forgetGraces();
     },
     beginExit: () => exitController.abort(),
     leave: () => void (leaveMs ??= clock.nowMs()),
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -143,7 +143,7 @@
   const remainingMs = () => stop.time()?.remainingMs;
   const beforeMs = remainingMs();
   graceMs = 8_000;
-  stop.settingsRead();
+  stop.recordSettingsRead();
   return { beforeMs, afterMs: remainingMs(), answersMs: stop.answersRemainingMs() };
 }
 
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -5,7 +5,12 @@
 import { createServerNotices } from "@jaypass/forwarding";
 import { COLD_WINDOW_MS, createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
 import type { PlacementServer } from "@jaypass/placement";
-import { HUB_PROBE_MS, MAX_READ_TURN_MS, MISSING_SERVER_CHECK_MS } from "./constants.ts";
+import {
+  HUB_PROBE_MS,
+  MAX_READ_TURN_MS,
+  MISSING_SERVER_CHECK_MS,
+  PLACEMENT_TIMEOUT_MS,
+} from "./constants.ts";
 import { ageJob } from "./age_job.ts";
 import { checkRow } from "./check_row.ts";
 import { createClusterQuarantine } from "./create_cluster_quarantine.ts";
@@ -71,7 +76,9 @@
         log.error({ err }, "Placing queued prompts failed");
       }
     };
-    const readOptions = { clock, maxTurnMs: MAX_READ_TURN_MS };
+    // Members do not wait longer for a decision.
+    const maxWaitMs = PLACEMENT_TIMEOUT_MS;
+    const readOptions = { clock, maxTurnMs: MAX_READ_TURN_MS, maxWaitMs };
     // The end of a link is read one turn after its last data.
     runAfterRead(() => runAfterRead(runOrLog, readOptions), readOptions);
   };
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -3,7 +3,7 @@
 import {
   EXIT_CHECK_MS,
   EXIT_LINGER_MS,
-  MIN_REPORTED_STALL_MS,
+  MIN_STALL_MS,
   POLL_CHECK_MS,
   STOP_CHECK_MS,
 } from "./constants.ts";
@@ -41,7 +41,7 @@
   });
   stop.begin(atMs, handledMs);
   // A stop follows the settings in force, and the file may have changed without a signal.
-  void context.reloadSettings().then(() => stop.settingsRead());
+  void context.reloadSettings().then(() => stop.recordSettingsRead());
   log.info(
     { signal, pendingMs: Math.round(handledMs - atMs), ...describeProgress() },
     "Host stopping; waiting for its requests to end",
@@ -81,7 +81,7 @@
   return createPollMonitor({
     clock,
     intervalMs: POLL_CHECK_MS,
-    minStallMs: MIN_REPORTED_STALL_MS,
+    minStallMs: MIN_STALL_MS,
     onStall({ stallMs, processorMs }) {
       observeStall(stallMs);
       metrics.timing("event_loop_stall_ms", stallMs);
