Count only the newest version of a row that a batch lists several times

The engine's row was written and removed between two reads, and the store lists both versions in one page. The copy of the table compared each with the content before the page: the removal of a key that was unknown then seemed to change nothing and was not passed on, so that all hosts kept the server.

Now a batch is reduced to the newest version of each key first. The new test failed before.

--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -109,8 +109,13 @@
   return {
     apply(table, batch) {
       const copy = cachedTable(table);
-      const newer = [...listUsable(table, copy, batch), ...findRemoved(copy, batch)]
-        .filter((row) => isNewer(row, copy.rows.get(row.key)));
+      // The store may list several versions of a row in one batch.
+      const newest = new Map<string, Row>();
+      for (const row of [...listUsable(table, copy, batch), ...findRemoved(copy, batch)]) {
+        const known = newest.get(row.key) ?? copy.rows.get(row.key);
+        if (isNewer(row, known)) newest.set(row.key, row);
+      }
+      const newer = [...newest.values()];
       const changed = newer.filter((row) => row.value !== copy.rows.get(row.key)?.value);
       for (const row of newer) copy.rows.set(row.key, row);
       if (batch.isWhole && batch.revision > (copy.revision ?? -Infinity)) {
--- a/packages/fleet/create_row_cache_test.ts
+++ b/packages/fleet/create_row_cache_test.ts
@@ -142,3 +142,22 @@
   t.true(cache.extend(TABLE.SERVERS, { since: 3, until: 7 }));
   t.is(cache.revision(TABLE.SERVERS), 9);
 });
+
+// Guards against a server that stays in use although its row came and went between two reads.
+test("of several versions of a row in one batch, only the newest is a change, in any order", (t) => {
+  const versions = [row("a", "1", 42), row("a", undefined, 44)];
+  for (const rows of [versions, versions.toReversed()]) {
+    const cache = createRowCache();
+    cache.apply(TABLE.SERVERS, whole(40, []));
+    t.deepEqual(cache.apply(TABLE.SERVERS, changes(40, 44, rows)), []);
+    t.deepEqual(cache.rows(TABLE.SERVERS), []);
+  }
+});
+
+test("a row that is removed and written again in one batch has its last content", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(40, [row("a", "1", 39)]));
+  const rows = [row("a", undefined, 41), row("a", "2", 43)];
+  t.deepEqual(cache.apply(TABLE.SERVERS, changes(40, 44, rows)), [row("a", "2", 43)]);
+  t.deepEqual(cache.rows(TABLE.SERVERS), [row("a", "2", 43)]);
+});
