--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -15,15 +15,16 @@
 import { isStoppingHostNeeded } from "./is_stopping_host_needed.ts";
 import { isStoppingHostReplaceable } from "./is_stopping_host_replaceable.ts";
 
+/** Monotonic times between which a signal was sent. */
+export interface SignalTime {
+  earliestMs: Millis;
+  latestMs: Millis;
+}
+
 /** Phase of a host's graceful stop. */
 export interface StopState extends HostStop {
-  /**
-   * Starts the graceful stop.
-   *
-   * @param atMs earliest monotonic time of the signal, now by default
-   * @param latestMs latest one; the earliest by default
-   */
-  begin(atMs?: Millis, latestMs?: Millis): void;
+  /** Starts the graceful stop; the signal was sent now by default. */
+  begin(sent?: SignalTime): void;
   /** Records that the settings have been read after the signal; until then they may be old. */
   recordSettingsRead(): void;
   /** Starts the exit: no request is taken any more, and those in progress are answered. */
@@ -52,7 +53,7 @@
  * A stopping host is not ready and closes connections after requests. When it leaves the directory
  * and exits depends on how many other hosts accept callers; see {@linkcode decideStopStep}.
  *
- * A process that has stood still of late may do so again at its exit, so that it exits sooner by as much.
+ * A process that has stalled of late may do so again at its exit, so that it exits sooner by as much.
  *
  * The settings may change before a stop and during one. Of the times that are in force from the signal
  * on, the shortest counts, since it is not known which of them the platform uses. Answers that have
@@ -107,10 +108,10 @@
   return {
     signal: controller.signal,
     exit: exitController.signal,
-    begin(atMs = clock.nowMs(), latestMs = atMs) {
+    begin(sent = { earliestMs: clock.nowMs(), latestMs: clock.nowMs() }) {
       if (startMs !== undefined) return;
-      startMs = atMs;
-      latestStartMs = latestMs;
+      startMs = sent.earliestMs;
+      latestStartMs = sent.latestMs;
       forgetGraces();
       usualHosts = usualPeak.peak();
       controller.abort();
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -123,7 +123,7 @@
     clock: { nowMs: () => nowMs, wallMs: () => nowMs },
     graceMs: () => 8_000,
   });
-  stop.begin(1_000, 2_200);
+  stop.begin({ earliestMs: 1_000, latestMs: 2_200 });
   stop.observeStall(1_200);
   nowMs = 8_000;
   t.is(stop.nextStep(1), STOP_STEP.EXIT);
@@ -139,7 +139,7 @@
     clock: { nowMs: () => 1_000, wallMs: () => 1_000 },
     graceMs: () => graceMs,
   });
-  stop.begin(1_000 - waitedMs, 1_000);
+  stop.begin({ earliestMs: 1_000 - waitedMs, latestMs: 1_000 });
   const remainingMs = () => stop.time()?.remainingMs;
   const beforeMs = remainingMs();
   graceMs = 8_000;
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -1,5 +1,5 @@
 import { createPollMonitor, ESSENTIAL, sleep } from "@jaypass/kernel";
-import type { Clock, Millis, PollMonitor } from "@jaypass/kernel";
+import type { Clock, Kernel, Millis, PollMonitor } from "@jaypass/kernel";
 import {
   EXIT_CHECK_MS,
   EXIT_LINGER_MS,
@@ -30,24 +30,44 @@
   observeStall = stop.observeStall;
   log.info({ incarnation, callers: settings.callerAddress, [ESSENTIAL]: true }, "Host started");
 
-  const { signal, atMs, handledMs } = await stopSignal;
+  const { signal, earliestMs, handledMs } = await stopSignal;
   const forwarder = kernel.lookup(SERVICE.FORWARDER);
-  const servers = kernel.lookup(SERVICE.PUBLIC_SERVERS);
   const describeProgress = () => ({
     sinceSignalMs: Math.round(stop.time()?.elapsedMs ?? 0),
     requests: forwarder.size(),
     ...forwarder.connectionCounts(),
     [ESSENTIAL]: true,
   });
-  stop.begin(atMs, handledMs);
+  stop.begin({ earliestMs, latestMs: handledMs });
   // A stop follows the settings in force, and the file may have changed without a signal.
   void context.reloadSettings().then(() => stop.recordSettingsRead());
   log.info(
-    { signal, pendingMs: Math.round(handledMs - atMs), ...describeProgress() },
+    { signal, pendingMs: Math.round(handledMs - earliestMs), ...describeProgress() },
     "Host stopping; waiting for its requests to end",
   );
   const { left } = await waitUntilStopEnds(context, kernel);
   log.info(describeProgress(), "Host exiting");
+  await completeExit(context, kernel, left);
+  log.info(describeProgress(), "Host stopped");
+  // Requests may still end during the wait above, so this comes last.
+  forwarder.cutOff();
+  forwarder.closeConnections();
+}
+
+/**
+ * Ends the listeners and idle connections of a host, answers what has not begun, and lets answers that
+ * have begun go on for as long as the process may have.
+ *
+ * @param left the removal of the host's row, which may still be going on
+ */
+async function completeExit(
+  { clock }: HostContext,
+  kernel: Kernel,
+  left: Promise<void> | undefined,
+): Promise<void> {
+  const stop = kernel.lookup(SERVICE.STOP_STATE);
+  const forwarder = kernel.lookup(SERVICE.FORWARDER);
+  const servers = kernel.lookup(SERVICE.PUBLIC_SERVERS);
   stop.beginExit();
   const exitMs = stop.exitRemainingMs();
   await servers.stopListening(() => stop.exitRemainingMs() < exitMs / 2);
@@ -67,10 +87,6 @@
     forwarder.continueAfterExit();
     await waitForZero(() => forwarder.size(), { clock, timeoutMs: stop.answersRemainingMs() });
   }
-  log.info(describeProgress(), "Host stopped");
-  // Requests may still end during the wait above, so this comes last.
-  forwarder.cutOff();
-  forwarder.closeConnections();
 }
 
 /** Logs and counts the times for which the process handled neither signals nor data. */
@@ -106,7 +122,7 @@
 interface StopSignal {
   signal: string;
   /** Earliest monotonic time at which it can have been sent; the platform counts from the sending. */
-  atMs: Millis;
+  earliestMs: Millis;
   /** Monotonic time at which it was handled, the latest time of its sending. */
   handledMs: Millis;
 }
@@ -115,7 +131,7 @@
 function waitForSignal(clock: Clock, polls: PollMonitor): Promise<StopSignal> {
   return new Promise((resolve) => {
     const onSignal = (signal: string) => {
-      resolve({ signal, atMs: polls.polledAtMs(), handledMs: clock.nowMs() });
+      resolve({ signal, earliestMs: polls.polledAtMs(), handledMs: clock.nowMs() });
     };
     for (const signal of ["SIGTERM", "SIGINT"] as const) process.on(signal, onSignal);
   });
