--- a/packages/admission/create_quota_coordinator.ts
+++ b/packages/admission/create_quota_coordinator.ts
@@ -104,7 +104,7 @@
         const silentMs = () => clock.nowMs() - record.seenMs;
         if (silentMs() < HOST_SILENCE_MS || record.held.size === 0) continue;
         const answer = await membership.askIncarnation(record.owner.address).catch(() => undefined);
-        // A report may have waited while this process stood still, or come meanwhile.
+        // A report may have waited during a stall of this process, or come meanwhile.
         if (hosts.get(id) !== record) continue;
         const isReplaced = answer?.host === id && answer.incarnation > record.owner.incarnation;
         if (isReplaced || silentMs() > options.longestRequestMs()) hosts.delete(id);
--- a/packages/forwarding/_lib/create_stop_monitor.ts
+++ b/packages/forwarding/_lib/create_stop_monitor.ts
@@ -129,11 +129,12 @@
       const time = stopTime();
       if (time === undefined) return;
       for (const request of listUnfinished()) {
-        if (request.req.httpVersion === "1.0") cut(request, time);
-        else {log.info(
-            describeInProgress(request, time),
-            "Answer goes on after the exit of the host",
-          );}
+        if (request.req.httpVersion === "1.0") {
+          cut(request, time);
+          continue;
+        }
+        const fields = describeInProgress(request, time);
+        log.info(fields, "Answer goes on after the exit of the host");
       }
     },
     cutOff() {
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -69,7 +69,7 @@
 /** Time before the forced end of the process at which a stopping host exits by itself. */
 export const STOP_MARGIN_MS = 500;
 
-/** Time for which a stall of the process counts in this time, which it extends: longer than a stop. */
+/** Time for which a stall of the process extends {@linkcode STOP_MARGIN_MS}: longer than a stop. */
 export const STALL_WINDOW_MS = 15_000;
 
 /** Largest part of the grace period that this time may take. */
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -41,8 +41,8 @@
   exitRemainingMs(): Millis;
   /**
    * Time for which answers that have begun may go on after the exit. The platform may have sent the
-   * signal as late as possible and use the longest grace period, and a forced end costs their callers
-   * no more than a cut.
+   * signal as late as possible and use the longest grace period. A caller of HTTP/1.1 recognizes an
+   * answer that the forced end cuts off.
    */
   answersRemainingMs(): Millis;
 }
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -90,7 +90,7 @@
     share: () => fleet.hubLimitShare(),
     rank: (serverId) => fleet.isIsolated() ? fleet.rankAmongHosts(serverId) : 0,
     // Members report their running requests to a new hub, and not those that have just ended. They
-    // also turn to another hub while this one stands still, and may give up their link to it.
+    // also turn to another hub while this one stalls, and may close their link to it.
     knowsRecentSends: () =>
       fleet.hubForMs() >= COLD_WINDOW_MS && fleet.memberLostAgoMs() >= COLD_WINDOW_MS &&
       (fleet.hostCount() === 1 || polls.steadyForMs() >= COLD_WINDOW_MS),
--- a/packages/kernel/create_poll_monitor.ts
+++ b/packages/kernel/create_poll_monitor.ts
@@ -30,7 +30,7 @@
 /** Options of {@linkcode createPollMonitor}. */
 export interface PollMonitorOptions {
   clock: Pick<Clock, "nowMs">;
-  /** Milliseconds between two looks. Polls that are twice as far apart are not on time. */
+  /** Milliseconds between two looks. A poll is late if it comes twice as long after the one before. */
   intervalMs: Millis;
   /** Stalls of this length and longer are reported. */
   minStallMs: Millis;
