Log how the listener of an exiting host was closed

The log of a host could not tell whether its listener was closed over connections that waited to be accepted, which the operating system resets. Closing the listener now returns the number of connections accepted meanwhile and whether the limit passed first, and the host writes both.

--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -61,7 +61,7 @@
  * @param left the removal of the host's row, which may still be going on
  */
 async function completeExit(
-  { clock }: HostContext,
+  { clock, log }: HostContext,
   kernel: Kernel,
   left: Promise<void> | undefined,
 ): Promise<void> {
@@ -70,7 +70,8 @@
   const servers = kernel.lookup(SERVICE.PUBLIC_SERVERS);
   stop.beginExit();
   const exitMs = stop.exitRemainingMs();
-  await servers.stopListening(() => stop.exitRemainingMs() < exitMs / 2);
+  const close = await servers.stopListening(() => stop.exitRemainingMs() < exitMs / 2);
+  log.info({ ...close, exitMs: Math.round(exitMs), [ESSENTIAL]: true }, "Listener closed");
   forwarder.endConnections();
   await servers.endOthers(() => stop.exitRemainingMs() < exitMs / 4);
   // Leaves time for the last answers to leave the process. Does not wait long for the store to remove
--- a/packages/forwarding_host/service_names.ts
+++ b/packages/forwarding_host/service_names.ts
@@ -1,5 +1,5 @@
 import { serviceName } from "@jaypass/kernel";
-import type { TaskGroup } from "@jaypass/kernel";
+import type { ListenerClose, TaskGroup } from "@jaypass/kernel";
 import type { Fleet } from "@jaypass/fleet";
 import type { Forwarder, ServerNotices } from "@jaypass/forwarding";
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
@@ -26,7 +26,7 @@
    * Accepts the connections of callers that wait, then refuses new ones; those that are open stay.
    * Ends early once `isDue` returns true.
    */
-  stopListening(isDue: () => boolean): Promise<void>;
+  stopListening(isDue: () => boolean): Promise<ListenerClose>;
   /**
    * Closes the listeners and idle connections of the servers for readiness checks, the directory and
    * metrics. Requests that have been accepted are answered.
--- a/packages/kernel/close_listener.ts
+++ b/packages/kernel/close_listener.ts
@@ -22,6 +22,14 @@
   isDue: () => boolean;
 }
 
+/** How a listener was closed. */
+export interface ListenerClose {
+  /** Connections that were accepted during the close. */
+  acceptedCount: number;
+  /** True if the limit passed first, so that connections that waited to be accepted were reset. */
+  isForced: boolean;
+}
+
 /**
  * Closes the listener of a server once no connection waits to be accepted, and leaves the accepted
  * ones open.
@@ -36,11 +44,15 @@
  *
  * @param server the server, which may be an HTTP server
  * @param options clock and time limit
+ * @returns how it was closed
  *
  * @example
  * await closeListener(server, { clock, isDue: () => clock.nowMs() >= endMs });
  */
-export async function closeListener(server: Server, options: CloseListenerOptions): Promise<void> {
+export async function closeListener(
+  server: Server,
+  options: CloseListenerOptions,
+): Promise<ListenerClose> {
   const { clock } = options;
   let accepted: Socket[] = [];
   let acceptedCount = 0;
@@ -64,18 +76,22 @@
   stopListening(new Server());
   // The rest of a turn may not poll, unlike a whole one.
   await endTurn();
-  await closeWhenNoneWaits(server, () => acceptedCount, options);
+  const isForced = await closeWhenNoneWaits(server, () => acceptedCount, options);
   serveAccepted();
   // The requests of the connections accepted last are read in a further turn.
   await endTurn();
+  return { acceptedCount, isForced };
 }
 
-/** Closes a listener in the callback that follows a poll in which no connection was accepted. */
+/**
+ * Closes a listener in the callback that follows a poll in which no connection was accepted, or at its
+ * limit; returns true in the latter case.
+ */
 function closeWhenNoneWaits(
   server: Server,
   acceptedCount: () => number,
   { clock, isDue }: CloseListenerOptions,
-): Promise<void> {
+): Promise<boolean> {
   return new Promise((resolve) => {
     let emptyTurns = 0;
     const startTurn = () => {
@@ -85,12 +101,13 @@
         const isEmpty = acceptedCount() === count;
         if (isEmpty) emptyTurns += 1;
         const isShort = clock.nowMs() - startMs <= MAX_TURN_MS;
-        if ((!isEmpty || (!isShort && emptyTurns < MAX_EMPTY_TURNS)) && !isDue()) {
+        const isQueueEmpty = isEmpty && (isShort || emptyTurns >= MAX_EMPTY_TURNS);
+        if (!isQueueEmpty && !isDue()) {
           startTurn();
           return;
         }
         stopListening(server);
-        resolve();
+        resolve(!isQueueEmpty);
       });
     };
     startTurn();
--- a/packages/kernel/close_listener_test.ts
+++ b/packages/kernel/close_listener_test.ts
@@ -35,7 +35,8 @@
 
 test("connections that wait to be accepted are served before the listener is closed", async (t) => {
   const { server, ends } = await listenWithQueue(50);
-  await closeListener(server, { clock, isDue: () => false });
+  const close = await closeListener(server, { clock, isDue: () => false });
+  t.deepEqual(close, { acceptedCount: 50, isForced: false });
   t.false(server.listening);
   t.deepEqual([...new Set(await Promise.all(ends))], ["200"]);
 });
@@ -68,7 +69,8 @@
 
 test("a listener is closed at its limit although connections wait", async (t) => {
   const { server, ends } = await listenWithQueue(50);
-  await closeListener(server, { clock, isDue: () => true });
+  const { isForced } = await closeListener(server, { clock, isDue: () => true });
+  t.true(isForced);
   t.false(server.listening);
   t.true((await Promise.all(ends)).some((end) => end !== "200"));
 });
