Tell changes before and after a restore of the store apart

Hosts compared versions alone. A route added after such a restore got 404 at all three hosts 2 s later, since its row had a lower version than the lost one, or since the changes were read from behind it; a server that wrote its row again was ignored, one that the copy lacked got requests, and hosts that the copy lacked did not write their rows again.

Cause: the order of changes was judged by a number that is not unique.

A revision now has the era in front of the number of the transaction, so that all that is read in a later era is newer. The first whole table of an era removes nothing and sets neither the configuration nor a leaving server back; one 2.2 s later removes what was not written again. Hosts write their rows again, hubs the quarantines.

--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -92,6 +92,15 @@
 /** Milliseconds after the recovery of the store within which a missing server may reappear. */
 export const STORE_RECOVERY_GRACE_MS = 2_200;
 
+/**
+ * Transactions of the store that fit in an era, in a revision. Their number may also be a time in
+ * milliseconds.
+ */
+export const TRANSACTIONS_PER_ERA = 2 ** 42;
+
+/** Number of eras of the store after which revisions begin anew. */
+export const STORE_ERA_COUNT = 2 ** 11;
+
 /** Milliseconds of failed calls from which a failure of the store counts as an outage. */
 export const OUTAGE_MIN_MS = 800;
 
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -15,6 +15,7 @@
 import { createRowCache } from "./create_row_cache.ts";
 import { createStoreFollower } from "./create_store_follower.ts";
 import { createTableAges } from "./create_table_ages.ts";
+import { decodeRevision } from "./decode_revision.ts";
 import { checkHostRow } from "./_lib/check_host_row.ts";
 import { createInvalidRowLog } from "./_lib/create_invalid_row_log.ts";
 import { createStaleTableLog } from "./_lib/create_stale_table_log.ts";
@@ -47,6 +48,11 @@
    * content that names the problem. The store's client checks the rows that it reads.
    */
   checkRow: (table: Table, row: Row) => Row;
+  /**
+   * Reports whether a row of servers or operators in a restored store, which is older than the known one,
+   * must not replace it; by default it does.
+   */
+  isSetBack?: (table: Table, rows: { known: Row; restored: Row }) => boolean;
   /** Called after rows of a table have changed. */
   onChange: (table: Table, changed: Row[]) => void;
   /** Monotonic time source. */
@@ -61,6 +67,13 @@
   tasks: TaskGroup;
 }
 
+const readEra = (revision: number): number => decodeRevision(revision).era;
+
+/** Reports whether a row has been written again, without a change, since the store came back from a copy. */
+const isConfirmed = (before: Row | undefined, now: Row | undefined): boolean =>
+  before !== undefined && now !== undefined && before.value === now.value &&
+  readEra(before.version) < readEra(now.version);
+
 const NO_GOSSIP: Gossip = { list: () => [], receive: () => {} };
 
 /** Where rows come from. */
@@ -136,7 +149,10 @@
 ): Fleet<Job, Decision, Report> {
   const { self, store, scheduler, clock, random, log, metrics, tasks } = options;
   const { gossip = NO_GOSSIP } = options;
-  const cache = createRowCache();
+  const cache = createRowCache({
+    // A host that is there writes its row again.
+    isSetBack: (table, rows) => table === TABLE.HOSTS || options.isSetBack?.(table, rows) === true,
+  });
   const ages = createTableAges(clock);
   const startMs = clock.nowMs();
   let isLeaving = false;
@@ -174,9 +190,20 @@
     );
     const sinceRevision = cache.revision(table);
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
-    const changed = cache.apply(table, batch);
+    const changed = cache.apply(table, batch, { isFromHub: origin === "hub" });
     if (origin === "store" && batch.rows.length > 0) hubClient.sendRows(table, batch);
-    if (changed.length === 0) return;
+    const isRestored = sinceRevision !== undefined &&
+      readEra(batch.revision) > readEra(sinceRevision);
+    if (isRestored) {
+      log.warn(
+        { table, origin, era: readEra(batch.revision), changed: changed.length, [ESSENTIAL]: true },
+        "Store has come back from a copy",
+      );
+    }
+    const confirmed = batch.rows.filter(({ key }) =>
+      isConfirmed(before.get(key), cache.find(table, key))
+    );
+    if (changed.length === 0 && confirmed.length === 0 && !isRestored) return;
     if (table === TABLE.OPERATORS) {
       const { revision } = batch;
       log.info({ origin, revision, [ESSENTIAL]: true }, "Rows of the operators changed");
@@ -187,10 +214,10 @@
     }
     options.onChange(table, changed);
     const revision = cache.revision(table) ?? batch.revision;
-    // Only a whole table tells which rows are gone.
-    const changes: RowBatch = sinceRevision === undefined
+    // Only a whole table tells which rows are gone, or which ones a restored store still has.
+    const changes: RowBatch = sinceRevision === undefined || isRestored
       ? cache.changesSince(table, undefined)
-      : { revision, rows: changed, isWhole: false, sinceRevision };
+      : { revision, rows: [...changed, ...confirmed], isWhole: false, sinceRevision };
     hubServer.broadcast(table, changes, before);
     if (origin === "member") hubClient.sendRows(table, changes);
   };
@@ -255,6 +282,7 @@
       hubClient.notifyRead(table, { since: sinceRevision, until: revision });
     },
     revision: (table) => cache.revision(table),
+    hasUnconfirmedRows: (table) => cache.hasUnconfirmedRows(table),
     onBatch: (table, batch) => applyBatch(table, batch, "store"),
   });
 
@@ -276,10 +304,12 @@
     return hubClient.isHub() ? Math.max(follower.recoveredAgoMs(), others) : others;
   };
 
-  const isRegistered = () =>
-    cache.rows(TABLE.HOSTS).some((row) =>
-      row.key === self.host && row.value === JSON.stringify(self)
-    );
+  const isRegistered = () => {
+    const row = cache.find(TABLE.HOSTS, self.host);
+    if (row?.value !== JSON.stringify(self)) return false;
+    // A store that has come back from a copy may have lost the row.
+    return readEra(row.version) === readEra(cache.revision(TABLE.HOSTS) ?? row.version);
+  };
 
   const register = async (signal: AbortSignal) => {
     while (!signal.aborted && !isLeaving) {
--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -1,11 +1,27 @@
+import { decodeRevision } from "./decode_revision.ts";
 import type { RevisionSpan } from "./messages.ts";
 import { TABLE } from "./types.ts";
 import type { Row, RowBatch, Table } from "./types.ts";
 
+/** Options of {@linkcode createRowCache}. */
+export interface RowCacheOptions {
+  /**
+   * Reports whether a row of a restored store, which is older than the known one, must not replace it.
+   * By default it does.
+   */
+  isSetBack?: (table: Table, rows: { known: Row; restored: Row }) => boolean;
+}
+
 /** A host's copy of the tables of the store. */
 export interface RowCache {
-  /** Merges a batch and returns the rows whose content changed. */
-  apply(table: Table, batch: RowBatch): Row[];
+  /**
+   * Merges a batch and returns the rows whose content changed.
+   *
+   * @param options `isFromHub`: true for a batch of a hub, which has judged a restored store itself
+   */
+  apply(table: Table, batch: RowBatch, options?: { isFromHub?: boolean }): Row[];
+  /** Reports whether rows are known that have not been seen since the store came back from a copy. */
+  hasUnconfirmedRows(table: Table): boolean;
   /**
    * Extends the revision of a copy to the end of a span of revisions in which it has every change; false
    * if it lacks changes before the span.
@@ -51,13 +67,18 @@
  * wins; removed rows are kept as tombstones, so that a late batch does not restore them. A row whose
  * content cannot be used counts as removed, except in the operators' table.
  *
+ * A store that comes back from a copy has lost the latest changes until their writers write them again.
+ * The first whole table read from it removes no row, and does not set rows back where that would do
+ * harm. A later one removes the rows that are still missing.
+ *
+ * @param options which rows are not set back
  * @returns the empty cache
  *
  * @example
  * const cache = createRowCache();
  * const changed = cache.apply(TABLE.SERVERS, batch);
  */
-export function createRowCache(): RowCache {
+export function createRowCache({ isSetBack = () => false }: RowCacheOptions = {}): RowCache {
   const tables = new Map<Table, CachedTable>(
     Object.values(TABLE).map((
       table,
@@ -83,6 +104,18 @@
       .map((row) => ({ key: row.key, value: undefined, version: batch.revision }));
   };
 
+  const isRestored = (copy: CachedTable, batch: RowBatch): boolean =>
+    copy.revision !== undefined &&
+    decodeRevision(batch.revision).era > decodeRevision(copy.revision).era;
+
+  /** Whether a row of a whole table is an older state than the one known from before the restore. */
+  const isOlderState = (row: Row, known: Row | undefined): known is Row => {
+    if (known === undefined) return false;
+    const before = decodeRevision(known.version);
+    const now = decodeRevision(row.version);
+    return now.era > before.era && now.transaction < before.transaction;
+  };
+
   const isNewer = (row: Row, known: Row | undefined): boolean => {
     if (known === undefined || row.version > known.version) return true;
     // A removal that was derived from a whole table has the revision of that table as its version.
@@ -107,13 +140,17 @@
   };
 
   return {
-    apply(table, batch) {
+    apply(table, batch, { isFromHub = false } = {}) {
       const copy = cachedTable(table);
       // The store may list several versions of a row in one batch.
       const newest = new Map<string, Row>();
-      for (const row of [...listUsable(table, copy, batch), ...findRemoved(copy, batch)]) {
+      const removed = !isFromHub && isRestored(copy, batch) ? [] : findRemoved(copy, batch);
+      for (const row of [...listUsable(table, copy, batch), ...removed]) {
         const known = newest.get(row.key) ?? copy.rows.get(row.key);
-        if (isNewer(row, known)) newest.set(row.key, row);
+        if (!isNewer(row, known)) continue;
+        const mayKeepKnown = batch.isWhole && !isFromHub && isOlderState(row, known);
+        if (mayKeepKnown && isSetBack(table, { known, restored: row })) continue;
+        newest.set(row.key, row);
       }
       const newer = [...newest.values()];
       const changed = newer.filter((row) => row.value !== copy.rows.get(row.key)?.value);
@@ -126,6 +163,12 @@
       if (!hasGap(copy, batch)) copy.revision = Math.max(copy.revision ?? 0, batch.revision);
       return changed;
     },
+    hasUnconfirmedRows(table) {
+      const { revision } = cachedTable(table);
+      if (revision === undefined) return false;
+      const { era } = decodeRevision(revision);
+      return listPresent(table).some(({ version }) => decodeRevision(version).era < era);
+    },
     extend(table, { since, until }) {
       const copy = cachedTable(table);
       if (copy.revision === undefined || since > copy.revision) return false;
--- a/packages/fleet/create_row_cache_test.ts
+++ b/packages/fleet/create_row_cache_test.ts
@@ -1,5 +1,6 @@
 import test from "ava";
 import { createRowCache } from "./create_row_cache.ts";
+import { encodeRevision } from "./encode_revision.ts";
 import { TABLE } from "./types.ts";
 import type { Row, RowBatch } from "./types.ts";
 
@@ -161,3 +162,47 @@
   t.deepEqual(cache.apply(TABLE.SERVERS, changes(40, 44, rows)), [row("a", "2", 43)]);
   t.deepEqual(cache.rows(TABLE.SERVERS), [row("a", "2", 43)]);
 });
+
+const inEra = (era: number, transaction: number) => encodeRevision({ era, transaction });
+
+// Guards against versions that are given out again after the store has come back from a copy.
+test("a row written after a restore replaces one with a higher version from before it", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(inEra(1, 100), [row("a", "1", inEra(1, 99))]));
+  cache.apply(TABLE.SERVERS, whole(inEra(2, 60), [row("a", "2", inEra(2, 58))]));
+  t.is(cache.find(TABLE.SERVERS, "a")?.value, "2");
+  const changed = cache.apply(
+    TABLE.SERVERS,
+    changes(inEra(1, 100), inEra(1, 120), [
+      row("a", "late", inEra(1, 110)),
+    ]),
+  );
+  t.deepEqual([changed, cache.revision(TABLE.SERVERS)], [[], inEra(2, 60)]);
+});
+
+test("a row that a restored store lacks is removed by the second whole table and not by the first", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(inEra(1, 100), [row("a", "1", inEra(1, 99))]));
+  t.deepEqual(cache.apply(TABLE.SERVERS, whole(inEra(2, 60), [])), []);
+  t.true(cache.hasUnconfirmedRows(TABLE.SERVERS));
+  const removed = cache.apply(TABLE.SERVERS, whole(inEra(2, 70), []));
+  t.deepEqual(removed, [row("a", undefined, inEra(2, 70))]);
+  t.false(cache.hasUnconfirmedRows(TABLE.SERVERS));
+});
+
+test("an older state of a row in a restored store does not replace the known one where it must not", (t) => {
+  const asked: unknown[] = [];
+  const cache = createRowCache({
+    isSetBack(_table, rows) {
+      asked.push([rows.known.value, rows.restored.value]);
+      return true;
+    },
+  });
+  cache.apply(TABLE.SERVERS, whole(inEra(1, 100), [row("a", "new", inEra(1, 99))]));
+  const restored = whole(inEra(2, 60), [row("a", "old", inEra(2, 58))]);
+  for (let at = 0; at < 2; at++) cache.apply(TABLE.SERVERS, restored);
+  t.deepEqual(asked, [["new", "old"], ["new", "old"]]);
+  t.is(cache.find(TABLE.SERVERS, "a")?.value, "new");
+  cache.apply(TABLE.SERVERS, changes(inEra(2, 60), inEra(2, 61), [row("a", "2", inEra(2, 61))]));
+  t.is(cache.find(TABLE.SERVERS, "a")?.value, "2");
+});
--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -4,10 +4,12 @@
 import {
   FLEET_TICK_MS,
   OUTAGE_MIN_MS,
+  STORE_RECOVERY_GRACE_MS,
   STORE_RETRY_MS,
   STORE_TIMEOUT_MS,
   TABLE_POLL,
 } from "./constants.ts";
+import { decodeRevision } from "./decode_revision.ts";
 import { HistoryLostError, STORE_FAILURE } from "./errors.ts";
 import type { StoreError } from "./errors.ts";
 import { TABLE } from "./types.ts";
@@ -31,6 +33,8 @@
   shouldFollow: (table: Table) => boolean;
   /** Revision after which to read the changes of a table; undefined to read the whole table. */
   revision: (table: Table) => number | undefined;
+  /** Reports whether rows of a table have not been seen since the store came back from a copy. */
+  hasUnconfirmedRows?: (table: Table) => boolean;
   /** Receives each batch that was read. */
   onBatch: (table: Table, batch: RowBatch) => void;
   /** Called after each read of a table, once its batch was passed to `onBatch`. */
@@ -49,6 +53,9 @@
  * Keeps a host up to date with the tables of the store, with one long-polling task for each table.
  * A task is idle while `shouldFollow` returns false.
  *
+ * After the store has come back from a copy, a table is read whole once more when its writers have had
+ * time to write again what the copy lacked.
+ *
  * @param options store, callbacks and time source
  * @returns the state of the connection to the store
  *
@@ -57,7 +64,10 @@
  */
 export function createStoreFollower(options: StoreFollowerOptions): StoreFollower {
   const { store, clock, random, log, metrics, tasks } = options;
+  const { hasUnconfirmedRows = () => false } = options;
   const readAtMs = new Map<Table, Millis>();
+  /** Era of the store in which each table was last read, since when, and whether it was read again. */
+  const eras = new Map<Table, { era: number; sinceMs: Millis; isConfirmed: boolean }>();
   let failingSinceMs: Millis | undefined;
   let recoveredAtMs = -Infinity;
   /** Tables whose last read failed. */
@@ -115,11 +125,25 @@
     return limitMs * (0.5 + random() / 2);
   };
 
-  const readOnce = (table: Table, signal: AbortSignal): Promise<RowBatch> => {
+  /** Whether a table has to be read whole to learn which rows a restored store does not have any more. */
+  const isConfirmationDue = (table: Table, revision: number): boolean => {
+    const { era } = decodeRevision(revision);
+    const known = eras.get(table);
+    if (known?.era !== era) {
+      eras.set(table, { era, sinceMs: clock.nowMs(), isConfirmed: !hasUnconfirmedRows(table) });
+      return false;
+    }
+    return !known.isConfirmed && clock.nowMs() - known.sinceMs >= STORE_RECOVERY_GRACE_MS;
+  };
+
+  const readOnce = async (table: Table, signal: AbortSignal): Promise<RowBatch> => {
     const since = options.revision(table);
     metrics.increment("store_call", { table });
-    if (since === undefined) {
-      return store.readTable(table, { timeoutMs: STORE_TIMEOUT_MS, signal });
+    if (since === undefined || isConfirmationDue(table, since)) {
+      const batch = await store.readTable(table, { timeoutMs: STORE_TIMEOUT_MS, signal });
+      const known = eras.get(table);
+      if (known !== undefined) known.isConfirmed = true;
+      return batch;
     }
     // An overdue poll does not wait, since its answer tells at once that the copy is current.
     const waitMs = ageMs(table) >= computeStaleMs(table) ? 0 : TABLE_POLL[table].waitMs;
--- a/packages/fleet/mod.ts
+++ b/packages/fleet/mod.ts
@@ -13,6 +13,8 @@
 export * from "./create_row_cache.ts";
 export * from "./create_store_follower.ts";
 export * from "./create_table_ages.ts";
+export * from "./decode_revision.ts";
+export * from "./encode_revision.ts";
 export * from "./errors.ts";
 export * from "./is_address.ts";
 export * from "./messages.ts";
--- a/packages/fleet/types.ts
+++ b/packages/fleet/types.ts
@@ -38,7 +38,7 @@
   key: string;
   /** Content; undefined when the row was removed or its content cannot be used. */
   value: string | undefined;
-  /** Number of the transaction that last wrote or removed the row. */
+  /** Revision of the transaction that last wrote or removed the row; see `encodeRevision`. */
   version: number;
   /** Why the content of the row cannot be used; undefined for valid and removed rows. */
   problem?: string;
@@ -71,7 +71,8 @@
   /**
    * Reads the changes after a revision and waits up to `waitMs` while there are none.
    *
-   * @throws {HistoryLostError} when the store no longer has the changes after the revision
+   * @throws {HistoryLostError} when the store no longer has the changes after the revision, or has come
+   * back from a copy since
    */
   followTable(
     table: Table,
--- a/packages/forwarding_host/create_quarantine_store.ts
+++ b/packages/forwarding_host/create_quarantine_store.ts
@@ -1,5 +1,5 @@
 import type { Logger, Millis } from "@jaypass/kernel";
-import { QUARANTINES_TABLE, STORE_TIMEOUT_MS } from "@jaypass/fleet";
+import { decodeRevision, QUARANTINES_TABLE, STORE_TIMEOUT_MS } from "@jaypass/fleet";
 import type { Row, RowStore } from "@jaypass/fleet";
 import { getQuarantineId } from "@jaypass/placement";
 import type { Quarantine, QuarantineList } from "@jaypass/placement";
@@ -41,6 +41,7 @@
   /** Ids of the rows that were seen or written; a missing one of them was removed by someone else. */
   const storedIds = new Set<string>();
   const reportedKeys = new Set<string>();
+  let lastEra: number | undefined;
 
   const parseRow = (row: Row): Quarantine[] => {
     try {
@@ -55,7 +56,11 @@
   };
 
   const readRows = async (callOptions: { timeoutMs: Millis; signal?: AbortSignal }) => {
-    const { rows } = await store.readTable(QUARANTINES_TABLE, callOptions);
+    const { revision, rows } = await store.readTable(QUARANTINES_TABLE, callOptions);
+    const { era } = decodeRevision(revision);
+    // A store that has come back from a copy lacks the latest rows, which nobody has removed.
+    if (era !== lastEra) storedIds.clear();
+    lastEra = era;
     const stored = new Map(
       rows.flatMap((row) =>
         parseRow(row).map((quarantine) => [row.key, { row, quarantine }] as const)
--- a/packages/forwarding_host/create_quarantine_store_test.ts
+++ b/packages/forwarding_host/create_quarantine_store_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { QUARANTINES_TABLE } from "@jaypass/fleet";
+import { encodeRevision, QUARANTINES_TABLE } from "@jaypass/fleet";
 import type { RowStore } from "@jaypass/fleet";
 import { createQuarantineList, getQuarantineId } from "@jaypass/placement";
 import { createQuarantineStore } from "./create_quarantine_store.ts";
@@ -11,6 +11,7 @@
 function createRows() {
   const rows = new Map<string, { key: string; value: string; version: number }>();
   let version = 0;
+  let era = 0;
   let isAway = false;
   const writes: string[] = [];
   const check = () => {
@@ -21,7 +22,7 @@
       check();
       const all = table === QUARANTINES_TABLE ? [...rows.values()] : [];
       return Promise.resolve({
-        revision: version,
+        revision: encodeRevision({ era, transaction: version }),
         rows: all,
         isWhole: true,
         sinceRevision: undefined,
@@ -39,7 +40,12 @@
       return Promise.resolve();
     },
   };
-  return { rows, writes, store, setAway: (value: boolean) => void (isAway = value) };
+  const restoreEmpty = () => {
+    rows.clear();
+    version = 0;
+    era += 1;
+  };
+  return { rows, writes, store, restoreEmpty, setAway: (value: boolean) => void (isAway = value) };
 }
 
 function createHost(store: QuarantineStoreOptions["store"]) {
@@ -115,3 +121,16 @@
   t.not(host.quarantines.find(FOUND.keys), undefined);
   t.deepEqual(host.warnings, ["Row of a quarantine cannot be used"]);
 });
+
+test("a quarantine that a restored store lacks is written again, not lifted", async (t) => {
+  const { store, rows, writes, restoreEmpty } = createRows();
+  const host = createHost(store);
+  host.quarantines.add(FOUND);
+  t.true(await host.synchronize());
+  t.true(await host.synchronize());
+  restoreEmpty();
+  t.true(await host.synchronize());
+  t.not(host.quarantines.find(FOUND.keys), undefined);
+  t.deepEqual([...rows.keys()], [ID]);
+  t.deepEqual(writes, [ID, ID]);
+});
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -13,6 +13,7 @@
 } from "./constants.ts";
 import { ageJob } from "./age_job.ts";
 import { checkRow } from "./check_row.ts";
+import { isSetBack } from "./is_set_back.ts";
 import { createClusterQuarantine } from "./create_cluster_quarantine.ts";
 import { createClusterView } from "./create_cluster_view.ts";
 import type { ClusterView } from "./create_cluster_view.ts";
@@ -169,6 +170,7 @@
     gossip: quarantine.gossip,
     parsers: createPlacementParsers(),
     checkRow,
+    isSetBack,
     onChange: (table, changed) => view.apply(table, changed),
     clock,
     random,
