Give up a server that refuses connections only after a long silence

Streams without another server were closed 1.4 s after their last event when their server had left: it refuses connections, and ends its answers.

Cause: a refused connection counted as the end of the process, as another instance at the address does.

It is a status of its own now. After 1.4 s of silence another server is tried beside it; it is given up after 2.8 s, with reserved memory after 1.4 s as before, since memory must not outlast its engine.

The tests of a stream that cannot resume and of a last attempt, silent for 1.8 s, fail before (status lost) and pass.

--- a/packages/forwarding/_lib/create_silence_watch.ts
+++ b/packages/forwarding/_lib/create_silence_watch.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@jaypass/kernel";
 import {
   MAX_UNREACHABLE_CHECKS,
+  REFUSING_TOLERANCE_MS,
   SERVER_CHECK_PERIOD_MS,
   SILENCE_POLL_MS,
   SILENCE_SLACK_MS,
@@ -8,6 +9,7 @@
   UNREACHABLE_TOLERANCE_MS,
 } from "../constants.ts";
 import { SERVER_STATUS } from "../types.ts";
+import type { ServerStatus } from "../types.ts";
 import type { ForwardingContext, ForwardingServer } from "./request_context.ts";
 
 /** Watch of one exchange with a server. */
@@ -30,9 +32,11 @@
   expectedMs: Millis;
   /** Expected longest time between two pieces of data. */
   pauseMs: Millis;
+  /** True if memory is reserved for the request, which must not outlast the server. */
+  holdsMemory: boolean;
   /** Called when the process of the server has ended. */
   onLost: () => void;
-  /** Called after each check that finds the server unreachable for longer than is tolerated. */
+  /** Called after each check that finds the server out of reach for longer than is tolerated. */
   onUnreachable: () => void;
 }
 
@@ -46,8 +50,8 @@
  * names another start. A check that finds no process does not show that the exchange has ended, since
  * a server that leaves may close its listener, and its address may be used again, while it ends its
  * answers. Therefore the server is given up only if it has also been silent for longer than a sound
- * server may be. One that is only unreachable may become reachable again with its answer, and is
- * reported after several checks in a row.
+ * server may be, and for much longer if it refuses connections and the request holds no memory. One that
+ * is only out of reach may go on with its answer, and is reported so that another one can be tried.
  *
  * @param context services of the host
  * @param options the server and its expected times
@@ -72,14 +76,14 @@
     return !isEntryCurrent || nowMs - silentSinceMs > allowedMs;
   };
 
-  const giveUp = () => {
+  const giveUp = (reason: ServerStatus) => {
     isLost = true;
     clearInterval(timer);
     log.warn(
       {
         requestId,
         server: server.id,
-        reason: SERVER_STATUS.LOST,
+        reason,
         silentMs: Math.round(clock.nowMs() - silentSinceMs),
         allowedMs: Math.round(allowedMs),
       },
@@ -88,8 +92,21 @@
     options.onLost();
   };
 
-  /** Monotonic time from which a server whose check finds no process counts as lost. */
-  const lostFromMs = () => silentSinceMs + SILENCE_TOLERANCE_MS;
+  /** Gives the server up once it has been silent for long enough, and looks again at that time. */
+  const giveUpAfter = (toleranceMs: Millis, reason: ServerStatus) => {
+    const lostFromMs = silentSinceMs + toleranceMs;
+    if (clock.nowMs() > lostFromMs) giveUp(reason);
+    else nextCheckMs = Math.min(nextCheckMs, lostFromMs);
+  };
+
+  const handleRefusal = () => {
+    const isLong = clock.nowMs() - silentSinceMs > SILENCE_TOLERANCE_MS;
+    if (!isLong || options.holdsMemory) giveUpAfter(SILENCE_TOLERANCE_MS, SERVER_STATUS.REFUSING);
+    else {
+      giveUpAfter(REFUSING_TOLERANCE_MS, SERVER_STATUS.REFUSING);
+      if (!isLost) options.onUnreachable();
+    }
+  };
 
   /** Checks that share a result may follow each other closely, so that their number is not enough. */
   const isUnreachableForLong = () =>
@@ -105,10 +122,9 @@
     // Data that arrived during the check shows that the exchange goes on.
     if (isStopped || isLost || silentSinceMs > startMs) return;
     unreachableCount = status === SERVER_STATUS.UNREACHABLE ? unreachableCount + 1 : 0;
-    if (status === SERVER_STATUS.LOST) {
-      if (clock.nowMs() > lostFromMs()) giveUp();
-      else nextCheckMs = Math.min(nextCheckMs, lostFromMs());
-    } else if (isUnreachableForLong()) options.onUnreachable();
+    if (status === SERVER_STATUS.LOST) giveUpAfter(SILENCE_TOLERANCE_MS, status);
+    else if (status === SERVER_STATUS.REFUSING) handleRefusal();
+    else if (isUnreachableForLong()) options.onUnreachable();
   };
 
   const timer = setInterval(() => void check(), SILENCE_POLL_MS);
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -79,6 +79,12 @@
 /** Silence for which a request stays with a server that does not answer checks. */
 export const UNREACHABLE_TOLERANCE_MS = 1_700;
 
+/**
+ * Silence after which a server that refuses connections is given up, unless memory is reserved for its
+ * request: much longer than that of a sound server, since one that leaves still ends its answers.
+ */
+export const REFUSING_TOLERANCE_MS = 2 * SILENCE_TOLERANCE_MS;
+
 /** Factor of the pause target after which a stream without a new chunk counts as interrupted. */
 export const STALL_TIMEOUT_FACTOR = 5;
 
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -160,8 +160,10 @@
 export const SERVER_STATUS = {
   /** The server answers, so that it may still work on the request. */
   ALIVE: "alive",
-  /** The process that got the request has ended. */
+  /** The process that got the request has ended: another one answers at its address. */
   LOST: "lost",
+  /** It refuses connections: its process has ended, or it leaves and only ends its answers. */
+  REFUSING: "refusing",
   /** No connection or no answer in time. */
   UNREACHABLE: "unreachable",
 } as const;
