Accept waiting connections until shortly before the forced end of an exit

To close the listener over connections resets them as the forced end does, so the close is due only an eighth of the margin before that end. The listeners for readiness, the directory and metrics end meanwhile, and refusals get 20 ms to leave the process even if the exit is late.

--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -75,6 +75,9 @@
 /** Largest part of the grace period that this time may take. */
 export const STOP_MARGIN_MAX_SHARE = 1 / 8;
 
+/** Part of the margin that is left for the end of the process once no connection is accepted. */
+export const LAST_MARGIN_SHARE = 1 / 8;
+
 /** Interval at which a host records that its event loop polls, half the error of the time of a signal. */
 export const POLL_CHECK_MS = 50;
 
@@ -93,6 +96,9 @@
 /** Time for which an exiting host waits for callers to close their connections. */
 export const EXIT_LINGER_MS = 200;
 
+/** Time for which it waits for them at least, so that refusals leave the process before it ends. */
+export const MIN_EXIT_LINGER_MS = 20;
+
 /** Largest request line and headers that are read; callers observe the configured limit. */
 export const MAX_HEADER_BYTES = 32_768;
 
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -1,6 +1,7 @@
 import type { Clock, Millis } from "@jaypass/kernel";
 import type { HostStop } from "@jaypass/forwarding";
 import {
+  LAST_MARGIN_SHARE,
   LEAVE_SPREAD_MS,
   MIN_STALL_MS,
   RECENT_HOSTS_WINDOW_MS,
@@ -42,6 +43,11 @@
    * late has half of the time that is left.
    */
   exitRemainingMs(): Millis;
+  /**
+   * Time for which connections that wait may be accepted in the exit: until shortly before the forced
+   * end, since to close the listener over them resets them as well.
+   */
+  acceptRemainingMs(): Millis;
   /**
    * Time for which answers that have begun may go on after the exit. The platform may have sent the
    * signal as late as possible and use the longest grace period. A caller of HTTP/1.1 recognizes an
@@ -145,6 +151,7 @@
       startMs === undefined ? STOP_STEP.STAY : decideStopStep(describe(requests)),
     exitRemainingMs: () =>
       exitEndMs === undefined ? exitRemainingMs() : Math.max(0, exitEndMs - clock.nowMs()),
+    acceptRemainingMs: () => Math.max(0, remainingMs() + readMarginMs() * (1 - LAST_MARGIN_SHARE)),
     answersRemainingMs() {
       readGraceMs();
       const marginMs = Math.min(STOP_MARGIN_MS, longestGraceMs * STOP_MARGIN_MAX_SHARE);
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -135,6 +135,21 @@
   });
 }
 
+test("connections that wait are accepted until shortly before the forced end, whenever the exit begins", (t) => {
+  let nowMs = 0;
+  const stop = createStopState({
+    clock: { nowMs: () => nowMs, wallMs: () => nowMs },
+    graceMs: () => 8_000,
+  });
+  stop.begin();
+  const remaining = [7_500, 7_900, 7_990].map((atMs) => {
+    nowMs = atMs;
+    stop.beginExit();
+    return stop.acceptRemainingMs();
+  });
+  t.deepEqual(remaining, [437.5, 37.5, 0]);
+});
+
 test("answers that have begun may go on for as long as the signal may have waited", (t) => {
   let nowMs = 1_000;
   const stop = createStopState({
--- a/packages/forwarding_host/run_forwarding_host.ts
+++ b/packages/forwarding_host/run_forwarding_host.ts
@@ -3,6 +3,7 @@
 import {
   EXIT_CHECK_MS,
   EXIT_LINGER_MS,
+  MIN_EXIT_LINGER_MS,
   MIN_STALL_MS,
   POLL_CHECK_MS,
   STOP_CHECK_MS,
@@ -70,18 +71,22 @@
   const servers = kernel.lookup(SERVICE.PUBLIC_SERVERS);
   stop.beginExit();
   const exitMs = stop.exitRemainingMs();
-  const closed = servers.stopListening(() => stop.exitRemainingMs() < exitMs / 4);
+  const closed = servers.stopListening(() => stop.acceptRemainingMs() === 0);
   forwarder.endConnections();
+  const othersEnded = servers.endOthers(() => stop.exitRemainingMs() < exitMs / 4);
   const close = await closed;
   log.info({ ...close, exitMs: Math.round(exitMs), [ESSENTIAL]: true }, "Listener closed");
-  await servers.endOthers(() => stop.exitRemainingMs() < exitMs / 8);
+  await othersEnded;
   // Leaves time for the last answers to leave the process. Does not wait long for the store to remove
   // the host's row, since a hub may remove it as well.
   await Promise.all([
     Promise.race([left, sleep(Math.min(STOP_CHECK_MS, stop.exitRemainingMs()))]),
     waitForZero(
       () => forwarder.connectionCounts().connections + servers.otherConnectionCount(),
-      { clock, timeoutMs: Math.min(EXIT_LINGER_MS, stop.exitRemainingMs()) },
+      {
+        clock,
+        timeoutMs: Math.min(EXIT_LINGER_MS, Math.max(MIN_EXIT_LINGER_MS, stop.exitRemainingMs())),
+      },
     ),
   ]);
   if (forwarder.size() > 0 && stop.answersRemainingMs() > 0) {
