Keep rows that a restored store lacks although another hub has read it

Cause: a hub passes the table that it has read on to the other one. If that one had read the store itself, it took the table for a later one and removed what was missing. Whether rows from before a restore may be removed depended on the revision of the copy, and not on the read.

The reader now states that a whole table is the confirmation, and passes the rows on that are still missing.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -178,7 +178,12 @@
    * Merges rows and forwards the changed ones. Rows of a hub are not sent back to the hubs, and those of
    * the store are sent to them even if this host knew them, since a hub may not.
    */
-  const applyBatch = (table: Table, received: RowBatch, origin: RowOrigin) => {
+  const applyBatch = (
+    table: Table,
+    received: RowBatch,
+    origin: RowOrigin,
+    { isConfirmation = false } = {},
+  ) => {
     const batch = { ...received, rows: checkRows(table, received.rows, origin) };
     // A row that another host found invalid is logged there.
     const reportedKeys = new Set(
@@ -190,8 +195,11 @@
     );
     const sinceRevision = cache.revision(table);
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
-    const changed = cache.apply(table, batch, { isFromHub: origin === "hub" });
-    if (origin === "store" && batch.rows.length > 0) hubClient.sendRows(table, batch);
+    const changed = cache.apply(table, batch, { isFromHub: origin === "hub", isConfirmation });
+    // The hubs remove what a restored store lacks only if they are told so.
+    const removed = isConfirmation ? changed.filter(({ value }) => value === undefined) : [];
+    const read = { ...batch, rows: [...batch.rows, ...removed] };
+    if (origin === "store" && read.rows.length > 0) hubClient.sendRows(table, read);
     const isRestored = sinceRevision !== undefined &&
       readEra(batch.revision) > readEra(sinceRevision);
     if (isRestored) {
@@ -283,7 +291,7 @@
     },
     revision: (table) => cache.revision(table),
     hasUnconfirmedRows: (table) => cache.hasUnconfirmedRows(table),
-    onBatch: (table, batch) => applyBatch(table, batch, "store"),
+    onBatch: (table, batch, origin) => applyBatch(table, batch, "store", origin),
   });
 
   const checkTableAges = createStaleTableLog({
--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -12,14 +12,21 @@
   isSetBack?: (table: Table, rows: { known: Row; restored: Row }) => boolean;
 }
 
-/** A host's copy of the tables of the store. */
-export interface RowCache {
+/** Where a batch comes from. */
+export interface BatchOrigin {
+  /** True for a batch of a hub, which has judged a restored store itself; false by default. */
+  isFromHub?: boolean;
   /**
-   * Merges a batch and returns the rows whose content changed.
-   *
-   * @param options `isFromHub`: true for a batch of a hub, which has judged a restored store itself
+   * True for a whole table that was read when the writers have had time to write again what a restored
+   * store lacked; false by default.
    */
-  apply(table: Table, batch: RowBatch, options?: { isFromHub?: boolean }): Row[];
+  isConfirmation?: boolean;
+}
+
+/** A host's copy of the tables of the store. */
+export interface RowCache {
+  /** Merges a batch and returns the rows whose content changed. */
+  apply(table: Table, batch: RowBatch, origin?: BatchOrigin): Row[];
   /** Reports whether rows are known that have not been seen since the store came back from a copy. */
   hasUnconfirmedRows(table: Table): boolean;
   /**
@@ -68,8 +75,8 @@
  * content cannot be used counts as removed, except in the operators' table.
  *
  * A store that comes back from a copy has lost the latest changes until their writers write them again.
- * The first whole table read from it removes no row, and does not set rows back where that would do
- * harm. A later one removes the rows that are still missing.
+ * A whole table read from it removes no row from before the restore, and does not set rows back where
+ * that would do harm. A later one, the confirmation, removes the rows that are still missing.
  *
  * @param options which rows are not set back
  * @returns the empty cache
@@ -95,19 +102,22 @@
     return copy;
   };
 
-  const findRemoved = (copy: CachedTable, batch: RowBatch): Row[] => {
+  const isRestored = (copy: CachedTable, batch: RowBatch): boolean =>
+    copy.revision !== undefined &&
+    decodeRevision(batch.revision).era > decodeRevision(copy.revision).era;
+
+  const findRemoved = (copy: CachedTable, batch: RowBatch, origin: BatchOrigin): Row[] => {
     if (!batch.isWhole) return [];
     const present = new Set(batch.rows.map((row) => row.key));
+    const { era } = decodeRevision(batch.revision);
+    const isFinal = origin.isFromHub || (origin.isConfirmation && !isRestored(copy, batch));
     return [...copy.rows.values()]
       .filter((row) => row.value !== undefined && !present.has(row.key))
       .filter((row) => row.version <= batch.revision)
+      .filter((row) => isFinal || decodeRevision(row.version).era === era)
       .map((row) => ({ key: row.key, value: undefined, version: batch.revision }));
   };
 
-  const isRestored = (copy: CachedTable, batch: RowBatch): boolean =>
-    copy.revision !== undefined &&
-    decodeRevision(batch.revision).era > decodeRevision(copy.revision).era;
-
   /** Whether a row of a whole table is an older state than the one known from before the restore. */
   const isOlderState = (row: Row, known: Row | undefined): known is Row => {
     if (known === undefined) return false;
@@ -140,15 +150,15 @@
   };
 
   return {
-    apply(table, batch, { isFromHub = false } = {}) {
+    apply(table, batch, origin = {}) {
       const copy = cachedTable(table);
       // The store may list several versions of a row in one batch.
       const newest = new Map<string, Row>();
-      const removed = !isFromHub && isRestored(copy, batch) ? [] : findRemoved(copy, batch);
+      const removed = findRemoved(copy, batch, origin);
       for (const row of [...listUsable(table, copy, batch), ...removed]) {
         const known = newest.get(row.key) ?? copy.rows.get(row.key);
         if (!isNewer(row, known)) continue;
-        const mayKeepKnown = batch.isWhole && !isFromHub && isOlderState(row, known);
+        const mayKeepKnown = batch.isWhole && !origin.isFromHub && isOlderState(row, known);
         if (mayKeepKnown && isSetBack(table, { known, restored: row })) continue;
         newest.set(row.key, row);
       }
--- a/packages/fleet/create_row_cache_test.ts
+++ b/packages/fleet/create_row_cache_test.ts
@@ -180,16 +180,27 @@
   t.deepEqual([changed, cache.revision(TABLE.SERVERS)], [[], inEra(2, 60)]);
 });
 
-test("a row that a restored store lacks is removed by the second whole table and not by the first", (t) => {
+test("a row that a restored store lacks is removed by the confirmation, and by no whole table before", (t) => {
   const cache = createRowCache();
   cache.apply(TABLE.SERVERS, whole(inEra(1, 100), [row("a", "1", inEra(1, 99))]));
-  t.deepEqual(cache.apply(TABLE.SERVERS, whole(inEra(2, 60), [])), []);
+  for (const transaction of [60, 65]) {
+    t.deepEqual(cache.apply(TABLE.SERVERS, whole(inEra(2, transaction), [])), []);
+  }
   t.true(cache.hasUnconfirmedRows(TABLE.SERVERS));
-  const removed = cache.apply(TABLE.SERVERS, whole(inEra(2, 70), []));
+  const removed = cache.apply(TABLE.SERVERS, whole(inEra(2, 70), []), { isConfirmation: true });
   t.deepEqual(removed, [row("a", undefined, inEra(2, 70))]);
   t.false(cache.hasUnconfirmedRows(TABLE.SERVERS));
 });
 
+test("a confirmation that reads the store after a further restore removes no row", (t) => {
+  const cache = createRowCache();
+  cache.apply(TABLE.SERVERS, whole(inEra(1, 100), [row("a", "1", inEra(1, 99))]));
+  cache.apply(TABLE.SERVERS, whole(inEra(2, 60), []));
+  const origin = { isConfirmation: true };
+  t.deepEqual(cache.apply(TABLE.SERVERS, whole(inEra(3, 50), []), origin), []);
+  t.is(cache.rows(TABLE.SERVERS).length, 1);
+});
+
 test("an older state of a row in a restored store does not replace the known one where it must not", (t) => {
   const asked: unknown[] = [];
   const cache = createRowCache({
--- a/packages/fleet/create_store_follower.ts
+++ b/packages/fleet/create_store_follower.ts
@@ -35,8 +35,13 @@
   revision: (table: Table) => number | undefined;
   /** Reports whether rows of a table have not been seen since the store came back from a copy. */
   hasUnconfirmedRows?: (table: Table) => boolean;
-  /** Receives each batch that was read. */
-  onBatch: (table: Table, batch: RowBatch) => void;
+  /**
+   * Receives each batch that was read.
+   *
+   * @param origin `isConfirmation`: true for a whole table that shows which rows a restored store has
+   * not got back
+   */
+  onBatch: (table: Table, batch: RowBatch, origin: { isConfirmation: boolean }) => void;
   /** Called after each read of a table, once its batch was passed to `onBatch`. */
   onRead: (table: Table, batch: RowBatch) => void;
 }
@@ -126,7 +131,9 @@
   };
 
   /** Whether a table has to be read whole to learn which rows a restored store does not have any more. */
-  const isConfirmationDue = (table: Table, revision: number): boolean => {
+  const isConfirmationDue = (table: Table): boolean => {
+    const revision = options.revision(table);
+    if (revision === undefined) return false;
     const { era } = decodeRevision(revision);
     const known = eras.get(table);
     if (known?.era !== era) {
@@ -136,14 +143,15 @@
     return !known.isConfirmed && clock.nowMs() - known.sinceMs >= STORE_RECOVERY_GRACE_MS;
   };
 
-  const readOnce = async (table: Table, signal: AbortSignal): Promise<RowBatch> => {
+  const readOnce = (
+    table: Table,
+    isConfirmation: boolean,
+    signal: AbortSignal,
+  ): Promise<RowBatch> => {
     const since = options.revision(table);
     metrics.increment("store_call", { table });
-    if (since === undefined || isConfirmationDue(table, since)) {
-      const batch = await store.readTable(table, { timeoutMs: STORE_TIMEOUT_MS, signal });
-      const known = eras.get(table);
-      if (known !== undefined) known.isConfirmed = true;
-      return batch;
+    if (since === undefined || isConfirmation) {
+      return store.readTable(table, { timeoutMs: STORE_TIMEOUT_MS, signal });
     }
     // An overdue poll does not wait, since its answer tells at once that the copy is current.
     const waitMs = ageMs(table) >= computeStaleMs(table) ? 0 : TABLE_POLL[table].waitMs;
@@ -165,12 +173,15 @@
 
   const followOnce = async (table: Table, signal: AbortSignal) => {
     try {
-      const batch = await readOnce(table, signal).catch((err) => {
+      const isConfirmation = isConfirmationDue(table);
+      const batch = await readOnce(table, isConfirmation, signal).catch((err) => {
         if (err instanceof HistoryLostError) return readWhole(table, signal);
         throw err;
       });
       onSuccess(table);
-      options.onBatch(table, batch);
+      const known = eras.get(table);
+      if (isConfirmation && known !== undefined) known.isConfirmed = true;
+      options.onBatch(table, batch, { isConfirmation });
       options.onRead(table, batch);
       await sleep(TABLE_POLL[table].delayMs, signal);
     } catch (err) {
--- a/packages/fleet/encode_revision.ts
+++ b/packages/fleet/encode_revision.ts
@@ -4,7 +4,7 @@
 export interface StorePosition {
   /**
    * Number of times that the store has come back from a copy, which loses the latest transactions; their
-   * numbers are given out again.
+   * numbers are given out again. Below `STORE_ERA_COUNT`.
    */
   era: number;
   /** Number of the transaction within the history of the era. */
@@ -17,14 +17,14 @@
  *
  * @param position era and transaction
  * @returns the revision
- * @throws {RangeError} if the transaction does not fit
+ * @throws {RangeError} if one of them is too large
  *
  * @example
  * encodeRevision({ era: 0, transaction: 17 }); // 17
  */
 export function encodeRevision({ era, transaction }: StorePosition): number {
-  if (transaction >= TRANSACTIONS_PER_ERA) {
-    throw new RangeError(`Transaction number "${transaction}" is too large`);
+  if (era >= STORE_ERA_COUNT || transaction >= TRANSACTIONS_PER_ERA) {
+    throw new RangeError(`Transaction "${transaction}" of era "${era}" is out of range`);
   }
-  return (era % STORE_ERA_COUNT) * TRANSACTIONS_PER_ERA + transaction;
+  return era * TRANSACTIONS_PER_ERA + transaction;
 }
--- a/packages/fleet/encode_revision_test.ts
+++ b/packages/fleet/encode_revision_test.ts
@@ -11,6 +11,7 @@
   );
 });
 
-test("a transaction number that would run into the next era is refused", (t) => {
+test("a transaction number that would run into the next era, and an era that does not fit, are refused", (t) => {
   t.throws(() => encodeRevision({ era: 0, transaction: 2 ** 42 }), { instanceOf: RangeError });
+  t.throws(() => encodeRevision({ era: 2 ** 11, transaction: 0 }), { instanceOf: RangeError });
 });
