--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -51,8 +51,8 @@
   /** Registers a caller's connection, as the event `connection` reports it. */
   accept(socket: Socket): void;
   /**
-   * Refuses what comes on a caller's connection, which was accepted in the exit of the host. Nothing
-   * is read from it, so that the refusal is true.
+   * Refuses the request on a caller's connection, which was accepted in the exit of the host. What
+   * comes on it is discarded, so that the refusal is true.
    */
   refuse(socket: Socket): void;
   /** Handles an error on a caller's connection, as the event `clientError` reports it. */
