--- a/packages/fleet/create_row_cache.ts
+++ b/packages/fleet/create_row_cache.ts
@@ -56,6 +56,8 @@
   revision: number | undefined;
   /** Revision after which every removal is known, because no later change was missed. */
   completeFrom: number;
+  /** Revision of the first batch after the last restore; rows with later ones were written after it. */
+  restoredRevision: number;
   rows: Map<string, Row>;
   /** Keys of rows that cannot be used and of which no earlier content is known. */
   unknownKeys: Set<string>;
@@ -92,6 +94,7 @@
     ) => [table, {
       revision: undefined,
       completeFrom: Infinity,
+      restoredRevision: Infinity,
       rows: new Map(),
       unknownKeys: new Set(),
     }]),
@@ -154,11 +157,13 @@
       const copy = cachedTable(table);
       // The store may list several versions of a row in one batch.
       const newest = new Map<string, Row>();
+      if (isRestored(copy, batch)) copy.restoredRevision = batch.revision;
       const removed = findRemoved(copy, batch, origin);
       for (const row of [...listUsable(table, copy, batch), ...removed]) {
         const known = newest.get(row.key) ?? copy.rows.get(row.key);
         if (!isNewer(row, known)) continue;
-        const mayKeepKnown = batch.isWhole && !origin.isFromHub && isOlderState(row, known);
+        const mayKeepKnown = batch.isWhole && !origin.isFromHub &&
+          row.version <= copy.restoredRevision && isOlderState(row, known);
         if (mayKeepKnown && isSetBack(table, { known, restored: row })) continue;
         newest.set(row.key, row);
       }
--- a/packages/fleet/create_row_cache_test.ts
+++ b/packages/fleet/create_row_cache_test.ts
@@ -217,3 +217,14 @@
   cache.apply(TABLE.SERVERS, changes(inEra(2, 60), inEra(2, 61), [row("a", "2", inEra(2, 61))]));
   t.is(cache.find(TABLE.SERVERS, "a")?.value, "2");
 });
+
+// Guards against a row that is written right before the confirmation, which no later read contains.
+test("a row that is written again after the first read of a restored store is not taken for an older state", (t) => {
+  const cache = createRowCache({ isSetBack: () => true });
+  cache.apply(TABLE.SERVERS, whole(inEra(1, 100), [row("a", "leaves", inEra(1, 99))]));
+  cache.apply(TABLE.SERVERS, whole(inEra(2, 60), [row("a", "1", inEra(2, 58))]));
+  t.is(cache.find(TABLE.SERVERS, "a")?.value, "leaves");
+  const confirmation = whole(inEra(2, 62), [row("a", "1", inEra(2, 61))]);
+  cache.apply(TABLE.SERVERS, confirmation, { isConfirmation: true });
+  t.is(cache.find(TABLE.SERVERS, "a")?.value, "1");
+});
