--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -150,7 +150,7 @@
   const { self, store, scheduler, clock, random, log, metrics, tasks } = options;
   const { gossip = NO_GOSSIP } = options;
   const cache = createRowCache({
-    // A host that is there writes its row again.
+    // A running host writes its row again, so the older state of a row is never needed.
     isSetBack: (table, rows) => table === TABLE.HOSTS || options.isSetBack?.(table, rows) === true,
   });
   const ages = createTableAges(clock);
@@ -196,7 +196,7 @@
     const sinceRevision = cache.revision(table);
     const before = new Map(batch.rows.map(({ key }) => [key, cache.find(table, key)]));
     const changed = cache.apply(table, batch, { isFromHub: origin === "hub", isConfirmation });
-    // The hubs remove what a restored store lacks only if they are told so.
+    // A hub that gets a whole table removes no row from before a restore, only rows listed as removed.
     const removed = isConfirmation ? changed.filter(({ value }) => value === undefined) : [];
     const read = { ...batch, rows: [...batch.rows, ...removed] };
     if (origin === "store" && read.rows.length > 0) hubClient.sendRows(table, read);
--- a/packages/kernel/close_listener.ts
+++ b/packages/kernel/close_listener.ts
@@ -31,7 +31,7 @@
 export interface ListenerClose {
   /** Connections that were accepted during the close. */
   acceptedCount: number;
-  /** True if the limit passed first, so that connections that waited to be accepted were reset. */
+  /** True if the limit passed first, so that connections may have waited, which are reset. */
   isForced: boolean;
 }
 
