Leave out packages that the host program does not use

bunyan loaded the optional packages mv (about 18 ms on a busy core, with rimraf and glob) and dtrace-provider at each start, and prom-client loaded its push gateway and cluster parts with TLS. The bundle now has neither; safe-json-stringify, which bunyan uses for records that JSON.stringify refuses, is in the bundle instead of being looked up at the start.

--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -10,6 +10,25 @@
 const TARGET = "target";
 const NAME = "jaypass_host";
 
+/** Classes of prom-client that the program uses; the others load more of Node.js, such as TLS. */
+const PROM_CLIENT_CLASSES = ["Registry", "Counter", "Gauge", "Histogram"];
+
+/** Leaves out parts of packages that the program does not use and that take long to load. */
+const leaveOutUnused = {
+  name: "leave-out-unused",
+  setup({ onLoad, onResolve }) {
+    onLoad({ filter: /[\\/]prom-client[\\/]index\.js$/ }, () => ({
+      contents: PROM_CLIENT_CLASSES
+        .map((name) => `exports.${name} = require("./lib/${name.toLowerCase()}");`).join("\n"),
+    }));
+    // bunyan uses them to rotate files and for DTrace, and goes on without them.
+    onResolve({ filter: /^(mv|dtrace-provider)$/ }, ({ path }) => ({ path, namespace: "unused" }));
+    onLoad({ filter: /.*/, namespace: "unused" }, ({ path }) => ({
+      contents: `throw new Error(${JSON.stringify(`"${path}" is not part of the program`)});`,
+    }));
+  },
+};
+
 /** Options of Node.js with which the platform starts the program. */
 function readNodeOptions() {
   const [, options] = /^run = "node (.*)target\/jaypass_host\.js"$/m
@@ -25,7 +44,8 @@
   format: "cjs",
   target: "node20",
   minifySyntax: true,
-  external: ["dtrace-provider", "source-map-support", "mv", "safe-json-stringify"],
+  external: ["source-map-support"],
+  plugins: [leaveOutUnused],
   banner: { js: "(function (require) {" },
   footer: { js: "})" },
   write: false,
