Keep the link to a hub when its process's own row replaces an older one

Hosts that start together first read the rows of the processes before, link to the new processes at the same addresses, and closed these links when the new rows arrived, since the incarnation differed. The hub states its own entry when a host joins, so the link now stays if the new row is of that process.

--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -142,6 +142,8 @@
   timeouts: number;
   /** Live hosts by name; undefined before the hub has sent them. */
   hosts: Map<string, HostEntry> | undefined;
+  /** Entry that the hub has stated for itself; newer than `entry` until its row has arrived. */
+  statedEntry: HostEntry | undefined;
   /** Tables whose rows were requested because a patch did not match; their copies lack changes. */
   awaitedTables: Set<Table>;
   /** Time at which the connect began. */
@@ -254,6 +256,7 @@
       hub.hosts ??= new Map();
       for (const host of message.change.left) hub.hosts.delete(host);
       for (const entry of message.change.joined) hub.hosts.set(entry.host, entry);
+      hub.statedEntry = hub.hosts.get(hub.entry.host) ?? hub.statedEntry;
     } else if (message.type === "want") {
       const { table, revision } = message;
       hub.link?.send({ type: "rows", table, batch: options.changesSince(table, revision) });
@@ -334,6 +337,7 @@
       pendingPlacements: new Map(),
       timeouts: 0,
       hosts: undefined,
+      statedEntry: undefined,
       awaitedTables: new Set(),
       openedAtMs: clock.nowMs(),
       heardAtMs: -Infinity,
@@ -360,6 +364,9 @@
     for (const [key, untilMs] of retryAtMs) if (untilMs <= clock.nowMs()) retryAtMs.delete(key);
   };
 
+  const isSameProcess = (entry: HostEntry, stated: HostEntry | undefined): boolean =>
+    entry.incarnation === stated?.incarnation && entry.linkAddress === stated.linkAddress;
+
   const selectHubs = () => {
     const hosts = options.knownHosts();
     const isDraining = options.isDraining();
@@ -376,6 +383,11 @@
     for (const hub of [...hubs.values()]) {
       const entry = selected.find(({ host }) => host === hub.entry.host);
       if (entry?.incarnation === hub.entry.incarnation) continue;
+      // The link was made with the row of the process before, which listened at the same address.
+      if (entry !== undefined && isSameProcess(entry, hub.statedEntry)) {
+        hub.entry = entry;
+        continue;
+      }
       closeHub(hub);
       if (isSelf(hub.entry.host)) scheduler.forget(self.host);
     }
