--- a/packages/forwarding_host/create_cluster_quarantine.ts
+++ b/packages/forwarding_host/create_cluster_quarantine.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import { createFieldReader, ESSENTIAL, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Metrics, TaskGroup } from "@jaypass/kernel";
 import { FLEET_TICK_MS } from "@jaypass/fleet";
@@ -37,7 +38,9 @@
   gossip: Gossip;
   /** Logs a verdict of a placer. */
   logVerdict(verdict: CrashVerdict): void;
-  /** Runs the synchronization with the store while this host is a hub. */
+  /** Tells that the hosts are known, and with them whether this host is a hub. */
+  onHostsKnown(): void;
+  /** Runs the synchronization with the store while this host is a hub, once the hosts are known. */
   run(tasks: TaskGroup): void;
 }
 
@@ -56,6 +59,8 @@
 export function createClusterQuarantine(options: ClusterQuarantineOptions): ClusterQuarantine {
   const { store, sendGossip, isHub, clock, log, metrics } = options;
   let nextSyncMs = -Infinity;
+  let onHostsKnown = () => {};
+  const hostsKnown = new Promise<void>((resolve) => onHostsKnown = resolve);
 
   const onChange = (quarantine: Quarantine) => {
     nextSyncMs = -Infinity;
@@ -93,8 +98,11 @@
         { keys, crashCount, [ESSENTIAL]: true },
         "Content crashes servers; its requests are refused",
       ),
+    onHostsKnown: () => onHostsKnown(),
     run(tasks) {
       tasks.run("synchronize quarantines", async (signal) => {
+        // Until then each host is a hub of its own, and all hosts that start would read the table.
+        await Promise.race([hostsKnown, once(signal, "abort")]);
         while (!signal.aborted) {
           if (isHub() && clock.nowMs() >= nextSyncMs) {
             nextSyncMs = clock.nowMs() + QUARANTINE_SYNC_MS;
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -1,6 +1,6 @@
 import { runAfterRead, sleep, sleepUntilTick } from "@jaypass/kernel";
 import type { PollMonitor, ServiceDefinition } from "@jaypass/kernel";
-import { createFleet, FLEET_TICK_MS } from "@jaypass/fleet";
+import { createFleet, FLEET_TICK_MS, TABLE } from "@jaypass/fleet";
 import type { HostEntry } from "@jaypass/fleet";
 import { createServerNotices } from "@jaypass/forwarding";
 import { COLD_WINDOW_MS, createPlacer, QUEUE_CHECK_INTERVAL_MS } from "@jaypass/placement";
@@ -171,7 +171,10 @@
     parsers: createPlacementParsers(),
     checkRow,
     isSetBack,
-    onChange: (table, changed) => view.apply(table, changed),
+    onChange(table, changed) {
+      if (table === TABLE.HOSTS) quarantine.onHostsKnown();
+      view.apply(table, changed);
+    },
     clock,
     random,
     log,
