--- a/packages/fleet/_lib/json_link.ts
+++ b/packages/fleet/_lib/json_link.ts
@@ -5,14 +5,15 @@
 import { LINK_MAX_BUFFER_BYTES, LINK_MAX_LINE_CHARACTERS } from "../constants.ts";
 import { LinkError } from "../errors.ts";
 import { isAddress } from "../is_address.ts";
+import type { LinkTraffic } from "./create_link_traffic.ts";
 import { decodeMessage, encodeMessage } from "./encode_message.ts";
 
 /** A connection that carries JSON objects, each on one line. */
 export interface JsonLink<In, Out> {
   /** Sends a message. Closes the link when the peer reads too slowly. */
   send(message: Out): void;
-  /** Sends an encoded message, so that a broadcast is encoded only once. */
-  sendLine(line: string): void;
+  /** Sends a message with its encoded line, so that a broadcast is encoded only once. */
+  sendLine(message: Out, line: string): void;
   /** Yields received messages until the peer closes the connection. */
   messages(): AsyncGenerator<In>;
   /** Closes the connection. */
@@ -24,13 +25,18 @@
  *
  * @param socket a connected socket
  * @param options `idleTimeoutMs`: milliseconds without received data after which the link fails;
- * `parse`: checks a decoded message, and returns undefined for one to skip
+ * `parse`: checks a decoded message, and returns undefined for one to skip; `traffic`: counts the
+ * bytes of messages
  * @returns the link; `messages` throws a {@linkcode LinkError} when the link fails or a message is
  * not valid
  */
 export function createJsonLink<In, Out>(
   socket: Socket,
-  options: { idleTimeoutMs: Millis; parse: (value: unknown) => In | undefined },
+  options: {
+    idleTimeoutMs: Millis;
+    parse: (value: unknown) => In | undefined;
+    traffic?: Pick<LinkTraffic, "count">;
+  },
 ): JsonLink<In, Out> {
   socket.setNoDelay(true);
   // `socket.setTimeout` does not work here, because writes to a dead peer would restart it.
@@ -45,24 +51,32 @@
   socket.once("close", () => clearTimeout(idleTimer));
   // `messages` reports errors to its reader; without a listener they would end the process.
   socket.on("error", () => {});
-  const sendLine = (line: string) => {
+  const { parse, traffic } = options;
+  const sendLine = (message: Out, line: string) => {
     if (socket.destroyed) return;
+    traffic?.count(message, "sent", line);
     socket.write(line);
     if (socket.writableLength > LINK_MAX_BUFFER_BYTES) {
       socket.destroy(new LinkError("Send buffer of the link is full; peer reads too slowly"));
     }
   };
+  const parseLine = (line: string) => {
+    const value = decodeMessage(line);
+    const message = parse(value);
+    if (message !== undefined) traffic?.count(value, "received", line);
+    return message;
+  };
   return {
-    send: (message) => sendLine(encodeMessage(message)),
+    send: (message) => sendLine(message, encodeMessage(message)),
     sendLine,
-    messages: () => readMessages<In>(socket, options.parse, () => idleTimer.refresh()),
+    messages: () => readMessages<In>(socket, parseLine, () => idleTimer.refresh()),
     close: () => socket.destroy(),
   };
 }
 
 async function* readMessages<In>(
   socket: Socket,
-  parse: (value: unknown) => In | undefined,
+  parseLine: (line: string) => In | undefined,
   onChunk: () => void,
 ): AsyncGenerator<In> {
   // The chunks of a line are joined only once, at its end, because a large table takes many chunks.
@@ -75,7 +89,7 @@
       parts.push(end);
       length += end.length;
       for (const line of lines) {
-        const message = parse(decodeMessage(parts.join("")));
+        const message = parseLine(parts.join(""));
         if (message !== undefined) yield message;
         parts = [line];
         length = line.length;
--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -18,6 +18,7 @@
 import { decodeRevision } from "./decode_revision.ts";
 import { checkHostRow } from "./_lib/check_host_row.ts";
 import { createInvalidRowLog } from "./_lib/create_invalid_row_log.ts";
+import { createLinkTraffic } from "./_lib/create_link_traffic.ts";
 import { createStaleTableLog } from "./_lib/create_stale_table_log.ts";
 import type { MessageParsers } from "./messages.ts";
 import { parseHostEntry } from "./parse_host_entry.ts";
@@ -230,6 +231,8 @@
     if (origin === "member") hubClient.sendRows(table, changes);
   };
 
+  const traffic = createLinkTraffic(metrics);
+
   const hubServer = createHubServer<Job, Decision, Report>({
     self,
     isDraining,
@@ -250,6 +253,7 @@
     gossip,
     isHub: () => hubClient.isHub(),
     parsers: options.parsers,
+    traffic,
     clock,
     log,
     tasks,
@@ -272,6 +276,7 @@
     onRows: (table, batch) => applyBatch(table, batch, "hub"),
     gossip,
     parsers: options.parsers,
+    traffic,
     clock,
     log,
     tasks,
@@ -407,6 +412,7 @@
         while (!signal.aborted) {
           await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
           checkTableAges();
+          traffic.flush();
         }
       });
     },
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -12,6 +12,7 @@
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { parseHubMessage } from "./_lib/parse_message.ts";
+import type { LinkTraffic } from "./_lib/create_link_traffic.ts";
 import { decodeViewAges } from "./_lib/view_ages.ts";
 import { applyRowPatches } from "./_lib/row_patches.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
@@ -58,6 +59,8 @@
   onRows: (table: Table, batch: RowBatch) => void;
   /** Parsers of jobs, decisions and reports in messages. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /** Counts the bytes of messages. */
+  traffic: LinkTraffic;
   /** Monotonic time source. */
   clock: Clock;
   /** Logs the selection of hubs and the state of the links to them. */
@@ -302,6 +305,7 @@
       const link = createJsonLink<HubMessage<Decision>, MemberMessage<Job, Report>>(socket, {
         idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
         parse: (value) => parseHubMessage(value, options.parsers),
+        traffic: options.traffic,
       });
       hub.link = link;
       if (viewTimeoutMs !== undefined) {
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -13,6 +13,7 @@
 import { parseMemberMessage } from "./_lib/parse_message.ts";
 import { encodeViewAges } from "./_lib/view_ages.ts";
 import { createRowPatches } from "./_lib/row_patches.ts";
+import type { LinkTraffic } from "./_lib/create_link_traffic.ts";
 import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
@@ -65,6 +66,8 @@
   isHub: () => boolean;
   /** Parsers of jobs, decisions and reports in messages. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /** Counts the bytes of messages. */
+  traffic: LinkTraffic;
   /** Monotonic time source. */
   clock: Clock;
   /** Logs members that join and leave. */
@@ -115,7 +118,7 @@
 export function createHubServer<Job, Decision, Report>(
   options: HubServerOptions<Job, Decision, Report>,
 ): HubServer {
-  const { self, scheduler, clock, log, tasks } = options;
+  const { self, scheduler, clock, log, tasks, traffic } = options;
   const members = new Map<string, Member<Decision>>();
   const disconnectedAtMs = new Map<string, Millis>();
   let memberLostAtMs = -Infinity;
@@ -148,24 +151,34 @@
   };
 
   const broadcast = (...messages: HubMessage<Decision>[]) => {
-    const lines = messages.map(encodeMessage);
-    for (const { link } of members.values()) for (const line of lines) link.sendLine(line);
+    const lines = messages.map((message) => [message, encodeMessage(message)] as const);
+    for (const { link } of members.values()) {
+      for (const [message, line] of lines) link.sendLine(message, line);
+    }
   };
 
-  const cachedLines = new Map<Table, { key: string; line: string }>();
+  const cachedLines = new Map<
+    Table,
+    { key: string; message: HubMessage<Decision>; line: string }
+  >();
 
   /**
-   * Encodes the changes after a revision. The last line of each table is cached, because after a
+   * Sends the changes after a revision. The last line of each table is cached, because after a
    * restart of many hosts all of them need the same changes.
    */
-  const encodeChanges = (table: Table, sinceRevision: number | undefined): string => {
+  const sendChanges = (
+    link: Member<Decision>["link"],
+    table: Table,
+    sinceRevision: number | undefined,
+  ) => {
     const batch = options.changesSince(table, sinceRevision);
     const key = `${batch.sinceRevision} ${batch.revision}`;
     const known = cachedLines.get(table);
-    if (known?.key === key) return known.line;
-    const line = encodeMessage({ type: "rows", table, batch });
-    cachedLines.set(table, { key, line });
-    return line;
+    if (known?.key === key) return link.sendLine(known.message, known.line);
+    const message = { type: "rows", table, batch } as const;
+    const line = encodeMessage(message);
+    cachedLines.set(table, { key, message: { ...message, batch: { ...batch, rows: [] } }, line });
+    link.sendLine(message, line);
   };
 
   const addMember = (
@@ -179,7 +192,7 @@
     for (const report of reports) scheduler.report(entry.host, report);
     const member = { entry, isDraining, link };
     members.set(entry.host, member);
-    for (const table of Object.values(TABLE)) link.sendLine(encodeChanges(table, revisions[table]));
+    for (const table of Object.values(TABLE)) sendChanges(link, table, revisions[table]);
     link.send({ type: "hosts", change: { joined: hostsDiff.listAll(), left: [] } });
     const items = options.gossip.list();
     if (items.length > 0) link.send({ type: "gossip", items });
@@ -231,7 +244,7 @@
     else if (message.type === "rows") options.onRows(message.table, message.batch);
     else if (message.type === "gossip") options.gossip.receive(message.items);
     else if (message.type === "want") {
-      member.link.sendLine(encodeChanges(message.table, message.revision));
+      sendChanges(member.link, message.table, message.revision);
     } else if (message.type === "fresh") {
       const { table = TABLE.SERVERS, span } = message;
       if (options.onMemberRead(table, span)) memberReadAtMs.set(table, clock.nowMs());
@@ -243,6 +256,7 @@
     const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<Decision>>(socket, {
       idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
       parse: (value) => parseMemberMessage(value, options.parsers),
+      traffic,
     });
     let member: Member<Decision> | undefined;
     let heardAtMs = clock.nowMs();
@@ -278,7 +292,10 @@
     try {
       const socket = await connectSocket(entry.linkAddress, LINK_CONNECT_TIMEOUT_MS);
       socket.on("error", () => {});
-      socket.end(encodeMessage({ type: "invite", hosts: options.hostRows() }));
+      const message = { type: "invite", hosts: options.hostRows() };
+      const line = encodeMessage(message);
+      traffic.count(message, "sent", line);
+      socket.end(line);
       log.info({ host: entry.host }, "Invited host without a link");
     } catch (err) {
       log.debug({ host: entry.host, err: String(err) }, "Inviting host failed");
