--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -12,6 +12,7 @@
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { parseHubMessage } from "./_lib/parse_message.ts";
+import type { LinkTraffic } from "./_lib/create_link_traffic.ts";
 import { decodeViewAges } from "./_lib/view_ages.ts";
 import { applyRowPatches } from "./_lib/row_patches.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
@@ -58,6 +59,8 @@
   onRows: (table: Table, batch: RowBatch) => void;
   /** Parsers of jobs, decisions and reports in messages. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /** Counts the bytes of messages. */
+  traffic: LinkTraffic;
   /** Monotonic time source. */
   clock: Clock;
   /** Logs the selection of hubs and the state of the links to them. */
@@ -142,6 +145,8 @@
   timeouts: number;
   /** Live hosts by name; undefined before the hub has sent them. */
   hosts: Map<string, HostEntry> | undefined;
+  /** Entry that the hub has stated for itself; newer than `entry` until its row has arrived. */
+  statedEntry: HostEntry | undefined;
   /** Tables whose rows were requested because a patch did not match; their copies lack changes. */
   awaitedTables: Set<Table>;
   /** Time at which the connect began. */
@@ -184,6 +189,7 @@
   const reconnectedAtMs = new Map<string, Millis>();
   let hubOrder: string[] = [];
   let nextCallNumber = 1;
+  let firstReadAtMs = -Infinity;
   const linkWaiters = new Set<() => void>();
   let reviewTimer: NodeJS.Timeout | undefined;
 
@@ -254,6 +260,7 @@
       hub.hosts ??= new Map();
       for (const host of message.change.left) hub.hosts.delete(host);
       for (const entry of message.change.joined) hub.hosts.set(entry.host, entry);
+      hub.statedEntry = hub.hosts.get(hub.entry.host) ?? hub.statedEntry;
     } else if (message.type === "want") {
       const { table, revision } = message;
       hub.link?.send({ type: "rows", table, batch: options.changesSince(table, revision) });
@@ -298,6 +305,7 @@
       const link = createJsonLink<HubMessage<Decision>, MemberMessage<Job, Report>>(socket, {
         idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
         parse: (value) => parseHubMessage(value, options.parsers),
+        traffic: options.traffic,
       });
       hub.link = link;
       if (viewTimeoutMs !== undefined) {
@@ -334,6 +342,7 @@
       pendingPlacements: new Map(),
       timeouts: 0,
       hosts: undefined,
+      statedEntry: undefined,
       awaitedTables: new Set(),
       openedAtMs: clock.nowMs(),
       heardAtMs: -Infinity,
@@ -360,6 +369,9 @@
     for (const [key, untilMs] of retryAtMs) if (untilMs <= clock.nowMs()) retryAtMs.delete(key);
   };
 
+  const isSameProcess = (entry: HostEntry, stated: HostEntry | undefined): boolean =>
+    entry.incarnation === stated?.incarnation && entry.linkAddress === stated.linkAddress;
+
   const selectHubs = () => {
     const hosts = options.knownHosts();
     const isDraining = options.isDraining();
@@ -376,6 +388,11 @@
     for (const hub of [...hubs.values()]) {
       const entry = selected.find(({ host }) => host === hub.entry.host);
       if (entry?.incarnation === hub.entry.incarnation) continue;
+      // The link was made with the row of the process before, which listened at the same address.
+      if (entry !== undefined && isSameProcess(entry, hub.statedEntry)) {
+        hub.entry = entry;
+        continue;
+      }
       closeHub(hub);
       if (isSelf(hub.entry.host)) scheduler.forget(self.host);
     }
@@ -388,6 +405,14 @@
       return hub?.isReady ? [hub] : [];
     });
 
+  /**
+   * Whether the first hubs after a start may still tell what the store would. Later on, a host without
+   * a hub follows the store at once, since many hubs may fail one after another.
+   */
+  const isConnecting = () =>
+    clock.nowMs() - firstReadAtMs < LINK_CONNECT_TIMEOUT_MS &&
+    [...hubs.values()].some(({ isReady }) => !isReady);
+
   const recordTimeout = (hub: Hub, timeoutMs: Millis) => {
     hub.timeouts += 1;
     log.warn(
@@ -499,7 +524,10 @@
       for (const hub of hubs.values()) hub.link?.send({ type: "rows", table, batch });
     },
     reviewHubs({ isFirstRead }) {
-      if (isFirstRead) return selectHubs();
+      if (isFirstRead) {
+        firstReadAtMs = clock.nowMs();
+        return selectHubs();
+      }
       reviewTimer ??= setTimeout(() => {
         reviewTimer = undefined;
         selectHubs();
@@ -510,7 +538,8 @@
     },
     shouldFollow(table) {
       const isUnread = options.revision(table) === undefined;
-      if (readyHubs().length === 0 || hubs.has(self.host) || isUnread) return true;
+      if (isUnread || hubs.has(self.host)) return true;
+      if (readyHubs().length === 0) return !isConnecting();
       return shouldFollowStore({
         fallbackRank,
         staleMs: computeStaleMs(table),
--- /dev/null
+++ b/packages/fleet/start_together_test.ts
@@ -0,0 +1,98 @@
+import { once } from "node:events";
+import { createServer } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
+import test from "ava";
+import type { ExecutionContext } from "ava";
+import { createMemoryStore } from "./_testing/create_memory_store.ts";
+import type { MemoryStore } from "./_testing/create_memory_store.ts";
+import { makeEntry, startHost, startHosts, waitUntil } from "./_testing/start_fleet_hosts.ts";
+import { TABLE } from "./types.ts";
+import type { HostEntry, RowStore } from "./types.ts";
+
+/** Store calls of one host, by method. */
+interface CallCounts {
+  read: number;
+  follow: number;
+  write: number;
+}
+
+/** Starts a host and counts its store calls. */
+async function startCountedHost(t: ExecutionContext, store: MemoryStore, entry: HostEntry) {
+  const counts: CallCounts = { read: 0, follow: 0, write: 0 };
+  const count = (target: RowStore): RowStore => ({
+    ...target,
+    readTable: (...args) => (counts.read++, target.readTable(...args)),
+    followTable: (...args) => (counts.follow++, target.followTable(...args)),
+    writeRow: (...args) => (counts.write++, target.writeRow(...args)),
+  });
+  const storeFor = (host: string) => count(store.storeFor(host));
+  return { counts, host: await startHost(t, { ...store, storeFor }, entry) };
+}
+
+// All hosts find the rows of the processes before when they start together.
+test.serial("the link to a hub stays when the row of its process replaces the one before", async (t) => {
+  const store = createMemoryStore();
+  const entries = [makeEntry(0), makeEntry(1), makeEntry(2)];
+  const [hubEntry, , memberEntry] = entries.toSorted((a, b) => b.weight - a.weight);
+  if (hubEntry === undefined || memberEntry === undefined) return t.fail();
+  hubEntry.weight = 1;
+  const before = { ...hubEntry, incarnation: "before" };
+  store.write(TABLE.HOSTS, before.host, JSON.stringify(before));
+  store.rejectedHosts.add(hubEntry.host);
+  const hub = await startHost(t, store, hubEntry);
+  const member = await startHost(t, store, memberEntry);
+  const listJoins = () => hub.reports.filter((text) => text === `${memberEntry.host} left`);
+  await waitUntil(() => listJoins().length > 0);
+  store.rejectedHosts.clear();
+  const isKnown = () =>
+    member.fleet.rows(TABLE.HOSTS).some(({ key, value }) =>
+      key === hubEntry.host && value === JSON.stringify(hubEntry)
+    );
+  await waitUntil(isKnown);
+  await wait(400);
+  t.is(listJoins().length, 1);
+});
+
+test.serial("a host that starts beside running hubs reads each table once and writes its row once", async (t) => {
+  const { store, members: [member] } = await startHosts(t, 4);
+  if (member === undefined) return t.fail();
+  await member.kill();
+  const { counts } = await startCountedHost(t, store, { ...member.entry, incarnation: "again" });
+  await wait(2_000);
+  t.deepEqual(counts, { read: 3, follow: 0, write: 1 });
+});
+
+// Each of them followed three tables and wrote its row twice before.
+test.serial("hosts that start together read each table once and write their rows once, except for the hubs", async (t) => {
+  const store = createMemoryStore();
+  const entries = Array.from({ length: 8 }, (_, index) => makeEntry(index));
+  for (const entry of entries) {
+    store.write(TABLE.HOSTS, entry.host, JSON.stringify({ ...entry, incarnation: "before" }));
+  }
+  const started = await Promise.all(entries.map((entry) => startCountedHost(t, store, entry)));
+  await wait(2_000);
+  for (const { counts } of started) t.like(counts, { read: 3, write: 1 });
+  const follows = started.filter(({ host }) => !host.fleet.isHub())
+    .reduce((sum, { counts }) => sum + counts.follow, 0);
+  // None but where links take long, as on a busy machine; 18 before.
+  t.true(follows < 6, `${follows} polls of hosts that are no hubs`);
+});
+
+test.serial("a host whose hubs do not answer follows the store within a second after its first read", async (t) => {
+  const store = createMemoryStore();
+  // Connections are accepted and no view is sent.
+  const silent = await Promise.all([1, 2, 3].map(async (index) => {
+    const entry = { ...makeEntry(index), weight: 1 };
+    const [host, port] = entry.linkAddress.split(":");
+    const server = createServer((socket) => void socket.on("error", () => {}));
+    t.teardown(() => void server.close());
+    await once(server.listen(Number(port), host), "listening");
+    return entry;
+  }));
+  for (const entry of silent) store.write(TABLE.HOSTS, entry.host, JSON.stringify(entry));
+  const { counts } = await startCountedHost(t, store, makeEntry(0));
+  await waitUntil(() => counts.read === 3);
+  const startMs = performance.now();
+  await waitUntil(() => counts.follow > 0);
+  t.true(performance.now() - startMs < 1_000, `${performance.now() - startMs} ms`);
+});
