Pass workspaces and priorities to placement, and urgency by priority to engines

Jobs had neither workspace nor priority, and the urgency at an engine followed the prompt length only. A service is now marked as prioritized where requests of different priorities reach it, by its routes or by the priority of workspaces (tenants). Only for such services jobs carry workspace, priority and the priority of the route; all three are optional on the link, so that hosts of an earlier version are understood. Where the routes of a service differ, the ten urgencies are divided among the priorities and the prompt length decides within each; otherwise the header is as before.

--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -2,6 +2,7 @@
 import type { PlacementJob } from "@jaypass/placement";
 import { ROUTE_KIND } from "../types.ts";
 import type { AnswerHandler, AttemptState } from "./attempt.ts";
+import { findPriority } from "./find_priority.ts";
 import { listUnusableServers } from "./list_unusable_servers.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
@@ -16,6 +17,8 @@
   const { metadata, route } = request;
   const unusable = listUnusableServers(context, request);
   const now = context.clock.nowMs();
+  const configuration = context.configuration();
+  const service = configuration?.services.get(request.service);
   return {
     id: `${request.id}.${state.placementCount++}`,
     service: request.service,
@@ -32,6 +35,10 @@
     fingerprint: request.fingerprint,
     parts: metadata.promptParts,
     isRepeatable: isRepeatable(request),
+    ...(service?.isPrioritized === true && {
+      ...(request.workspace !== undefined && { workspace: request.workspace }),
+      ...findPriority(configuration, request),
+    }),
   };
 }
 
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -19,6 +19,7 @@
 import { createSilenceWatch } from "./create_silence_watch.ts";
 import { createSuccessorSearch } from "./create_successor_search.ts";
 import type { SilenceReason } from "./create_successor_search.ts";
+import { findPriority } from "./find_priority.ts";
 import { findDroppedOutcome } from "./find_dropped_outcome.ts";
 import { readOwnAnswer } from "./read_own_answer.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
@@ -51,6 +52,7 @@
     receivedCount += 1;
     request.onReceived();
   };
+  const configuration = context.configuration();
   const exchange = openExchange({
     address: server.address,
     method: request.method,
@@ -62,7 +64,11 @@
       remainingMs: Math.max(1, Math.floor(request.endMs - context.clock.nowMs())),
       resumeAfter: handler.resumeAfter(),
       helpers,
-      urgency: chooseUrgency(request.metadata.promptTokens),
+      urgency: chooseUrgency(
+        request.metadata.promptTokens,
+        findPriority(configuration, request),
+        configuration?.services.get(request.service)?.priorities,
+      ),
     }),
   }, { connectTimeoutMs: CONNECT_TIMEOUT_MS, onReceived });
   const onAbort = () => exchange.cancel();
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -132,6 +132,9 @@
   { maxTokens: Infinity, urgency: 6 },
 ];
 
+/** Number of scheduling urgencies of engines, from the engine protocol. */
+export const URGENCY_LEVELS = 10;
+
 /**
  * Longest time of a route or a limit, a day. Timers run for multiples of such times, and a timer of
  * more than 2^31 - 1 ms fires at once.
--- a/packages/forwarding/index_configuration.ts
+++ b/packages/forwarding/index_configuration.ts
@@ -1,3 +1,4 @@
+import { comparePriorities } from "./compare_priorities.ts";
 import type { CallerLimits, Configuration, Route, Service, Workspace } from "./types.ts";
 
 /** One version of the configuration as it is stored. */
@@ -17,7 +18,8 @@
  * Indexes a configuration for lookups.
  *
  * @param document the configuration as it is stored
- * @returns the configuration with services by name and workspaces by key
+ * @returns the configuration with services by name and workspaces by key; services that requests of
+ * different priorities reach are marked
  *
  * @example
  * const configuration = indexConfiguration(document);
@@ -28,8 +30,35 @@
   return {
     version,
     routes,
-    services: new Map(services.map((service) => [service.name, service])),
+    services: new Map(
+      services.map((service) => [service.name, markPriorities(service, routes, workspaces ?? [])]),
+    ),
     workspaceByKey: keys === undefined ? undefined : new Map(keys),
+    priorityByWorkspace: new Map(
+      workspaces?.flatMap(({ name, priority }) =>
+        priority === undefined ? [] : [[name, priority] as const]
+      ),
+    ),
     limits,
   };
 }
+
+function markPriorities(
+  service: Service,
+  routes: readonly Route[],
+  workspaces: readonly Workspace[],
+): Service {
+  const leading = routes.filter(({ targets }) =>
+    targets.some((target) => target.service === service.name)
+  );
+  const ofRoutes = new Set(leading.map(({ priority }) => priority));
+  const all = leading.flatMap(({ priority: routePriority, isPublic }) =>
+    isPublic || workspaces.length === 0
+      ? [{ priority: routePriority, routePriority }]
+      : workspaces.map(({ priority = routePriority }) => ({ priority, routePriority }))
+  );
+  const priorities = all.sort(comparePriorities)
+    .filter((item, at) => at === 0 || comparePriorities(item, all[at - 1] ?? item) !== 0);
+  if (priorities.length <= 1) return service;
+  return { ...service, isPrioritized: true, ...(ofRoutes.size > 1 && { priorities }) };
+}
--- /dev/null
+++ b/packages/forwarding/index_configuration_test.ts
@@ -0,0 +1,55 @@
+import test from "ava";
+import { chooseUrgency } from "./_lib/choose_urgency.ts";
+import { findPriority } from "./_lib/find_priority.ts";
+import { indexConfiguration } from "./index_configuration.ts";
+import type { Route, Workspace } from "./types.ts";
+
+function index(routes: Partial<Route>[], workspaces?: Partial<Workspace>[]) {
+  const targets = [{ service: "m", weight: 1 }];
+  return indexConfiguration({
+    version: 1,
+    routes: routes.map((route) => ({ priority: 0, targets, isPublic: false, ...route }) as Route),
+    services: [{ name: "m", coldRequestsPerS: 0 }, { name: "other", coldRequestsPerS: 0 }],
+    workspaces: workspaces?.map((workspace, at) => ({ name: `w${at}`, keys: [], ...workspace })),
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  });
+}
+
+const isPrioritized = (configuration: ReturnType<typeof index>) =>
+  [...configuration.services.values()].map((service) => service.isPrioritized === true);
+
+test("a service is prioritized only if requests of different priorities reach it", (t) => {
+  const other = { targets: [{ service: "other", weight: 1 }], priority: 2 };
+  const cases = [
+    index([{}, {}, other], [{}, {}]),
+    index([{}, { priority: 1 }, other]),
+    index([{}, other], [{ priority: 0 }, { priority: 1 }]),
+    index([{ priority: 1 }, other], [{ priority: 1 }, {}]),
+    index([{ isPublic: true }], [{ priority: 3 }, {}]),
+  ];
+  t.deepEqual(cases.map(isPrioritized), [
+    [false, false],
+    [true, false],
+    [true, true],
+    [false, true],
+    [false, false],
+  ]);
+  const [equal] = cases;
+  t.deepEqual(equal?.services.get("m"), { name: "m", coldRequestsPerS: 0 });
+});
+
+test("the urgency at the engine follows the priority first where routes differ, else the length only", (t) => {
+  const configuration = index([{}, { priority: 1 }, { priority: 2 }]);
+  const all = configuration.services.get("m")?.priorities;
+  const urgencies = configuration.routes.map((route) =>
+    [5_000, 20_000, 90_000, 300_000].map((tokens) =>
+      chooseUrgency(tokens, findPriority(configuration, { route, workspace: undefined }), all)
+    )
+  );
+  t.deepEqual(urgencies, [[0, 0, 1, 2], [3, 4, 5, 5], [6, 7, 8, 9]]);
+  const [low] = configuration.routes.slice(-1);
+  const equal = index([{}], [{ priority: 0 }, { priority: 1 }]);
+  const own = low && findPriority(equal, { route: low, workspace: "w1" });
+  t.deepEqual(own, { priority: 1, routePriority: 2 });
+  t.is(chooseUrgency(5_000, own, equal.services.get("m")?.priorities), 2);
+});
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export * from "./choose_target.ts";
+export * from "./compare_priorities.ts";
 export * from "./constants.ts";
 export * from "./compute_answer_ms.ts";
 export * from "./compute_latest_start_ms.ts";
--- a/packages/forwarding/parse_configuration_document.ts
+++ b/packages/forwarding/parse_configuration_document.ts
@@ -104,5 +104,6 @@
   const name = fields.string("name");
   if (!HEADER_VALUE.test(name)) throw new DecodeError("Workspace name cannot be sent in a header");
   // A request without a key counts as one with an empty key, which must not belong to anyone.
-  return { name, keys: fields.strings("keys").filter((key) => key !== "") };
+  const keys = fields.strings("keys").filter((key) => key !== "");
+  return { name, keys, ...(fields.has("priority") && { priority: fields.number("priority") }) };
 }
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -56,6 +56,14 @@
   isResumable: boolean;
 }
 
+/** Priority of a request; 0 is the highest. */
+export interface RequestPriority {
+  /** Priority of its workspace if that has one, of its route otherwise. */
+  priority: number;
+  /** Priority of its route, which decides among requests of equal `priority`. */
+  routePriority: number;
+}
+
 /** A service that is provided by backend servers. */
 export interface Service {
   name: string;
@@ -63,6 +71,13 @@
   coldRequestsPerS: number;
   /** Performance figures; set for model engines only. */
   engine?: EngineProfile;
+  /** True if requests of different priorities reach the service; missing otherwise. */
+  isPrioritized?: boolean;
+  /**
+   * Priorities of its requests, the most urgent first, if its routes have different ones; missing
+   * otherwise.
+   */
+  priorities?: readonly RequestPriority[];
 }
 
 /** A customer and the keys that authenticate its callers. */
@@ -71,6 +86,8 @@
   name: string;
   /** Keys that callers of the workspace send. */
   keys: string[];
+  /** Priority that takes precedence over that of the route; 0 is the highest. */
+  priority?: number;
 }
 
 /** Limits on requests of callers. */
@@ -95,6 +112,8 @@
   services: Map<string, Service>;
   /** Workspace names by key; undefined if callers need no keys. */
   workspaceByKey: Map<string, string> | undefined;
+  /** Priorities of the workspaces that have one, by name. */
+  priorityByWorkspace: Map<string, number>;
   /** Limits on requests of callers. */
   limits: CallerLimits;
 }
--- a/packages/forwarding_host/create_placement_parsers.ts
+++ b/packages/forwarding_host/create_placement_parsers.ts
@@ -19,6 +19,7 @@
 /** Range of tokens and times that are not negative; sums of them stay finite. */
 const AMOUNT_RANGE = { min: 0, max: Number.MAX_SAFE_INTEGER };
 
+/** Range of times, which may have passed, and of priorities. */
 const TIME_RANGE = { min: -Number.MAX_SAFE_INTEGER, max: Number.MAX_SAFE_INTEGER };
 
 /**
@@ -57,6 +58,12 @@
     // Missing in jobs of an earlier version.
     parts: fields.has("parts") ? fields.strings("parts") : [],
     isRepeatable: fields.boolean("isRepeatable"),
+    // Missing for services without priorities, and in jobs of an earlier version.
+    ...(fields.has("workspace") && { workspace: fields.string("workspace") }),
+    ...(fields.has("priority") && { priority: fields.number("priority", TIME_RANGE) }),
+    ...(fields.has("routePriority") && {
+      routePriority: fields.number("routePriority", TIME_RANGE),
+    }),
   };
 }
 
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -49,6 +49,8 @@
   coldRequestsPerS: number;
   /** Cost model; only set for services of model engines. */
   engine?: EngineProfile;
+  /** True if requests of different priorities reach the service; false if missing. */
+  isPrioritized?: boolean;
 }
 
 /** A server that may get requests. */
@@ -101,6 +103,12 @@
   parts: readonly string[];
   /** True if the request may run more than once. */
   isRepeatable: boolean;
+  /** Workspace of the caller; undefined on public routes and for services without priorities. */
+  workspace?: string;
+  /** Priority of the workspace, or of the route; 0, also if missing, is the most urgent. */
+  priority?: number;
+  /** Priority of the route, which decides among jobs of equal `priority`; 0 if missing. */
+  routePriority?: number;
 }
 
 /** A memory reservation that a split prefill needs on a helper. */
