Order waiting prompts by priority and share, and decide overload at arrival

The slot queue ordered prompts by slack alone, callers that came back at once crowded out those that waited as told, and a prompt was refused only when its own time had run out. For prioritized services the hub now orders both queues by priority with ageing, by the share of the workspace in recent engine time, and by how callers came back; a full queue takes from the workspace with the most entries; a workspace above its share of the retry budget is refused first; and a prompt is refused on arrival if twice the rate at which engines end work would not be enough, with a retry delay spread up to the end of the work before it. Long prompts leave engines to more urgent short ones while their priority is served more often.

A mixed burst refuses none while under half of the slots are in use.

--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -99,6 +99,7 @@
     quarantine: quarantine.shared,
     onVerdict: quarantine.logVerdict,
     onDecision: (record) => log.info(record, "Placement decided"),
+    onShareEvent: (event, { service }) => metrics.increment("share", { event, service }),
     // An isolated host does not know which requests of other hosts a prompt would wait for.
     canQueue: () => !fleet.isIsolated(),
     isUncoordinated: () => fleet.isIsolated(),
--- a/packages/placement/_lib/create_server_registry.ts
+++ b/packages/placement/_lib/create_server_registry.ts
@@ -26,6 +26,8 @@
   find(serverId: string): ServerLoad | undefined;
   /** Returns the cost model of a service; only services of model engines have one. */
   profileOf(service: string): EngineProfile | undefined;
+  /** Reports whether requests of different priorities reach a service. */
+  isPrioritized(service: string): boolean;
   /** Lists the servers that may get the job; suspect servers only if there are no others. */
   listUsable(job: PlacementJob): ServerLoad[];
   /** Reports whether a server has a cold limit now. */
@@ -145,6 +147,7 @@
     },
     find: (serverId) => loads.get(serverId),
     profileOf: (service) => services.get(service)?.engine,
+    isPrioritized: (service) => services.get(service)?.isPrioritized === true,
     listUsable,
     hasColdServers: () => clock.nowMs() <= coldUntilMs,
     listAvailable(job) {
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -188,6 +188,57 @@
 /** Maximum number of queued prompts; further prompts are placed or refused at once. */
 export const MAX_QUEUED_PROMPTS = 200;
 
+/** Time in which the counted work of a workspace falls to 37 in 100. */
+export const USAGE_DECAY_MS = 5_000;
+
+/** Engine milliseconds below which a workspace counts as one without recent work. */
+export const MIN_USAGE_MS = 1;
+
+/** Maximum number of workspaces, over all services, whose work is counted; the least recent is dropped. */
+export const MAX_TRACKED_WORKSPACES = 8_192;
+
+/**
+ * Maximum number of workspaces, over all services, whose retries are counted; the least recent is dropped.
+ * Each retry looks at all of them.
+ */
+export const MAX_RETRY_WORKSPACES = 1_024;
+
+/** Maximum number of refused requests that are remembered. */
+export const MAX_REFUSALS = 4_096;
+
+/** Time for which a refused request is remembered, longer than callers wait for an answer. */
+export const REFUSAL_MEMORY_MS = 15_000;
+
+/** Share of the time that it has left for which a caller waits at most before it comes back. */
+export const RETRY_AFTER_MAX_SHARE = 1 / 3;
+
+/** Share of a retry delay over which the delays of callers are spread. */
+export const RETRY_AFTER_SPREAD_SHARE = 0.5;
+
+/** Share of its goal after which a waiting job moves up one step of urgency. */
+export const AGEING_GOAL_SHARE = 0.5;
+
+/** Time in which the counted decisions on the requests of a priority fall to 37 in 100. */
+export const SERVED_DECAY_MS = 15_000;
+
+/** Least number of counted decisions from which the served share of a priority is compared. */
+export const MIN_DECIDED_REQUESTS = 10;
+
+/** Time over which the work that engines end is counted while prompts wait. */
+export const DRAIN_WINDOW_MS = 3_000;
+
+/** Time for which prompts must have waited before the rate at which engines end work is known. */
+export const DRAIN_MIN_MS = 1_000;
+
+/** Least number of ended requests from which that rate is known, because single ones vary widely. */
+export const DRAIN_MIN_ENDED = 8;
+
+/** Multiple of the observed rate with which a prompt must still be unservable to be refused. */
+export const UNSERVABLE_RATE_FACTOR = 2;
+
+/** Share of the slots that must be in use for a prompt to be refused because of the work before it. */
+export const UNSERVABLE_MIN_SLOTS_SHARE = 0.5;
+
 /** Milliseconds for which an engine's report of requests from other hosts is valid. */
 export const REPORT_VALID_MS = 1_500;
 
--- a/packages/placement/create_long_prompt_queue.ts
+++ b/packages/placement/create_long_prompt_queue.ts
@@ -16,6 +16,9 @@
   URGENT_MAX_DELAY_COST_SHARE,
 } from "./constants.ts";
 import { computeWeight } from "./compute_weight.ts";
+import type { CallerReturn } from "./create_refusal_register.ts";
+import type { SharePolicy } from "./create_share_policy.ts";
+import type { RefusalCause } from "./placer_types.ts";
 import type { PlacementDecision, PlacementJob } from "./types.ts";
 
 /** Functions through which the queue reads engine state and decides on jobs. */
@@ -31,7 +34,9 @@
   /** Places the job on the engines of a choice. */
   dispatch(job: PlacementJob, choice: EngineChoice): PlacementDecision;
   /** Refuses a job that cannot be answered before its deadline, with a delay for a retry. */
-  refuse(job: PlacementJob, retryAfterMs: Millis): PlacementDecision;
+  refuse(job: PlacementJob, retryAfterMs: Millis, cause?: RefusalCause): PlacementDecision;
+  /** Order of the prompts of services with priorities; without it, no service has any. */
+  policy?: SharePolicy;
 }
 
 /** A waiting prompt and its times at one review. */
@@ -58,7 +63,9 @@
   /** Reports whether another prompt may be queued. */
   hasRoom(): boolean;
   /** Queues a prompt; the promise resolves when it is placed, refused or cancelled. */
-  add(job: PlacementJob): Promise<PlacementDecision>;
+  add(job: PlacementJob, returned?: CallerReturn): Promise<PlacementDecision>;
+  /** Refuses a queued prompt in favour of a new one; returns false if none gives way to it. */
+  makeRoom(job: PlacementJob): boolean;
   /** Removes a prompt whose caller left; returns false if it is not queued. */
   cancel(jobId: string): boolean;
   /** Places the prompts that are due and refuses those that can no longer be answered. */
@@ -89,8 +96,9 @@
   callbacks: LongPromptQueueCallbacks,
   clock: Clock,
 ): LongPromptQueue {
+  const { policy } = callbacks;
   const waiting = createWaitingJobs(clock);
-  const { waitedMs, remainingMs, currentJob, settle } = waiting;
+  const { waitedMs, askedMs, remainingMs, currentJob, settle } = waiting;
   let nextStart = 0;
 
   /** Describes the waiting prompts now. */
@@ -100,7 +108,7 @@
       return {
         entry,
         minPrefillMs,
-        slackMs: entry.job.goalMs - waitedMs(entry) - minPrefillMs,
+        slackMs: entry.job.goalMs - askedMs(entry) - minPrefillMs,
         deadlineSlackMs: remainingMs(entry) - minPrefillMs,
       };
     });
@@ -115,7 +123,11 @@
     const inTime = all.filter((item) => item.slackMs >= 0).sort((a, b) => a.slackMs - b.slackMs);
     const late = all.filter((item) => item.slackMs < 0)
       .sort((a, b) => a.entry.job.promptTokens - b.entry.job.promptTokens);
-    return [...inTime, ...late];
+    const present = [...inTime, ...late];
+    const ordered = policy?.order(present.map(({ entry }) => entry), waiting);
+    if (ordered === undefined) return present;
+    const byEntry = new Map(present.map((item) => [item.entry, item]));
+    return ordered.flatMap((entry) => byEntry.get(entry) ?? []);
   };
 
   const shouldDispatch = (
@@ -124,6 +136,7 @@
     hasOnTimeAhead: boolean,
   ): boolean => {
     if (isReady(choice)) return true;
+    if (policy?.mustYield(entry.job)) return false;
     if (choice.expectedMs > remainingMs(entry)) return false;
     const weight = computeWeight(entry.job);
     const isDeadlineClose = deadlineSlackMs <= DEADLINE_MARGIN_MS + minPrefillMs;
@@ -156,7 +169,7 @@
       backlogs.set(service, backlogMs);
       const precedingMs = aheadMs + backlogMs;
       if (deadlineSlackMs < precedingMs) {
-        settle(entry, callbacks.refuse(currentJob(entry), precedingMs));
+        settle(entry, callbacks.refuse(currentJob(entry), precedingMs, "late"));
         return false;
       }
       aheadMs += minPrefillMs;
@@ -182,7 +195,17 @@
     cancel(jobId) {
       const entry = waiting.find(jobId);
       if (entry === undefined) return false;
-      settle(entry, callbacks.refuse(currentJob(entry), 0));
+      settle(entry, callbacks.refuse(currentJob(entry), 0, "cancelled"));
+      return true;
+    },
+    makeRoom(job) {
+      const ordered = sortByPriority(describeWaiting());
+      const displaced = policy?.chooseDisplaced(ordered.map(({ entry }) => entry), job);
+      if (displaced === undefined) return false;
+      const aheadMs = callbacks.backlogMs(displaced.job) + ordered
+        .slice(0, ordered.findIndex(({ entry }) => entry === displaced))
+        .reduce((sum, { minPrefillMs }) => sum + minPrefillMs, 0);
+      settle(displaced, callbacks.refuse(currentJob(displaced), aheadMs, "displaced"));
       return true;
     },
     dispatchReady() {
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -22,6 +22,8 @@
 import { chooseLeastLoaded } from "./choose_least_loaded.ts";
 import { computePassMs } from "./compute_pass_ms.ts";
 import { computePrefillMs } from "./compute_prefill_ms.ts";
+import { computeUsedSlotsShare } from "./compute_used_slots_share.ts";
+import { createSharePolicy } from "./create_share_policy.ts";
 import { createSlotQueue } from "./create_slot_queue.ts";
 import { sampleTwo } from "./sample_two.ts";
 import { createLongPromptQueue } from "./create_long_prompt_queue.ts";
@@ -50,6 +52,14 @@
   const { afterRead = (run) => run() } = options;
   const registry = createServerRegistry(options);
   const placedJobs = new Map<string, PlacedJob>();
+  const shares = createSharePolicy({
+    clock,
+    // A host that places alone does not know the work of the other hosts' callers.
+    isPrioritized: (service) => registry.isPrioritized(service) && canQueue(),
+    profileOf: registry.profileOf,
+    usedSlotsShare: (job) => computeUsedSlotsShare(registry.listUsable(job)),
+    onEvent: options.onShareEvent,
+  });
   const crashGuard = createCrashGuard({ ...options, running: () => placedJobs.values() });
   const retryLimiter = createRetryLimiter({ clock, limits: retryLimits, share });
 
@@ -57,8 +67,11 @@
     job: PlacementJob,
     decision: DecisionRecord["decision"],
     choice?: EngineChoice,
+    more: Pick<DecisionRecord, "cause" | "returned"> = {},
   ) =>
     options.onDecision?.({
+      ...shares.describe(job),
+      ...more,
       jobId: job.id,
       decision,
       promptTokens: job.promptTokens,
@@ -76,9 +89,11 @@
     job: PlacementJob,
     reason: PlacementRefusal,
     retryAfterMs: Millis,
+    cause?: DecisionRecord["cause"],
   ): PlacementDecision => {
-    recordDecision(job, reason);
-    return { kind: "refused", reason, retryAfterMs };
+    recordDecision(job, reason, undefined, cause && { cause });
+    const toldMs = shares.refused(job, { reason, retryAfterMs, cause });
+    return { kind: "refused", reason, retryAfterMs: toldMs };
   };
 
   const markDelayed = (choice: EngineChoice) => {
@@ -131,12 +146,13 @@
     // Its content may have been found to crash servers while the job was queued.
     const refusalMs = crashGuard.findRefusalMs(job);
     if (refusalMs !== undefined) return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, refusalMs);
-    if (job.isRetry && !retryLimiter.tryAcquire(job.service)) {
+    if (job.isRetry && !retryLimiter.tryAcquire(job.service, shares.retryWorkspace(job))) {
       return refuse(job, PLACEMENT_REFUSAL.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS);
     }
     if (!job.isRetry) retryLimiter.countFirstAttempt(job.service);
     crashGuard.countTrial(job);
     recordDecision(job, "placed", choice);
+    shares.placed(job);
     const { tickets, partMs, expectedMs } = choice;
     const serverId = choice.primary.server.id;
     const helperIds = choice.helpers.map((helper) => helper.server.id);
@@ -149,7 +165,7 @@
   /** Counts a job that another placer has sent. */
   const countSend = ({ job, serverId }: RunningJob) => {
     registry.find(serverId)?.countSend();
-    if (job.isRetry) retryLimiter.countRetry(job.service);
+    if (job.isRetry) retryLimiter.countRetry(job.service, shares.retryWorkspace(job));
     else retryLimiter.countFirstAttempt(job.service);
   };
 
@@ -173,12 +189,14 @@
       return totalMs / Math.max(1, usable.length);
     },
     dispatch,
-    refuse: (job, retryAfterMs) =>
+    refuse: (job, retryAfterMs, cause) =>
       refuse(
         job,
         PLACEMENT_REFUSAL.UNSERVABLE,
         Math.max(NO_SERVER_RETRY_AFTER_MS, retryAfterMs),
+        cause,
       ),
+    policy: shares,
   }, clock);
 
   const hasFreeSlot = (load: ServerLoad) => load.requests() < load.server.slots;
@@ -213,7 +231,14 @@
     expectedMs: slotToFirstByteMs,
     hasFreeSlot: (job) => registry.listAvailable(job).some(hasFreeSlot),
     dispatch: dispatchToSlot,
-    refuse: (job) => refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS),
+    refuse: (job, cause, aheadMs) =>
+      refuse(
+        job,
+        PLACEMENT_REFUSAL.UNSERVABLE,
+        shares.drainMs(job.service, aheadMs) ?? NO_SERVER_RETRY_AFTER_MS,
+        cause,
+      ),
+    policy: shares,
   }, clock);
 
   const isLong = (job: PlacementJob) => {
@@ -255,27 +280,32 @@
     if (minPrefillMs(job) > job.remainingMs) {
       return refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS);
     }
+    const returned = shares.arrived(job);
     const canQueueForSlot = canQueue() && isForModel(job) && !isLong(job) &&
       fitsWhenIdle(job, usable);
-    if (canQueueForSlot && slotQueue.size() < MAX_QUEUED_PROMPTS) {
+    const hasRoom = slotQueue.size() < MAX_QUEUED_PROMPTS;
+    if (canQueueForSlot && (hasRoom || slotQueue.makeRoom(job))) {
       const decision = slotQueue.size() === 0 ? dispatchToSlot(job) : undefined;
       if (decision !== undefined) return decision;
-      recordDecision(job, "waits");
-      const waiting = slotQueue.add(job);
+      recordDecision(job, "waits", undefined, returned && { returned });
+      const waiting = slotQueue.add(job, returned);
       slotQueue.dispatchReady();
       return waiting;
     }
+    if (canQueueForSlot && registry.isPrioritized(job.service) && !available.some(hasFreeSlot)) {
+      return refuse(job, PLACEMENT_REFUSAL.UNSERVABLE, NO_SERVER_RETRY_AFTER_MS, "full");
+    }
     const choice = choose(job, crashGuard.separate(job, available, false), {
       waitedMs: job.elapsedMs,
       remainingMs: job.remainingMs,
     });
-    const canQueueLong = canQueue() && isLong(job) && longPromptQueue.hasRoom();
-    if (choice !== undefined && (!canQueueLong || longPromptQueue.isReady(choice))) {
-      return dispatch(job, choice);
-    }
+    const isReady = choice !== undefined && longPromptQueue.isReady(choice);
+    const canQueueLong = canQueue() && isLong(job) &&
+      (longPromptQueue.hasRoom() || (!isReady && longPromptQueue.makeRoom(job)));
+    if (choice !== undefined && (!canQueueLong || isReady)) return dispatch(job, choice);
     if (canQueueLong && fitsWhenIdle(job, usable)) {
-      recordDecision(job, "waits", choice);
-      return longPromptQueue.add(job);
+      recordDecision(job, "waits", choice, returned && { returned });
+      return longPromptQueue.add(job, returned);
     }
     return refuse(job, PLACEMENT_REFUSAL.TOO_LARGE, NO_SERVER_RETRY_AFTER_MS);
   };
@@ -327,6 +357,7 @@
       const known = removeLoad(entry.job.id);
       addLoad(entry);
       if (known !== undefined) return;
+      shares.placed(entry.job, entry.ageMs);
       // The limits hold for all placers together, so that one that takes over must know their use.
       if (entry.ageMs < COLD_WINDOW_MS) countSend(entry);
     },
@@ -342,6 +373,7 @@
       cancelQueued(jobId);
       const entry = removeLoad(jobId);
       if (entry === undefined) return;
+      shares.ended(entry.job);
       recordOutcome(entry, outcome, faultyServerId);
       if (slotQueue.size() === 0) return;
       if (registry.hasColdServers()) afterRead(() => slotQueue.dispatchReady());
--- a/packages/placement/create_retry_limiter.ts
+++ b/packages/placement/create_retry_limiter.ts
@@ -1,5 +1,6 @@
 import type { Clock, Millis } from "@jaypass/kernel";
 import { createRateWindow } from "./create_rate_window.ts";
+import { createRetryShares } from "./create_retry_shares.ts";
 import type { RateWindow } from "./create_rate_window.ts";
 
 /** Retry limits, from the settings of the host. */
@@ -17,9 +18,12 @@
   /** Counts the first attempt of a request to the service. */
   countFirstAttempt(service: string): void;
   /** Counts a retry that another limiter has granted. */
-  countRetry(service: string): void;
-  /** Takes one retry from the budget; returns false if the budget is used up. */
-  tryAcquire(service: string): boolean;
+  countRetry(service: string, workspace?: string): void;
+  /**
+   * Takes one retry from the budget; returns false if the budget is used up, or if a workspace is stated
+   * that has had its share while others ask for theirs.
+   */
+  tryAcquire(service: string, workspace?: string): boolean;
 }
 
 /** Options of {@linkcode createRetryLimiter}. */
@@ -51,6 +55,7 @@
   const { clock, limits, share } = options;
   const firstAttempts = new Map<string, RateWindow>();
   const retries = new Map<string, RateWindow>();
+  const workspaces = createRetryShares({ clock, windowMs: limits.windowMs });
   const windowOf = (windows: Map<string, RateWindow>, service: string) => {
     const existing = windows.get(service);
     if (existing !== undefined) return existing;
@@ -60,13 +65,20 @@
   };
   return {
     countFirstAttempt: (service) => windowOf(firstAttempts, service).add(),
-    countRetry: (service) => windowOf(retries, service).add(),
-    tryAcquire(service) {
+    countRetry(service, workspace) {
+      windowOf(retries, service).add();
+      if (workspace !== undefined) workspaces.count(service, workspace);
+    },
+    tryAcquire(service, workspace) {
       const firstCount = windowOf(firstAttempts, service).count();
       const budget = (limits.slack * share() + limits.ratio * firstCount) * (1 - RESERVED_SHARE);
       const used = windowOf(retries, service);
-      if (used.count() + 1 > budget) return false;
+      const left = budget - used.count();
+      const isInShare = workspace === undefined ||
+        workspaces.ask(service, workspace, { total: budget, left });
+      if (left < 1 || !isInShare) return false;
       used.add();
+      if (workspace !== undefined) workspaces.count(service, workspace);
       return true;
     },
   };
--- a/packages/placement/create_slot_queue.ts
+++ b/packages/placement/create_slot_queue.ts
@@ -2,6 +2,9 @@
 import { createWaitingJobs } from "./_lib/create_waiting_jobs.ts";
 import type { WaitingJob } from "./_lib/create_waiting_jobs.ts";
 import { MAX_VAIN_TRIES } from "./constants.ts";
+import type { CallerReturn } from "./create_refusal_register.ts";
+import type { SharePolicy } from "./create_share_policy.ts";
+import type { RefusalCause } from "./placer_types.ts";
 import type { PlacementDecision, PlacementJob } from "./types.ts";
 
 /** Functions through which the queue reads engine state and decides on jobs. */
@@ -12,14 +15,21 @@
   hasFreeSlot(job: PlacementJob): boolean;
   /** Places the job; `undefined` if it should wait for a slot of another engine. */
   dispatch(job: PlacementJob): PlacementDecision | undefined;
-  /** Refuses a job. */
-  refuse(job: PlacementJob): PlacementDecision;
+  /**
+   * Refuses a job, because of the work before it in engine milliseconds if that is known; the cause is
+   * undefined if the queue has no policy.
+   */
+  refuse(job: PlacementJob, cause?: RefusalCause, aheadMs?: Millis): PlacementDecision;
+  /** Shares and priorities; without it, no service has any. */
+  policy?: SharePolicy;
 }
 
 /** Queue of prompts that wait for a free engine slot. */
 export interface SlotQueue {
   /** Queues a prompt; the promise resolves when it is placed, refused or cancelled. */
-  add(job: PlacementJob): Promise<PlacementDecision>;
+  add(job: PlacementJob, returned?: CallerReturn): Promise<PlacementDecision>;
+  /** Refuses a queued prompt in favour of a new one; returns false if none gives way to it. */
+  makeRoom(job: PlacementJob): boolean;
   /** Removes a prompt whose caller left; returns false if it is not queued. */
   cancel(jobId: string): boolean;
   /** Places the prompts that get a free slot and refuses those that can no longer be answered. */
@@ -36,7 +46,8 @@
  * slot to the prompt with the least slack before its goal. Late prompts get the remaining slots,
  * the one with the least time before its deadline first, and are refused once they cannot be
  * answered before it. Retries go before all other prompts, because an engine has already worked on
- * them.
+ * them. A policy sorts the prompts of services with priorities, and refuses those for which the work
+ * before them takes too long.
  *
  * @param callbacks expected times, and functions that place or refuse a prompt
  * @param clock monotonic time source
@@ -47,11 +58,12 @@
  * const decision = await queue.add(job);
  */
 export function createSlotQueue(callbacks: SlotQueueCallbacks, clock: Clock): SlotQueue {
+  const { policy } = callbacks;
   const waiting = createWaitingJobs(clock);
-  const { waitedMs, remainingMs, currentJob, settle } = waiting;
+  const { askedMs, remainingMs, currentJob, settle } = waiting;
 
   const slackMs = (entry: WaitingJob) =>
-    entry.job.goalMs - waitedMs(entry) - callbacks.expectedMs(entry.job);
+    entry.job.goalMs - askedMs(entry) - callbacks.expectedMs(entry.job);
 
   const sortByPriority = () => {
     const all = waiting.list().map((entry) => ({ entry, slackMs: slackMs(entry) }));
@@ -61,25 +73,45 @@
       .sort((a, b) => a.slackMs - b.slackMs);
     const late = firstAttempts.filter((item) => item.slackMs < 0)
       .sort((a, b) => remainingMs(a.entry) - remainingMs(b.entry));
-    return [...retries, ...inTime, ...late].map(({ entry }) => entry);
+    const present = [...retries, ...inTime, ...late].map(({ entry }) => entry);
+    return policy?.order(present, waiting) ?? present;
   };
 
+  const review = (ordered: readonly WaitingJob[]) =>
+    policy?.review(ordered, { ...waiting, expectedMs: callbacks.expectedMs });
+
   return {
     add: waiting.add,
     cancel(jobId) {
       const entry = waiting.find(jobId);
       if (entry === undefined) return false;
-      settle(entry, callbacks.refuse(currentJob(entry)));
+      settle(entry, callbacks.refuse(currentJob(entry), "cancelled"));
+      return true;
+    },
+    makeRoom(job) {
+      const ordered = sortByPriority();
+      const entry = policy?.chooseDisplaced(ordered, job);
+      if (entry === undefined) return false;
+      const aheadMs = review(ordered)?.get(entry)?.aheadMs;
+      settle(entry, callbacks.refuse(currentJob(entry), "displaced", aheadMs));
       return true;
     },
     dispatchReady() {
-      if (waiting.size() === 0) return;
+      if (waiting.size() === 0) {
+        review([]);
+        return;
+      }
       const fullServices = new Set<string>();
       const vainTries = new Map<string, number>();
-      for (const entry of sortByPriority()) {
+      const ordered = sortByPriority();
+      const reviewed = review(ordered);
+      for (const entry of ordered) {
         const { service, excludedIds } = entry.job;
-        if (remainingMs(entry) <= callbacks.expectedMs(entry.job)) {
-          settle(entry, callbacks.refuse(currentJob(entry)));
+        const isLate = remainingMs(entry) <= callbacks.expectedMs(entry.job);
+        const { isUnservable = false, aheadMs } = reviewed?.get(entry) ?? {};
+        if (isLate || (isUnservable && !callbacks.hasFreeSlot(entry.job))) {
+          const cause = isLate ? "late" : "early";
+          settle(entry, callbacks.refuse(currentJob(entry), cause, aheadMs));
           continue;
         }
         if (fullServices.has(service)) continue;
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock, Millis } from "@jaypass/kernel";
 import type { CrashVerdict } from "./create_crash_evidence.ts";
+import type { CallerReturn } from "./create_refusal_register.ts";
 import type { QuarantineList } from "./create_quarantine_list.ts";
 import type { RetryLimits } from "./create_retry_limiter.ts";
 import type {
@@ -26,8 +27,43 @@
   slack: number;
 }
 
+/** Why a waiting prompt of a prioritized service is refused. */
+export type RefusalCause =
+  /** Its time is up. */
+  | "late"
+  /** The work before it takes longer than it has time. */
+  | "early"
+  /** The queue is full, and the prompt gives way to one of another workspace. */
+  | "displaced"
+  /** The queue is full, and no prompt gives way to it. */
+  | "full"
+  /** Its caller has left, or another placer has placed it. */
+  | "cancelled";
+
+/** What the shares of workspaces and the early refusals do, as it is counted. */
+export type ShareEvent =
+  | "came_early"
+  | "came_as_told"
+  | "placed_below_share"
+  | "placed_above_share"
+  | `refused_${Exclude<RefusalCause, "cancelled">}`;
+
+/** Shares that a decision rests on, for services with priorities. */
+export interface ShareRecord {
+  /** Workspace of the caller. */
+  workspace: string | undefined;
+  /** Priority of the workspace or the route. */
+  priority: number;
+  /** Priority of the route. */
+  routePriority: number;
+  /** Recent work of the workspace in engine milliseconds. */
+  workspaceMs: Millis;
+  /** Equal share of the workspaces that have work. */
+  shareMs: Millis;
+}
+
 /** A placement decision with its inputs, as it is logged. */
-export interface DecisionRecord {
+export interface DecisionRecord extends Partial<ShareRecord> {
   /** Id of the job. */
   jobId: string;
   /** The decision. */
@@ -50,6 +86,10 @@
   expectedMs?: Millis;
   /** Weight of the requests that the placement would make late. */
   harm?: number;
+  /** Why a waiting prompt was refused. */
+  cause?: RefusalCause;
+  /** Set if its caller has come back after a refusal. */
+  returned?: CallerReturn;
 }
 
 /** Options of {@linkcode createPlacer}. */
@@ -87,6 +127,8 @@
   onVerdict?: (verdict: CrashVerdict) => void;
   /** Called with each decision and its inputs, for the log. */
   onDecision?: (record: DecisionRecord) => void;
+  /** Called for each event of shares and early refusals, for the metrics. */
+  onShareEvent?: (event: ShareEvent, job: PlacementJob) => void;
   /**
    * Seed of the order in which equally loaded servers are chosen. It differs between hosts, so that
    * hosts that place requests without a hub do not all choose the same server.
