Prioritize a service only where its streaming routes differ in priority

Deployments give workspaces different priorities although all their prompts are of one rank, so that a service counted as prioritized by the workspaces alone and its order changed. Only routes of streams lead prompts to a queue.

--- a/packages/forwarding/index_configuration.ts
+++ b/packages/forwarding/index_configuration.ts
@@ -1,4 +1,5 @@
 import { comparePriorities } from "./compare_priorities.ts";
+import { ROUTE_KIND } from "./types.ts";
 import type { CallerLimits, Configuration, Route, Service, Workspace } from "./types.ts";
 
 /** One version of the configuration as it is stored. */
@@ -18,8 +19,8 @@
  * Indexes a configuration for lookups.
  *
  * @param document the configuration as it is stored
- * @returns the configuration with services by name and workspaces by key; services that requests of
- * different priorities reach are marked
+ * @returns the configuration with services by name and workspaces by key; services whose streaming
+ * routes have different priorities are marked
  *
  * @example
  * const configuration = indexConfiguration(document);
@@ -48,10 +49,11 @@
   routes: readonly Route[],
   workspaces: readonly Workspace[],
 ): Service {
-  const leading = routes.filter(({ targets }) =>
-    targets.some((target) => target.service === service.name)
+  // Only prompts wait at hubs, and only their routes tell which of them are more urgent.
+  const leading = routes.filter(({ kind, targets }) =>
+    kind === ROUTE_KIND.STREAMING && targets.some((target) => target.service === service.name)
   );
-  const ofRoutes = new Set(leading.map(({ priority }) => priority));
+  if (new Set(leading.map(({ priority }) => priority)).size <= 1) return service;
   const all = leading.flatMap(({ priority: routePriority, isPublic }) =>
     isPublic || workspaces.length === 0
       ? [{ priority: routePriority, routePriority }]
@@ -59,6 +61,5 @@
   );
   const priorities = all.sort(comparePriorities)
     .filter((item, at) => at === 0 || comparePriorities(item, all[at - 1] ?? item) !== 0);
-  if (priorities.length <= 1) return service;
-  return { ...service, isPrioritized: true, ...(ofRoutes.size > 1 && { priorities }) };
+  return { ...service, isPrioritized: true, priorities };
 }
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -71,12 +71,9 @@
   coldRequestsPerS: number;
   /** Performance figures; set for model engines only. */
   engine?: EngineProfile;
-  /** True if requests of different priorities reach the service; missing otherwise. */
+  /** True if its streaming routes have different priorities; missing otherwise. */
   isPrioritized?: boolean;
-  /**
-   * Priorities of its requests, the most urgent first, if its routes have different ones; missing
-   * otherwise.
-   */
+  /** Priorities of the requests of a prioritized service, the most urgent first. */
   priorities?: readonly RequestPriority[];
 }
 
