Learn the speed and the failures of servers in placement

Engines that become several times slower, and servers that fail part of their requests, counted as equal to the others. Each placer now keeps for each server the ratio of observed to expected times to the first byte, relative to the median of the service, and the share of failed requests of the last seconds. The speed scales the times of the load and of the choice; servers that fail are avoided by degrees.

--- a/packages/placement/_lib/create_server_registry.ts
+++ b/packages/placement/_lib/create_server_registry.ts
@@ -2,6 +2,10 @@
 import type { Clock } from "@jaypass/kernel";
 import { createServerLoad } from "../create_server_load.ts";
 import type { ServerLoad } from "../create_server_load.ts";
+import { computeLowerMedian } from "../create_server_speed.ts";
+import { chooseProbe, excludeFailing } from "../choose_probe.ts";
+import { computePrefillMs } from "../compute_prefill_ms.ts";
+import { PACKED_PREFILL_MAX_MS } from "../constants.ts";
 import type { ColdLimits } from "../placer_types.ts";
 import type { EngineProfile, PlacementJob, PlacementServer, PlacementService } from "../types.ts";
 
@@ -11,6 +15,9 @@
  */
 const COLD_RESERVED_SHARE = 0.3;
 
+/** Part of the memory of all engines beyond which a prompt does not avoid failing ones. */
+const LARGE_PROMPT_SHARE = 0.4;
+
 /** Registry of a placer's servers and services, with the load of each server. */
 export interface ServerRegistry {
   /** Replaces the servers; the load of remaining servers is kept. */
@@ -28,9 +35,16 @@
   profileOf(service: string): EngineProfile | undefined;
   /** Lists the servers that may get the job; suspect servers only if there are no others. */
   listUsable(job: PlacementJob): ServerLoad[];
+  /** Lists all servers. */
+  list(): ServerLoad[];
+  /** Applies the pace that an engine has stated; undefined if its report has none. */
+  applyPace(serverId: string, pace: number | undefined): void;
   /** Reports whether a server has a cold limit now. */
   hasColdServers(): boolean;
-  /** Lists the usable servers whose cold limit allows another request now. */
+  /**
+   * Lists the usable servers whose cold limit allows another request now, without those that the job
+   * avoids because they fail; only the server to probe if the job is a probe.
+   */
   listAvailable(job: PlacementJob): ServerLoad[];
 }
 
@@ -62,6 +76,34 @@
   /** Loads by service, in the order in which equally loaded servers are chosen. */
   const loadsByService = new Map<string, ServerLoad[]>();
 
+  /** Services of which an engine has stated its pace; the others of these have the usual one if they state none. */
+  const pacedServices = new Set<string>();
+
+  /**
+   * Returns the median of the servers' ratios of observed to expected times. An error of the cost model
+   * or a load that is common to all servers changes all ratios alike.
+   */
+  const findSpeedBaseline = (service: string) => {
+    const ratios = (loadsByService.get(service) ?? [])
+      .map(({ speed }) => speed.typicalRatio()).filter((ratio) => ratio !== undefined);
+    return ratios.length === 0 ? undefined : computeLowerMedian(ratios);
+  };
+
+  const isShort = ({ service, promptTokens }: PlacementJob) => {
+    const profile = services.get(service)?.engine;
+    return profile === undefined ||
+      computePrefillMs(promptTokens, profile) <= PACKED_PREFILL_MAX_MS;
+  };
+
+  /** Reports whether a prompt needs the memory of most engines. */
+  const needsMostEngines = (
+    { service, promptTokens, answerTokens }: PlacementJob,
+    count: number,
+  ) => {
+    const memoryTokens = services.get(service)?.engine?.memoryTokens ?? Infinity;
+    return promptTokens + answerTokens > memoryTokens * count * LARGE_PROMPT_SHARE;
+  };
+
   const isWithinColdLimit = (load: ServerLoad, limitShare: () => number) => {
     const rate = services.get(load.server.service)?.coldRequestsPerS ?? 0;
     if (rate === 0 || clock.nowMs() > load.server.coldUntilMs) return true;
@@ -126,7 +168,8 @@
         if (load?.server.bornMs === server.bornMs) load.server = server;
         else {
           const profile = services.get(server.service)?.engine;
-          loads.set(server.id, createServerLoad(server, { clock, profile }));
+          const speedBaseline = () => findSpeedBaseline(server.service);
+          loads.set(server.id, createServerLoad(server, { clock, profile, speedBaseline }));
         }
       }
       sortServers();
@@ -144,6 +187,14 @@
       updateCold();
     },
     find: (serverId) => loads.get(serverId),
+    list: () => [...loads.values()],
+    applyPace(serverId, pace) {
+      const load = loads.get(serverId);
+      if (load === undefined) return;
+      const { service } = load.server;
+      if (pace !== undefined) pacedServices.add(service);
+      if (pacedServices.has(service)) load.setPace(pace ?? 1);
+    },
     profileOf: (service) => services.get(service)?.engine,
     listUsable,
     hasColdServers: () => clock.nowMs() <= coldUntilMs,
@@ -151,7 +202,11 @@
       // Counting the hosts is slow, so that it is done at most once, and only for a cold server.
       let known: number | undefined;
       const limitShare = () => known ??= share();
-      return listUsable(job).filter((load) => isWithinColdLimit(load, limitShare));
+      const available = listUsable(job).filter((load) => isWithinColdLimit(load, limitShare));
+      const probed = chooseProbe(job, available, isShort(job));
+      if (probed !== undefined) return [probed];
+      if (needsMostEngines(job, available.length)) return available;
+      return excludeFailing(job, available);
     },
   };
 }
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -28,12 +28,14 @@
   helpers: ServerLoad[];
   /** Memory to reserve on helpers. */
   tickets: TicketPlan[];
-  /** Expected milliseconds to prefill one part; the parts are equal. */
+  /** Expected milliseconds to prefill one part on the slowest engine; the parts are equal. */
   partMs: Millis;
   /** Expected milliseconds of earlier prefills on the busiest of the engines. */
   backlogMs: Millis;
   /** Expected milliseconds to the first byte. */
   expectedMs: Millis;
+  /** The two times at the usual speed of the engines; undefined if all have it. */
+  usual?: { partMs: Millis; expectedMs: Millis };
   /** Weight of the requests that this prefill would make late. */
   delayCost: number;
   /** True when the first byte is expected within the job's goal. */
@@ -47,6 +49,8 @@
   requests: number;
   /** Short ones of these. */
   shortRequests: number;
+  /** Factor by which the engine is slower than usual; the times of the candidate contain it. */
+  factor: number;
   passMs: Millis;
   slotWaitMs: Millis;
   /** Longest prefill that makes no decoding request late. */
@@ -120,10 +124,12 @@
 function toCandidate(load: ServerLoad, profile: EngineProfile): Candidate {
   const snapshot = load.snapshot();
   const { requests, shortRequests, passMs, headroomMs, backlogMs, pendingPrefills } = snapshot;
+  const factor = snapshot.speedFactor;
   return {
     load,
     requests,
     shortRequests,
+    factor,
     passMs,
     headroomMs,
     backlogMs,
@@ -171,11 +177,13 @@
   prefillMs: Millis,
 ): EngineChoice | undefined {
   const limitMs = job.goalMs * FIRST_BYTE_GOAL_SHARE - options.waitedMs;
-  const fitting = candidates.filter(({ headroomMs, backlogMs, passMs, load, requests }) =>
-    requests < load.server.slots - SPARE_SLOTS &&
-    headroomMs >= prefillMs && prefillMs + backlogMs <= job.pauseGoalMs &&
-    backlogMs + prefillMs + passMs <= limitMs
-  );
+  const fitting = candidates.filter((candidate) => {
+    const { headroomMs, backlogMs, passMs, load, requests, factor } = candidate;
+    const ownMs = prefillMs * factor;
+    return requests < load.server.slots - SPARE_SLOTS &&
+      headroomMs >= ownMs && ownMs + backlogMs <= job.pauseGoalMs &&
+      backlogMs + ownMs + passMs <= limitMs && keepsPauses(job, candidate);
+  });
   const isPacked = ({ decoding, load }: Candidate) =>
     decoding < load.server.slots * options.packedShare;
   const ordered = fitting.sort((a, b) =>
@@ -197,8 +205,8 @@
   options: ChooseEnginesOptions,
   prefillMs: Millis,
 ): EngineChoice | undefined {
-  const expectedWaitMs = ({ slotWaitMs, backlogMs, passMs }: Candidate) =>
-    slotWaitMs + backlogMs + passMs;
+  const expectedWaitMs = ({ slotWaitMs, backlogMs, passMs, factor }: Candidate) =>
+    slotWaitMs + backlogMs + passMs + prefillMs * (factor - 1);
   const ordered = [...candidates].sort((a, b) => expectedWaitMs(a) - expectedWaitMs(b));
   for (const candidate of ordered) {
     const choice = buildChoice(job, [candidate], options, prefillMs);
@@ -233,11 +241,12 @@
   return candidates
     .map((candidate) => {
       const { headroomMs, onTimeWeight, pendingPrefills, backlogMs, slotWaitMs } = candidate;
-      const decodingDelayCost = partMs > headroomMs ? onTimeWeight : 0;
+      const ownMs = partMs * candidate.factor;
+      const decodingDelayCost = ownMs > headroomMs ? onTimeWeight : 0;
       return {
         candidate,
-        cost: decodingDelayCost + computePrefillDelayCost(pendingPrefills, partMs),
-        waitMs: backlogMs + slotWaitMs,
+        cost: decodingDelayCost + computePrefillDelayCost(pendingPrefills, ownMs),
+        waitMs: backlogMs + slotWaitMs + (ownMs - partMs),
       };
     })
     .sort((a, b) => a.cost - b.cost || a.waitMs - b.waitMs)
@@ -260,8 +269,8 @@
 }
 
 /**
- * Builds the choice for a set of engines. The primary is the engine with the fewest decoding
- * requests, then the most free memory; memory that it lacks is reserved on the helpers.
+ * Builds the choice for a set of engines. The primary is the fastest engine, of these the one with the
+ * fewest decoding requests, then the most free memory; memory that it lacks is reserved on the helpers.
  */
 function buildChoice(
   job: PlacementJob,
@@ -270,23 +279,31 @@
   prefillMs: Millis,
 ): EngineChoice | undefined {
   const [primary, ...helpers] = [...chosen].sort((a, b) =>
-    a.decoding - b.decoding || b.freeTokens - a.freeTokens
+    a.factor - b.factor || a.decoding - b.decoding || b.freeTokens - a.freeTokens
   );
   if (primary === undefined) return undefined;
   const tickets = planTickets(job, primary, helpers);
   if (tickets === undefined) return undefined;
-  const partMs = prefillMs / chosen.length;
+  const usualPartMs = prefillMs / chosen.length;
+  const slowest = Math.max(...chosen.map(({ factor }) => factor));
+  const partMs = usualPartMs * slowest;
   const backlogMs = Math.max(...chosen.map((candidate) => candidate.backlogMs));
-  const passMs = Math.max(...chosen.map((candidate) => candidate.passMs));
-  const expectedMs = backlogMs + primary.slotWaitMs +
-    partMs * computePrefillSlowdown(primary, profile) +
-    passMs + NETWORK_OVERHEAD_MS;
+  const expectMs = (timeOf: (candidate: Candidate, ms: Millis) => Millis, ownPartMs: Millis) =>
+    Math.max(...chosen.map((candidate) => timeOf(candidate, candidate.backlogMs))) +
+    timeOf(primary, primary.slotWaitMs) + ownPartMs * computePrefillSlowdown(primary, profile) +
+    Math.max(...chosen.map((candidate) => timeOf(candidate, candidate.passMs))) +
+    NETWORK_OVERHEAD_MS;
+  const expectedMs = expectMs((_, ms) => ms, partMs);
+  const usual = slowest === 1
+    ? undefined
+    : { partMs: usualPartMs, expectedMs: expectMs(({ factor }, ms) => ms / factor, usualPartMs) };
   // A helper runs its part before its own pending prefills, so they are delayed as well.
   const delayCost = chosen
-    .filter(({ headroomMs }) => partMs > headroomMs)
+    .filter(({ headroomMs, factor }) => usualPartMs * factor > headroomMs)
     .reduce((sum, { onTimeWeight }) => sum + onTimeWeight, 0) +
     helpers.reduce(
-      (sum, { pendingPrefills }) => sum + computePrefillDelayCost(pendingPrefills, partMs),
+      (sum, { pendingPrefills, factor }) =>
+        sum + computePrefillDelayCost(pendingPrefills, usualPartMs * factor),
       0,
     );
   return {
@@ -296,11 +313,17 @@
     partMs,
     backlogMs,
     expectedMs,
+    usual,
     delayCost,
-    isOnTime: expectedMs + waitedMs <= job.goalMs,
+    isOnTime: expectedMs + waitedMs <= job.goalMs && keepsPauses(job, primary),
   };
 }
 
+/** Reports whether the passes of a slow engine are shorter than the longest pause of the job. */
+function keepsPauses(job: PlacementJob, { factor, passMs }: Candidate): boolean {
+  return factor === 1 || job.pauseGoalMs === 0 || passMs <= job.pauseGoalMs;
+}
+
 /** Returns the factor by which decode steps between the chunks slow a prefill down. */
 function computePrefillSlowdown({ decoding }: Candidate, profile: EngineProfile): number {
   if (decoding === 0) return 1;
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -196,3 +196,69 @@
 
 /** Multiple of the usual request size beyond which used memory indicates a long prefill. */
 export const FOREIGN_SIZE_FACTOR = 2;
+
+/** Largest factor by which a slow server's expected times are multiplied. */
+export const MAX_SPEED_FACTOR = 8;
+
+/** Ratio to the service's usual speed from which a sample says that a server is slow. */
+export const SLOW_RATIO = 1.5;
+
+/** Slow samples among the last ones that make a server count as slow; one odd sample has no effect. */
+export const MIN_SLOW_SAMPLES = 3;
+
+/** Number of samples of a server's speed that are kept. */
+export const SPEED_SAMPLES = 5;
+
+/** Time for which a sample says something about a server's speed. */
+export const SPEED_SAMPLE_VALID_MS = 3_000;
+
+/** Time for which a sample counts towards the usual ratio of the service. */
+export const TYPICAL_RATIO_VALID_MS = 30_000;
+
+/** Least time between two samples of a server: about a pass and a short prefill. */
+export const SPEED_SAMPLE_GAP_MS = 100;
+
+/**
+ * Least expected time to the first byte of a sample. In shorter times the network and the start of the
+ * next pass outweigh the server's speed.
+ */
+export const MIN_SPEED_SAMPLE_MS = 50;
+
+/** Time without a new estimate for which a speed factor holds. */
+export const SPEED_HOLD_MS = 1_500;
+
+/** Time after that in which it falls to 1. */
+export const SPEED_DECAY_MS = 3_000;
+
+/** Time for which the pace that an engine has stated takes precedence over samples. */
+export const PACE_VALID_MS = 1_500;
+
+/** Pace below which an engine counts as having its usual speed. */
+export const STEADY_PACE = 1.1;
+
+/** Time after a server was slow for which its pace is still requested. */
+export const SPEED_WATCH_MS = 2_500;
+
+/** Time since the last placement after which a placer leaves requests for the pace to others. */
+export const ACTIVE_PLACER_MS = 1_500;
+
+/** Time in which the weight of a server's past outcomes falls to a third. */
+export const FAILURE_MEMORY_MS = 5_000;
+
+/** Weight of failures below which a server counts as sound, so that a single one has no effect. */
+export const MIN_FAILURES = 1.5;
+
+/** Number of outcomes without a failure that are assumed of each server. */
+export const FAILURE_PRIOR_OUTCOMES = 2;
+
+/** Share of failed requests below which a server counts as sound. */
+export const SOUND_FAILURE_SHARE = 0.1;
+
+/** Share of failed requests from which a server gets only probes. */
+export const MOSTLY_FAILING_SHARE = 0.5;
+
+/** Share of a service's short jobs that may go to slow or failing servers as probes. */
+export const PROBE_JOB_SHARE = 0.05;
+
+/** Part of a job's goal that it may have waited to be used as a probe. */
+export const PROBE_MAX_WAIT_SHARE = 0.3;
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -5,6 +5,7 @@
 import { chooseEngines } from "./choose_engines.ts";
 import type { EngineChoice } from "./choose_engines.ts";
 import {
+  ACTIVE_PLACER_MS,
   BUDGET_RETRY_AFTER_MS,
   COLD_RETRY_AFTER_MS,
   COLD_WINDOW_MS,
@@ -15,6 +16,7 @@
   PACKED_SLOTS_SHARE,
   PASSES_TO_FIRST_BYTE,
   RESERVED_ANSWER_SHARE,
+  SOUND_FAILURE_SHARE,
   TIGHT_PACKED_SLOTS_SHARE,
   USABLE_MEMORY_SHARE,
 } from "./constants.ts";
@@ -50,6 +52,7 @@
   const { afterRead = (run) => run() } = options;
   const registry = createServerRegistry(options);
   const placedJobs = new Map<string, PlacedJob>();
+  let lastDispatchMs = -Infinity;
   const crashGuard = createCrashGuard({ ...options, running: () => placedJobs.values() });
   const retryLimiter = createRetryLimiter({ clock, limits: retryLimits, share });
 
@@ -90,6 +93,8 @@
   /** Adds a job to the load of its servers. */
   const addLoad = (entry: RunningJob) => {
     const { job, serverId, helperIds, isWriting, tickets, partMs, ageMs } = entry;
+    const expectedMs = isWriting ? undefined : entry.usualMs;
+    const isSplit = helperIds.length > 0;
     const placed: PlacedJob = {
       job,
       serverId,
@@ -108,7 +113,8 @@
       const memoryTokens = isPrimary
         ? job.promptTokens + job.answerTokens - helperTokens
         : reservedTokens.get(id) ?? 0;
-      registry.find(id)?.add(job, { prefillMs: partMs, memoryTokens, isPrimary, ageMs });
+      const part = { prefillMs: partMs, expectedMs, isSplit, memoryTokens, isPrimary, ageMs };
+      registry.find(id)?.add(job, part);
       if (isWriting) registry.find(id)?.markDecoding(job.id);
     }
   };
@@ -137,13 +143,16 @@
     if (!job.isRetry) retryLimiter.countFirstAttempt(job.service);
     crashGuard.countTrial(job);
     recordDecision(job, "placed", choice);
-    const { tickets, partMs, expectedMs } = choice;
+    lastDispatchMs = clock.nowMs();
+    const { tickets, expectedMs, usual } = choice;
+    const { partMs, expectedMs: usualMs } = usual ?? choice;
     const serverId = choice.primary.server.id;
     const helperIds = choice.helpers.map((helper) => helper.server.id);
     markDelayed(choice);
-    addLoad({ job, serverId, helperIds, tickets, partMs, ageMs: 0, isWriting: false });
+    addLoad({ job, serverId, helperIds, tickets, partMs, usualMs, ageMs: 0, isWriting: false });
     choice.primary.countSend();
-    return { kind: "placed", serverId, helperIds, tickets, partMs, expectedMs };
+    const placed = { kind: "placed", serverId, helperIds, tickets, partMs, expectedMs } as const;
+    return usual === undefined ? placed : { ...placed, usualMs };
   };
 
   /** Counts a job that another placer has sent. */
@@ -300,11 +309,12 @@
     const faultyServer = registry.find(faultyServerId ?? entry.serverId);
     if (outcome === JOB_OUTCOME.ANSWERED) {
       registry.find(entry.serverId)?.clearSuspicion();
-    } else if (
-      outcome === JOB_OUTCOME.BROKEN || outcome === JOB_OUTCOME.SILENT ||
-      outcome === JOB_OUTCOME.REJECTED
-    ) {
-      faultyServer?.markSuspect();
+      registry.find(entry.serverId)?.failures.record(false, entry.sentMs);
+    } else if (outcome !== JOB_OUTCOME.CANCELLED) {
+      faultyServer?.failures.record(true, entry.sentMs);
+      // A server that still answers other requests is avoided by degrees.
+      const isAlive = faultyServer?.failures.isPartial() ?? false;
+      if (outcome !== JOB_OUTCOME.FAILED && !isAlive) faultyServer?.markSuspect();
     }
     crashGuard.recordEnd(entry, outcome);
   };
@@ -315,7 +325,22 @@
     hasColdServers: registry.hasColdServers,
     setServices: registry.setServices,
     place,
-    applyReport: (serverId, report) => registry.find(serverId)?.applyReport(report),
+    applyReport(serverId, report) {
+      registry.find(serverId)?.applyReport(report);
+      registry.applyPace(serverId, report.pace);
+    },
+    applyPace: registry.applyPace,
+    listTroubled() {
+      const isActive = clock.nowMs() - lastDispatchMs < ACTIVE_PLACER_MS;
+      return registry.list().map(({ server, speed, failures }) => ({
+        serverId: server.id,
+        factor: speed.factor(),
+        failureShare: failures.share(),
+        wantsPace: isActive && speed.wantsPace(),
+      })).filter(({ factor, failureShare, wantsPace }) =>
+        factor > 1 || failureShare >= SOUND_FAILURE_SHARE || wantsPace
+      );
+    },
     dispatchReady() {
       crashGuard.review();
       slotQueue.dispatchReady();
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -7,11 +7,16 @@
   FOREIGN_PREFILL_HEADROOM_MS,
   FOREIGN_SIZE_FACTOR,
   LONG_PREFILL_MIN_MS,
+  MIN_SPEED_SAMPLE_MS,
   PAUSE_SLACK_MS,
   REPORT_VALID_MS,
   SUSPECT_BASE_MS,
   SUSPECT_MAX_MS,
 } from "./constants.ts";
+import { createFailureShare } from "./create_failure_share.ts";
+import type { FailureShare } from "./create_failure_share.ts";
+import { createServerSpeed } from "./create_server_speed.ts";
+import type { ServerSpeed } from "./create_server_speed.ts";
 import { createRateWindow } from "./create_rate_window.ts";
 import type { EngineProfile, EngineReport, PlacementJob, PlacementServer } from "./types.ts";
 
@@ -24,8 +29,12 @@
 /** Load that one job puts on one server. */
 interface JobShare {
   job: PlacementJob;
-  /** Expected milliseconds of prefill on this server. */
+  /** Expected milliseconds of prefill on this server at its usual speed. */
   prefillMs: Millis;
+  /** Expected time to the first byte at usual speed, of which a sample is taken; undefined for none. */
+  expectedMs?: Millis;
+  /** True if other servers prefill parts of the prompt. */
+  isSplit?: boolean;
   /** True for the server that received the request, false for a helper. */
   isPrimary: boolean;
   /** True once the first byte of the answer has arrived, so that the prefill is over. */
@@ -39,8 +48,12 @@
 
 /** Load that a job or a part of it puts on a server. */
 export interface LoadPart {
-  /** Expected milliseconds of prefill. */
+  /** Expected milliseconds of prefill at the usual speed of the server. */
   prefillMs: Millis;
+  /** Expected milliseconds to the first byte at usual speed; undefined if not known. */
+  expectedMs?: Millis;
+  /** True if other servers prefill parts of the prompt; false by default. */
+  isSplit?: boolean;
   /** Tokens of memory. */
   memoryTokens: number;
   /** True for the server that gets the request, false for a helper. */
@@ -73,6 +86,8 @@
   pendingPrefills: PendingPrefill[];
   /** See {@linkcode ServerLoad.prefillBacklogMs}. */
   backlogMs: Millis;
+  /** See {@linkcode ServerSpeed.factor}. */
+  speedFactor: number;
   /** See {@linkcode ServerLoad.passMs}. */
   passMs: Millis;
   /** See {@linkcode ServerLoad.prefillHeadroomMs}. */
@@ -85,8 +100,14 @@
 export interface ServerLoad {
   /** Current entry of the server. */
   server: PlacementServer;
+  /** Speed of the server relative to others; times of the load are scaled by its factor. */
+  speed: ServerSpeed;
+  /** Share of requests that the server fails. */
+  failures: FailureShare;
   /** Replaces the cost model. */
   setProfile(profile: EngineProfile | undefined): void;
+  /** Sets the speed to the pace that the server has stated. */
+  setPace(pace: number): void;
   /** Applies the server's own load report, which includes requests that other hosts placed. */
   applyReport(report: EngineReport): void;
   /**
@@ -124,6 +145,8 @@
   prefillHeadroomMs(): Millis;
   /** Tokens of memory in use. */
   memoryTokens(): number;
+  /** Time of the last request sent to the server. */
+  lastSendMs(): Millis;
   /** Number of requests sent within the last second. */
   recentSends(): number;
   /** Avoids the server for a time that grows with each consecutive failure. */
@@ -138,7 +161,7 @@
  * Creates the load record of one server.
  *
  * @param server entry of the server
- * @param options clock and, for engines, the cost model
+ * @param options clock, for engines the cost model, and the usual speed ratio of the service
  * @returns the load of an idle server
  *
  * @example
@@ -147,9 +170,15 @@
  */
 export function createServerLoad(
   server: PlacementServer,
-  options: { clock: Clock; profile: EngineProfile | undefined },
+  options: {
+    clock: Clock;
+    profile: EngineProfile | undefined;
+    speedBaseline?: () => number | undefined;
+  },
 ): ServerLoad {
-  const { clock } = options;
+  const { clock, speedBaseline = () => undefined } = options;
+  const speed = createServerSpeed({ clock, baseline: speedBaseline });
+  let lastSendMs = -Infinity;
   let profile = options.profile;
   const shares = new Map<string, JobShare>();
   const sends = createRateWindow({ clock, windowMs: COLD_WINDOW_MS });
@@ -168,6 +197,7 @@
 
   const prefillBacklogMs = () => {
     const nowMs = clock.nowMs();
+    const factor = speed.factor();
     let elapsedMs = 0;
     let backlogMs = 0;
     for (const share of listShares()) {
@@ -175,9 +205,10 @@
       // Prefills are assumed to run one after another, so time that was attributed to an earlier
       // prefill does not count again.
       const sinceMs = Math.max(0, nowMs - share.startMs - elapsedMs);
-      const doneMs = Math.min(sinceMs, share.prefillMs * (1 - OVERDUE_SHARE));
+      const prefillMs = share.prefillMs * factor;
+      const doneMs = Math.min(sinceMs, prefillMs * (1 - OVERDUE_SHARE));
       elapsedMs += doneMs;
-      backlogMs += share.prefillMs - doneMs;
+      backlogMs += prefillMs - doneMs;
     }
     return backlogMs + foreignBacklogMs();
   };
@@ -190,7 +221,7 @@
     if (profile === undefined) return 0;
     const excessTokens = foreignTokens() - FOREIGN_SIZE_FACTOR * foreignRequestCount() *
         (profile.usualPromptTokens + profile.usualAnswerTokens);
-    return excessTokens <= 0 ? 0 : computePrefillMs(excessTokens, profile) / 2;
+    return excessTokens <= 0 ? 0 : computePrefillMs(excessTokens, profile) / 2 * speed.factor();
   };
 
   const isLong = (job: PlacementJob) =>
@@ -206,7 +237,29 @@
     if (profile === undefined) return 0;
     const streaming = streamingShares();
     const contextTokens = streaming.reduce((sum, share) => sum + share.job.promptTokens, 0);
-    return computePassMs(streaming.length, contextTokens, profile);
+    return computePassMs(streaming.length, contextTokens, profile) * speed.factor();
+  };
+
+  /**
+   * Drops the sample of a request whose first byte depends on a longer prefill beside it: how long that
+   * one takes is not known well enough to tell a slow server from a wrong estimate.
+   */
+  const dropSamples = () => {
+    const pending = listShares().filter((share) => !share.isDecoding);
+    for (const share of pending) {
+      const { expectedMs = 0 } = share;
+      const isBesideLonger = pending.some((other) =>
+        other !== share && other.prefillMs > Math.max(share.prefillMs, expectedMs / 2)
+      );
+      if (isBesideLonger) share.expectedMs = undefined;
+    }
+  };
+
+  const addSample = ({ expectedMs, startMs, isSplit }: JobShare) => {
+    if (expectedMs === undefined || expectedMs < MIN_SPEED_SAMPLE_MS) return;
+    const ratio = (clock.nowMs() - startMs) / expectedMs;
+    if (isSplit) speed.addSharedSample(ratio);
+    else speed.addSample(ratio);
   };
 
   // A request that is already late does not limit further prefills.
@@ -216,6 +269,8 @@
 
   const load: ServerLoad = {
     server,
+    speed,
+    failures: createFailureShare(clock),
     setProfile(next) {
       cached = undefined;
       profile = next;
@@ -230,6 +285,7 @@
         onTimeWeight: load.onTimeWeight(),
         pendingPrefills: load.pendingPrefills(),
         backlogMs: load.prefillBacklogMs(),
+        speedFactor: speed.factor(),
         passMs: load.passMs(),
         headroomMs: load.prefillHeadroomMs(),
         memoryTokens: load.memoryTokens(),
@@ -237,6 +293,10 @@
       cached = { snapshot, atMs: nowMs };
       return snapshot;
     },
+    setPace(pace) {
+      cached = undefined;
+      speed.setPace(pace);
+    },
     applyReport({ running, queued, usedTokens }) {
       cached = undefined;
       foreign = {
@@ -254,12 +314,19 @@
         isDelayed: false,
         startMs: clock.nowMs() - ageMs,
       });
+      dropSamples();
+    },
+    countSend() {
+      lastSendMs = clock.nowMs();
+      sends.add();
     },
-    countSend: () => sends.add(),
+    lastSendMs: () => lastSendMs,
     markDecoding(jobId) {
       cached = undefined;
       const share = shares.get(jobId);
-      if (share !== undefined) share.isDecoding = true;
+      if (share === undefined) return;
+      if (!share.isDecoding) addSample(share);
+      share.isDecoding = true;
     },
     remove(jobId) {
       cached = undefined;
@@ -277,9 +344,10 @@
     pendingPrefills() {
       const nowMs = clock.nowMs();
       const ownPassMs = passMs();
+      const factor = speed.factor();
       return listShares().filter((share) => !share.isDecoding).map(
         ({ job, prefillMs, startMs, isDelayed }) => {
-          const doneMs = Math.max(prefillMs, nowMs - startMs) + ownPassMs;
+          const doneMs = Math.max(prefillMs * factor, nowMs - startMs) + ownPassMs;
           return {
             slackMs: isDelayed ? Infinity : job.goalMs - job.elapsedMs - doneMs,
             deadlineSlackMs: job.remainingMs - doneMs,
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -22,3 +22,6 @@
 export * from "./placer_types.ts";
 export * from "./sample_two.ts";
 export * from "./types.ts";
+export * from "./create_failure_share.ts";
+export * from "./create_server_speed.ts";
+export * from "./choose_probe.ts";
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -104,14 +104,28 @@
   helperIds: string[];
   /** Memory reservations on helpers. */
   tickets: TicketPlan[];
-  /** Expected milliseconds of prefill on each of the servers. */
+  /** Expected milliseconds of prefill on each of the servers at usual speed. */
   partMs: Millis;
+  /** Expected milliseconds from the placement to the first byte at usual speed; undefined if not known. */
+  usualMs?: Millis;
   /** Milliseconds since the job was placed. */
   ageMs: Millis;
   /** True once the first byte of the answer has arrived. */
   isWriting: boolean;
 }
 
+/** A server that is or was slow, or that fails requests. */
+export interface ServerTrouble {
+  /** Id of the server. */
+  serverId: string;
+  /** Factor by which the server is slower than the others of its service; 1 for usual speed. */
+  factor: number;
+  /** Share of its recent requests that the server has failed. */
+  failureShare: number;
+  /** True if this placer places requests and the server's pace is worth a request. */
+  wantsPace: boolean;
+}
+
 /** Decides which server gets a request, and tracks the load of the jobs that it knows. */
 export interface Placer {
   /** Replaces the usable servers; the load of remaining servers is kept. */
@@ -131,6 +145,10 @@
   dispatchReady(): void;
   /** Applies an engine's report of its load. */
   applyReport(serverId: string, report: EngineReport): void;
+  /** Applies only the pace of an engine's report; undefined if the report has none. */
+  applyPace(serverId: string, pace: number | undefined): void;
+  /** Lists the servers that are or were slow, or that fail requests. */
+  listTroubled(): ServerTrouble[];
   /** Counts a job that another placer placed. */
   addRunning(running: RunningJob): void;
   /** Records that the first byte of the answer has arrived. */
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -39,6 +39,8 @@
   queued: number;
   /** Memory in use, in tokens. */
   usedTokens: number;
+  /** How many times slower than usual the engine is; undefined if it does not state it. */
+  pace?: number;
 }
 
 /** A service whose requests are placed. */
@@ -101,6 +103,8 @@
   parts: readonly string[];
   /** True if the request may run more than once. */
   isRepeatable: boolean;
+  /** Data centre of the host that has read the request; undefined for no preference. */
+  dataCentre?: string;
 }
 
 /** A memory reservation that a split prefill needs on a helper. */
@@ -133,10 +137,12 @@
     helperIds: string[];
     /** Memory reservations to make on helpers before the request is sent. */
     tickets: TicketPlan[];
-    /** Expected milliseconds of prefill on each of the servers. */
+    /** Expected milliseconds of prefill on each of the servers at usual speed. */
     partMs: Millis;
     /** Expected milliseconds to the first byte. */
     expectedMs: Millis;
+    /** The same at the usual speed of the servers; undefined if all have it. */
+    usualMs?: Millis;
   }
   | { kind: "refused"; reason: PlacementRefusal; retryAfterMs: Millis };
 
