Ask slow engines for their pace and prefer servers in the host's data centre

Hubs request the load report of engines whose answers were late, at most once a second each, and take over the pace that it states. A host states its data centre with a job; among otherwise equal servers placement prefers those there.

--- a/packages/bench/_lib/pass_engine.ts
+++ b/packages/bench/_lib/pass_engine.ts
@@ -53,13 +53,18 @@
  *
  * @param queue simulated time
  * @param profile cost parameters of the engine
+ * @param slowness returns the factor by which the engine is slower now; always 1 by default
  * @returns an idle engine
  *
  * @example
  * const engine = createPassEngine(queue, profile);
  * engine.submit({ promptTokens: 5_000, events: 40, urgency: 2, onEvent, onEnd }, []);
  */
-export function createPassEngine(queue: EventQueue, profile: EngineProfile): PassEngine {
+export function createPassEngine(
+  queue: EventQueue,
+  profile: EngineProfile,
+  slowness: () => number = () => 1,
+): PassEngine {
   const waiting: { request: PassRequest; helpers: readonly PassEngine[] }[] = [];
   const running: Running[] = [];
   const ownParts: PrefillPart[] = [];
@@ -133,7 +138,7 @@
 
   const schedule = (lengthMs: number) => {
     isBusy = true;
-    queue.at(queue.nowMs() + lengthMs, endPass);
+    queue.at(queue.nowMs() + lengthMs * slowness(), endPass);
   };
 
   const startIfIdle = () => {
--- a/packages/bench/simulate_placement.ts
+++ b/packages/bench/simulate_placement.ts
@@ -48,6 +48,22 @@
   phases: readonly LoadPhase[];
   /** Seed of arrival times and prompt lengths. */
   seed: number;
+  /** Engines that are slower for a time; none by default. */
+  slow?: SlowPeriod;
+}
+
+/** Time in which some engines are slower. */
+export interface SlowPeriod {
+  /** Part of the engines. */
+  share: number;
+  /** Factor by which they are slower. */
+  factor: number;
+  /** Start of the period in milliseconds. */
+  fromMs: number;
+  /** End of the period in milliseconds. */
+  untilMs: number;
+  /** True if engines state their pace when they are asked. */
+  statesPace: boolean;
 }
 
 /** Engines that a policy chooses for a request, by index. */
@@ -83,6 +99,9 @@
   firstEventMs: number[];
 }
 
+/** Least time between two requests for the pace of an engine. */
+const PACE_INTERVAL_MS = 1_000;
+
 /** Interval between two calls of `PlacementPolicy.dispatchWaiting`. */
 const REVIEW_INTERVAL_MS = 50;
 
@@ -112,7 +131,8 @@
   const queue = createEventQueue();
   const engines = Array.from(
     { length: load.engines },
-    () => createPassEngine(queue, load.profile),
+    (_, index) =>
+      createPassEngine(queue, load.profile, () => findSlowness(load, index, queue.nowMs())),
   );
   const policy = createPolicy(queue.nowMs);
   const tokensPerEvent = load.profile.stepsPerPass;
@@ -170,6 +190,13 @@
   return results;
 }
 
+function findSlowness({ slow }: PlacementLoad, index: number, nowMs: number): number {
+  if (slow === undefined || nowMs < slow.fromMs || nowMs >= slow.untilMs) return 1;
+  // Every nth engine, since placement fills engines in an order.
+  const isSlow = Math.floor((index + 1) * slow.share) > Math.floor(index * slow.share);
+  return isSlow ? slow.factor : 1;
+}
+
 function createKindResult(): KindResult {
   return { requests: 0, inTime: 0, late: 0, unserved: 0, credit: 0, firstEventMs: [] };
 }
@@ -288,6 +315,14 @@
     bornMs: 0,
     coldUntilMs: 0,
   })));
+  const askedMs = new Map<string, number>();
+  const askPaces = () => {
+    for (const { serverId, wantsPace } of placer.listTroubled()) {
+      if (!wantsPace || nowMs() - (askedMs.get(serverId) ?? -Infinity) < PACE_INTERVAL_MS) continue;
+      askedMs.set(serverId, nowMs());
+      placer.applyPace(serverId, findSlowness(load, Number(serverId), nowMs()));
+    }
+  };
   return {
     async place(job) {
       const decision = await placer.place(job);
@@ -296,6 +331,9 @@
     },
     started: (jobId) => placer.started(jobId),
     finished: (jobId) => placer.finished(jobId, JOB_OUTCOME.ANSWERED),
-    dispatchWaiting: () => placer.dispatchReady(),
+    dispatchWaiting() {
+      if (load.slow?.statesPace === true) askPaces();
+      placer.dispatchReady();
+    },
   };
 }
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -129,6 +129,12 @@
 /** Time that a placement waits for the load reports of the engines. */
 export const PROBE_TIMEOUT_MS = 80;
 
+/** Least time between two requests of a hub for the pace of an engine. */
+export const PACE_PROBE_INTERVAL_MS = 1_000;
+
+/** Least time between two log lines on a server that is slow or fails. */
+export const TROUBLE_LOG_INTERVAL_MS = 1_000;
+
 /** Time within which a silent server must answer a check. */
 export const SERVER_CHECK_TIMEOUT_MS = 500;
 
--- a/packages/forwarding_host/create_placement_client.ts
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -13,6 +13,8 @@
   fleet: () => Pick<Fleet<PlacementJob, PlacementDecision, JobReport>, "place" | "report">;
   /** Places requests by this host's own knowledge, within its share of the limits of all hosts. */
   local: Placer;
+  /** Data centre whose servers are preferred for this host's requests; no preference by default. */
+  dataCentre?: string;
   /** Monotonic time source. */
   clock: Clock;
   /** Requests load reports of the engines. */
@@ -40,7 +42,10 @@
  * const placement = createPlacementClient({ fleet: () => fleet, local, clock, ... });
  */
 export function createPlacementClient(options: PlacementClientOptions): HostPlacement {
-  const { fleet, local, clock, refreshLoad, log, metrics } = options;
+  const { fleet, local, dataCentre, clock, refreshLoad, log, metrics } = options;
+  // Only the placer that decides needs it, not the reports of running jobs.
+  const prefer = (job: PlacementJob): PlacementJob =>
+    dataCentre === undefined ? job : { ...job, dataCentre };
   const running = new Map<string, RunningJob & { placedMs: Millis }>();
 
   /** Describes a running job for a hub that did not place it. */
@@ -51,13 +56,14 @@
 
   const trackPlacement = (job: PlacementJob, decision: PlacementDecision, decidedBy?: string) => {
     if (decision.kind !== "placed") return;
-    const { serverId, helperIds, tickets, partMs } = decision;
+    const { serverId, helperIds, tickets, partMs, usualMs = decision.expectedMs } = decision;
     const entry: RunningJob = {
       job,
       serverId,
       helperIds,
       tickets,
       partMs,
+      usualMs,
       ageMs: 0,
       isWriting: false,
     };
@@ -70,7 +76,7 @@
     async place(job) {
       const startMs = clock.nowMs();
       const currentJob = () => ageJob(job, clock.nowMs() - startMs);
-      const answer = await fleet().place(job, {
+      const answer = await fleet().place(prefer(job), {
         answerMs: PLACEMENT_TIMEOUT_MS,
         waitMs: job.remainingMs,
         linkMs: computeLinkWaitMs(job),
@@ -80,7 +86,7 @@
         log.info({ jobId: job.id }, "No hub answered; placing the request locally");
         if (job.promptTokens > 0) await refreshLoad();
       } else metrics.increment("placement", { by: "hub" });
-      const decision = answer?.decision ?? await local.place(currentJob());
+      const decision = answer?.decision ?? await local.place(prefer(currentJob()));
       trackPlacement(currentJob(), decision, answer?.by);
       return decision;
     },
--- a/packages/forwarding_host/create_placement_parsers.ts
+++ b/packages/forwarding_host/create_placement_parsers.ts
@@ -57,6 +57,8 @@
     // Missing in jobs of an earlier version.
     parts: fields.has("parts") ? fields.strings("parts") : [],
     isRepeatable: fields.boolean("isRepeatable"),
+    // Missing if the host has no preference.
+    ...(fields.has("dataCentre") ? { dataCentre: fields.string("dataCentre") } : {}),
   };
 }
 
@@ -115,6 +117,8 @@
     helperIds: fields.strings("helperIds"),
     tickets: fields.list("tickets").map(parseTicket),
     partMs: fields.number("partMs", AMOUNT_RANGE),
+    // Missing in messages of an earlier version, and in decisions on servers of usual speed.
+    ...(fields.has("usualMs") ? { usualMs: fields.number("usualMs", TIME_RANGE) } : {}),
   };
 }
 
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -21,6 +21,7 @@
 import { createLoadProbe } from "./create_load_probe.ts";
 import { createCancelReport, createPlacementClient } from "./create_placement_client.ts";
 import { createPlacementParsers } from "./create_placement_parsers.ts";
+import { createTroubleWatch } from "./create_trouble_watch.ts";
 import type { HostContext } from "./host_context.ts";
 import { SERVICE } from "./service_names.ts";
 import type { Cluster, PlacementFleet } from "./service_names.ts";
@@ -117,20 +118,31 @@
     onDecision: (record) => log.info(record, "Placement decided without a hub"),
     seed: settings.host,
   });
+  const listProbeable = () => listEngines(view).filter((server) => notices.waitMs(server) === 0);
   const probe = createLoadProbe({
     reports: adapter.reports,
     clock,
     log,
     metrics,
     // A probe is a request too, and the load of an engine that gets no other ones does not matter.
-    engines: () => listEngines(view).filter((server) => notices.waitMs(server) === 0),
+    engines: listProbeable,
     onReport(serverId, report) {
       for (const placer of [hubPlacer, localPlacer]) placer.applyReport(serverId, report);
     },
   });
+  const troubleWatch = createTroubleWatch({
+    listTroubled: hubPlacer.listTroubled,
+    engines: listProbeable,
+    reports: adapter.reports,
+    onPace: hubPlacer.applyPace,
+    clock,
+    log,
+    metrics,
+  });
   const placement = createPlacementClient({
     fleet: () => fleet,
     local: localPlacer,
+    dataCentre: settings.dataCentre,
     clock,
     refreshLoad: () => probe.refresh(),
     log,
@@ -185,6 +197,7 @@
       else await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
       if (hubPlacer.hasColdServers()) await new Promise<void>(afterRead);
       hubPlacer.dispatchReady();
+      if (fleet.isHub()) void troubleWatch.check();
     }
   });
   quarantine.run(tasks);
--- a/packages/placement/_lib/create_server_registry.ts
+++ b/packages/placement/_lib/create_server_registry.ts
@@ -1,5 +1,5 @@
 import { createHash } from "node:crypto";
-import type { Clock } from "@jaypass/kernel";
+import type { Clock, Millis } from "@jaypass/kernel";
 import { createServerLoad } from "../create_server_load.ts";
 import type { ServerLoad } from "../create_server_load.ts";
 import { computeLowerMedian } from "../create_server_speed.ts";
@@ -15,6 +15,9 @@
  */
 const COLD_RESERVED_SHARE = 0.3;
 
+/** Time in which the usual speed ratio of a service changes too little to matter. */
+const BASELINE_VALID_MS = 50;
+
 /** Part of the memory of all engines beyond which a prompt does not avoid failing ones. */
 const LARGE_PROMPT_SHARE = 0.4;
 
@@ -79,14 +82,20 @@
   /** Services of which an engine has stated its pace; the others of these have the usual one if they state none. */
   const pacedServices = new Set<string>();
 
+  const baselines = new Map<string, { ratio: number | undefined; atMs: Millis }>();
+
   /**
    * Returns the median of the servers' ratios of observed to expected times. An error of the cost model
    * or a load that is common to all servers changes all ratios alike.
    */
   const findSpeedBaseline = (service: string) => {
+    const known = baselines.get(service);
+    if (known !== undefined && clock.nowMs() - known.atMs < BASELINE_VALID_MS) return known.ratio;
     const ratios = (loadsByService.get(service) ?? [])
       .map(({ speed }) => speed.typicalRatio()).filter((ratio) => ratio !== undefined);
-    return ratios.length === 0 ? undefined : computeLowerMedian(ratios);
+    const ratio = ratios.length === 0 ? undefined : computeLowerMedian(ratios);
+    baselines.set(service, { ratio, atMs: clock.nowMs() });
+    return ratio;
   };
 
   const isShort = ({ service, promptTokens }: PlacementJob) => {
--- a/packages/placement/choose_engines.ts
+++ b/packages/placement/choose_engines.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "@jaypass/kernel";
+import { comparePlaces } from "./compare_places.ts";
 import { computePrefillMs } from "./compute_prefill_ms.ts";
 import {
   FIRST_BYTE_GOAL_SHARE,
@@ -186,8 +187,12 @@
   });
   const isPacked = ({ decoding, load }: Candidate) =>
     decoding < load.server.slots * options.packedShare;
+  const isBusy = ({ decoding }: Candidate) => decoding > 0;
   const ordered = fitting.sort((a, b) =>
+    a.factor - b.factor ||
     Number(isPacked(b)) - Number(isPacked(a)) ||
+    (isPacked(a) ? Number(isBusy(b)) - Number(isBusy(a)) : 0) ||
+    (isPacked(a) ? compareDataCentres(job, a, b) : 0) ||
     (isPacked(a) ? b.decoding - a.decoding : a.decoding - b.decoding) ||
     a.backlogMs - b.backlogMs
   );
@@ -207,7 +212,9 @@
 ): EngineChoice | undefined {
   const expectedWaitMs = ({ slotWaitMs, backlogMs, passMs, factor }: Candidate) =>
     slotWaitMs + backlogMs + passMs + prefillMs * (factor - 1);
-  const ordered = [...candidates].sort((a, b) => expectedWaitMs(a) - expectedWaitMs(b));
+  const ordered = [...candidates].sort((a, b) =>
+    expectedWaitMs(a) - expectedWaitMs(b) || compareDataCentres(job, a, b)
+  );
   for (const candidate of ordered) {
     const choice = buildChoice(job, [candidate], options, prefillMs);
     if (choice !== undefined) return choice;
@@ -215,6 +222,11 @@
   return undefined;
 }
 
+/** Orders engines in the data centre of the host that has read the request before others. */
+function compareDataCentres(job: PlacementJob, a: Candidate, b: Candidate): number {
+  return comparePlaces(job.dataCentre, a.load, b.load);
+}
+
 /** Chooses the number of engines with the lowest cost; of equal costs the fewest engines. */
 function chooseCheapestSplit(
   job: PlacementJob,
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -203,6 +203,12 @@
 /** Ratio to the service's usual speed from which a sample says that a server is slow. */
 export const SLOW_RATIO = 1.5;
 
+/**
+ * The same ratio from which a single sample lets the pace of the server be requested, and from which a
+ * request that still waits is a sample.
+ */
+export const WATCH_RATIO = 2;
+
 /** Slow samples among the last ones that make a server count as slow; one odd sample has no effect. */
 export const MIN_SLOW_SAMPLES = 3;
 
@@ -215,8 +221,8 @@
 /** Time for which a sample counts towards the usual ratio of the service. */
 export const TYPICAL_RATIO_VALID_MS = 30_000;
 
-/** Least time between two samples of a server: about a pass and a short prefill. */
-export const SPEED_SAMPLE_GAP_MS = 100;
+/** Least time between the placements of two samples of a server: about a pass of an engine. */
+export const SPEED_SAMPLE_GAP_MS = 50;
 
 /**
  * Least expected time to the first byte of a sample. In shorter times the network and the start of the
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -125,7 +125,7 @@
     times: { waitedMs: Millis; remainingMs: Millis },
   ): EngineChoice | undefined => {
     const profile = registry.profileOf(job.service);
-    if (profile === undefined) return chooseLeastLoaded(usable);
+    if (profile === undefined) return chooseLeastLoaded(usable, job.dataCentre);
     const packedShare = longPromptQueue.size() > 0 ? TIGHT_PACKED_SLOTS_SHARE : PACKED_SLOTS_SHARE;
     const candidates = isUncoordinated() && !isLong(job)
       ? sampleTwo(usable, job.id, (load) => load.server.id)
@@ -343,6 +343,7 @@
     },
     dispatchReady() {
       crashGuard.review();
+      for (const load of registry.list()) load.observeOverdue();
       slotQueue.dispatchReady();
       longPromptQueue.dispatchReady();
     },
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -12,11 +12,12 @@
   REPORT_VALID_MS,
   SUSPECT_BASE_MS,
   SUSPECT_MAX_MS,
+  WATCH_RATIO,
 } from "./constants.ts";
 import { createFailureShare } from "./create_failure_share.ts";
 import type { FailureShare } from "./create_failure_share.ts";
 import { createServerSpeed } from "./create_server_speed.ts";
-import type { ServerSpeed } from "./create_server_speed.ts";
+import type { ServerSpeed, SpeedSample } from "./create_server_speed.ts";
 import { createRateWindow } from "./create_rate_window.ts";
 import type { EngineProfile, EngineReport, PlacementJob, PlacementServer } from "./types.ts";
 
@@ -35,6 +36,8 @@
   expectedMs?: Millis;
   /** True if other servers prefill parts of the prompt. */
   isSplit?: boolean;
+  /** Sample of the server's speed that the job has given so far. */
+  sample?: SpeedSample;
   /** True for the server that received the request, false for a helper. */
   isPrimary: boolean;
   /** True once the first byte of the answer has arrived, so that the prefill is over. */
@@ -121,6 +124,8 @@
   countSend(): void;
   /** Marks a job as decoding, so that its prefill no longer counts. */
   markDecoding(jobId: string): void;
+  /** Samples the server's speed by the requests that have waited for much longer than expected. */
+  observeOverdue(): void;
   /** Removes a job. */
   remove(jobId: string): void;
   /** Number of requests and parts on the server. */
@@ -255,11 +260,15 @@
     }
   };
 
-  const addSample = ({ expectedMs, startMs, isSplit }: JobShare) => {
-    if (expectedMs === undefined || expectedMs < MIN_SPEED_SAMPLE_MS) return;
+  const observe = (share: JobShare, minRatio = 0) => {
+    const { expectedMs = 0, startMs, isSplit = false } = share;
+    if (expectedMs < MIN_SPEED_SAMPLE_MS) return;
     const ratio = (clock.nowMs() - startMs) / expectedMs;
-    if (isSplit) speed.addSharedSample(ratio);
-    else speed.addSample(ratio);
+    if (ratio < minRatio) return;
+    cached = undefined;
+    share.sample ??= { ratio, placedMs: startMs, isShared: isSplit };
+    share.sample.ratio = ratio;
+    speed.observe(share.sample);
   };
 
   // A request that is already late does not limit further prefills.
@@ -325,9 +334,15 @@
       cached = undefined;
       const share = shares.get(jobId);
       if (share === undefined) return;
-      if (!share.isDecoding) addSample(share);
+      if (!share.isDecoding) observe(share);
       share.isDecoding = true;
     },
+    observeOverdue() {
+      const pending = listShares().filter((share) => !share.isDecoding);
+      if (pending.length === 0) return;
+      const minRatio = WATCH_RATIO * (speedBaseline() ?? Infinity);
+      for (const share of pending) observe(share, minRatio);
+    },
     remove(jobId) {
       cached = undefined;
       shares.delete(jobId);
--- a/packages/placement/create_server_speed.ts
+++ b/packages/placement/create_server_speed.ts
@@ -12,17 +12,26 @@
   SPEED_WATCH_MS,
   STEADY_PACE,
   TYPICAL_RATIO_VALID_MS,
+  WATCH_RATIO,
 } from "./constants.ts";
 
+/** Ratio of the observed to the expected time to the first byte of one request. */
+export interface SpeedSample {
+  /** The ratio; of a request that still waits, the ratio so far. */
+  ratio: number;
+  /** Time at which the request was placed. */
+  placedMs: Millis;
+  /** True if several servers have prefilled the prompt, of which any may be the slow one. */
+  isShared: boolean;
+}
+
 /** Estimate of how much slower a server is than the others of its service. */
 export interface ServerSpeed {
-  /** Adds the ratio of the observed to the expected time to a first byte of this server alone. */
-  addSample(ratio: number): void;
   /**
-   * Adds such a ratio of a prompt that several servers have prefilled, of which any may be the slow one.
-   * It changes no factor and only lets the pace be requested.
+   * Takes a sample, again when the ratio of the same request has grown. A shared one changes no factor
+   * and only lets the pace be requested.
    */
-  addSharedSample(ratio: number): void;
+  observe(sample: SpeedSample): void;
   /** Sets the factor to the pace that the server has stated. */
   setPace(pace: number): void;
   /** Factor by which expected times are multiplied: 1 for usual speed, more for a slow server. */
@@ -43,48 +52,44 @@
   baseline: () => number | undefined;
 }
 
-interface Sample {
-  ratio: number;
-  atMs: Millis;
-}
-
 /**
  * Creates the estimate of a server's speed, which starts at the usual one.
  *
  * Meant for engines that become several times slower for some seconds while their health is good. A
  * single late answer, and a model error or a load that is common to all servers, must not count: a
- * server is slow when most of its last samples, taken at different times, exceed the service's usual
- * ratio by half.
+ * server is slow when most of its last samples, of requests that were placed at different times, exceed
+ * the service's usual ratio by half.
  *
  * @param options clock and the usual ratio of the service
  * @returns the estimate
  *
  * @example
  * const speed = createServerSpeed({ clock, baseline: () => 1 });
- * speed.addSample(4.1);
+ * speed.observe({ ratio: 4.1, placedMs: clock.nowMs() - 400, isShared: false });
  */
 export function createServerSpeed({ clock, baseline }: ServerSpeedOptions): ServerSpeed {
-  let samples: Sample[] = [];
-  let shared: Sample[] = [];
+  let samples: { sample: SpeedSample; atMs: Millis }[] = [];
   let settled = { factor: 1, atMs: -Infinity };
   let paceMs = -Infinity;
   let watchedUntilMs = -Infinity;
 
-  const keep = (list: Sample[], ratio: number): Sample[] => {
-    const atMs = clock.nowMs();
-    const last = list.at(-1);
-    // Requests that wait for the same pass or prefill are one observation.
-    if (last !== undefined && atMs - last.atMs < SPEED_SAMPLE_GAP_MS) return list;
-    return [...list, { ratio, atMs }].slice(-SPEED_SAMPLES);
-  };
-  const listValid = (list: readonly Sample[], validMs: Millis) =>
-    list.filter(({ atMs }) => clock.nowMs() - atMs <= validMs).map(({ ratio }) => ratio);
-  const typicalRatio = () => {
-    const ratios = listValid(samples, TYPICAL_RATIO_VALID_MS);
-    return ratios.length < MIN_SLOW_SAMPLES ? undefined : computeLowerMedian(ratios);
+  const listRatios = (validMs: Millis) =>
+    samples.filter(({ atMs }) => clock.nowMs() - atMs <= validMs).map(({ sample }) => sample.ratio);
+
+  /** Keeps a sample unless it was placed together with another one, which saw the same delay. */
+  const keep = (sample: SpeedSample): boolean => {
+    const known = samples.find((entry) => entry.sample === sample);
+    if (known !== undefined) {
+      known.atMs = clock.nowMs();
+      return true;
+    }
+    const isBesideOther = samples.some((entry) =>
+      Math.abs(entry.sample.placedMs - sample.placedMs) < SPEED_SAMPLE_GAP_MS
+    );
+    if (isBesideOther) return false;
+    samples = [...samples, { sample, atMs: clock.nowMs() }].slice(-SPEED_SAMPLES);
+    return true;
   };
-  const countSlow = (ratios: readonly number[], usual: number) =>
-    ratios.filter((ratio) => ratio >= SLOW_RATIO * usual).length;
 
   const factor = () => {
     const ageMs = clock.nowMs() - settled.atMs - SPEED_HOLD_MS;
@@ -99,33 +104,34 @@
   };
 
   return {
-    addSample(ratio) {
-      const next = keep(samples, ratio);
-      if (next === samples) return;
-      samples = next;
+    observe(sample) {
+      if (sample.placedMs < paceMs) return;
+      const isKept = !sample.isShared && keep(sample);
       const usual = baseline();
-      if (usual === undefined || clock.nowMs() - paceMs < PACE_VALID_MS) return;
-      const ratios = listValid(samples, SPEED_SAMPLE_VALID_MS);
-      const isRecovered = ratios.length >= 2 && countSlow(ratios.slice(-2), usual) === 0;
-      if (countSlow(ratios, usual) >= MIN_SLOW_SAMPLES && !isRecovered) {
+      if (usual === undefined) return;
+      if (sample.ratio >= WATCH_RATIO * usual) {
+        watchedUntilMs = Math.max(watchedUntilMs, clock.nowMs() + SPEED_HOLD_MS);
+      }
+      if (!isKept || clock.nowMs() - paceMs < PACE_VALID_MS) return;
+      const ratios = listRatios(SPEED_SAMPLE_VALID_MS);
+      const isSlow = (ratio: number) => ratio >= SLOW_RATIO * usual;
+      const isRecovered = ratios.length >= 2 && !ratios.slice(-2).some(isSlow);
+      if (isRecovered) settle(1);
+      else if (ratios.filter(isSlow).length >= MIN_SLOW_SAMPLES) {
         settle(computeLowerMedian(ratios) / usual);
-      } else if (isRecovered) settle(1);
-    },
-    addSharedSample(ratio) {
-      shared = keep(shared, ratio);
-      const ratios = listValid(shared, SPEED_SAMPLE_VALID_MS);
-      if (countSlow(ratios, baseline() ?? 1) < MIN_SLOW_SAMPLES - 1) return;
-      watchedUntilMs = Math.max(watchedUntilMs, clock.nowMs() + SPEED_HOLD_MS);
+      }
     },
     setPace(pace) {
       paceMs = clock.nowMs();
-      // Samples from before may belong to another speed.
       samples = [];
-      shared = [];
+      watchedUntilMs = -Infinity;
       settle(pace < STEADY_PACE ? 1 : pace);
     },
     factor,
-    typicalRatio,
+    typicalRatio() {
+      const ratios = listRatios(TYPICAL_RATIO_VALID_MS);
+      return ratios.length < MIN_SLOW_SAMPLES ? undefined : computeLowerMedian(ratios);
+    },
     wantsPace: () => factor() > 1 || clock.nowMs() < watchedUntilMs,
     hasFreshPace: () => clock.nowMs() - paceMs < PACE_VALID_MS,
   };
