Require more agreement before a server counts as slow

Three samples of 1.5 times the usual ratio made sound engines count as slow in 2 of 6 simulated bursts.

--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -209,8 +209,14 @@
  */
 export const WATCH_RATIO = 2;
 
-/** Slow samples among the last ones that make a server count as slow; one odd sample has no effect. */
-export const MIN_SLOW_SAMPLES = 3;
+/**
+ * Samples of at least this ratio that make a server count as slow. With 3 of 1.5, sound engines counted
+ * as slow in 2 of 6 simulated bursts; with 4, in none.
+ */
+export const MIN_SLOW_SAMPLES = 4;
+
+/** The same number for samples of at least {@linkcode WATCH_RATIO}. */
+export const MIN_WATCH_SAMPLES = 3;
 
 /** Number of samples of a server's speed that are kept. */
 export const SPEED_SAMPLES = 5;
--- a/packages/placement/create_server_speed.ts
+++ b/packages/placement/create_server_speed.ts
@@ -2,6 +2,7 @@
 import {
   MAX_SPEED_FACTOR,
   MIN_SLOW_SAMPLES,
+  MIN_WATCH_SAMPLES,
   PACE_VALID_MS,
   SLOW_RATIO,
   SPEED_DECAY_MS,
@@ -114,12 +115,13 @@
       }
       if (!isKept || clock.nowMs() - paceMs < PACE_VALID_MS) return;
       const ratios = listRatios(SPEED_SAMPLE_VALID_MS);
-      const isSlow = (ratio: number) => ratio >= SLOW_RATIO * usual;
-      const isRecovered = ratios.length >= 2 && !ratios.slice(-2).some(isSlow);
-      if (isRecovered) settle(1);
-      else if (ratios.filter(isSlow).length >= MIN_SLOW_SAMPLES) {
-        settle(computeLowerMedian(ratios) / usual);
-      }
+      const count = (list: readonly number[], minRatio: number) =>
+        list.filter((ratio) => ratio >= minRatio * usual).length;
+      if (ratios.length >= 2 && count(ratios.slice(-2), SLOW_RATIO) === 0) settle(1);
+      else if (
+        count(ratios, SLOW_RATIO) >= MIN_SLOW_SAMPLES ||
+        count(ratios, WATCH_RATIO) >= MIN_WATCH_SAMPLES
+      ) settle(computeLowerMedian(ratios) / usual);
     },
     setPace(pace) {
       paceMs = clock.nowMs();
@@ -130,7 +132,7 @@
     factor,
     typicalRatio() {
       const ratios = listRatios(TYPICAL_RATIO_VALID_MS);
-      return ratios.length < MIN_SLOW_SAMPLES ? undefined : computeLowerMedian(ratios);
+      return ratios.length < MIN_WATCH_SAMPLES ? undefined : computeLowerMedian(ratios);
     },
     wantsPace: () => factor() > 1 || clock.nowMs() < watchedUntilMs,
     hasFreshPace: () => clock.nowMs() - paceMs < PACE_VALID_MS,
