--- a/packages/placement/choose_probe.ts
+++ b/packages/placement/choose_probe.ts
@@ -1,5 +1,10 @@
 import { createHash } from "node:crypto";
-import { PROBE_JOB_SHARE, PROBE_MAX_WAIT_SHARE, SOUND_FAILURE_SHARE } from "./constants.ts";
+import {
+  PROBE_IDLE_MS,
+  PROBE_JOB_SHARE,
+  PROBE_MAX_WAIT_SHARE,
+  SOUND_FAILURE_SHARE,
+} from "./constants.ts";
 import { computeAvoidedShare } from "./create_failure_share.ts";
 import type { ServerLoad } from "./create_server_load.ts";
 import type { PlacementJob } from "./types.ts";
@@ -13,7 +18,7 @@
 /**
  * Chooses a slow or failing server for a job that shows whether the server has recovered.
  *
- * Meant for servers that get no other requests. Only a small share of the jobs are probes, and only
+ * Meant for servers that get hardly any other requests. Only a small share of the jobs are probes, and only
  * those that may run twice, are not retries and have hardly waited. The same job gets the same answer
  * each time, since a waiting job is placed in several tries. No probe is needed for the speed of an
  * engine that states its pace.
@@ -37,7 +42,7 @@
   if (first === undefined || others.length + 1 === loads.length) return undefined;
   if (hashToShare(job.id, "probe") >= PROBE_JOB_SHARE) return undefined;
   return others.reduce(
-    (best, load) => load.lastSendMs() < best.lastSendMs() ? load : best,
+    (best, load) => load.sinceLastSendMs() > best.sinceLastSendMs() ? load : best,
     first,
   );
 }
@@ -46,7 +51,8 @@
   const { speed, failures } = load;
   const isSlow = speed.factor() > 1 && !speed.hasFreshPace();
   const isFailing = failures.share() >= SOUND_FAILURE_SHARE;
-  return (isSlow || isFailing) && load.requests() < PROBED_SLOTS_SHARE * load.server.slots;
+  return (isSlow || isFailing) && load.sinceLastSendMs() >= PROBE_IDLE_MS &&
+    load.requests() < PROBED_SLOTS_SHARE * load.server.slots;
 }
 
 /**
@@ -61,10 +67,14 @@
  * const preferred = excludeFailing(job, loads);
  */
 export function excludeFailing(job: PlacementJob, loads: readonly ServerLoad[]): ServerLoad[] {
+  // The least loaded server of a plain service gets each call that does not avoid it, so that its fair
+  // share is the part of the calls that may go there. Engines are packed instead.
+  const fairShare = job.promptTokens === 0 ? 1 / loads.length : 1;
   const kept = loads.filter(({ failures, server }) => {
     const share = failures.share();
     if (share < SOUND_FAILURE_SHARE) return true;
-    return job.isRepeatable && hashToShare(job.id, server.id) >= computeAvoidedShare(share);
+    const usedShare = (1 - computeAvoidedShare(share)) * fairShare;
+    return job.isRepeatable && hashToShare(job.id, server.id) < usedShare;
   });
   return kept.length >= loads.length / 2 ? kept : [...loads];
 }
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -272,5 +272,8 @@
 /** Share of a service's short jobs that may go to slow or failing servers as probes. */
 export const PROBE_JOB_SHARE = 0.05;
 
+/** Time without a request after which a slow or failing server gets a probe. */
+export const PROBE_IDLE_MS = 500;
+
 /** Part of a job's goal that it may have waited to be used as a probe. */
 export const PROBE_MAX_WAIT_SHARE = 0.3;
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -150,8 +150,8 @@
   prefillHeadroomMs(): Millis;
   /** Tokens of memory in use. */
   memoryTokens(): number;
-  /** Time of the last request sent to the server. */
-  lastSendMs(): Millis;
+  /** Milliseconds since the last request was sent to the server. */
+  sinceLastSendMs(): Millis;
   /** Number of requests sent within the last second. */
   recentSends(): number;
   /** Avoids the server for a time that grows with each consecutive failure. */
@@ -329,7 +329,7 @@
       lastSendMs = clock.nowMs();
       sends.add();
     },
-    lastSendMs: () => lastSendMs,
+    sinceLastSendMs: () => clock.nowMs() - lastSendMs,
     markDecoding(jobId) {
       cached = undefined;
       const share = shares.get(jobId);
