--- a/packages/bench/simulate_placement_test.ts
+++ b/packages/bench/simulate_placement_test.ts
@@ -51,6 +51,29 @@
   }
 });
 
+test("while a fifth of the engines are 4 times slower for 5 s, their pace keeps more prompts on time", async (t) => {
+  const countInTime = async (slow: PlacementLoad["slow"], createPolicy: CreatePolicy) => {
+    let inTime = 0;
+    for (const seed of SEEDS) {
+      const phases = [{ lengthMs: 10_000, factors: {} }];
+      const load = { ...createPromptLoad(30, { seed, phases }), slow };
+      const results = await simulatePlacement(load, (nowMs) => createPolicy(load, nowMs));
+      for (const result of results.values()) inTime += result.inTime;
+    }
+    return inTime;
+  };
+  const slow = { share: 0.2, factor: 4, fromMs: 3_000, untilMs: 8_000, statesPace: false };
+  const sound = await countInTime(undefined, createPlacerPolicy);
+  const unstated = await countInTime(slow, createPlacerPolicy);
+  const stated = await countInTime({ ...slow, statesPace: true }, createPlacerPolicy);
+  const least = await countInTime(slow, createLeastOutstandingPolicy);
+  t.log({ sound, unstated, stated, least });
+  // A fifth of the prompts of these 5 s would be late if placement did not react at all.
+  const unheeded = sound * 0.2 * 0.5;
+  t.true(sound - stated < unheeded);
+  t.true(stated > unstated && unstated > least);
+});
+
 test("with more short prompts than slots, the placer earns more credit than the least-outstanding policy", async (t) => {
   const placer = await simulate(OVERLOAD, createPlacerPolicy);
   const least = await simulate(OVERLOAD, createLeastOutstandingPolicy);
--- a/packages/forwarding_host/create_placement_parsers_test.ts
+++ b/packages/forwarding_host/create_placement_parsers_test.ts
@@ -85,3 +85,12 @@
   );
   t.pass();
 });
+
+test("a preferred data centre and times at usual speed are kept, and missing without a value", (t) => {
+  const job = { ...JOB, dataCentre: "a" };
+  const running = { job, ...PLACES, usualMs: 20, ageMs: 3, isWriting: false };
+  t.deepEqual(parseReport(send({ kind: "running", running })), { kind: "running", running });
+  const decision = { kind: "placed", ...PLACES, expectedMs: 30, usualMs: 20 } as const;
+  t.deepEqual(parseDecision(send(decision)), decision);
+  t.throws(() => parseJob({ ...JOB, dataCentre: 7 }), { instanceOf: DecodeError });
+});
