--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -260,6 +260,9 @@
 /** Weight of failures below which a server counts as sound, so that a single one has no effect. */
 export const MIN_FAILURES = 1.5;
 
+/** Failures in a row from which a server that has failed only part of its requests counts as down. */
+export const MAX_CONSECUTIVE_FAILURES = 5;
+
 /** Number of outcomes without a failure that are assumed of each server. */
 export const FAILURE_PRIOR_OUTCOMES = 2;
 
--- a/packages/placement/create_failure_share.ts
+++ b/packages/placement/create_failure_share.ts
@@ -2,6 +2,7 @@
 import {
   FAILURE_MEMORY_MS,
   FAILURE_PRIOR_OUTCOMES,
+  MAX_CONSECUTIVE_FAILURES,
   MIN_FAILURES,
   MOSTLY_FAILING_SHARE,
   SOUND_FAILURE_SHARE,
@@ -13,7 +14,7 @@
   record(hasFailed: boolean, sentMs: Millis): void;
   /** Share of failures among the outcomes of the last seconds, between 0 and 1. */
   share(): number;
-  /** True if requests that were sent after a failure have been answered, so that the server lives. */
+  /** True if requests that were sent after a failure have been answered, and not all of late have failed. */
   isPartial(): boolean;
 }
 
@@ -37,6 +38,7 @@
   let updatedMs = clock.nowMs();
   let firstFailureMs = Infinity;
   let hasAnswered = false;
+  let consecutiveFailures = 0;
 
   const decay = () => {
     const nowMs = clock.nowMs();
@@ -53,6 +55,7 @@
     record(hasFailed, sentMs) {
       decay();
       total += 1;
+      consecutiveFailures = hasFailed ? consecutiveFailures + 1 : 0;
       if (hasFailed) {
         failed += 1;
         firstFailureMs = Math.min(firstFailureMs, clock.nowMs());
@@ -63,7 +66,7 @@
       decay();
       return failed < MIN_FAILURES ? 0 : failed / (total + FAILURE_PRIOR_OUTCOMES);
     },
-    isPartial: () => hasAnswered,
+    isPartial: () => hasAnswered && consecutiveFailures < MAX_CONSECUTIVE_FAILURES,
   };
 }
 
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -1,4 +1,6 @@
 import type { Clock, Millis } from "@jaypass/kernel";
+import { dropUnsureSamples, sampleSpeed } from "./_lib/sample_speed.ts";
+import type { SampledPrefill } from "./_lib/sample_speed.ts";
 import { computePassMs } from "./compute_pass_ms.ts";
 import { computeWeight } from "./compute_weight.ts";
 import { computePrefillMs } from "./compute_prefill_ms.ts";
@@ -7,7 +9,6 @@
   FOREIGN_PREFILL_HEADROOM_MS,
   FOREIGN_SIZE_FACTOR,
   LONG_PREFILL_MIN_MS,
-  MIN_SPEED_SAMPLE_MS,
   PAUSE_SLACK_MS,
   REPORT_VALID_MS,
   SUSPECT_BASE_MS,
@@ -17,7 +18,7 @@
 import { createFailureShare } from "./create_failure_share.ts";
 import type { FailureShare } from "./create_failure_share.ts";
 import { createServerSpeed } from "./create_server_speed.ts";
-import type { ServerSpeed, SpeedSample } from "./create_server_speed.ts";
+import type { ServerSpeed } from "./create_server_speed.ts";
 import { createRateWindow } from "./create_rate_window.ts";
 import type { EngineProfile, EngineReport, PlacementJob, PlacementServer } from "./types.ts";
 
@@ -28,16 +29,8 @@
 const OVERDUE_SHARE = 0.1;
 
 /** Load that one job puts on one server. */
-interface JobShare {
+interface JobShare extends SampledPrefill {
   job: PlacementJob;
-  /** Expected milliseconds of prefill on this server at its usual speed. */
-  prefillMs: Millis;
-  /** Expected time to the first byte at usual speed, of which a sample is taken; undefined for none. */
-  expectedMs?: Millis;
-  /** True if other servers prefill parts of the prompt. */
-  isSplit?: boolean;
-  /** Sample of the server's speed that the job has given so far. */
-  sample?: SpeedSample;
   /** True for the server that received the request, false for a helper. */
   isPrimary: boolean;
   /** True once the first byte of the answer has arrived, so that the prefill is over. */
@@ -46,7 +39,6 @@
   isDelayed: boolean;
   /** Tokens of memory that the job uses on this server. */
   memoryTokens: number;
-  startMs: Millis;
 }
 
 /** Load that a job or a part of it puts on a server. */
@@ -193,6 +185,7 @@
   let cached: { snapshot: LoadSnapshot; atMs: Millis } | undefined;
 
   const listShares = () => [...shares.values()];
+  const pendingShares = () => listShares().filter((share) => !share.isDecoding);
   const foreignRequestCount = () => clock.nowMs() < foreign.untilMs ? foreign.requests : 0;
   const foreignTokens = () => clock.nowMs() < foreign.untilMs ? foreign.tokens : 0;
   const ownRequestCount = () => listShares().filter((share) => share.isPrimary).length;
@@ -245,32 +238,6 @@
     return computePassMs(streaming.length, contextTokens, profile) * speed.factor();
   };
 
-  /**
-   * Drops the sample of a request whose first byte depends on a longer prefill beside it: how long that
-   * one takes is not known well enough to tell a slow server from a wrong estimate.
-   */
-  const dropSamples = () => {
-    const pending = listShares().filter((share) => !share.isDecoding);
-    for (const share of pending) {
-      const { expectedMs = 0 } = share;
-      const isBesideLonger = pending.some((other) =>
-        other !== share && other.prefillMs > Math.max(share.prefillMs, expectedMs / 2)
-      );
-      if (isBesideLonger) share.expectedMs = undefined;
-    }
-  };
-
-  const observe = (share: JobShare, minRatio = 0) => {
-    const { expectedMs = 0, startMs, isSplit = false } = share;
-    if (expectedMs < MIN_SPEED_SAMPLE_MS) return;
-    const ratio = (clock.nowMs() - startMs) / expectedMs;
-    if (ratio < minRatio) return;
-    cached = undefined;
-    share.sample ??= { ratio, placedMs: startMs, isShared: isSplit };
-    share.sample.ratio = ratio;
-    speed.observe(share.sample);
-  };
-
   // A request that is already late does not limit further prefills.
   const minPauseGoalMs = () =>
     streamingShares().filter((share) => !share.isDelayed)
@@ -323,7 +290,7 @@
         isDelayed: false,
         startMs: clock.nowMs() - ageMs,
       });
-      dropSamples();
+      dropUnsureSamples(pendingShares());
     },
     countSend() {
       lastSendMs = clock.nowMs();
@@ -334,14 +301,16 @@
       cached = undefined;
       const share = shares.get(jobId);
       if (share === undefined) return;
-      if (!share.isDecoding) observe(share);
+      if (!share.isDecoding) sampleSpeed(share, speed, { nowMs: clock.nowMs() });
       share.isDecoding = true;
     },
     observeOverdue() {
-      const pending = listShares().filter((share) => !share.isDecoding);
+      const pending = pendingShares();
       if (pending.length === 0) return;
+      const factor = speed.factor();
       const minRatio = WATCH_RATIO * (speedBaseline() ?? Infinity);
-      for (const share of pending) observe(share, minRatio);
+      for (const share of pending) sampleSpeed(share, speed, { nowMs: clock.nowMs(), minRatio });
+      if (speed.factor() !== factor) cached = undefined;
     },
     remove(jobId) {
       cached = undefined;
@@ -360,7 +329,7 @@
       const nowMs = clock.nowMs();
       const ownPassMs = passMs();
       const factor = speed.factor();
-      return listShares().filter((share) => !share.isDecoding).map(
+      return pendingShares().map(
         ({ job, prefillMs, startMs, isDelayed }) => {
           const doneMs = Math.max(prefillMs * factor, nowMs - startMs) + ownPassMs;
           return {
