--- a/packages/forwarding_host/create_trouble_watch.ts
+++ b/packages/forwarding_host/create_trouble_watch.ts
@@ -1,4 +1,5 @@
 import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
+import { SOUND_FAILURE_SHARE } from "@jaypass/placement";
 import type { PlacementServer, ServerTrouble } from "@jaypass/placement";
 import {
   MAX_PROBED_ENGINES,
@@ -96,7 +97,7 @@
       metrics.gauge("slow_servers", troubled.filter(({ factor }) => factor > 1).length);
       metrics.gauge(
         "failing_servers",
-        troubled.filter(({ failureShare }) => failureShare > 0).length,
+        troubled.filter(({ failureShare }) => failureShare >= SOUND_FAILURE_SHARE).length,
       );
       const nowMs = clock.nowMs();
       for (const [id, atMs] of askedMs) {
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -6,22 +6,22 @@
  */
 
 export * from "./choose_engines.ts";
+export * from "./choose_probe.ts";
 export * from "./compute_pass_ms.ts";
 export * from "./compute_prefill_ms.ts";
 export * from "./compute_weight.ts";
 export * from "./constants.ts";
 export * from "./create_crash_evidence.ts";
+export * from "./create_failure_share.ts";
 export * from "./create_placer.ts";
 export * from "./create_quarantine_list.ts";
 export * from "./create_rate_window.ts";
 export * from "./create_retry_limiter.ts";
 export * from "./create_server_load.ts";
+export * from "./create_server_speed.ts";
 export * from "./create_slot_queue.ts";
 export * from "./create_long_prompt_queue.ts";
 export * from "./list_content_keys.ts";
 export * from "./placer_types.ts";
 export * from "./sample_two.ts";
 export * from "./types.ts";
-export * from "./create_failure_share.ts";
-export * from "./create_server_speed.ts";
-export * from "./choose_probe.ts";
