--- a/packages/forwarding_host/create_placement_parsers.ts
+++ b/packages/forwarding_host/create_placement_parsers.ts
@@ -64,6 +64,8 @@
     ...(fields.has("routePriority") && {
       routePriority: fields.number("routePriority", TIME_RANGE),
     }),
+    // Missing if the host has no preference.
+    ...(fields.has("dataCentre") ? { dataCentre: fields.string("dataCentre") } : {}),
   };
 }
 
@@ -122,6 +124,8 @@
     helperIds: fields.strings("helperIds"),
     tickets: fields.list("tickets").map(parseTicket),
     partMs: fields.number("partMs", AMOUNT_RANGE),
+    // Missing in messages of an earlier version, and in decisions on servers of usual speed.
+    ...(fields.has("usualMs") ? { usualMs: fields.number("usualMs", TIME_RANGE) } : {}),
   };
 }
 
--- a/packages/placement/create_server_load.ts
+++ b/packages/placement/create_server_load.ts
@@ -1,4 +1,6 @@
 import type { Clock, Millis } from "@jaypass/kernel";
+import { dropUnsureSamples, sampleSpeed } from "./_lib/sample_speed.ts";
+import type { SampledPrefill } from "./_lib/sample_speed.ts";
 import { computePassMs } from "./compute_pass_ms.ts";
 import { computeWeight } from "./compute_weight.ts";
 import { computePrefillMs } from "./compute_prefill_ms.ts";
@@ -11,7 +13,12 @@
   REPORT_VALID_MS,
   SUSPECT_BASE_MS,
   SUSPECT_MAX_MS,
+  WATCH_RATIO,
 } from "./constants.ts";
+import { createFailureShare } from "./create_failure_share.ts";
+import type { FailureShare } from "./create_failure_share.ts";
+import { createServerSpeed } from "./create_server_speed.ts";
+import type { ServerSpeed } from "./create_server_speed.ts";
 import { createRateWindow } from "./create_rate_window.ts";
 import type { EngineProfile, EngineReport, PlacementJob, PlacementServer } from "./types.ts";
 
@@ -22,10 +29,8 @@
 const OVERDUE_SHARE = 0.1;
 
 /** Load that one job puts on one server. */
-interface JobShare {
+interface JobShare extends SampledPrefill {
   job: PlacementJob;
-  /** Expected milliseconds of prefill on this server. */
-  prefillMs: Millis;
   /** True for the server that received the request, false for a helper. */
   isPrimary: boolean;
   /** True once the first byte of the answer has arrived, so that the prefill is over. */
@@ -34,13 +39,16 @@
   isDelayed: boolean;
   /** Tokens of memory that the job uses on this server. */
   memoryTokens: number;
-  startMs: Millis;
 }
 
 /** Load that a job or a part of it puts on a server. */
 export interface LoadPart {
-  /** Expected milliseconds of prefill. */
+  /** Expected milliseconds of prefill at the usual speed of the server. */
   prefillMs: Millis;
+  /** Expected milliseconds to the first byte at usual speed; undefined if not known. */
+  expectedMs?: Millis;
+  /** True if other servers prefill parts of the prompt; false by default. */
+  isSplit?: boolean;
   /** Tokens of memory. */
   memoryTokens: number;
   /** True for the server that gets the request, false for a helper. */
@@ -73,6 +81,8 @@
   pendingPrefills: PendingPrefill[];
   /** See {@linkcode ServerLoad.prefillBacklogMs}. */
   backlogMs: Millis;
+  /** See {@linkcode ServerSpeed.factor}. */
+  speedFactor: number;
   /** See {@linkcode ServerLoad.passMs}. */
   passMs: Millis;
   /** See {@linkcode ServerLoad.prefillHeadroomMs}. */
@@ -85,8 +95,14 @@
 export interface ServerLoad {
   /** Current entry of the server. */
   server: PlacementServer;
+  /** Speed of the server relative to others; times of the load are scaled by its factor. */
+  speed: ServerSpeed;
+  /** Share of requests that the server fails. */
+  failures: FailureShare;
   /** Replaces the cost model. */
   setProfile(profile: EngineProfile | undefined): void;
+  /** Sets the speed to the pace that the server has stated. */
+  setPace(pace: number): void;
   /** Applies the server's own load report, which includes requests that other hosts placed. */
   applyReport(report: EngineReport): void;
   /**
@@ -100,6 +116,8 @@
   countSend(): void;
   /** Marks a job as decoding, so that its prefill no longer counts. */
   markDecoding(jobId: string): void;
+  /** Samples the server's speed by the requests that have waited for much longer than expected. */
+  observeOverdue(): void;
   /** Removes a job. */
   remove(jobId: string): void;
   /** Number of requests and parts on the server. */
@@ -124,6 +142,8 @@
   prefillHeadroomMs(): Millis;
   /** Tokens of memory in use. */
   memoryTokens(): number;
+  /** Milliseconds since the last request was sent to the server. */
+  sinceLastSendMs(): Millis;
   /** Number of requests sent within the last second. */
   recentSends(): number;
   /** Avoids the server for a time that grows with each consecutive failure. */
@@ -138,7 +158,7 @@
  * Creates the load record of one server.
  *
  * @param server entry of the server
- * @param options clock and, for engines, the cost model
+ * @param options clock, for engines the cost model, and the usual speed ratio of the service
  * @returns the load of an idle server
  *
  * @example
@@ -147,9 +167,15 @@
  */
 export function createServerLoad(
   server: PlacementServer,
-  options: { clock: Clock; profile: EngineProfile | undefined },
+  options: {
+    clock: Clock;
+    profile: EngineProfile | undefined;
+    speedBaseline?: () => number | undefined;
+  },
 ): ServerLoad {
-  const { clock } = options;
+  const { clock, speedBaseline = () => undefined } = options;
+  const speed = createServerSpeed({ clock, baseline: speedBaseline });
+  let lastSendMs = -Infinity;
   let profile = options.profile;
   const shares = new Map<string, JobShare>();
   const sends = createRateWindow({ clock, windowMs: COLD_WINDOW_MS });
@@ -159,6 +185,7 @@
   let cached: { snapshot: LoadSnapshot; atMs: Millis } | undefined;
 
   const listShares = () => [...shares.values()];
+  const pendingShares = () => listShares().filter((share) => !share.isDecoding);
   const foreignRequestCount = () => clock.nowMs() < foreign.untilMs ? foreign.requests : 0;
   const foreignTokens = () => clock.nowMs() < foreign.untilMs ? foreign.tokens : 0;
   const ownRequestCount = () => listShares().filter((share) => share.isPrimary).length;
@@ -168,6 +195,7 @@
 
   const prefillBacklogMs = () => {
     const nowMs = clock.nowMs();
+    const factor = speed.factor();
     let elapsedMs = 0;
     let backlogMs = 0;
     for (const share of listShares()) {
@@ -175,9 +203,10 @@
       // Prefills are assumed to run one after another, so time that was attributed to an earlier
       // prefill does not count again.
       const sinceMs = Math.max(0, nowMs - share.startMs - elapsedMs);
-      const doneMs = Math.min(sinceMs, share.prefillMs * (1 - OVERDUE_SHARE));
+      const prefillMs = share.prefillMs * factor;
+      const doneMs = Math.min(sinceMs, prefillMs * (1 - OVERDUE_SHARE));
       elapsedMs += doneMs;
-      backlogMs += share.prefillMs - doneMs;
+      backlogMs += prefillMs - doneMs;
     }
     return backlogMs + foreignBacklogMs();
   };
@@ -190,7 +219,7 @@
     if (profile === undefined) return 0;
     const excessTokens = foreignTokens() - FOREIGN_SIZE_FACTOR * foreignRequestCount() *
         (profile.usualPromptTokens + profile.usualAnswerTokens);
-    return excessTokens <= 0 ? 0 : computePrefillMs(excessTokens, profile) / 2;
+    return excessTokens <= 0 ? 0 : computePrefillMs(excessTokens, profile) / 2 * speed.factor();
   };
 
   const isLong = (job: PlacementJob) =>
@@ -206,7 +235,7 @@
     if (profile === undefined) return 0;
     const streaming = streamingShares();
     const contextTokens = streaming.reduce((sum, share) => sum + share.job.promptTokens, 0);
-    return computePassMs(streaming.length, contextTokens, profile);
+    return computePassMs(streaming.length, contextTokens, profile) * speed.factor();
   };
 
   // A request that is already late does not limit further prefills.
@@ -216,6 +245,8 @@
 
   const load: ServerLoad = {
     server,
+    speed,
+    failures: createFailureShare(clock),
     setProfile(next) {
       cached = undefined;
       profile = next;
@@ -230,6 +261,7 @@
         onTimeWeight: load.onTimeWeight(),
         pendingPrefills: load.pendingPrefills(),
         backlogMs: load.prefillBacklogMs(),
+        speedFactor: speed.factor(),
         passMs: load.passMs(),
         headroomMs: load.prefillHeadroomMs(),
         memoryTokens: load.memoryTokens(),
@@ -237,6 +269,10 @@
       cached = { snapshot, atMs: nowMs };
       return snapshot;
     },
+    setPace(pace) {
+      cached = undefined;
+      speed.setPace(pace);
+    },
     applyReport({ running, queued, usedTokens }) {
       cached = undefined;
       foreign = {
@@ -254,12 +290,27 @@
         isDelayed: false,
         startMs: clock.nowMs() - ageMs,
       });
+      dropUnsureSamples(pendingShares());
     },
-    countSend: () => sends.add(),
+    countSend() {
+      lastSendMs = clock.nowMs();
+      sends.add();
+    },
+    sinceLastSendMs: () => clock.nowMs() - lastSendMs,
     markDecoding(jobId) {
       cached = undefined;
       const share = shares.get(jobId);
-      if (share !== undefined) share.isDecoding = true;
+      if (share === undefined) return;
+      if (!share.isDecoding) sampleSpeed(share, speed, { nowMs: clock.nowMs() });
+      share.isDecoding = true;
+    },
+    observeOverdue() {
+      const pending = pendingShares();
+      if (pending.length === 0) return;
+      const factor = speed.factor();
+      const minRatio = WATCH_RATIO * (speedBaseline() ?? Infinity);
+      for (const share of pending) sampleSpeed(share, speed, { nowMs: clock.nowMs(), minRatio });
+      if (speed.factor() !== factor) cached = undefined;
     },
     remove(jobId) {
       cached = undefined;
@@ -277,9 +328,10 @@
     pendingPrefills() {
       const nowMs = clock.nowMs();
       const ownPassMs = passMs();
-      return listShares().filter((share) => !share.isDecoding).map(
+      const factor = speed.factor();
+      return pendingShares().map(
         ({ job, prefillMs, startMs, isDelayed }) => {
-          const doneMs = Math.max(prefillMs, nowMs - startMs) + ownPassMs;
+          const doneMs = Math.max(prefillMs * factor, nowMs - startMs) + ownPassMs;
           return {
             slackMs: isDelayed ? Infinity : job.goalMs - job.elapsedMs - doneMs,
             deadlineSlackMs: job.remainingMs - doneMs,
