Limit what callers make a host hold

Callers could end a host: every pipelined head was parsed and handled at once, each chunk of a body was kept as an object of its own, and connections had no limit. Where the settings state memory and descriptors of the machine, the host now keeps an account of held bytes at their real cost, parses at most one request of a connection at a time and in turns, gives up the largest holder first, and limits connections in all and per address. Small chunks are copied together. Without these settings nothing changes but the copying.

--- /dev/null
+++ b/packages/forwarding/_lib/create_body_collector.ts
@@ -0,0 +1,88 @@
+import { MAX_BODY_BLOCK_BYTES, MIN_BODY_BLOCK_BYTES, SMALL_PIECE_BYTES } from "../constants.ts";
+import { reserveBodyMemory } from "./create_body_memory_budget.ts";
+import type { BodyMemoryBudget } from "./create_body_memory_budget.ts";
+
+/** Collects the pieces of a body. */
+export interface BodyCollector {
+  /**
+   * Adds a piece.
+   *
+   * @throws {ForwardingError} if the memory budget does not allow it
+   */
+  add(piece: Buffer): void;
+  /** Bytes of the pieces. */
+  length(): number;
+  /** Returns the whole body, whose length stays reserved; the collector must not be used afterwards. */
+  finish(): Buffer;
+  /** Releases the memory of all pieces. */
+  discard(): void;
+}
+
+/**
+ * Creates a collector of a body's pieces, which copies small pieces into common blocks: a piece of one
+ * byte takes a few hundred bytes as an object of its own.
+ *
+ * @param memory budget from which the memory is reserved
+ * @returns the collector
+ *
+ * @example
+ * const body = createBodyCollector(memory);
+ * req.on("data", (piece) => body.add(piece));
+ */
+export function createBodyCollector(memory: BodyMemoryBudget): BodyCollector {
+  const parts: Buffer[] = [];
+  let block = Buffer.alloc(0);
+  let used = 0;
+  let length = 0;
+  let reserved = 0;
+
+  const reserve = (bytes: number) => {
+    reserveBodyMemory(memory, bytes);
+    reserved += bytes;
+  };
+  const closeBlock = () => {
+    if (used > 0) parts.push(block.subarray(0, used));
+    block = Buffer.alloc(0);
+    used = 0;
+  };
+  const discard = () => {
+    memory.release(reserved);
+    reserved = 0;
+    length = 0;
+    parts.length = 0;
+    block = Buffer.alloc(0);
+  };
+
+  return {
+    add(piece) {
+      if (piece.length >= SMALL_PIECE_BYTES) {
+        reserve(piece.length);
+        closeBlock();
+        parts.push(piece);
+      } else {
+        if (used + piece.length > block.length) {
+          const wanted = Math.min(MAX_BODY_BLOCK_BYTES, Math.max(MIN_BODY_BLOCK_BYTES, length));
+          const size = Math.max(wanted, piece.length);
+          reserve(size);
+          closeBlock();
+          block = Buffer.allocUnsafeSlow(size);
+        }
+        used += piece.copy(block, used);
+      }
+      length += piece.length;
+    },
+    length: () => length,
+    finish() {
+      closeBlock();
+      const [only] = parts;
+      const body =
+        parts.length === 1 && only !== undefined && only.length === only.buffer.byteLength
+          ? only
+          : Buffer.concat(parts, length);
+      memory.release(reserved - length);
+      reserved = length;
+      return body;
+    },
+    discard,
+  };
+}
--- a/packages/forwarding/_lib/create_body_memory_budget.ts
+++ b/packages/forwarding/_lib/create_body_memory_budget.ts
@@ -6,6 +6,11 @@
   tryReserve(bytes: number): boolean;
   /** Releases reserved memory. */
   release(bytes: number): void;
+  /**
+   * Sets what gives up memory of a body that is being read, for a budget that asks for it; undefined
+   * when nothing can be given up any more.
+   */
+  setGiveUp?(giveUp: (() => void) | undefined): void;
 }
 
 /**
@@ -37,7 +42,10 @@
  * @throws {ForwardingError} if the budget is exhausted
  */
 export function reserveBodyMemory(memory: BodyMemoryBudget, bytes: number): void {
-  if (!memory.tryReserve(bytes)) {
-    throw new ForwardingError(503, FAILURE.BODY_MEMORY, { retryAfterMs: 500 });
-  }
+  if (!memory.tryReserve(bytes)) throw createBodyMemoryError();
+}
+
+/** Creates the refusal of a request for whose body the host has no memory; it has not been passed on. */
+export function createBodyMemoryError(): ForwardingError {
+  return new ForwardingError(503, FAILURE.BODY_MEMORY, { retryAfterMs: 500 });
 }
--- a/packages/forwarding/_lib/read_body.ts
+++ b/packages/forwarding/_lib/read_body.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage } from "node:http";
+import { finished } from "node:stream";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import type { BodyMemoryBudget } from "./create_body_memory_budget.ts";
-import { reserveBodyMemory } from "./create_body_memory_budget.ts";
+import { createBodyMemoryError } from "./create_body_memory_budget.ts";
+import { createBodyCollector } from "./create_body_collector.ts";
 
 /** Options of {@linkcode readBody}. */
 export interface ReadBodyOptions {
@@ -24,24 +26,39 @@
  */
 export async function readBody(req: IncomingMessage, options: ReadBodyOptions): Promise<Buffer> {
   const { maxBytes, memory } = options;
-  const chunks: Buffer[] = [];
-  let length = 0;
   const declaredLength = Number(req.headers["content-length"] ?? 0);
   if (declaredLength > maxBytes) throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
+  const body = createBodyCollector(memory);
   try {
-    // The default iterator closes the connection on an error, so that no answer could be sent.
-    const readChunks: AsyncIterable<Buffer> = req.iterator({ destroyOnReturn: false });
-    for await (const chunk of readChunks) {
-      if (length + chunk.length > maxBytes) throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
-      reserveBodyMemory(memory, chunk.length);
-      length += chunk.length;
-      chunks.push(chunk);
-    }
+    await new Promise<void>((resolve, reject) => {
+      memory.setGiveUp?.(() => {
+        body.discard();
+        req.off("data", onData);
+        reject(createBodyMemoryError());
+      });
+      const onData = (piece: Buffer) => {
+        try {
+          if (body.length() + piece.length > maxBytes) {
+            throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
+          }
+          body.add(piece);
+        } catch (err) {
+          body.discard();
+          req.off("data", onData);
+          reject(err);
+        }
+      };
+      req.on("data", onData);
+      finished(req, { writable: false }, (err) => {
+        if (err) reject(new ForwardingError(400, FAILURE.BODY_INCOMPLETE, { cause: err }));
+        else resolve();
+      });
+    });
   } catch (err) {
-    memory.release(length);
-    if (err instanceof ForwardingError) throw err;
-    throw new ForwardingError(400, FAILURE.BODY_INCOMPLETE, { cause: err });
+    body.discard();
+    throw err;
+  } finally {
+    memory.setGiveUp?.(undefined);
   }
-  const [only] = chunks;
-  return chunks.length === 1 && only !== undefined ? only : Buffer.concat(chunks, length);
+  return body.finish();
 }
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -2,6 +2,7 @@
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { ServerNotices } from "../create_server_notices.ts";
+import type { HostLimits } from "../compute_host_limits.ts";
 import type { Failure } from "../errors.ts";
 import type { AttemptState } from "./attempt.ts";
 import type {
@@ -113,6 +114,8 @@
   reservations: ReservationClient;
   /** The graceful stop, during which connections are closed after their current request. */
   stop: HostStop;
+  /** Limits on what callers make the host hold; none by default. */
+  limits?: HostLimits;
 }
 
 /** A completely received request of a caller. */
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -6,15 +6,17 @@
 import type { Millis } from "@jaypass/kernel";
 import {
   DEFAULT_IDLE_TIMEOUT_MS,
+  HEADER_LINE_COST_BYTES,
   MAX_BUFFERED_BODY_BYTES,
   MAX_UNREAD_BODY_BYTES,
   NO_CONFIGURATION_RETRY_AFTER_MS,
+  REQUEST_COST_BYTES,
 } from "./constants.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { FAILURE, ForwardingError } from "./errors.ts";
 import { createStoppingError } from "./_lib/attempt_errors.ts";
 import { breakOff } from "./_lib/break_off.ts";
-import { createBodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
+import { createBodyMemoryBudget, reserveBodyMemory } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
 import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
 import { handleTunnelRequest } from "./_lib/handle_tunnel_request.ts";
@@ -26,6 +28,8 @@
 import { sendFailure } from "./_lib/send_failure.ts";
 import { startEndTimer } from "./_lib/start_end_timer.ts";
 import { canTakeRequest } from "./_lib/stop_limit.ts";
+import { createCallerLimits } from "./_lib/create_caller_limits.ts";
+import type { CallerLimiter } from "./_lib/create_caller_limits.ts";
 import { createConnectionCloser } from "./_lib/create_connection_closer.ts";
 import type { ConnectionCloser, ConnectionCounts } from "./_lib/create_connection_closer.ts";
 import { createCallerConnections } from "./_lib/create_caller_connections.ts";
@@ -48,7 +52,10 @@
    * reports it; never rejects.
    */
   handleExpecting(req: IncomingMessage, res: ServerResponse): Promise<void>;
-  /** Registers a caller's connection, as the event `connection` reports it. */
+  /**
+   * Registers a caller's connection, as the event `connection` reports it; closes it if too many are
+   * open.
+   */
   accept(socket: Socket): void;
   /**
    * Refuses the request on a caller's connection, which was accepted in the exit of the host. What
@@ -121,6 +128,13 @@
   setMaxListeners(0, context.stop.signal, context.stop.exit);
   const monitor = createStopMonitor({ ...context, stopTime: () => context.stop.time(), closer });
   let size = 0;
+  const protocolError = (err: Error, socket: Socket) =>
+    handleProtocolError(context, { connections, closer }, err, socket);
+  const limits: CallerLimiter | undefined = createCallerLimits(context, {
+    connections,
+    closer,
+    onEndlessHead: (socket) => protocolError(createHeadOverflow(), socket),
+  });
 
   const serve = async (
     req: IncomingMessage,
@@ -128,16 +142,28 @@
     monitored: MonitoredRequest,
     arrivalMs: Millis,
   ) => {
-    const resolved = resolveRequest(context, req, { arrivalMs, otherRequests: size - 1 });
-    monitor.accepted(monitored, resolved.route.name);
-    const body = await readBody(req, {
-      maxBytes: resolved.configuration.limits.maxBodyBytes,
-      memory,
-    });
+    const holder = limits?.findHolder(req.socket);
+    const headCost = holder === undefined ? 0 : countHeadCost(req);
+    if (holder !== undefined) reserveBodyMemory(holder, headCost);
+    let pinned = 0;
     try {
-      await forward(context, { req, res, resolved, body, arrivalMs, monitored, connections });
+      const resolved = resolveRequest(context, req, { arrivalMs, otherRequests: size - 1 });
+      monitor.accepted(monitored, resolved.route.name);
+      const body = await readBody(req, {
+        maxBytes: resolved.configuration.limits.maxBodyBytes,
+        memory: holder ?? memory,
+      });
+      // What a server has is not given up for the sake of others.
+      pinned = headCost + body.length;
+      holder?.pin(pinned);
+      try {
+        await forward(context, { req, res, resolved, body, arrivalMs, monitored, connections });
+      } finally {
+        releaseBody(holder ?? memory, body);
+      }
     } finally {
-      releaseBody(memory, body);
+      holder?.pin(-pinned);
+      holder?.release(headCost);
     }
   };
 
@@ -152,7 +178,8 @@
       req.resume();
       return;
     }
-    const arrivalMs = context.clock.nowMs();
+    // A request may have waited unread behind another one; its deadline counts that time.
+    const arrivalMs = limits?.arrivalMs(socket) ?? context.clock.nowMs();
     timeouts.requestArrived(socket);
     size += 1;
     const monitored = monitor.add(req, res);
@@ -177,6 +204,7 @@
     monitor.remove(monitored);
     timeouts.requestEnded(socket);
     connections.remove(res, socket);
+    limits?.advance(socket);
   };
 
   return {
@@ -186,8 +214,10 @@
       await handle(req, res, () => sendContinue(res, previous));
     },
     accept(socket) {
+      if (limits?.admit(socket) === false) return;
       closer.accept(socket);
       connections.accept(socket);
+      limits?.open(socket);
     },
     refuse: (socket) => closer.refuse(socket),
     handleIdleTimeout: (socket) =>
@@ -196,9 +226,10 @@
         () => closer.close(socket, CLOSE_REASON.IDLE_TIMEOUT, () => socket.destroy()),
       ),
     handleProtocolError(err, socket) {
-      const handle = () => handleProtocolError(context, { connections, closer }, err, socket);
-      if (isHeaderTimeout(err)) timeouts.handleHeaderTimeout(socket, handle);
-      else handle();
+      if (!isHeaderTimeout(err)) return protocolError(err, socket);
+      // The rest of the headers may wait for its turn.
+      limits?.flush(socket);
+      timeouts.handleHeaderTimeout(socket, () => protocolError(err, socket));
     },
     handleTunnelRequest: (socket) => handleTunnelRequest({ connections, closer }, socket),
     size: () => size,
@@ -214,7 +245,18 @@
   return code === "ERR_HTTP_REQUEST_TIMEOUT";
 }
 
-function releaseBody(memory: BodyMemoryBudget, body: Buffer): void {
+/** Creates the error of the HTTP parser for a head that is too large. */
+function createHeadOverflow(): NodeJS.ErrnoException {
+  return Object.assign(new Error("Head without end"), { code: "HPE_HEADER_OVERFLOW" });
+}
+
+/** Counts the memory of a request in progress without its body. */
+function countHeadCost(req: IncomingMessage): number {
+  const lines = req.rawHeaders.length / 2;
+  return REQUEST_COST_BYTES + countHeaderBytes(req) + lines * HEADER_LINE_COST_BYTES;
+}
+
+function releaseBody(memory: Pick<BodyMemoryBudget, "release">, body: Buffer): void {
   memory.release(body.length);
 }
 
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -200,6 +200,10 @@
   PROTOCOL_ERROR: "protocol_error",
   /** The body of a refused request did not end within the limits. */
   REFUSED_BODY: "refused_body",
+  /** What it made the host hold was the most, and the host held too much. */
+  MEMORY: "memory",
+  /** Too many connections were open, and no request ran on this one. */
+  CONNECTION_LIMIT: "connection_limit",
   /** The last answer had announced the close. */
   ANNOUNCED: "announced",
   /** An answer could not be completed after its head was sent. */
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import { closeListener } from "@jaypass/kernel";
 import type { ServiceDefinition } from "@jaypass/kernel";
-import { createForwarder, DEFAULT_IDLE_TIMEOUT_MS } from "@jaypass/forwarding";
+import { computeHostLimits, createForwarder, DEFAULT_IDLE_TIMEOUT_MS } from "@jaypass/forwarding";
 import type { Forwarder } from "@jaypass/forwarding";
 import { CONNECTION_CHECK_MS, DIRECTORY_TTL_MS, MAX_HEADER_BYTES } from "./constants.ts";
 import { createReservations } from "./create_reservations.ts";
@@ -25,7 +25,7 @@
  * @returns the definition
  */
 export function defineForwarderService(context: HostContext): ServiceDefinition<Forwarder> {
-  const { adapter, clock, random, log, metrics } = context;
+  const { adapter, settings, clock, random, log, metrics } = context;
   return {
     name: SERVICE.FORWARDER,
     needs: [SERVICE.TASKS, SERVICE.STOP_STATE, SERVICE.CLUSTER],
@@ -57,6 +57,7 @@
           tasks: lookup(SERVICE.TASKS),
         }),
         stop,
+        limits: settings.machine && computeHostLimits(settings.machine),
       });
       return { service: forwarder };
     },
@@ -116,7 +117,7 @@
 }
 
 function createCallerServer(
-  { clock }: HostContext,
+  { clock, settings }: HostContext,
   cluster: Cluster,
   forwarder: Forwarder,
 ): Server {
@@ -128,6 +129,8 @@
   }, (req, res) => void forwarder.handle(req, res));
   server.on("checkContinue", (req, res) => void forwarder.handleExpecting(req, res));
   server.on("connect", (_req, socket) => forwarder.handleTunnelRequest(socket as Socket));
+  // Node.js drops header lines beyond the first 1,000 by default. The memory of all is counted instead.
+  if (settings.machine?.memoryMb !== undefined) server.maxHeadersCount = 0;
   const { headersTimeout } = server;
   const limits = () => cluster.view.configuration()?.limits;
   const lowerHeaderTimeout = createGradualLimit(clock);
--- a/packages/forwarding_host/types.ts
+++ b/packages/forwarding_host/types.ts
@@ -17,6 +17,8 @@
   dataCentre: string;
   /** CPU share of the host in cores. */
   processorShare: number;
+  /** Memory in megabytes and descriptors of the machine, from which limits on callers follow. */
+  machine?: { memoryMb: number | undefined; maxDescriptors: number | undefined };
   /** Address for callers' requests. */
   callerAddress: string;
   /** Address for readiness checks; undefined if none are served. */
