--- a/packages/forwarding/_lib/create_caller_answer.ts
+++ b/packages/forwarding/_lib/create_caller_answer.ts
@@ -1,9 +1,9 @@
-import { once } from "node:events";
 import { validateHeaderName, validateHeaderValue } from "node:http";
-import { CALLER_BUFFER_BYTES } from "../constants.ts";
+import { READ_ON_SHARE } from "../constants.ts";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
 import type { HeaderList } from "../types.ts";
+import { createUnreadAnswer } from "./create_unread_answer.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /**
@@ -22,7 +22,8 @@
   /**
    * Writes a part of the body, and waits while too many bytes are queued for a slow caller.
    *
-   * @throws {ForwardingError} if the caller disconnects or the deadline passes during the wait
+   * @throws {ForwardingError} if the caller disconnects, the deadline passes or the caller reads nothing
+   * for too long during the wait
    */
   write(bytes: Buffer): Promise<void>;
   /** Ends a body that was written in parts, so that the answer is complete. */
@@ -47,6 +48,11 @@
   request: CallerRequest,
 ): CallerAnswer {
   const { res, signal } = request;
+  const { heldBytes, readsOn = false } = context.limits ?? {};
+  const unread = createUnreadAnswer(res, {
+    holder: request.holder,
+    readOnBytes: readsOn && heldBytes !== undefined ? heldBytes * READ_ON_SHARE : undefined,
+  });
   let hasBegun = false;
 
   const sendHead = (answer: ServerAnswer, length: number | undefined) => {
@@ -64,17 +70,21 @@
     begin: (answer) => sendHead(answer, undefined),
     async write(bytes) {
       res.write(bytes);
-      if (res.writableLength <= CALLER_BUFFER_BYTES) return;
+      unread.count();
       try {
-        await once(res, "drain", { signal });
+        await unread.waitForRoom(signal);
       } catch (err) {
         throw new ForwardingError(504, FAILURE.DEADLINE, { cause: err });
       }
     },
-    end: () => void res.end(),
+    end() {
+      res.end();
+      unread.count();
+    },
     send(answer, body) {
       sendHead(answer, body.length);
       res.end(body);
+      unread.count();
     },
   };
 }
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -5,6 +5,7 @@
 import type { HostLimits } from "../compute_host_limits.ts";
 import type { Failure } from "../errors.ts";
 import type { AttemptState } from "./attempt.ts";
+import type { MemoryHolder } from "./create_memory_account.ts";
 import type {
   CallerMetadata,
   Configuration,
@@ -150,6 +151,8 @@
   signal: AbortSignal;
   /** The answer to the caller. */
   res: ServerResponse;
+  /** Memory of the caller's connection; undefined if it is not counted. */
+  holder: MemoryHolder | undefined;
   /** Reports whether the answer must announce that its connection is closed afterwards. */
   shouldClose: () => boolean;
   /** Called for each part of a server's answer that was read: its head, pieces of its body, its end. */
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -18,6 +18,7 @@
 import { breakOff } from "./_lib/break_off.ts";
 import { createBodyMemoryBudget, reserveBodyMemory } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
+import type { MemoryHolder } from "./_lib/create_memory_account.ts";
 import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
 import { handleTunnelRequest } from "./_lib/handle_tunnel_request.ts";
 import { readBody } from "./_lib/read_body.ts";
@@ -157,7 +158,16 @@
       pinned = headCost + body.length;
       holder?.pin(pinned);
       try {
-        await forward(context, { req, res, resolved, body, arrivalMs, monitored, connections });
+        await forward(context, {
+          req,
+          res,
+          holder,
+          resolved,
+          body,
+          arrivalMs,
+          monitored,
+          connections,
+        });
       } finally {
         releaseBody(holder ?? memory, body);
       }
@@ -315,6 +325,7 @@
 interface ForwardOptions {
   req: IncomingMessage;
   res: ServerResponse;
+  holder: MemoryHolder | undefined;
   resolved: ResolvedRequest;
   body: Buffer;
   arrivalMs: Millis;
@@ -323,7 +334,7 @@
 }
 
 async function forward(context: ForwardingContext, options: ForwardOptions): Promise<void> {
-  const { req, res, resolved, body, arrivalMs, monitored, connections } = options;
+  const { req, res, holder, resolved, body, arrivalMs, monitored, connections } = options;
   const { metadata, route, service, workspace, timeoutMs } = resolved;
   const controller = new AbortController();
   let receivedCount = 0;
@@ -360,6 +371,7 @@
     endFailure: timeoutMs < route.timeoutMs ? FAILURE.DEADLINE : FAILURE.ROUTE_TIMEOUT,
     signal: controller.signal,
     res,
+    holder,
     shouldClose: () => connections.shouldClose(req.socket),
     onReceived: () => void (receivedCount += 1),
     onAttempts: (state) => void (monitored.attempts = state),
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -57,7 +57,8 @@
           tasks: lookup(SERVICE.TASKS),
         }),
         stop,
-        limits: settings.machine && computeHostLimits(settings.machine),
+        limits: settings.machine &&
+          { ...computeHostLimits(settings.machine), readsOn: settings.readsAnswersOn },
       });
       return { service: forwarder };
     },
--- a/packages/forwarding_host/types.ts
+++ b/packages/forwarding_host/types.ts
@@ -19,6 +19,8 @@
   processorShare: number;
   /** Memory in megabytes and descriptors of the machine, from which limits on callers follow. */
   machine?: { memoryMb: number | undefined; maxDescriptors: number | undefined };
+  /** True if servers cut off answers that are unread for seconds, so that the host reads them on. */
+  readsAnswersOn?: boolean;
   /** Address for callers' requests. */
   callerAddress: string;
   /** Address for readiness checks; undefined if none are served. */
