--- a/packages/forwarding/_lib/create_caller_limits.ts
+++ b/packages/forwarding/_lib/create_caller_limits.ts
@@ -5,6 +5,7 @@
 import type { CallerConnections } from "./create_caller_connections.ts";
 import type { ConnectionCloser } from "./create_connection_closer.ts";
 import { createConnectionGate } from "./create_connection_gate.ts";
+import type { ReceivedHead } from "./create_connection_gate.ts";
 import { createMemoryAccount } from "./create_memory_account.ts";
 import type { MemoryHolder } from "./create_memory_account.ts";
 import { CONNECTION_DECISION, decideConnection } from "./decide_connection.ts";
@@ -22,8 +23,8 @@
   advance(socket: Socket): void;
   /** Parses all bytes of a connection that may be parsed now. */
   flush(socket: Socket): void;
-  /** Time at which the bytes came that are being parsed; undefined outside of the parser. */
-  arrivalMs(socket: Socket): Millis | undefined;
+  /** Reads when the head came that is being parsed, and its length; undefined outside of the parser. */
+  readHead(socket: Socket): ReceivedHead | undefined;
 }
 
 /** An open connection. */
@@ -139,6 +140,6 @@
       gate.advance(socket);
     },
     flush: (socket) => gate.flush(socket),
-    arrivalMs: (socket) => gate.arrivalMs(socket),
+    readHead: (socket) => gate.readHead(socket),
   };
 }
--- a/packages/forwarding/_lib/create_connection_gate.ts
+++ b/packages/forwarding/_lib/create_connection_gate.ts
@@ -23,8 +23,16 @@
   advance(socket: Socket): void;
   /** Parses all bytes of a connection that may be parsed now, out of turn. */
   flush(socket: Socket): void;
-  /** Time at which the bytes came that are being parsed; undefined outside of the parser. */
-  arrivalMs(socket: Socket): Millis | undefined;
+  /** Reads when the head came that is being parsed, and its length; undefined outside of the parser. */
+  readHead(socket: Socket): ReceivedHead | undefined;
+}
+
+/** A head that was received whole. */
+export interface ReceivedHead {
+  /** Time at which its end came. */
+  arrivalMs: Millis;
+  /** Bytes as received, with empty lines before it. */
+  bytes: number;
 }
 
 /** The unread bytes of a connection, and what is known of those that were parsed. */
@@ -259,6 +267,9 @@
       const record = records.get(socket);
       if (record !== undefined) runTurn(record, Infinity);
     },
-    arrivalMs: (socket) => records.get(socket)?.parsedAtMs,
+    readHead(socket) {
+      const { parsedAtMs, headBytes = 0 } = records.get(socket) ?? {};
+      return parsedAtMs === undefined ? undefined : { arrivalMs: parsedAtMs, bytes: headBytes };
+    },
   };
 }
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -141,14 +141,18 @@
     req: IncomingMessage,
     res: ServerResponse,
     monitored: MonitoredRequest,
-    arrivalMs: Millis,
+    { arrivalMs, headBytes }: { arrivalMs: Millis; headBytes: number | undefined },
   ) => {
     const holder = limits?.findHolder(req.socket);
     const headCost = holder === undefined ? 0 : countHeadCost(req);
     if (holder !== undefined) reserveBodyMemory(holder, headCost);
     let pinned = 0;
     try {
-      const resolved = resolveRequest(context, req, { arrivalMs, otherRequests: size - 1 });
+      const resolved = resolveRequest(context, req, {
+        arrivalMs,
+        headBytes: headBytes ?? countHeaderBytes(req),
+        otherRequests: size - 1,
+      });
       monitor.accepted(monitored, resolved.route.name);
       const body = await readBody(req, {
         maxBytes: resolved.configuration.limits.maxBodyBytes,
@@ -189,15 +193,19 @@
       return;
     }
     // A request may have waited unread behind another one; its deadline counts that time.
-    const arrivalMs = limits?.arrivalMs(socket) ?? context.clock.nowMs();
+    const head = limits?.readHead(socket);
+    const arrivalMs = head?.arrivalMs ?? context.clock.nowMs();
     timeouts.requestArrived(socket);
     size += 1;
     const monitored = monitor.add(req, res);
     try {
-      await runUntilExit(prepare().then(() => serve(req, res, monitored, arrivalMs)), {
-        exit: context.stop.exit,
-        findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
-      });
+      await runUntilExit(
+        prepare().then(() => serve(req, res, monitored, { arrivalMs, headBytes: head?.bytes })),
+        {
+          exit: context.stop.exit,
+          findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
+        },
+      );
     } catch (err) {
       await answerWithFailure(context, {
         req,
@@ -279,7 +287,11 @@
 function resolveRequest(
   context: ForwardingContext,
   req: IncomingMessage,
-  { arrivalMs, otherRequests }: { arrivalMs: Millis; otherRequests: number },
+  { arrivalMs, headBytes, otherRequests }: {
+    arrivalMs: Millis;
+    headBytes: number;
+    otherRequests: number;
+  },
 ): ResolvedRequest {
   const configuration = context.configuration();
   if (configuration === undefined) {
@@ -287,7 +299,7 @@
       retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS,
     });
   }
-  if (countHeaderBytes(req) > configuration.limits.maxHeaderBytes) {
+  if (headBytes > configuration.limits.maxHeaderBytes) {
     throw new ForwardingError(431, FAILURE.HEADERS_TOO_LARGE);
   }
   const route = matchRoute(configuration, req.headers.host, req.url ?? "/");
