--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -2,8 +2,10 @@
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { ServerNotices } from "../create_server_notices.ts";
+import type { HostLimits } from "../compute_host_limits.ts";
 import type { Failure } from "../errors.ts";
 import type { AttemptState } from "./attempt.ts";
+import type { MemoryHolder } from "./create_memory_account.ts";
 import type {
   CallerMetadata,
   Configuration,
@@ -113,6 +115,8 @@
   reservations: ReservationClient;
   /** The graceful stop, during which connections are closed after their current request. */
   stop: HostStop;
+  /** Limits on what callers make the host hold; none by default. */
+  limits?: HostLimits;
 }
 
 /** A completely received request of a caller. */
@@ -147,6 +151,8 @@
   signal: AbortSignal;
   /** The answer to the caller. */
   res: ServerResponse;
+  /** Memory of the caller's connection; undefined if it is not counted. */
+  holder: MemoryHolder | undefined;
   /** Reports whether the answer must announce that its connection is closed afterwards. */
   shouldClose: () => boolean;
   /** Called for each part of a server's answer that was read: its head, pieces of its body, its end. */
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -6,16 +6,19 @@
 import type { Millis } from "@jaypass/kernel";
 import {
   DEFAULT_IDLE_TIMEOUT_MS,
+  HEADER_LINE_COST_BYTES,
   MAX_BUFFERED_BODY_BYTES,
   MAX_UNREAD_BODY_BYTES,
   NO_CONFIGURATION_RETRY_AFTER_MS,
+  REQUEST_COST_BYTES,
 } from "./constants.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { FAILURE, ForwardingError } from "./errors.ts";
 import { createStoppingError } from "./_lib/attempt_errors.ts";
 import { breakOff } from "./_lib/break_off.ts";
-import { createBodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
+import { createBodyMemoryBudget, reserveBodyMemory } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
+import type { MemoryHolder } from "./_lib/create_memory_account.ts";
 import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
 import { handleTunnelRequest } from "./_lib/handle_tunnel_request.ts";
 import { readBody } from "./_lib/read_body.ts";
@@ -26,6 +29,8 @@
 import { sendFailure } from "./_lib/send_failure.ts";
 import { startEndTimer } from "./_lib/start_end_timer.ts";
 import { canTakeRequest } from "./_lib/stop_limit.ts";
+import { createCallerLimits } from "./_lib/create_caller_limits.ts";
+import type { CallerLimiter } from "./_lib/create_caller_limits.ts";
 import { createConnectionCloser } from "./_lib/create_connection_closer.ts";
 import type { ConnectionCloser, ConnectionCounts } from "./_lib/create_connection_closer.ts";
 import { createCallerConnections } from "./_lib/create_caller_connections.ts";
@@ -48,7 +53,10 @@
    * reports it; never rejects.
    */
   handleExpecting(req: IncomingMessage, res: ServerResponse): Promise<void>;
-  /** Registers a caller's connection, as the event `connection` reports it. */
+  /**
+   * Registers a caller's connection, as the event `connection` reports it; closes it if too many are
+   * open.
+   */
   accept(socket: Socket): void;
   /**
    * Refuses the request on a caller's connection, which was accepted in the exit of the host. What
@@ -121,23 +129,55 @@
   setMaxListeners(0, context.stop.signal, context.stop.exit);
   const monitor = createStopMonitor({ ...context, stopTime: () => context.stop.time(), closer });
   let size = 0;
+  const protocolError = (err: Error, socket: Socket) =>
+    handleProtocolError(context, { connections, closer }, err, socket);
+  const limits: CallerLimiter | undefined = createCallerLimits(context, {
+    connections,
+    closer,
+    onEndlessHead: (socket) => protocolError(createHeadOverflow(), socket),
+  });
 
   const serve = async (
     req: IncomingMessage,
     res: ServerResponse,
     monitored: MonitoredRequest,
-    arrivalMs: Millis,
+    { arrivalMs, headBytes }: { arrivalMs: Millis; headBytes: number | undefined },
   ) => {
-    const resolved = resolveRequest(context, req, { arrivalMs, otherRequests: size - 1 });
-    monitor.accepted(monitored, resolved.route.name);
-    const body = await readBody(req, {
-      maxBytes: resolved.configuration.limits.maxBodyBytes,
-      memory,
-    });
+    const holder = limits?.findHolder(req.socket);
+    const headCost = holder === undefined ? 0 : countHeadCost(req);
+    if (holder !== undefined) reserveBodyMemory(holder, headCost);
+    let pinned = 0;
     try {
-      await forward(context, { req, res, resolved, body, arrivalMs, monitored, connections });
+      const resolved = resolveRequest(context, req, {
+        arrivalMs,
+        headBytes: headBytes ?? countHeaderBytes(req),
+        otherRequests: size - 1,
+      });
+      monitor.accepted(monitored, resolved.route.name);
+      const body = await readBody(req, {
+        maxBytes: resolved.configuration.limits.maxBodyBytes,
+        memory: holder ?? memory,
+      });
+      // What a server has is not given up for the sake of others.
+      pinned = headCost + body.length;
+      holder?.pin(pinned);
+      try {
+        await forward(context, {
+          req,
+          res,
+          holder,
+          resolved,
+          body,
+          arrivalMs,
+          monitored,
+          connections,
+        });
+      } finally {
+        releaseBody(holder ?? memory, body);
+      }
     } finally {
-      releaseBody(memory, body);
+      holder?.pin(-pinned);
+      holder?.release(headCost);
     }
   };
 
@@ -152,15 +192,20 @@
       req.resume();
       return;
     }
-    const arrivalMs = context.clock.nowMs();
+    // A request may have waited unread behind another one; its deadline counts that time.
+    const head = limits?.readHead(socket);
+    const arrivalMs = head?.arrivalMs ?? context.clock.nowMs();
     timeouts.requestArrived(socket);
     size += 1;
     const monitored = monitor.add(req, res);
     try {
-      await runUntilExit(prepare().then(() => serve(req, res, monitored, arrivalMs)), {
-        exit: context.stop.exit,
-        findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
-      });
+      await runUntilExit(
+        prepare().then(() => serve(req, res, monitored, { arrivalMs, headBytes: head?.bytes })),
+        {
+          exit: context.stop.exit,
+          findError: () => res.headersSent ? undefined : createStoppingError(monitored.attempts),
+        },
+      );
     } catch (err) {
       await answerWithFailure(context, {
         req,
@@ -177,6 +222,7 @@
     monitor.remove(monitored);
     timeouts.requestEnded(socket);
     connections.remove(res, socket);
+    limits?.advance(socket);
   };
 
   return {
@@ -186,8 +232,10 @@
       await handle(req, res, () => sendContinue(res, previous));
     },
     accept(socket) {
+      if (limits?.admit(socket) === false) return;
       closer.accept(socket);
       connections.accept(socket);
+      limits?.open(socket);
     },
     refuse: (socket) => closer.refuse(socket),
     handleIdleTimeout: (socket) =>
@@ -196,9 +244,10 @@
         () => closer.close(socket, CLOSE_REASON.IDLE_TIMEOUT, () => socket.destroy()),
       ),
     handleProtocolError(err, socket) {
-      const handle = () => handleProtocolError(context, { connections, closer }, err, socket);
-      if (isHeaderTimeout(err)) timeouts.handleHeaderTimeout(socket, handle);
-      else handle();
+      if (!isHeaderTimeout(err)) return protocolError(err, socket);
+      // The rest of the headers may wait for its turn.
+      limits?.flush(socket);
+      timeouts.handleHeaderTimeout(socket, () => protocolError(err, socket));
     },
     handleTunnelRequest: (socket) => handleTunnelRequest({ connections, closer }, socket),
     size: () => size,
@@ -214,7 +263,18 @@
   return code === "ERR_HTTP_REQUEST_TIMEOUT";
 }
 
-function releaseBody(memory: BodyMemoryBudget, body: Buffer): void {
+/** Creates the error of the HTTP parser for a head that is too large. */
+function createHeadOverflow(): NodeJS.ErrnoException {
+  return Object.assign(new Error("Head without end"), { code: "HPE_HEADER_OVERFLOW" });
+}
+
+/** Counts the memory of a request in progress without its body. */
+function countHeadCost(req: IncomingMessage): number {
+  const lines = req.rawHeaders.length / 2;
+  return REQUEST_COST_BYTES + countHeaderBytes(req) + lines * HEADER_LINE_COST_BYTES;
+}
+
+function releaseBody(memory: Pick<BodyMemoryBudget, "release">, body: Buffer): void {
   memory.release(body.length);
 }
 
@@ -227,7 +287,11 @@
 function resolveRequest(
   context: ForwardingContext,
   req: IncomingMessage,
-  { arrivalMs, otherRequests }: { arrivalMs: Millis; otherRequests: number },
+  { arrivalMs, headBytes, otherRequests }: {
+    arrivalMs: Millis;
+    headBytes: number;
+    otherRequests: number;
+  },
 ): ResolvedRequest {
   const configuration = context.configuration();
   if (configuration === undefined) {
@@ -235,7 +299,7 @@
       retryAfterMs: NO_CONFIGURATION_RETRY_AFTER_MS,
     });
   }
-  if (countHeaderBytes(req) > configuration.limits.maxHeaderBytes) {
+  if (headBytes > configuration.limits.maxHeaderBytes) {
     throw new ForwardingError(431, FAILURE.HEADERS_TOO_LARGE);
   }
   const route = matchRoute(configuration, req.headers.host, req.url ?? "/");
@@ -273,6 +337,7 @@
 interface ForwardOptions {
   req: IncomingMessage;
   res: ServerResponse;
+  holder: MemoryHolder | undefined;
   resolved: ResolvedRequest;
   body: Buffer;
   arrivalMs: Millis;
@@ -281,7 +346,7 @@
 }
 
 async function forward(context: ForwardingContext, options: ForwardOptions): Promise<void> {
-  const { req, res, resolved, body, arrivalMs, monitored, connections } = options;
+  const { req, res, holder, resolved, body, arrivalMs, monitored, connections } = options;
   const { metadata, route, service, workspace, timeoutMs } = resolved;
   const controller = new AbortController();
   let receivedCount = 0;
@@ -318,6 +383,7 @@
     endFailure: timeoutMs < route.timeoutMs ? FAILURE.DEADLINE : FAILURE.ROUTE_TIMEOUT,
     signal: controller.signal,
     res,
+    holder,
     shouldClose: () => connections.shouldClose(req.socket),
     onReceived: () => void (receivedCount += 1),
     onAttempts: (state) => void (monitored.attempts = state),
