Send short views to members that understand them

A view is sent 3.3 times a second to each member and named each table and field. A member now states in its hello that it understands the short form, which has the ages alone; others get the view as before, and hubs of earlier releases ignore the statement. A ping leaves out isDraining while it is false, which all parsers read so.

--- a/packages/fleet/_lib/parse_message.ts
+++ b/packages/fleet/_lib/parse_message.ts
@@ -12,6 +12,7 @@
 import { parseHostEntry } from "../parse_host_entry.ts";
 import { TABLE } from "../types.ts";
 import type { Row, RowBatch, Table } from "../types.ts";
+import { expandView } from "./view_ages.ts";
 import type { TextPatch } from "./text_patch.ts";
 
 const VERSION_RANGE: NumberRange = { min: 0, max: Number.MAX_SAFE_INTEGER };
@@ -46,6 +47,7 @@
         isDraining: fields.boolean("isDraining"),
         reports: fields.values("reports").map((report) => parsers.parseReport(report)),
         revisions: parseRevisions(fields.object("revisions")),
+        ...fields.has("understands") && { understands: fields.strings("understands") },
       };
     case "ping":
       return { type, isDraining: fields.boolean("isDraining") };
@@ -105,6 +107,13 @@
           ? null
           : fields.number("recoveredAgoMs", AGE_RANGE),
       };
+    case "ages":
+      return expandView({
+        type,
+        ms: fields.values("ms").map(parseShortAge),
+        ...fields.has("recoveredAgoMs") &&
+          { recoveredAgoMs: fields.number("recoveredAgoMs", AGE_RANGE) },
+      });
     case "hosts": {
       const change = createFieldReader(fields.value("change"));
       const joined = change.values("joined").map(parseHostEntry);
@@ -131,6 +140,12 @@
   return fields.integer("call", VERSION_RANGE);
 }
 
+/** Parses an age of a short view, which is -1 for a table that was never read. */
+function parseShortAge(value: unknown): number {
+  if (typeof value === "number" && value >= -1 && value <= MAX_AGE_MS) return value;
+  throw new DecodeError("Age in a view is not a number in its range");
+}
+
 function parseTable(fields: FieldReader): Table {
   const table = TABLES.get(fields.value("table"));
   if (table === undefined) throw new DecodeError("Table is unknown");
--- a/packages/fleet/_lib/view_ages.ts
+++ b/packages/fleet/_lib/view_ages.ts
@@ -1,5 +1,6 @@
 import { MAX_AGE_MS } from "../constants.ts";
-import type { HubMessage, TableAgesMs } from "../messages.ts";
+import { DecodeError } from "@jaypass/kernel";
+import type { HubMessage, ShortView, TableAgesMs } from "../messages.ts";
 import { TABLE } from "../types.ts";
 import type { Table, TableAge } from "../types.ts";
 
@@ -34,6 +35,67 @@
   };
 }
 
+/** Order of the tables in a short view. */
+const TABLE_ORDER = [TABLE.SERVERS, ...OTHER_TABLES] as const;
+
+/** Stands in a short view for the age of a table that was never read. */
+const NEVER = -1;
+
+const toShortAge = (ageMs: number) => ageMs === MAX_AGE_MS ? NEVER : ageMs;
+
+/**
+ * Shortens a view for a member that understands it. Views are most of the traffic in calm.
+ *
+ * @param view the view
+ * @returns the same facts without the names of tables
+ */
+export function shortenView(view: View): ShortView {
+  const { ageMs, ownAgeMs, otherAgesMs = {}, otherOwnAgesMs, recoveredAgoMs } = view;
+  const list = (serversMs: number, others: TableAgesMs) =>
+    [serversMs, ...OTHER_TABLES.map((table) => others[table] ?? serversMs)].map(toShortAge);
+  const ages = list(ageMs, otherAgesMs);
+  const ownAges = list(ownAgeMs, otherOwnAgesMs ?? otherAgesMs);
+  const isOwn = ages.every((age, index) => age === ownAges[index]);
+  return {
+    type: "ages",
+    ms: isOwn ? ages : [...ages, ...ownAges],
+    ...recoveredAgoMs !== null && { recoveredAgoMs },
+  };
+}
+
+/**
+ * Restores a view from a short one.
+ *
+ * @param short the short view
+ * @returns the view
+ * @throws {DecodeError} when it does not have one or two ages for each table
+ */
+export function expandView({ ms, recoveredAgoMs }: ShortView): View {
+  const count = TABLE_ORDER.length;
+  if (ms.length !== count && ms.length !== 2 * count) {
+    throw new DecodeError(`View has ${ms.length} ages for ${count} tables`);
+  }
+  const read = (values: number[]) => {
+    const [serversMs = MAX_AGE_MS, ...others] = values.map((age) =>
+      age === NEVER ? MAX_AGE_MS : age
+    );
+    return [
+      serversMs,
+      Object.fromEntries(OTHER_TABLES.map((table, index) => [table, others[index] ?? MAX_AGE_MS])),
+    ] as const;
+  };
+  const [ageMs, otherAgesMs] = read(ms.slice(0, count));
+  const [ownAgeMs, otherOwnAgesMs] = read(ms.slice(-count));
+  return {
+    type: "view",
+    ageMs,
+    ownAgeMs,
+    otherAgesMs,
+    otherOwnAgesMs,
+    recoveredAgoMs: recoveredAgoMs ?? null,
+  };
+}
+
 /**
  * Decodes the ages of a hub's tables. A hub of an earlier release states only that of the servers
  * table, which then stands for all.
--- a/packages/fleet/_lib/view_ages_test.ts
+++ b/packages/fleet/_lib/view_ages_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { TABLE } from "../types.ts";
 import type { Table, TableAge } from "../types.ts";
-import { decodeViewAges, encodeViewAges } from "./view_ages.ts";
+import { decodeViewAges, encodeViewAges, expandView, shortenView } from "./view_ages.ts";
 
 const AGES: Record<Table, TableAge> = {
   [TABLE.OPERATORS]: { ageMs: 20, hubAgeMs: Infinity },
@@ -27,3 +27,16 @@
     [TABLE.HOSTS]: age,
   });
 });
+
+test("a short view states the same ages, also of tables that were never read", (t) => {
+  const never = () => ({ ageMs: Infinity, hubAgeMs: Infinity });
+  const own = () => ({ ageMs: 7, hubAgeMs: 7 });
+  for (const ageOf of [(table: Table) => AGES[table], never, own]) {
+    for (const recoveredAgoMs of [null, 12]) {
+      const view = { type: "view", ...encodeViewAges(ageOf), recoveredAgoMs } as const;
+      const received = expandView(JSON.parse(JSON.stringify(shortenView(view))));
+      t.deepEqual(decodeViewAges(received), decodeViewAges(view));
+      t.is(received.recoveredAgoMs, recoveredAgoMs);
+    }
+  }
+});
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -18,6 +18,7 @@
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubScheduler } from "./create_hub_server.ts";
+import { SHORT_VIEWS } from "./messages.ts";
 import type { HubMessage, MemberMessage, MessageParsers, RevisionSpan } from "./messages.ts";
 import { shouldFollowStore } from "./should_follow_store.ts";
 import { shouldReconnectToHub } from "./should_reconnect_to_hub.ts";
@@ -320,6 +321,7 @@
         revisions: Object.fromEntries(
           Object.values(TABLE).map((table) => [table, options.revisionForHub(table)]),
         ),
+        understands: [SHORT_VIEWS],
       });
       const items = options.gossip.list();
       if (items.length > 0) link.send({ type: "gossip", items });
@@ -462,7 +464,9 @@
 
   const ping = () => {
     const isDraining = options.isDraining();
-    for (const hub of hubs.values()) hub.link?.send({ type: "ping", isDraining });
+    for (const hub of hubs.values()) {
+      hub.link?.send({ type: "ping", ...isDraining && { isDraining } });
+    }
   };
 
   tasks.run("review hubs", async (signal) => {
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -11,13 +11,20 @@
 } from "./constants.ts";
 import { encodeMessage } from "./_lib/encode_message.ts";
 import { parseMemberMessage } from "./_lib/parse_message.ts";
-import { encodeViewAges } from "./_lib/view_ages.ts";
+import { encodeViewAges, shortenView } from "./_lib/view_ages.ts";
 import { createRowPatches } from "./_lib/row_patches.ts";
 import type { LinkTraffic } from "./_lib/create_link_traffic.ts";
 import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
-import type { HubMessage, MemberMessage, MessageParsers, RevisionSpan } from "./messages.ts";
+import { SHORT_VIEWS } from "./messages.ts";
+import type {
+  HubMessage,
+  MemberMessage,
+  MessageParsers,
+  RevisionSpan,
+  ShortView,
+} from "./messages.ts";
 import { TABLE } from "./types.ts";
 import type { Gossip, HostEntry, Row, RowBatch, Table, TableAge } from "./types.ts";
 
@@ -102,7 +109,9 @@
 interface Member<Decision> {
   entry: HostEntry;
   isDraining: boolean;
-  link: JsonLink<unknown, HubMessage<Decision>>;
+  /** True if the member understands short views. */
+  hasShortViews: boolean;
+  link: JsonLink<unknown, HubMessage<Decision> | ShortView>;
 }
 
 /**
@@ -141,19 +150,28 @@
     return { ageMs: Math.min(hubAgeMs, memberAgeMs), hubAgeMs };
   };
 
-  const describeView = (): HubMessage<Decision> => {
+  const describeView = () => {
     const recoveredAgoMs = options.recoveredAgoMs();
     return {
-      type: "view",
+      type: "view" as const,
       ...encodeViewAges(describeAge),
       recoveredAgoMs: Number.isFinite(recoveredAgoMs) ? Math.round(recoveredAgoMs) : null,
     };
   };
 
-  const broadcast = (...messages: HubMessage<Decision>[]) => {
-    const lines = messages.map((message) => [message, encodeMessage(message)] as const);
-    for (const { link } of members.values()) {
-      for (const [message, line] of lines) link.sendLine(message, line);
+  const broadcast = (message: HubMessage<Decision>) => {
+    const line = encodeMessage(message);
+    for (const { link } of members.values()) link.sendLine(message, line);
+  };
+
+  const sendView = (receivers: Iterable<Member<Decision>>) => {
+    const view = describeView();
+    const shortView = shortenView(view);
+    const line = encodeMessage(view);
+    const shortLine = encodeMessage(shortView);
+    for (const { link, hasShortViews } of receivers) {
+      if (hasShortViews) link.sendLine(shortView, shortLine);
+      else link.sendLine(view, line);
     }
   };
 
@@ -183,20 +201,21 @@
 
   const addMember = (
     message: MemberMessage<Job, Report> & { type: "hello" },
-    link: JsonLink<unknown, HubMessage<Decision>>,
+    link: Member<Decision>["link"],
   ): Member<Decision> => {
     const { entry, isDraining, reports, revisions } = message;
     if (members.has(entry.host)) memberLostAtMs = clock.nowMs();
     members.get(entry.host)?.link.close();
     scheduler.forget(entry.host);
     for (const report of reports) scheduler.report(entry.host, report);
-    const member = { entry, isDraining, link };
+    const hasShortViews = message.understands?.includes(SHORT_VIEWS) === true;
+    const member = { entry, isDraining, hasShortViews, link };
     members.set(entry.host, member);
     for (const table of Object.values(TABLE)) sendChanges(link, table, revisions[table]);
     link.send({ type: "hosts", change: { joined: hostsDiff.listAll(), left: [] } });
     const items = options.gossip.list();
     if (items.length > 0) link.send({ type: "gossip", items });
-    link.send(describeView());
+    sendView([member]);
     for (const table of Object.values(TABLE)) {
       const isBehind = (revisions[table] ?? -1) > (options.revision(table) ?? -1);
       if (isBehind && options.isStale(table)) requestRows(member, table);
@@ -237,8 +256,9 @@
     const { host } = member.entry;
     if (message.type === "place") handlePlace(member, message.call, message.job);
     else if (message.type === "ping") {
-      const hasChanged = member.isDraining !== message.isDraining;
-      member.isDraining = message.isDraining;
+      const { isDraining = false } = message;
+      const hasChanged = member.isDraining !== isDraining;
+      member.isDraining = isDraining;
       if (hasChanged) announceHosts();
     } else if (message.type === "report") scheduler.report(host, message.report);
     else if (message.type === "rows") options.onRows(message.table, message.batch);
@@ -253,11 +273,14 @@
   };
 
   const serveLink = async (socket: Socket) => {
-    const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<Decision>>(socket, {
-      idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
-      parse: (value) => parseMemberMessage(value, options.parsers),
-      traffic,
-    });
+    const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<Decision> | ShortView>(
+      socket,
+      {
+        idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
+        parse: (value) => parseMemberMessage(value, options.parsers),
+        traffic,
+      },
+    );
     let member: Member<Decision> | undefined;
     let heardAtMs = clock.nowMs();
     try {
@@ -320,7 +343,7 @@
         while (!signal.aborted) {
           await sleepUntilTick(VIEW_INTERVAL_MS, { clock, signal });
           announceHosts();
-          broadcast(describeView());
+          sendView(members.values());
         }
       });
       tasks.run("invite hosts", async (signal) => {
@@ -343,7 +366,8 @@
       const { rows, patches } = createRowPatches(batch.rows, before);
       // The view goes first, so that members know of a recovery of the store before they process
       // removed rows.
-      broadcast(describeView(), { type: "rows", table, batch: { ...batch, rows }, patches });
+      sendView(members.values());
+      broadcast({ type: "rows", table, batch: { ...batch, rows }, patches });
     },
     sendGossip: (items) => broadcast({ type: "gossip", items }),
     announceDraining: announceHosts,
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -56,8 +56,11 @@
     reports: Report[];
     /** Revisions of the member's copies of the tables; the hub sends the changes since then. */
     revisions: Partial<Record<Table, number>>;
+    /** Names of optional formats that the member understands; none in hosts of earlier releases. */
+    understands?: string[];
   }
-  | { type: "ping"; isDraining: boolean }
+  /** `isDraining` is left out while it is false. */
+  | { type: "ping"; isDraining?: boolean }
   | { type: "place"; call: number; job: Job }
   | { type: "report"; report: Report }
   | { type: "rows"; table: Table; batch: RowBatch }
@@ -72,6 +75,21 @@
   /** Sent by a hub to a host without a link to it, on a connection of its own. */
   | { type: "invite"; hosts: RowBatch };
 
+/** Optional format of a member that understands {@linkcode ShortView}. */
+export const SHORT_VIEWS = "ages";
+
+/** A view for members that state `SHORT_VIEWS`; its parser returns the view itself. */
+export interface ShortView {
+  type: "ages";
+  /**
+   * `ageMs` of the servers, operators and hosts tables, followed by `ownAgeMs` of each unless they are
+   * the same; -1 for a table that was never read.
+   */
+  ms: number[];
+  /** Missing when there was no outage. */
+  recoveredAgoMs?: Millis;
+}
+
 /** Messages from a hub to a member. */
 export type HubMessage<Decision> =
   | { type: "rows"; table: Table; batch: RowBatch; patches?: RowPatch[] }
