Leave out what receivers of placements and reports do not need

Jobs, decisions and reports leave out false and empty lists where the parsers of all releases read a missing field so, and state times to a tenth of a millisecond instead of 13 digits. A report on a running job leaves its exclusions and the time of the whole answer empty, which placement reads only before a job has its server.

--- a/packages/fleet/create_fleet.ts
+++ b/packages/fleet/create_fleet.ts
@@ -20,7 +20,7 @@
 import { createInvalidRowLog } from "./_lib/create_invalid_row_log.ts";
 import { createLinkTraffic } from "./_lib/create_link_traffic.ts";
 import { createStaleTableLog } from "./_lib/create_stale_table_log.ts";
-import type { MessageParsers } from "./messages.ts";
+import type { MessageEncoders, MessageParsers } from "./messages.ts";
 import { parseHostEntry } from "./parse_host_entry.ts";
 import { rankAmongHosts } from "./rank_among_hosts.ts";
 import { TABLE } from "./types.ts";
@@ -44,6 +44,8 @@
   gossip?: Gossip;
   /** Parsers of jobs, decisions and reports that other hosts send. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /** Encoders of jobs, decisions and reports for other hosts; by default they are sent as they are. */
+  encoders?: MessageEncoders<Job, Decision, Report>;
   /**
    * Checks a row of servers or operators that another host sent. It returns the row, or one without
    * content that names the problem. The store's client checks the rows that it reads.
@@ -75,6 +77,12 @@
   before !== undefined && now !== undefined && before.value === now.value &&
   readEra(before.version) < readEra(now.version);
 
+const PLAIN_ENCODERS: MessageEncoders<unknown, unknown, unknown> = {
+  encodeJob: (job) => job,
+  encodeDecision: (decision) => decision,
+  encodeReport: (report) => report,
+};
+
 const NO_GOSSIP: Gossip = { list: () => [], receive: () => {} };
 
 /** Where rows come from. */
@@ -149,7 +157,7 @@
   options: FleetOptions<Job, Decision, Report>,
 ): Fleet<Job, Decision, Report> {
   const { self, store, scheduler, clock, random, log, metrics, tasks } = options;
-  const { gossip = NO_GOSSIP } = options;
+  const { gossip = NO_GOSSIP, encoders = PLAIN_ENCODERS } = options;
   const cache = createRowCache({
     // A running host writes its row again, so the older state of a row is never needed.
     isSetBack: (table, rows) => table === TABLE.HOSTS || options.isSetBack?.(table, rows) === true,
@@ -253,6 +261,7 @@
     gossip,
     isHub: () => hubClient.isHub(),
     parsers: options.parsers,
+    encoders,
     traffic,
     clock,
     log,
@@ -276,6 +285,7 @@
     onRows: (table, batch) => applyBatch(table, batch, "hub"),
     gossip,
     parsers: options.parsers,
+    encoders,
     traffic,
     clock,
     log,
--- a/packages/fleet/create_hub_client.ts
+++ b/packages/fleet/create_hub_client.ts
@@ -19,7 +19,13 @@
 import type { JsonLink } from "./_lib/json_link.ts";
 import type { HubScheduler } from "./create_hub_server.ts";
 import { SHORT_VIEWS } from "./messages.ts";
-import type { HubMessage, MemberMessage, MessageParsers, RevisionSpan } from "./messages.ts";
+import type {
+  HubMessage,
+  MemberMessage,
+  MessageEncoders,
+  MessageParsers,
+  RevisionSpan,
+} from "./messages.ts";
 import { shouldFollowStore } from "./should_follow_store.ts";
 import { shouldReconnectToHub } from "./should_reconnect_to_hub.ts";
 import { rankHubs } from "./rank_hubs.ts";
@@ -60,6 +66,8 @@
   onRows: (table: Table, batch: RowBatch) => void;
   /** Parsers of jobs, decisions and reports in messages. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /** Encoders of the same for other hosts. */
+  encoders: MessageEncoders<Job, Decision, Report>;
   /** Counts the bytes of messages. */
   traffic: LinkTraffic;
   /** Monotonic time source. */
@@ -138,7 +146,7 @@
 interface HubLink<Job, Decision, Report> {
   entry: HostEntry;
   /** The link; undefined until it is established and always for this host itself. */
-  link: JsonLink<HubMessage<Decision>, MemberMessage<Job, Report>> | undefined;
+  link: JsonLink<HubMessage<Decision>, MemberMessage<unknown, unknown>> | undefined;
   /** True once the hub has sent its first view; always true for this host itself. */
   isReady: boolean;
   pendingPlacements: Map<number, PendingPlacement<Decision>>;
@@ -182,7 +190,7 @@
   options: HubClientOptions<Job, Decision, Report>,
 ): HubClient<Job, Decision, Report> {
   type Hub = HubLink<Job, Decision, Report>;
-  const { self, scheduler, clock, log, tasks } = options;
+  const { self, scheduler, clock, log, tasks, encoders } = options;
   const hubs = new Map<string, Hub>();
   let fallbackRank = 0;
   const retryAtMs = new Map<string, Millis>();
@@ -194,6 +202,11 @@
   const linkWaiters = new Set<() => void>();
   let reviewTimer: NodeJS.Timeout | undefined;
 
+  const encodeReport = (report: Report): MemberMessage<unknown, unknown> => ({
+    type: "report",
+    report: encoders.encodeReport(report),
+  });
+
   const isSelf = (host: string) => host === self.host;
 
   /** Includes the incarnation, so that a restarted host is tried again without delay. */
@@ -303,7 +316,7 @@
     try {
       const socket = await connectSocket(entry.linkAddress, LINK_CONNECT_TIMEOUT_MS);
       if (hubs.get(entry.host) !== hub) return void socket.destroy();
-      const link = createJsonLink<HubMessage<Decision>, MemberMessage<Job, Report>>(socket, {
+      const link = createJsonLink<HubMessage<Decision>, MemberMessage<unknown, unknown>>(socket, {
         idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
         parse: (value) => parseHubMessage(value, options.parsers),
         traffic: options.traffic,
@@ -317,7 +330,7 @@
         type: "hello",
         entry: self,
         isDraining: options.isDraining(),
-        reports: options.currentReports(),
+        reports: options.currentReports().map(encoders.encodeReport),
         revisions: Object.fromEntries(
           Object.values(TABLE).map((table) => [table, options.revisionForHub(table)]),
         ),
@@ -432,7 +445,7 @@
         setTimeout(() => {
           call.settle(undefined);
           // The hub may still place or queue the job, which is now placed elsewhere.
-          hub.link?.send({ type: "report", report: options.createCancelReport(job) });
+          hub.link?.send(encodeReport(options.createCancelReport(job)));
           recordTimeout(hub, timeoutMs);
         }, timeoutMs);
       let timer = startTimer(timeouts.answerMs);
@@ -450,7 +463,7 @@
         },
       };
       hub.pendingPlacements.set(number, call);
-      hub.link?.send({ type: "place", call: number, job });
+      hub.link?.send({ type: "place", call: number, job: encoders.encodeJob(job) });
     });
 
   /** Places a job here; undefined when this host stops being a hub before the decision. */
@@ -518,7 +531,7 @@
       for (const hub of hubs.values()) {
         if (hub.entry.host === except) continue;
         if (isSelf(hub.entry.host)) scheduler.report(self.host, report);
-        else hub.link?.send({ type: "report", report });
+        else hub.link?.send(encodeReport(report));
       }
     },
     sendGossip(items) {
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -21,6 +21,7 @@
 import type {
   HubMessage,
   MemberMessage,
+  MessageEncoders,
   MessageParsers,
   RevisionSpan,
   ShortView,
@@ -73,6 +74,8 @@
   isHub: () => boolean;
   /** Parsers of jobs, decisions and reports in messages. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /** Encoders of the same for other hosts. */
+  encoders: MessageEncoders<Job, Decision, Report>;
   /** Counts the bytes of messages. */
   traffic: LinkTraffic;
   /** Monotonic time source. */
@@ -106,12 +109,12 @@
   memberLostAgoMs(): Millis;
 }
 
-interface Member<Decision> {
+interface Member {
   entry: HostEntry;
   isDraining: boolean;
   /** True if the member understands short views. */
   hasShortViews: boolean;
-  link: JsonLink<unknown, HubMessage<Decision> | ShortView>;
+  link: JsonLink<unknown, HubMessage<unknown> | ShortView>;
 }
 
 /**
@@ -127,8 +130,8 @@
 export function createHubServer<Job, Decision, Report>(
   options: HubServerOptions<Job, Decision, Report>,
 ): HubServer {
-  const { self, scheduler, clock, log, tasks, traffic } = options;
-  const members = new Map<string, Member<Decision>>();
+  const { self, scheduler, clock, log, tasks, traffic, encoders } = options;
+  const members = new Map<string, Member>();
   const disconnectedAtMs = new Map<string, Millis>();
   let memberLostAtMs = -Infinity;
   const sockets = new Set<Socket>();
@@ -159,12 +162,12 @@
     };
   };
 
-  const broadcast = (message: HubMessage<Decision>) => {
+  const broadcast = (message: HubMessage<unknown>) => {
     const line = encodeMessage(message);
     for (const { link } of members.values()) link.sendLine(message, line);
   };
 
-  const sendView = (receivers: Iterable<Member<Decision>>) => {
+  const sendView = (receivers: Iterable<Member>) => {
     const view = describeView();
     const shortView = shortenView(view);
     const line = encodeMessage(view);
@@ -177,7 +180,7 @@
 
   const cachedLines = new Map<
     Table,
-    { key: string; message: HubMessage<Decision>; line: string }
+    { key: string; message: HubMessage<unknown>; line: string }
   >();
 
   /**
@@ -185,7 +188,7 @@
    * restart of many hosts all of them need the same changes.
    */
   const sendChanges = (
-    link: Member<Decision>["link"],
+    link: Member["link"],
     table: Table,
     sinceRevision: number | undefined,
   ) => {
@@ -201,8 +204,8 @@
 
   const addMember = (
     message: MemberMessage<Job, Report> & { type: "hello" },
-    link: Member<Decision>["link"],
-  ): Member<Decision> => {
+    link: Member["link"],
+  ): Member => {
     const { entry, isDraining, reports, revisions } = message;
     if (members.has(entry.host)) memberLostAtMs = clock.nowMs();
     members.get(entry.host)?.link.close();
@@ -227,22 +230,23 @@
   const requestedAtMs = new Map<Table, Millis>();
 
   /** Requests the rows that this host lacks; of hosts that join together, only one is asked. */
-  const requestRows = ({ link }: Member<Decision>, table: Table) => {
+  const requestRows = ({ link }: Member, table: Table) => {
     const now = clock.nowMs();
     if (now - (requestedAtMs.get(table) ?? -Infinity) < VIEW_INTERVAL_MS) return;
     requestedAtMs.set(table, now);
     link.send({ type: "want", table, revision: options.revision(table) });
   };
 
-  const handlePlace = (member: Member<Decision>, call: number, job: Job) => {
+  const handlePlace = (member: Member, call: number, job: Job) => {
     const decision = scheduler.place(member.entry.host, job);
     if (!(decision instanceof Promise)) {
-      member.link.send({ type: "placed", call, decision });
+      member.link.send({ type: "placed", call, decision: encoders.encodeDecision(decision) });
       return;
     }
     member.link.send({ type: "waiting", call });
     tasks.run("answer after a wait", async () => {
-      member.link.send({ type: "placed", call, decision: await decision });
+      const settled = encoders.encodeDecision(await decision);
+      member.link.send({ type: "placed", call, decision: settled });
     });
   };
 
@@ -252,7 +256,7 @@
     if (change !== undefined) broadcast({ type: "hosts", change });
   };
 
-  const handleMessage = (member: Member<Decision>, message: MemberMessage<Job, Report>) => {
+  const handleMessage = (member: Member, message: MemberMessage<Job, Report>) => {
     const { host } = member.entry;
     if (message.type === "place") handlePlace(member, message.call, message.job);
     else if (message.type === "ping") {
@@ -273,7 +277,7 @@
   };
 
   const serveLink = async (socket: Socket) => {
-    const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<Decision> | ShortView>(
+    const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<unknown> | ShortView>(
       socket,
       {
         idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
@@ -281,7 +285,7 @@
         traffic,
       },
     );
-    let member: Member<Decision> | undefined;
+    let member: Member | undefined;
     let heardAtMs = clock.nowMs();
     try {
       for await (const message of link.messages()) {
--- a/packages/fleet/messages.ts
+++ b/packages/fleet/messages.ts
@@ -123,3 +123,10 @@
   parseDecision(value: unknown): Decision;
   parseReport(value: unknown): Report;
 }
+
+/** Encoders of the same types, which leave out what their parsers do not need. */
+export interface MessageEncoders<Job, Decision, Report> {
+  encodeJob(job: Job): unknown;
+  encodeDecision(decision: Decision): unknown;
+  encodeReport(report: Report): unknown;
+}
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -20,6 +20,7 @@
 import { createHubScheduler, createLeavingReport } from "./create_hub_scheduler.ts";
 import { createLoadProbe } from "./create_load_probe.ts";
 import { createCancelReport, createPlacementClient } from "./create_placement_client.ts";
+import { createPlacementEncoders } from "./create_placement_encoders.ts";
 import { createPlacementParsers } from "./create_placement_parsers.ts";
 import type { HostContext } from "./host_context.ts";
 import { SERVICE } from "./service_names.ts";
@@ -169,6 +170,7 @@
     ageJob,
     gossip: quarantine.gossip,
     parsers: createPlacementParsers(),
+    encoders: createPlacementEncoders(),
     checkRow,
     isSetBack,
     onChange(table, changed) {
