--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -31,8 +31,8 @@
 
 /** Options of Node.js with which the platform starts the program. */
 function readNodeOptions() {
-  const [, options] = /^run = "node (.*)target\/jaypass_host\.js"$/m
-    .exec(readFileSync("deploy/system.toml", "utf8"));
+  const [, options = ""] = /^run = "node (.*)target\/jaypass_host\.js/m
+    .exec(readFileSync("deploy/system.toml", "utf8")) ?? [];
   return options.split(" ").filter((option) => option !== "");
 }
 
