--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -11,13 +11,21 @@
 } from "./constants.ts";
 import { encodeMessage } from "./_lib/encode_message.ts";
 import { parseMemberMessage } from "./_lib/parse_message.ts";
-import { encodeViewAges } from "./_lib/view_ages.ts";
+import { encodeViewAges, shortenView } from "./_lib/view_ages.ts";
 import { createRowPatches } from "./_lib/row_patches.ts";
 import type { LinkTraffic } from "./_lib/create_link_traffic.ts";
 import { createHostsDiff } from "./_lib/hosts_diff.ts";
 import { connectSocket, createJsonLink } from "./_lib/json_link.ts";
 import type { JsonLink } from "./_lib/json_link.ts";
-import type { HubMessage, MemberMessage, MessageParsers, RevisionSpan } from "./messages.ts";
+import { SHORT_VIEWS } from "./messages.ts";
+import type {
+  HubMessage,
+  MemberMessage,
+  MessageEncoders,
+  MessageParsers,
+  RevisionSpan,
+  ShortView,
+} from "./messages.ts";
 import { TABLE } from "./types.ts";
 import type { Gossip, HostEntry, Row, RowBatch, Table, TableAge } from "./types.ts";
 
@@ -66,6 +74,8 @@
   isHub: () => boolean;
   /** Parsers of jobs, decisions and reports in messages. */
   parsers: MessageParsers<Job, Decision, Report>;
+  /** Encoders of the same for other hosts. */
+  encoders: MessageEncoders<Job, Decision, Report>;
   /** Counts the bytes of messages. */
   traffic: LinkTraffic;
   /** Monotonic time source. */
@@ -99,10 +109,12 @@
   memberLostAgoMs(): Millis;
 }
 
-interface Member<Decision> {
+interface Member {
   entry: HostEntry;
   isDraining: boolean;
-  link: JsonLink<unknown, HubMessage<Decision>>;
+  /** True if the member understands short views. */
+  hasShortViews: boolean;
+  link: JsonLink<unknown, HubMessage<unknown> | ShortView>;
 }
 
 /**
@@ -118,8 +130,8 @@
 export function createHubServer<Job, Decision, Report>(
   options: HubServerOptions<Job, Decision, Report>,
 ): HubServer {
-  const { self, scheduler, clock, log, tasks, traffic } = options;
-  const members = new Map<string, Member<Decision>>();
+  const { self, scheduler, clock, log, tasks, traffic, encoders } = options;
+  const members = new Map<string, Member>();
   const disconnectedAtMs = new Map<string, Millis>();
   let memberLostAtMs = -Infinity;
   const sockets = new Set<Socket>();
@@ -141,25 +153,34 @@
     return { ageMs: Math.min(hubAgeMs, memberAgeMs), hubAgeMs };
   };
 
-  const describeView = (): HubMessage<Decision> => {
+  const describeView = () => {
     const recoveredAgoMs = options.recoveredAgoMs();
     return {
-      type: "view",
+      type: "view" as const,
       ...encodeViewAges(describeAge),
       recoveredAgoMs: Number.isFinite(recoveredAgoMs) ? Math.round(recoveredAgoMs) : null,
     };
   };
 
-  const broadcast = (...messages: HubMessage<Decision>[]) => {
-    const lines = messages.map((message) => [message, encodeMessage(message)] as const);
-    for (const { link } of members.values()) {
-      for (const [message, line] of lines) link.sendLine(message, line);
+  const broadcast = (message: HubMessage<unknown>) => {
+    const line = encodeMessage(message);
+    for (const { link } of members.values()) link.sendLine(message, line);
+  };
+
+  const sendView = (receivers: Iterable<Member>) => {
+    const view = describeView();
+    const shortView = shortenView(view);
+    const line = encodeMessage(view);
+    const shortLine = encodeMessage(shortView);
+    for (const { link, hasShortViews } of receivers) {
+      if (hasShortViews) link.sendLine(shortView, shortLine);
+      else link.sendLine(view, line);
     }
   };
 
   const cachedLines = new Map<
     Table,
-    { key: string; message: HubMessage<Decision>; line: string }
+    { key: string; message: HubMessage<unknown>; line: string }
   >();
 
   /**
@@ -167,7 +188,7 @@
    * restart of many hosts all of them need the same changes.
    */
   const sendChanges = (
-    link: Member<Decision>["link"],
+    link: Member["link"],
     table: Table,
     sinceRevision: number | undefined,
   ) => {
@@ -183,20 +204,21 @@
 
   const addMember = (
     message: MemberMessage<Job, Report> & { type: "hello" },
-    link: JsonLink<unknown, HubMessage<Decision>>,
-  ): Member<Decision> => {
+    link: Member["link"],
+  ): Member => {
     const { entry, isDraining, reports, revisions } = message;
     if (members.has(entry.host)) memberLostAtMs = clock.nowMs();
     members.get(entry.host)?.link.close();
     scheduler.forget(entry.host);
     for (const report of reports) scheduler.report(entry.host, report);
-    const member = { entry, isDraining, link };
+    const hasShortViews = message.understands?.includes(SHORT_VIEWS) === true;
+    const member = { entry, isDraining, hasShortViews, link };
     members.set(entry.host, member);
     for (const table of Object.values(TABLE)) sendChanges(link, table, revisions[table]);
     link.send({ type: "hosts", change: { joined: hostsDiff.listAll(), left: [] } });
     const items = options.gossip.list();
     if (items.length > 0) link.send({ type: "gossip", items });
-    link.send(describeView());
+    sendView([member]);
     for (const table of Object.values(TABLE)) {
       const isBehind = (revisions[table] ?? -1) > (options.revision(table) ?? -1);
       if (isBehind && options.isStale(table)) requestRows(member, table);
@@ -208,22 +230,23 @@
   const requestedAtMs = new Map<Table, Millis>();
 
   /** Requests the rows that this host lacks; of hosts that join together, only one is asked. */
-  const requestRows = ({ link }: Member<Decision>, table: Table) => {
+  const requestRows = ({ link }: Member, table: Table) => {
     const now = clock.nowMs();
     if (now - (requestedAtMs.get(table) ?? -Infinity) < VIEW_INTERVAL_MS) return;
     requestedAtMs.set(table, now);
     link.send({ type: "want", table, revision: options.revision(table) });
   };
 
-  const handlePlace = (member: Member<Decision>, call: number, job: Job) => {
+  const handlePlace = (member: Member, call: number, job: Job) => {
     const decision = scheduler.place(member.entry.host, job);
     if (!(decision instanceof Promise)) {
-      member.link.send({ type: "placed", call, decision });
+      member.link.send({ type: "placed", call, decision: encoders.encodeDecision(decision) });
       return;
     }
     member.link.send({ type: "waiting", call });
     tasks.run("answer after a wait", async () => {
-      member.link.send({ type: "placed", call, decision: await decision });
+      const settled = encoders.encodeDecision(await decision);
+      member.link.send({ type: "placed", call, decision: settled });
     });
   };
 
@@ -233,12 +256,13 @@
     if (change !== undefined) broadcast({ type: "hosts", change });
   };
 
-  const handleMessage = (member: Member<Decision>, message: MemberMessage<Job, Report>) => {
+  const handleMessage = (member: Member, message: MemberMessage<Job, Report>) => {
     const { host } = member.entry;
     if (message.type === "place") handlePlace(member, message.call, message.job);
     else if (message.type === "ping") {
-      const hasChanged = member.isDraining !== message.isDraining;
-      member.isDraining = message.isDraining;
+      const { isDraining = false } = message;
+      const hasChanged = member.isDraining !== isDraining;
+      member.isDraining = isDraining;
       if (hasChanged) announceHosts();
     } else if (message.type === "report") scheduler.report(host, message.report);
     else if (message.type === "rows") options.onRows(message.table, message.batch);
@@ -253,12 +277,15 @@
   };
 
   const serveLink = async (socket: Socket) => {
-    const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<Decision>>(socket, {
-      idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
-      parse: (value) => parseMemberMessage(value, options.parsers),
-      traffic,
-    });
-    let member: Member<Decision> | undefined;
+    const link = createJsonLink<MemberMessage<Job, Report>, HubMessage<unknown> | ShortView>(
+      socket,
+      {
+        idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
+        parse: (value) => parseMemberMessage(value, options.parsers),
+        traffic,
+      },
+    );
+    let member: Member | undefined;
     let heardAtMs = clock.nowMs();
     try {
       for await (const message of link.messages()) {
@@ -320,7 +347,7 @@
         while (!signal.aborted) {
           await sleepUntilTick(VIEW_INTERVAL_MS, { clock, signal });
           announceHosts();
-          broadcast(describeView());
+          sendView(members.values());
         }
       });
       tasks.run("invite hosts", async (signal) => {
@@ -343,7 +370,8 @@
       const { rows, patches } = createRowPatches(batch.rows, before);
       // The view goes first, so that members know of a recovery of the store before they process
       // removed rows.
-      broadcast(describeView(), { type: "rows", table, batch: { ...batch, rows }, patches });
+      sendView(members.values());
+      broadcast({ type: "rows", table, batch: { ...batch, rows }, patches });
     },
     sendGossip: (items) => broadcast({ type: "gossip", items }),
     announceDraining: announceHosts,
