Count an answer with a status above 599 as broken

A server's status of 600 to 999 was passed on to callers of non-idempotent and streaming routes, or counted as an error answer of a sound server. HTTP defines no such status, so the run now counts as broken, as for statuses below 200.

--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -18,6 +18,9 @@
 /** Lowest status of an answer that ends a request; lower ones are informational or not valid. */
 const MIN_FINAL_STATUS = 200;
 
+/** Highest status that HTTP defines (RFC 9110, section 15); callers cannot interpret a higher one. */
+const MAX_FINAL_STATUS = 599;
+
 /** Reason phrases that HTTP allows. The parser of Node.js accepts others, but its server rejects them. */
 const REASON_PHRASE = /^[\t\x20-\x7e\x80-\xff]*$/;
 
@@ -177,7 +180,7 @@
     });
     req.once("response", (res: IncomingMessage) => {
       const { statusCode: status = 0 } = res;
-      if (status < MIN_FINAL_STATUS) {
+      if (status < MIN_FINAL_STATUS || status > MAX_FINAL_STATUS) {
         req.destroy(new Error(`Answer has status ${status}, which ends no request`));
         return;
       }
--- a/packages/forwarding/unusual_answer_test.ts
+++ b/packages/forwarding/unusual_answer_test.ts
@@ -66,6 +66,8 @@
   "status 101 without an upgrade": "HTTP/1.1 101 Switching Protocols\r\n",
   "status 99": "HTTP/1.1 099 OK\r\n",
   "status 0": "HTTP/1.1 000 OK\r\n",
+  "status 600": "HTTP/1.1 600 OK\r\n",
+  "status 999": "HTTP/1.1 999 OK\r\n",
 };
 
 // Guards against requests without an end: Node.js reports an upgrade as a close without an error.
