Decide the end of an answer whose request is still being written

The HTTP client of Node.js destroys a connection when its server sends a FIN, so that an answer without a length always counted as cut while its request was still being written, also if the server read on: with a body of 4 MB, a call that may run once got 502, and one that may be repeated was run at a second server after 46 to 84 ms.

checkAnswerEnd decides it now: the answer is whole if the rest of the request can be written without a reset within 1 s. The end listeners of the HTTP client wait for that.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -136,6 +136,8 @@
   engine?: EngineProfile;
   /** Chooses the servers of a job, in place of the next server by index. */
   place?: (job: PlacementJob) => PlacementDecision | Promise<PlacementDecision>;
+  /** Longest body of a caller's request; 1,000,000 bytes by default. */
+  maxBodyBytes?: number;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -199,7 +201,7 @@
         workspaces: [{ name: "w1", keys: ["k1"] }],
         limits: {
           maxHeaderBytes: 8_192,
-          maxBodyBytes: 1_000_000,
+          maxBodyBytes: options.maxBodyBytes ?? 1_000_000,
           headerTimeoutMs: 1_000,
           idleTimeoutMs: options.serverOptions?.keepAliveTimeout ?? 5_000,
         },
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -28,6 +28,12 @@
  */
 export const MAX_FRAMING_BYTES = 256 * 1024;
 
+/**
+ * Time after the end of an answer without a length within which the rest of its request must be written.
+ * A server that reads on takes a body of the largest usual size in less.
+ */
+export const MAX_REQUEST_REST_MS = 1_000;
+
 /** Informational answers (status 1xx) of one exchange after which the server counts as faulty. */
 export const MAX_INFORMATIONAL_ANSWERS = 16;
 
--- a/packages/forwarding/detect_reset.ts
+++ b/packages/forwarding/detect_reset.ts
@@ -13,7 +13,7 @@
  * @example
  * socket.prependOnceListener("end", () => resetCheck = detectReset(socket));
  */
-export function detectReset(socket: Socket): Promise<Error | undefined> {
+export function detectReset(socket: Pick<Socket, "write">): Promise<Error | undefined> {
   return new Promise((resolve) => {
     socket.write("\r\n", (err) => resolve(err ?? undefined));
   });
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+export * from "./check_answer_end.ts";
 export * from "./choose_target.ts";
 export * from "./constants.ts";
 export * from "./compute_answer_ms.ts";
--- a/packages/forwarding/open_exchange.ts
+++ b/packages/forwarding/open_exchange.ts
@@ -1,9 +1,10 @@
 import { request, STATUS_CODES } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import { runAfterRead } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
-import { MAX_FRAMING_BYTES, MAX_INFORMATIONAL_ANSWERS } from "./constants.ts";
-import { detectReset } from "./detect_reset.ts";
+import { checkAnswerEnd } from "./check_answer_end.ts";
+import { MAX_FRAMING_BYTES, MAX_INFORMATIONAL_ANSWERS, MAX_REQUEST_REST_MS } from "./constants.ts";
 import { endsWithConnection } from "./ends_with_connection.ts";
 import type { HeaderList } from "./types.ts";
 
@@ -154,11 +155,7 @@
         isConnected = true;
         clearTimeout(connectTimer);
       });
-      socket.prependOnceListener("end", () => {
-        onReceived();
-        if (response === undefined || !endsWithConnection(serverRequest.method, response)) return;
-        resetCheck = detectReset(socket);
-      });
+      socket.prependOnceListener("end", onReceived);
     });
     req.on("error", (err) => {
       clearTimeout(connectTimer);
@@ -188,11 +185,20 @@
       res.on("error", () => {});
       response = res;
       onReceived();
+      const isEndedByConnection = endsWithConnection(serverRequest.method, res);
+      if (isEndedByConnection) {
+        runBeforeEnd(res.socket, () => {
+          const isRequestWritten = req.writableFinished;
+          const limitMs = MAX_REQUEST_REST_MS;
+          resetCheck = checkAnswerEnd(res.socket, { isRequestWritten, limitMs });
+          return isRequestWritten ? undefined : resetCheck;
+        });
+      }
       resolve({
         status,
         statusText: chooseReasonPhrase(status, res.statusMessage),
         headers: res.rawHeaders,
-        endsWithConnection: endsWithConnection(serverRequest.method, res),
+        endsWithConnection: isEndedByConnection,
         body: readAnswerBody(res, {
           createExchangeError,
           onReceived,
@@ -215,6 +221,24 @@
   };
 }
 
+/**
+ * Runs a check before the `end` listeners that a socket has so far. If the check is asynchronous, they
+ * are called after it, unless it fails: the HTTP client of Node.js destroys a connection in its listener,
+ * also while the request is being written. With an error of the check the socket is destroyed.
+ */
+function runBeforeEnd(socket: Socket, check: () => Promise<Error | undefined> | undefined): void {
+  const listeners = socket.rawListeners("end");
+  socket.removeAllListeners("end");
+  const notifyEnd = () => {
+    for (const listener of listeners) listener.call(socket);
+  };
+  socket.once("end", () => {
+    const checking = check();
+    if (checking === undefined) return notifyEnd();
+    void checking.then((err) => err === undefined ? notifyEnd() : socket.destroy(err));
+  });
+}
+
 /** Creates the exchange of a request that Node.js refused before it opened a connection. */
 function createFailedExchange(err: unknown): Exchange {
   const isInvalid = INVALID_REQUEST_CODES.has((err as NodeJS.ErrnoException).code);
