Place hedges at once, only where servers have room to spare

A second run of a request that is merely slower than usual must not delay other requests. A job with isHedge is never queued; it is refused with no_spare_room while prompts wait, while less than a quarter of the slots of its service is free, or if no server with a free slot is warm and sound, and with retry_budget if more than half of the retry budget would be used. Without a hub it is refused by the host.

--- a/packages/forwarding/errors.ts
+++ b/packages/forwarding/errors.ts
@@ -24,6 +24,8 @@
   COLD_LIMIT: "cold_limit",
   TOO_LARGE: "too_large",
   UNSERVABLE: "unservable",
+  /** Only of hedges, so that no caller is answered with it. */
+  NO_SPARE_ROOM: "no_spare_room",
   SERVER_REJECTED: "server_rejected",
   SERVER_BROKE_OFF: "server_broke_off",
   SERVER_SILENT: "server_silent",
--- a/packages/forwarding_host/create_placement_client.ts
+++ b/packages/forwarding_host/create_placement_client.ts
@@ -1,12 +1,19 @@
 import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
 import type { Fleet } from "@jaypass/fleet";
 import type { PlacementClient } from "@jaypass/forwarding";
-import { JOB_OUTCOME } from "@jaypass/placement";
+import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "@jaypass/placement";
 import type { PlacementDecision, PlacementJob, Placer, RunningJob } from "@jaypass/placement";
 import { ageJob } from "./age_job.ts";
 import { LINK_WAIT_GOAL_SHARE, MAX_LINK_WAIT_MS, PLACEMENT_TIMEOUT_MS } from "./constants.ts";
 import type { JobReport } from "./create_hub_scheduler.ts";
 
+/** Answers a hedge without a hub: a host alone does not know whether servers have room to spare. */
+const HEDGE_REFUSED: PlacementDecision = {
+  kind: "refused",
+  reason: PLACEMENT_REFUSAL.NO_SPARE_ROOM,
+  retryAfterMs: 0,
+};
+
 /** Options of {@linkcode createPlacementClient}. */
 export interface PlacementClientOptions {
   /** The fleet, through which hubs are reached. */
@@ -73,8 +80,9 @@
       const answer = await fleet().place(job, {
         answerMs: PLACEMENT_TIMEOUT_MS,
         waitMs: job.remainingMs,
-        linkMs: computeLinkWaitMs(job),
+        linkMs: job.isHedge ? 0 : computeLinkWaitMs(job),
       });
+      if (answer === undefined && job.isHedge) return HEDGE_REFUSED;
       if (answer === undefined) {
         metrics.increment("placement", { by: "host" });
         log.info({ jobId: job.id }, "No hub answered; placing the request locally");
--- a/packages/forwarding_host/create_placement_client_test.ts
+++ b/packages/forwarding_host/create_placement_client_test.ts
@@ -74,3 +74,11 @@
   await client.place(JOB);
   t.deepEqual(reports.map((report) => report.kind === "running" && report.running.job), [LATER]);
 });
+
+// Guards against second runs where nobody knows the load of the servers.
+test("a hedge without a hub is refused, and not placed locally", async (t) => {
+  const { client, localJobs, reports } = setUp(undefined);
+  const decision = await client.place({ ...JOB, isRetry: true, isHedge: true });
+  t.deepEqual(decision, { kind: "refused", reason: "no_spare_room", retryAfterMs: 0 });
+  t.deepEqual([localJobs, reports], [[], []]);
+});
--- a/packages/forwarding_host/create_placement_parsers.ts
+++ b/packages/forwarding_host/create_placement_parsers.ts
@@ -52,6 +52,8 @@
     elapsedMs: fields.number("elapsedMs", TIME_RANGE),
     excludedIds: fields.strings("excludedIds"),
     isRetry: fields.boolean("isRetry"),
+    // Missing in jobs that are no hedges.
+    ...fields.has("isHedge") && { isHedge: fields.boolean("isHedge") },
     isContinuation: fields.boolean("isContinuation"),
     fingerprint: fields.string("fingerprint"),
     // Missing in jobs of an earlier version.
--- a/packages/forwarding_host/create_placement_parsers_test.ts
+++ b/packages/forwarding_host/create_placement_parsers_test.ts
@@ -85,3 +85,10 @@
   );
   t.pass();
 });
+
+test("a job that is a hedge says so, and one of an earlier version is none", (t) => {
+  const hedge = { ...JOB, isHedge: true };
+  t.deepEqual(parseJob(send(hedge)), hedge);
+  t.false("isHedge" in parseJob(send(JOB)));
+  t.is(parseJob({ ...JOB, isHedge: 1 }).isHedge, false);
+});
--- a/packages/placement/constants.ts
+++ b/packages/placement/constants.ts
@@ -41,6 +41,12 @@
  */
 export const RESERVED_ANSWER_SHARE = 0.5;
 
+/** Share of the slots of a service that must be free for a hedge, so that it delays no other request. */
+export const MIN_HEDGE_FREE_SHARE = 0.25;
+
+/** Share of the retry budget that hedges may use; the rest is left to requests whose server failed. */
+export const HEDGE_RETRY_BUDGET_SHARE = 0.5;
+
 /** Time for which a server is avoided after a failure; doubles with each consecutive failure. */
 export const SUSPECT_BASE_MS = 800;
 
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -8,6 +8,7 @@
   BUDGET_RETRY_AFTER_MS,
   COLD_RETRY_AFTER_MS,
   COLD_WINDOW_MS,
+  HEDGE_RETRY_BUDGET_SHARE,
   LONG_PREFILL_MIN_MS,
   MAX_HELPERS,
   MAX_QUEUED_PROMPTS,
@@ -23,6 +24,7 @@
 import { computePassMs } from "./compute_pass_ms.ts";
 import { computePrefillMs } from "./compute_prefill_ms.ts";
 import { createSlotQueue } from "./create_slot_queue.ts";
+import { listHedgeServers } from "./list_hedge_servers.ts";
 import { sampleTwo } from "./sample_two.ts";
 import { createLongPromptQueue } from "./create_long_prompt_queue.ts";
 import type { ServerLoad } from "./create_server_load.ts";
@@ -131,7 +133,8 @@
     // Its content may have been found to crash servers while the job was queued.
     const refusalMs = crashGuard.findRefusalMs(job);
     if (refusalMs !== undefined) return refuse(job, PLACEMENT_REFUSAL.QUARANTINED, refusalMs);
-    if (job.isRetry && !retryLimiter.tryAcquire(job.service)) {
+    const budgetShare = job.isHedge ? HEDGE_RETRY_BUDGET_SHARE : 1;
+    if (job.isRetry && !retryLimiter.tryAcquire(job.service, budgetShare)) {
       return refuse(job, PLACEMENT_REFUSAL.RETRY_BUDGET, BUDGET_RETRY_AFTER_MS);
     }
     if (!job.isRetry) retryLimiter.countFirstAttempt(job.service);
@@ -239,6 +242,24 @@
     return { ...job, remainingMs: Math.min(job.remainingMs, job.wholeWithinMs - answerMs) };
   };
 
+  /** Places a hedge at once or refuses it, since a hedge that waits is of no use. */
+  const placeHedge = (job: PlacementJob): PlacementDecision => {
+    const servers = listHedgeServers({
+      all: registry.listUsable({ ...job, excludedIds: [] }),
+      available: registry.listAvailable(job),
+      waitingCount: slotQueue.size() + longPromptQueue.size(),
+      nowMs: clock.nowMs(),
+    });
+    const times = { waitedMs: job.elapsedMs, remainingMs: job.remainingMs };
+    const candidates = crashGuard.separate(job, servers, true);
+    const choice = candidates.length === 0 ? undefined : choose(job, candidates, times);
+    const isReady = choice !== undefined && choice.expectedMs <= job.remainingMs &&
+      (!isLong(job) || longPromptQueue.isReady(choice));
+    return isReady
+      ? dispatch(job, choice)
+      : refuse(job, PLACEMENT_REFUSAL.NO_SPARE_ROOM, NO_SERVER_RETRY_AFTER_MS);
+  };
+
   const place = (requestedJob: PlacementJob): PlacementDecision | Promise<PlacementDecision> => {
     const job = reserveAnswerTime(requestedJob);
     crashGuard.review();
@@ -248,6 +269,7 @@
     if (usable.length === 0) {
       return refuse(job, PLACEMENT_REFUSAL.NO_SERVER, NO_SERVER_RETRY_AFTER_MS);
     }
+    if (job.isHedge) return placeHedge(job);
     const available = registry.listAvailable(job);
     if (available.length === 0) {
       return refuse(job, PLACEMENT_REFUSAL.COLD_LIMIT, COLD_RETRY_AFTER_MS);
--- a/packages/placement/create_retry_limiter.ts
+++ b/packages/placement/create_retry_limiter.ts
@@ -18,8 +18,11 @@
   countFirstAttempt(service: string): void;
   /** Counts a retry that another limiter has granted. */
   countRetry(service: string): void;
-  /** Takes one retry from the budget; returns false if the budget is used up. */
-  tryAcquire(service: string): boolean;
+  /**
+   * Takes one retry from the budget; returns false if the budget is used up, or if more than the given
+   * share of it would be used, by default the whole.
+   */
+  tryAcquire(service: string, budgetShare?: number): boolean;
 }
 
 /** Options of {@linkcode createRetryLimiter}. */
@@ -61,11 +64,11 @@
   return {
     countFirstAttempt: (service) => windowOf(firstAttempts, service).add(),
     countRetry: (service) => windowOf(retries, service).add(),
-    tryAcquire(service) {
+    tryAcquire(service, budgetShare = 1) {
       const firstCount = windowOf(firstAttempts, service).count();
       const budget = (limits.slack * share() + limits.ratio * firstCount) * (1 - RESERVED_SHARE);
       const used = windowOf(retries, service);
-      if (used.count() + 1 > budget) return false;
+      if (used.count() + 1 > budget * budgetShare) return false;
       used.add();
       return true;
     },
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -19,6 +19,7 @@
 export * from "./create_slot_queue.ts";
 export * from "./create_long_prompt_queue.ts";
 export * from "./list_content_keys.ts";
+export * from "./list_hedge_servers.ts";
 export * from "./placer_types.ts";
 export * from "./sample_two.ts";
 export * from "./types.ts";
--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -93,6 +93,11 @@
   excludedIds: readonly string[];
   /** True for the second and later attempts of a request. */
   isRetry: boolean;
+  /**
+   * True for the second run of a request that is merely slower than usual, which is refused where it
+   * would delay another request; missing for others. `isRetry` is true as well.
+   */
+  isHedge?: boolean;
   /** True if the answer continues one that broke off, so that it is not the whole one. */
   isContinuation: boolean;
   /** Hash of the content, which identifies repeats of a request that crashes servers. */
@@ -119,6 +124,8 @@
   COLD_LIMIT: "cold_limit",
   TOO_LARGE: "too_large",
   UNSERVABLE: "unservable",
+  /** Only of hedges: no server has room to spare. */
+  NO_SPARE_ROOM: "no_spare_room",
 } as const;
 
 /** One of {@linkcode PLACEMENT_REFUSAL}. */
