Add the decisions of hedged requests

shouldHedge decides from the state of a request, the learned quantile of the time to the first byte (each route and class of prompt sizes, in rotating windows of hdr-histogram-js) and the budget of the host, shares of requests and of engine time for each service.

--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -82,6 +82,31 @@
  */
 export const MAX_CONCURRENT_RUNS = 2;
 
+/** Share of runs that must be slower than the learned delay before it is used: at least one of them. */
+export const MIN_SAMPLES_ABOVE_QUANTILE = 1;
+
+/**
+ * Time after which the values of a window begin to fade, and after which they are forgotten at the latest
+ * if no new ones arrive. A host serves few requests of one kind a second, and a server that is slow for
+ * some seconds must not change what is usual.
+ */
+export const LATENCY_WINDOW_MS = 60_000;
+
+/** Longest latency that is distinguished; callers wait for less. */
+export const MAX_LATENCY_MS = 60_000;
+
+/** Routes and prompt sizes whose latency is known at a time; each takes about 12 KB. */
+export const MAX_LATENCY_SERIES = 64;
+
+/** Longest prompt of the first size class, in tokens; each further class ends at four times as many. */
+export const FIRST_SIZE_CLASS_TOKENS = 4_096;
+
+/** Hedges that a host may save up for a service, so that calm does not lead to many hedges at once. */
+export const MAX_SAVED_HEDGES = 2;
+
+/** Services whose hedges are counted at a time. */
+export const MAX_HEDGED_SERVICES = 256;
+
 /** Silence for which a request stays with a server that does not answer checks. */
 export const UNREACHABLE_TOLERANCE_MS = 1_700;
 
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -12,6 +12,9 @@
 export * from "./compute_stop_answer_ms.ts";
 export * from "./create_event_splitter.ts";
 export * from "./create_forwarder.ts";
+export * from "./create_hedge_budget.ts";
+export * from "./create_hedging.ts";
+export * from "./create_latency_quantiles.ts";
 export * from "./detect_reset.ts";
 export * from "./ends_with_connection.ts";
 export * from "./create_server_notices.ts";
@@ -20,6 +23,7 @@
 export * from "./match_route.ts";
 export * from "./open_exchange.ts";
 export * from "./parse_configuration_document.ts";
+export * from "./should_hedge.ts";
 export * from "./types.ts";
 export type {
   ForwardingContext,
