Hedge requests that are slower than usual, within a budget

A request whose first byte takes longer than usual gets a second run through the search for a successor; there is one mechanism for both. The slow run does not count as silent, so that placement does not avoid its server. The first event or whole answer wins; the other run is cancelled, and its slot and memory are given back at once. Without `hedging` in the context nothing changes.

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -3,6 +3,7 @@
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import { FAILURE } from "../errors.ts";
 import type { Failure } from "../errors.ts";
+import type { HedgeGrant } from "../create_hedge_budget.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
 import type { AnswerMetadata } from "../types.ts";
 import type { ConcurrentRuns, Run } from "./create_concurrent_runs.ts";
@@ -86,6 +87,8 @@
   server: ForwardingServer;
   state: AttemptState;
   handler: AnswerHandler;
+  /** Part of the hedge budget that the attempt has taken; undefined if it is no hedge. */
+  hedge?: HedgeGrant;
 }
 
 /** An attempt beside which another one may be started. */
@@ -93,5 +96,5 @@
   run: Run;
   runs: ConcurrentRuns;
   /** Called with the placement on another server that was found while this one was silent. */
-  onSuccessor: (successor: Pick<Attempt, "job" | "decision">) => void;
+  onSuccessor: (successor: Pick<Attempt, "job" | "decision" | "hedge">) => void;
 }
--- a/packages/forwarding/_lib/create_concurrent_runs.ts
+++ b/packages/forwarding/_lib/create_concurrent_runs.ts
@@ -11,6 +11,11 @@
   recordSend(): void;
   /** Records that the server has been silent for so long that another run may be started. */
   recordSilence(): void;
+  /**
+   * Records that the server takes longer than usual, so that another run may be started. It does not
+   * count as silent, so that placement does not avoid it.
+   */
+  recordSlowness(): void;
   /** Records data of the server, and drops all other runs whose request is not sent yet. */
   recordData(): void;
   /**
@@ -30,6 +35,8 @@
   isSilent(): boolean;
   /** Time since the request was sent to the server or since its last data. */
   silentMs(): Millis;
+  /** Time since the request was sent to the server; 0 before. */
+  runMs(): Millis;
   /** True while another run may answer the request. */
   hasOther(): boolean;
 }
@@ -44,7 +51,7 @@
    * @returns the run; undefined if none may be started
    */
   start(serverId: string): Run | undefined;
-  /** Reports whether a run that is silent may start another one. */
+  /** Reports whether a run that is silent or slow may start another one. */
   mayStartBeside(run: Run): boolean;
   /** Drops the runs that are not sent yet, for a request that has ended. */
   dropUnsent(): void;
@@ -64,6 +71,7 @@
 
 interface RunEntry extends Run {
   isSent(): boolean;
+  isSlow(): boolean;
   hasWritten(): boolean;
   notifyLastRun(): void;
   drop(): void;
@@ -107,6 +115,8 @@
     let isSent = false;
     let hasWritten = false;
     let isSilent = false;
+    let isSlow = false;
+    let sentMs: Millis | undefined;
     let lastRunListener: (() => void) | undefined;
     let lastDataMs = clock.nowMs();
     const others = () => active.filter((other) => other !== run);
@@ -115,11 +125,14 @@
       signal: controller.signal,
       recordSend() {
         isSent = true;
-        lastDataMs = clock.nowMs();
+        sentMs = clock.nowMs();
+        lastDataMs = sentMs;
       },
       recordSilence: () => void (isSilent = true),
+      recordSlowness: () => void (isSlow = true),
       recordData() {
         isSilent = false;
+        isSlow = false;
         lastDataMs = clock.nowMs();
         if (run.isActive()) dropWhere((other) => other !== run && !other.isSent());
       },
@@ -141,8 +154,10 @@
       isActive: () => active.includes(run),
       isSilent: () => isSilent,
       silentMs: () => clock.nowMs() - lastDataMs,
+      runMs: () => sentMs === undefined ? 0 : clock.nowMs() - sentMs,
       hasOther: () => others().length > 0,
       isSent: () => isSent,
+      isSlow: () => isSlow,
       hasWritten: () => hasWritten,
       drop: () => controller.abort(),
     };
@@ -163,9 +178,11 @@
       return run;
     },
     // The newest run is the last one to be silent for long, so only its silence allows a replacement.
-    mayStartBeside: (run) =>
-      active.some((other) => other === run) && active.every((other) => other.isSilent()) &&
-      (!isFull() || active.at(-1) === run),
+    mayStartBeside(run) {
+      if (!active.some((other) => other === run)) return false;
+      if (!isFull()) return active.every((other) => other.isSilent() || other.isSlow());
+      return active.every((other) => other.isSilent()) && active.at(-1) === run;
+    },
     dropUnsent: () => dropWhere((run) => !run.isSent()),
     dropAll: () => dropWhere(() => true),
     list: () => active,
--- a/packages/forwarding/_lib/create_successor_search.ts
+++ b/packages/forwarding/_lib/create_successor_search.ts
@@ -1,6 +1,7 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
-import type { PlacementDecision } from "@jaypass/placement";
+import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
 import { MAX_CONNECT_FAILURES, MAX_DIVERSIONS, MIN_RETRY_REMAINING_MS } from "../constants.ts";
+import type { HedgeGrant } from "../create_hedge_budget.ts";
 import type { RunningAttempt } from "./attempt.ts";
 import { describeJob, hasAttemptLeft, isRepeatable } from "./describe_job.ts";
 import { isInTime, listUnwillingIds, placeUnlessAborted } from "./place_unless_aborted.ts";
@@ -13,6 +14,8 @@
 export interface SuccessorSearch {
   /** Starts to search unless a search runs or no other server may get the request. */
   start(reason: SilenceReason): void;
+  /** The same for a request that is slower than usual and may be hedged, within the hedge budget. */
+  startHedge(): void;
   /** Ends a running search, since the server has sent data or the attempt has ended. */
   cancel(): void;
 }
@@ -32,13 +35,16 @@
 export function createSuccessorSearch(
   context: ForwardingContext,
   request: CallerRequest,
-  { server, state, handler, run, runs, onSuccessor }: Omit<RunningAttempt, "job" | "decision">,
+  { server, state, handler, run: current, runs, onSuccessor }: Omit<
+    RunningAttempt,
+    "job" | "decision"
+  >,
 ): SuccessorSearch {
   const { clock, log, metrics, placement } = context;
   let running: AbortController | undefined;
 
   const isAllowed = () =>
-    !request.signal.aborted && runs.mayStartBeside(run) &&
+    !request.signal.aborted && runs.mayStartBeside(current) &&
     isRepeatable(request) && handler.canContinue() && hasAttemptLeft(request, state) &&
     state.connectFailureCount < MAX_CONNECT_FAILURES && state.diversionCount < MAX_DIVERSIONS &&
     request.endMs - clock.nowMs() >= MIN_RETRY_REMAINING_MS;
@@ -56,30 +62,75 @@
     );
   };
 
-  const search = async (reason: SilenceReason, { signal }: AbortController) => {
+  const recordDenial = (reason: string) => {
+    metrics.increment("hedge", { result: "denied" });
+    log.info(
+      { requestId: request.id, route: request.route.name, server: server.id, reason },
+      "Hedge of a slow request denied",
+    );
+  };
+
+  const describe = (): PlacementJob => {
     const excludedIds = [...state.excludedIds, ...runs.list().map(({ serverId }) => serverId)];
-    const job = describeJob(context, request, state, handler, excludedIds);
+    return describeJob(context, request, state, handler, excludedIds);
+  };
+
+  /** Places a job; undefined if it is refused or not needed any more. */
+  const place = async (
+    job: PlacementJob,
+    { signal }: AbortController,
+    onRefused: (refusal: string) => void,
+  ) => {
     const abortable = { ...request, signal: AbortSignal.any([request.signal, signal]) };
     const decision = await placeUnlessAborted(context, abortable, job, handler);
-    if (decision === undefined) return;
-    if (decision.kind === "refused") return record(reason, "kept", { refusal: decision.reason });
+    if (decision === undefined) return undefined;
+    if (decision.kind === "refused") return void onRefused(decision.reason);
     const isOver = signal.aborted || request.signal.aborted;
-    if (isOver || !runs.mayStartBeside(run) || !isUsable(decision)) {
-      return placement.finished(job.id, JOB_OUTCOME.CANCELLED);
+    if (isOver || !runs.mayStartBeside(current) || !isUsable(decision)) {
+      return void placement.finished(job.id, JOB_OUTCOME.CANCELLED);
     }
+    return decision;
+  };
+
+  const search = async (reason: SilenceReason, controller: AbortController) => {
+    const job = describe();
+    const decision = await place(
+      job,
+      controller,
+      (refusal) => record(reason, "kept", { refusal }),
+    );
+    if (decision === undefined) return;
     record(reason, "second_run", { next: decision.serverId });
     onSuccessor({ job, decision });
   };
 
+  const searchForHedge = async (hedge: HedgeGrant, controller: AbortController) => {
+    const job = { ...describe(), isRetry: true, isHedge: true };
+    const decision = await place(job, controller, recordDenial);
+    if (decision === undefined) hedge.giveBack();
+    else onSuccessor({ job, decision, hedge });
+  };
+
+  const run = (search: (controller: AbortController) => Promise<void>) => {
+    const controller = new AbortController();
+    running = controller;
+    void search(controller).finally(() => {
+      if (running === controller) running = undefined;
+    });
+  };
+
   return {
     start(reason) {
-      run.recordSilence();
+      current.recordSilence();
+      if (running !== undefined || !isAllowed()) return;
+      run((controller) => search(reason, controller));
+    },
+    startHedge() {
+      current.recordSlowness();
       if (running !== undefined || !isAllowed()) return;
-      const controller = new AbortController();
-      running = controller;
-      void search(reason, controller).finally(() => {
-        if (running === controller) running = undefined;
-      });
+      const hedge = context.hedging?.tryTake(request.service);
+      if (hedge === undefined) return recordDenial("hedge_budget");
+      run((controller) => searchForHedge(hedge, controller));
     },
     cancel() {
       running?.abort();
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -22,6 +22,7 @@
 import { findDroppedOutcome } from "./find_dropped_outcome.ts";
 import { readOwnAnswer } from "./read_own_answer.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
+import { watchSlowness } from "./watch_slowness.ts";
 
 /**
  * Sends a request to one server and passes the answer to the handler.
@@ -71,12 +72,18 @@
   const successors = createSuccessorSearch(context, request, attempt);
   run.setLastRunListener(() => successors.start("other_failed"));
   /** Timers run before sockets are read, so that data may have arrived during a stall of the process. */
-  const searchAfterRead = (reason: SilenceReason) => {
+  const runIfNothingReceived = (search: () => void) => {
     const earlierCount = receivedCount;
     runAfterRead(() => {
-      if (receivedCount === earlierCount && run.isActive()) successors.start(reason);
+      if (receivedCount === earlierCount && run.isActive()) search();
     });
   };
+  const searchAfterRead = (reason: SilenceReason) =>
+    runIfNothingReceived(() => successors.start(reason));
+  const slowness = watchSlowness(context, request, attempt, () =>
+    runIfNothingReceived(() => {
+      if (slowness.isHedgeDue()) successors.startHedge();
+    }));
   const firstByteTimer = setInterval(
     () => searchAfterRead("no_first_byte"),
     computeFirstByteTimeoutMs(request, {
@@ -116,6 +123,7 @@
     const onChunk = () => {
       clearInterval(firstByteTimer);
       silence.recordData();
+      slowness.recordData();
       successors.cancel();
       run.recordData();
       context.placement.started(job.id);
@@ -136,6 +144,7 @@
     state.inFlightCount -= 1;
     clearInterval(firstByteTimer);
     silence.stop();
+    slowness.stop();
     run.setLastRunListener(undefined);
     successors.cancel();
     request.signal.removeEventListener("abort", onAbort);
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
+import type { Hedging } from "../create_hedging.ts";
 import type { ServerNotices } from "../create_server_notices.ts";
 import type { Failure } from "../errors.ts";
 import type { AttemptState } from "./attempt.ts";
@@ -111,6 +112,8 @@
   placement: PlacementClient;
   /** Reserves memory on helpers. */
   reservations: ReservationClient;
+  /** Second runs of requests that are slower than usual; none by default. */
+  hedging?: Hedging;
   /** The graceful stop, during which connections are closed after their current request. */
   stop: HostStop;
 }
--- a/packages/forwarding/_lib/run_concurrently.ts
+++ b/packages/forwarding/_lib/run_concurrently.ts
@@ -3,12 +3,13 @@
 import type { Attempt, AttemptResult, RunningAttempt } from "./attempt.ts";
 import { createConcurrentRuns } from "./create_concurrent_runs.ts";
 import type { Run } from "./create_concurrent_runs.ts";
+import { createHedgeRecord } from "./create_hedge_record.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import { runAttempt } from "./run_attempt.ts";
 
 /**
- * Sends a request to a server, and to another one as well while the first one is silent, until one of
- * them has answered or all have failed.
+ * Sends a request to a server, and to another one as well while the first one is silent or slower than
+ * usual, until one of them has answered or all have failed.
  *
  * Runs that another one has made superfluous are cancelled at once. Their ends are not waited for, since
  * a pending memory reservation would delay the end of the request.
@@ -27,9 +28,11 @@
 ): Promise<AttemptResult | undefined> {
   const { clock, log, metrics, placement } = context;
   const { state, handler } = first;
+  const hedges = createHedgeRecord(context, request);
   const runs = createConcurrentRuns({
     clock,
     onWon(winner, other) {
+      if (hedges.settle(winner)) return;
       const result = winner === firstRun ? "first_won" : "second_won";
       metrics.increment("silent_server", { reason: "answer", result });
       log.info({
@@ -47,6 +50,7 @@
   return new Promise((resolve, reject) => {
     const finish = (end: () => void) => {
       request.signal.removeEventListener("abort", onAbort);
+      hedges.settle(undefined);
       runs.dropAll();
       end();
     };
@@ -71,11 +75,18 @@
       return run;
     };
 
-    const onSuccessor: RunningAttempt["onSuccessor"] = ({ job, decision }) => {
+    const onSuccessor: RunningAttempt["onSuccessor"] = ({ job, decision, hedge }) => {
       const server = context.findServer(decision.serverId);
-      if (server === undefined) return placement.finished(job.id, JOB_OUTCOME.CANCELLED);
-      metrics.increment("retry", { reason: FAILURE.SERVER_SILENT });
-      start({ job, decision, server, state, handler });
+      if (server === undefined) {
+        hedge?.giveBack();
+        return placement.finished(job.id, JOB_OUTCOME.CANCELLED);
+      }
+      const [first] = runs.list();
+      if (hedge === undefined) metrics.increment("retry", { reason: FAILURE.SERVER_SILENT });
+      const run = start({ job, decision, server, state, handler, hedge });
+      if (hedge === undefined || first === undefined) return;
+      if (run === undefined) hedge.giveBack();
+      else hedges.start(run, first, hedge);
     };
 
     const onEnd = (attempt: RunningAttempt, result: AttemptResult | undefined) => {
@@ -83,9 +94,13 @@
       const wasDropped = !run.isActive();
       if (result !== undefined) {
         logEnd(context, request, attempt, result);
-        if (result.isDone) return finish(() => resolve(result));
+        if (result.isDone) {
+          hedges.settle(run);
+          return finish(() => resolve(result));
+        }
         if (!wasDropped || run.isSilent()) state.excludedIds.push(server.id);
       }
+      hedges.recordFailure(run);
       if (wasDropped) return;
       last = result ?? last;
       // Another server may be searched now, for which the list must be complete.
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -12,6 +12,7 @@
   PlacementJob,
 } from "@jaypass/placement";
 import { createForwarder } from "../create_forwarder.ts";
+import type { Hedging } from "../create_hedging.ts";
 import { createServerNotices } from "../create_server_notices.ts";
 import { indexConfiguration } from "../index_configuration.ts";
 import { ROUTE_KIND, SERVER_STATUS } from "../types.ts";
@@ -138,6 +139,8 @@
   place?: (job: PlacementJob) => PlacementDecision | Promise<PlacementDecision>;
   /** Longest body of a caller's request; 1,000,000 bytes by default. */
   maxBodyBytes?: number;
+  /** Second runs of requests that are slower than usual; none by default. */
+  hedging?: Hedging;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -191,6 +194,7 @@
     random: () => 0.5,
     log,
     metrics,
+    hedging: options.hedging,
     notices,
     codec: TEST_CODEC,
     configuration: () =>
