--- a/packages/forwarding_host/apply_settings.ts
+++ b/packages/forwarding_host/apply_settings.ts
@@ -18,6 +18,8 @@
 ): string[] {
   Object.assign(current.retryLimits, next.retryLimits);
   Object.assign(current.coldLimits, next.coldLimits);
+  if (next.hedge === undefined) delete current.hedge;
+  else current.hedge = next.hedge;
   current.stopGraceMs = next.stopGraceMs;
   current.maxDirectoryTtlMs = next.maxDirectoryTtlMs;
   return Object.keys(next).filter((name) => {
--- a/packages/forwarding_host/apply_settings_test.ts
+++ b/packages/forwarding_host/apply_settings_test.ts
@@ -31,3 +31,12 @@
   t.deepEqual(applySettings(current, next), ["host", "processorShare"]);
   t.deepEqual(current, { ...next, host: "h1", processorShare: 0.5 });
 });
+
+test("hedged requests are turned on and off in a running host", (t) => {
+  const current = structuredClone(SETTINGS);
+  const hedge = { maxShare: 0.02, maxWorkShare: 0.01, quantile: 0.9 };
+  t.deepEqual(applySettings(current, { ...SETTINGS, hedge }), []);
+  t.deepEqual(current.hedge, hedge);
+  applySettings(current, SETTINGS);
+  t.is(current.hedge, undefined);
+});
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -3,7 +3,7 @@
 import type { Socket } from "node:net";
 import { closeListener } from "@jaypass/kernel";
 import type { ServiceDefinition } from "@jaypass/kernel";
-import { createForwarder, DEFAULT_IDLE_TIMEOUT_MS } from "@jaypass/forwarding";
+import { createForwarder, createHedging, DEFAULT_IDLE_TIMEOUT_MS } from "@jaypass/forwarding";
 import type { Forwarder } from "@jaypass/forwarding";
 import { CONNECTION_CHECK_MS, DIRECTORY_TTL_MS, MAX_HEADER_BYTES } from "./constants.ts";
 import { createReservations } from "./create_reservations.ts";
@@ -25,7 +25,7 @@
  * @returns the definition
  */
 export function defineForwarderService(context: HostContext): ServiceDefinition<Forwarder> {
-  const { adapter, clock, random, log, metrics } = context;
+  const { settings, adapter, clock, random, log, metrics } = context;
   return {
     name: SERVICE.FORWARDER,
     needs: [SERVICE.TASKS, SERVICE.STOP_STATE, SERVICE.CLUSTER],
@@ -56,6 +56,7 @@
           log,
           tasks: lookup(SERVICE.TASKS),
         }),
+        hedging: createHedging({ clock, limits: () => settings.hedge }),
         stop,
       });
       return { service: forwarder };
--- a/packages/forwarding_host/types.ts
+++ b/packages/forwarding_host/types.ts
@@ -5,7 +5,7 @@
  */
 import type { Millis } from "@jaypass/kernel";
 import type { RowStore } from "@jaypass/fleet";
-import type { HeaderCodec, ServerStatus } from "@jaypass/forwarding";
+import type { HeaderCodec, HedgeLimits, ServerStatus } from "@jaypass/forwarding";
 import type { ColdLimits, EngineReport, RetryLimits } from "@jaypass/placement";
 import type { ConfigurationDocument } from "@jaypass/forwarding";
 
@@ -35,6 +35,8 @@
   retryLimits: RetryLimits;
   /** Limits on requests to cold servers, of all hosts together. */
   coldLimits: ColdLimits;
+  /** Limits on hedged requests; missing if they are off. */
+  hedge?: HedgeLimits;
 }
 
 /** Content of a row that an operator wrote. */
