--- a/packages/forwarding/create_hedging.ts
+++ b/packages/forwarding/create_hedging.ts
@@ -5,6 +5,12 @@
 import { createLatencyQuantiles } from "./create_latency_quantiles.ts";
 import type { LatencyKind, LatencyQuantiles } from "./create_latency_quantiles.ts";
 
+/** Digits of a latency that are kept; a bucket is at most a hundredth of its values wide. */
+const SIGNIFICANT_DIGITS = 2;
+
+/** Bits of each counter of a histogram. */
+const COUNTER_BITS = 32;
+
 /** Settings of hedged requests. */
 export interface HedgeLimits extends HedgeShares {
   /** Quantile of the time to the first byte after which a request counts as slower than usual. */
@@ -85,14 +91,14 @@
   };
 }
 
-/** Loads the library at its first use, since loading it takes longer than a host takes to start. */
+/**
+ * Loads the library at its first use, and only the histograms: the whole of it would make the program of
+ * a host half as large again, which delays its start.
+ */
 async function loadHdrHistograms() {
-  const { build } = await import("hdr-histogram-js");
-  return (maxValue: number) =>
-    build({
-      autoResize: false,
-      lowestDiscernibleValue: 1,
-      highestTrackableValue: maxValue,
-      numberOfSignificantValueDigits: 2,
-    });
+  const { constructorFromBucketSize } = await import(
+    "hdr-histogram-js/dist/JsHistogramFactory.js"
+  );
+  const Histogram = constructorFromBucketSize(COUNTER_BITS);
+  return (maxValue: number) => new Histogram(1, maxValue, SIGNIFICANT_DIGITS);
 }
