--- a/packages/forwarding/hedged_requests_test.ts
+++ b/packages/forwarding/hedged_requests_test.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
 import test from "ava";
 import type { ExecutionContext } from "ava";
@@ -173,3 +174,21 @@
   const { body } = await host.call({ kind: ROUTE_KIND.STREAMING });
   t.deepEqual([body, host.arrivals.length], [`${bodyOf("first")}id: 2\ndata: last\n\n`, 1]);
 });
+
+// Guards against work for callers that do not read what they have got already.
+test("a slow request whose caller has not got an earlier answer is not hedged", async (t) => {
+  const { host } = await startHost(t, [answer(SLOW_MS, "first"), answer(0, "second")]);
+  const [ip, port] = host.address.split(":");
+  const socket = connect(Number(port), ip);
+  t.teardown(() => void socket.destroy());
+  const fields = "Host: a.example\r\nAttempt: a1\r\nKey: k1\r\nContent-Length: 0\r\n\r\n";
+  socket.write(
+    `POST /non_idempotent/1 HTTP/1.1\r\n${fields}POST /idempotent/1 HTTP/1.1\r\n${fields}`,
+  );
+  let text = "";
+  for await (const chunk of socket.setEncoding("utf8")) {
+    text += chunk;
+    if (text.split("HTTP/1.1 200").length === 3) break;
+  }
+  t.deepEqual(host.arrivals.map(({ server }) => server), [0, 0]);
+});
