Hedge a request also if the timer fires before its time

A timer counts from the start of the turn of the event loop, so that it can fire before the usual time has passed.

--- a/packages/forwarding/_lib/watch_slowness.ts
+++ b/packages/forwarding/_lib/watch_slowness.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "@jaypass/kernel";
 import { shouldHedge } from "../should_hedge.ts";
 import type { RunningAttempt } from "./attempt.ts";
 import { hasAttemptLeft, isRepeatable } from "./describe_job.ts";
@@ -42,9 +43,16 @@
   const elapsedMs = () => clock.nowMs() - startMs;
   const isContinued = handler.resumeAfter() !== undefined;
   const usualMs = hedging.findUsualMs(kind);
-  const timer = usualMs === undefined || isContinued || !isRepeatable(request)
-    ? undefined
-    : setTimeout(onSlow, usualMs);
+  let timer: NodeJS.Timeout | undefined;
+  // A timer can fire before its time, as it counts from the start of the turn of the event loop.
+  const checkAfter = (waitMs: Millis) => {
+    timer = setTimeout(() => {
+      const leftMs = (usualMs ?? 0) - elapsedMs();
+      if (leftMs > 0) checkAfter(leftMs);
+      else onSlow();
+    }, Math.ceil(waitMs));
+  };
+  if (usualMs !== undefined && !isContinued && isRepeatable(request)) checkAfter(usualMs);
   let hasData = false;
   return {
     recordData() {
