--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -23,6 +23,7 @@
 import { findDroppedOutcome } from "./find_dropped_outcome.ts";
 import { readOwnAnswer } from "./read_own_answer.ts";
 import type { CallerRequest, ForwardingContext, Reservation } from "./request_context.ts";
+import { watchSlowness } from "./watch_slowness.ts";
 
 /**
  * Sends a request to one server and passes the answer to the handler.
@@ -77,12 +78,18 @@
   const successors = createSuccessorSearch(context, request, attempt);
   run.setLastRunListener(() => successors.start("other_failed"));
   /** Timers run before sockets are read, so that data may have arrived during a stall of the process. */
-  const searchAfterRead = (reason: SilenceReason) => {
+  const runIfNothingReceived = (search: () => void) => {
     const earlierCount = receivedCount;
     runAfterRead(() => {
-      if (receivedCount === earlierCount && run.isActive()) successors.start(reason);
+      if (receivedCount === earlierCount && run.isActive()) search();
     });
   };
+  const searchAfterRead = (reason: SilenceReason) =>
+    runIfNothingReceived(() => successors.start(reason));
+  const slowness = watchSlowness(context, request, attempt, () =>
+    runIfNothingReceived(() => {
+      if (slowness.isHedgeDue()) successors.startHedge();
+    }));
   const firstByteTimer = setInterval(
     () => searchAfterRead("no_first_byte"),
     computeFirstByteTimeoutMs(request, {
@@ -122,6 +129,7 @@
     const onChunk = () => {
       clearInterval(firstByteTimer);
       silence.recordData();
+      slowness.recordData();
       successors.cancel();
       run.recordData();
       context.placement.started(job.id);
@@ -142,6 +150,7 @@
     state.inFlightCount -= 1;
     clearInterval(firstByteTimer);
     silence.stop();
+    slowness.stop();
     run.setLastRunListener(undefined);
     successors.cancel();
     request.signal.removeEventListener("abort", onAbort);
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -12,6 +12,7 @@
   PlacementJob,
 } from "@jaypass/placement";
 import { createForwarder } from "../create_forwarder.ts";
+import type { Hedging } from "../create_hedging.ts";
 import { createServerNotices } from "../create_server_notices.ts";
 import { indexConfiguration } from "../index_configuration.ts";
 import { ROUTE_KIND, SERVER_STATUS } from "../types.ts";
@@ -136,6 +137,10 @@
   engine?: EngineProfile;
   /** Chooses the servers of a job, in place of the next server by index. */
   place?: (job: PlacementJob) => PlacementDecision | Promise<PlacementDecision>;
+  /** Longest body of a caller's request; 1,000,000 bytes by default. */
+  maxBodyBytes?: number;
+  /** Second runs of requests that are slower than usual; none by default. */
+  hedging?: Hedging;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -189,6 +194,7 @@
     random: () => 0.5,
     log,
     metrics,
+    hedging: options.hedging,
     notices,
     codec: TEST_CODEC,
     configuration: () =>
@@ -199,7 +205,7 @@
         workspaces: [{ name: "w1", keys: ["k1"] }],
         limits: {
           maxHeaderBytes: 8_192,
-          maxBodyBytes: 1_000_000,
+          maxBodyBytes: options.maxBodyBytes ?? 1_000_000,
           headerTimeoutMs: 1_000,
           idleTimeoutMs: options.serverOptions?.keepAliveTimeout ?? 5_000,
         },
--- a/packages/forwarding_host/create_placement_parsers_test.ts
+++ b/packages/forwarding_host/create_placement_parsers_test.ts
@@ -94,3 +94,10 @@
   t.deepEqual(parseDecision(send(decision)), decision);
   t.throws(() => parseJob({ ...JOB, dataCentre: 7 }), { instanceOf: DecodeError });
 });
+
+test("a job that is a hedge says so, and one of an earlier version is none", (t) => {
+  const hedge = { ...JOB, isHedge: true };
+  t.deepEqual(parseJob(send(hedge)), hedge);
+  t.false("isHedge" in parseJob(send(JOB)));
+  t.is(parseJob({ ...JOB, isHedge: 1 }).isHedge, false);
+});
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -3,7 +3,12 @@
 import type { Socket } from "node:net";
 import { closeListener } from "@jaypass/kernel";
 import type { ServiceDefinition } from "@jaypass/kernel";
-import { computeHostLimits, createForwarder, DEFAULT_IDLE_TIMEOUT_MS } from "@jaypass/forwarding";
+import {
+  computeHostLimits,
+  createForwarder,
+  createHedging,
+  DEFAULT_IDLE_TIMEOUT_MS,
+} from "@jaypass/forwarding";
 import type { Forwarder } from "@jaypass/forwarding";
 import { CONNECTION_CHECK_MS, DIRECTORY_TTL_MS, MAX_HEADER_BYTES } from "./constants.ts";
 import { createReservations } from "./create_reservations.ts";
@@ -56,6 +61,7 @@
           log,
           tasks: lookup(SERVICE.TASKS),
         }),
+        hedging: createHedging({ clock, limits: () => settings.hedge }),
         stop,
         limits: settings.machine &&
           { ...computeHostLimits(settings.machine), readsOn: settings.readsAnswersOn },
--- a/packages/placement/create_retry_limiter.ts
+++ b/packages/placement/create_retry_limiter.ts
@@ -13,6 +13,14 @@
   windowMs: Millis;
 }
 
+/** Options of a retry. */
+export interface RetryOptions {
+  /** Workspace whose share of the budget counts; undefined for none. */
+  workspace?: string;
+  /** Part of the budget that may be used up by this retry, between 0 and 1; 1 by default. */
+  budgetShare?: number;
+}
+
 /** Limits retries to the budget of each service. */
 export interface RetryLimiter {
   /** Counts the first attempt of a request to the service. */
@@ -20,10 +28,10 @@
   /** Counts a retry that another limiter has granted. */
   countRetry(service: string, workspace?: string): void;
   /**
-   * Takes one retry from the budget; returns false if the budget is used up, or if a workspace is stated
-   * that has had its share while others ask for theirs.
+   * Takes one retry from the budget; returns false if the budget is used up, if more than the given share
+   * of it would be used, or if a workspace is stated that has had its share while others ask for theirs.
    */
-  tryAcquire(service: string, workspace?: string): boolean;
+  tryAcquire(service: string, options?: RetryOptions): boolean;
 }
 
 /** Options of {@linkcode createRetryLimiter}. */
@@ -69,11 +77,11 @@
       windowOf(retries, service).add();
       if (workspace !== undefined) workspaces.count(service, workspace);
     },
-    tryAcquire(service, workspace) {
+    tryAcquire(service, { workspace, budgetShare = 1 } = {}) {
       const firstCount = windowOf(firstAttempts, service).count();
       const budget = (limits.slack * share() + limits.ratio * firstCount) * (1 - RESERVED_SHARE);
       const used = windowOf(retries, service);
-      const left = budget - used.count();
+      const left = budget * budgetShare - used.count();
       const isInShare = workspace === undefined ||
         workspaces.ask(service, workspace, { total: budget, left });
       if (left < 1 || !isInShare) return false;
--- a/packages/placement/mod.ts
+++ b/packages/placement/mod.ts
@@ -33,6 +33,7 @@
 export * from "./create_workspace_usage.ts";
 export * from "./find_unservable_jobs.ts";
 export * from "./list_content_keys.ts";
+export * from "./list_hedge_servers.ts";
 export * from "./order_waiting_jobs.ts";
 export * from "./placer_types.ts";
 export * from "./sample_two.ts";
