--- a/packages/forwarding/_lib/create_caller_answer.ts
+++ b/packages/forwarding/_lib/create_caller_answer.ts
@@ -1,5 +1,4 @@
 import { validateHeaderName, validateHeaderValue } from "node:http";
-import { READ_ON_SHARE } from "../constants.ts";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import type { ServerAnswer } from "../open_exchange.ts";
 import type { HeaderList } from "../types.ts";
@@ -48,11 +47,8 @@
   request: CallerRequest,
 ): CallerAnswer {
   const { res, signal } = request;
-  const { heldBytes, readsOn = false } = context.limits ?? {};
-  const unread = createUnreadAnswer(res, {
-    holder: request.holder,
-    readOnBytes: readsOn && heldBytes !== undefined ? heldBytes * READ_ON_SHARE : undefined,
-  });
+  const { holder } = request;
+  const unread = createUnreadAnswer(res, { holder, readsOn: context.limits?.readsOn === true });
   let hasBegun = false;
 
   const sendHead = (answer: ServerAnswer, length: number | undefined) => {
--- a/packages/forwarding/_lib/create_memory_account.ts
+++ b/packages/forwarding/_lib/create_memory_account.ts
@@ -11,6 +11,8 @@
   pin(bytes: number): void;
   /** Sets what gives up the memory of a part of a request, in place of closing the connection. */
   setGiveUp(giveUp: (() => void) | undefined): void;
+  /** Bytes that the account of the host has left for all connections. */
+  freeBytes(): number;
   /** Releases everything; later calls have no effect. */
   close(): void;
 }
@@ -96,6 +98,7 @@
         release: (bytes) => add(-bytes),
         pin: (bytes) => void (holder.pinnedBytes += bytes),
         setGiveUp: (giveUp) => void (holder.giveUp = giveUp),
+        freeBytes: () => Math.max(0, limitBytes - heldBytes),
         close: () => close(holder),
       };
     },
--- a/packages/forwarding/_lib/create_unread_answer.ts
+++ b/packages/forwarding/_lib/create_unread_answer.ts
@@ -3,6 +3,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import {
   CALLER_BUFFER_BYTES,
+  READ_ON_SHARE,
   UNREAD_ANSWER_CHECK_MS,
   UNREAD_ANSWER_PATIENCE_MS,
 } from "../constants.ts";
@@ -25,10 +26,10 @@
   /** Memory of the connection; undefined if it is not counted. */
   holder: MemoryHolder | undefined;
   /**
-   * Bytes up to which the answer is read on from its server although the caller does not read;
-   * undefined if the server waits for the caller.
+   * True if the answer is read on from its server although the caller does not read, up to half of what
+   * the account has left.
    */
-  readOnBytes: number | undefined;
+  readsOn: boolean;
 }
 
 /**
@@ -36,18 +37,19 @@
  *
  * Answers the load of slow readers on platforms whose servers cut off answers that are unread for some
  * seconds: the host reads on up to a bound. Beyond it a caller that reads nothing is cut off, so that
- * its server is free for others.
+ * its server is free for others. The bound falls as the account fills, so that many slow readers get
+ * equal parts and leave room for other requests.
  *
  * @param res the answer
  * @param options memory account and bound
  * @returns the record
  *
  * @example
- * const unread = createUnreadAnswer(res, { holder, readOnBytes: 4_000_000 });
+ * const unread = createUnreadAnswer(res, { holder, readsOn: true });
  */
 export function createUnreadAnswer(
   res: ServerResponse,
-  { holder, readOnBytes }: UnreadAnswerOptions,
+  { holder, readsOn }: UnreadAnswerOptions,
 ): UnreadAnswer {
   let countedBytes = 0;
   const countTo = (bytes: number) => {
@@ -62,10 +64,15 @@
     res.once("close", () => countTo(0));
   }
 
-  const waitForReader = async (bound: number, signal: AbortSignal) => {
+  const isReadOn = readsOn && holder !== undefined;
+  const findBound = () =>
+    isReadOn
+      ? Math.max(CALLER_BUFFER_BYTES, holder.freeBytes() * READ_ON_SHARE)
+      : CALLER_BUFFER_BYTES;
+  const waitForReader = async (signal: AbortSignal) => {
     let leftBytes = res.writableLength;
     let idleMs = 0;
-    while (res.writableLength > bound) {
+    while (res.writableLength > findBound()) {
       await wait(UNREAD_ANSWER_CHECK_MS, undefined, { signal });
       idleMs = res.writableLength < leftBytes ? 0 : idleMs + UNREAD_ANSWER_CHECK_MS;
       leftBytes = res.writableLength;
@@ -79,9 +86,9 @@
       if (holder !== undefined) count();
     },
     async waitForRoom(signal) {
-      if (res.writableLength <= (readOnBytes ?? CALLER_BUFFER_BYTES)) return;
-      if (readOnBytes === undefined) await once(res, "drain", { signal });
-      else await waitForReader(readOnBytes, signal);
+      if (res.writableLength <= findBound()) return;
+      if (isReadOn) await waitForReader(signal);
+      else await once(res, "drain", { signal });
     },
   };
 }
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -218,8 +218,8 @@
 /** Interval of the log line that tells how often limits on callers took effect. */
 export const LIMIT_LOG_INTERVAL_MS = 5_000;
 
-/** Part of the memory held for callers that one answer may take before its server waits. */
-export const READ_ON_SHARE = 1 / 8;
+/** Part of the free memory for callers up to which an answer is read on before its server waits. */
+export const READ_ON_SHARE = 1 / 2;
 
 /** Interval at which the progress of a slow caller is looked at. */
 export const UNREAD_ANSWER_CHECK_MS = 50;
