Answer the request that waits unread when a host stops

The gate keeps a second request unread, so that the first answer of a stopping host announced the close and cut it off. The answer does not announce the close while bytes of a next request wait.

--- a/packages/forwarding/_lib/create_caller_limits.ts
+++ b/packages/forwarding/_lib/create_caller_limits.ts
@@ -23,6 +23,8 @@
   advance(socket: Socket): void;
   /** Parses all bytes of a connection that may be parsed now. */
   flush(socket: Socket): void;
+  /** Reports whether bytes of a next request wait behind whole requests in progress. */
+  hasNext(socket: Socket): boolean;
   /** Reads when the head came that is being parsed, and its length; undefined outside of the parser. */
   readHead(socket: Socket): ReceivedHead | undefined;
 }
@@ -140,6 +142,7 @@
       gate.advance(socket);
     },
     flush: (socket) => gate.flush(socket),
+    hasNext: (socket) => gate.hasNext(socket),
     readHead: (socket) => gate.readHead(socket),
   };
 }
--- a/packages/forwarding/_lib/create_connection_gate.ts
+++ b/packages/forwarding/_lib/create_connection_gate.ts
@@ -23,6 +23,8 @@
   advance(socket: Socket): void;
   /** Parses all bytes of a connection that may be parsed now, out of turn. */
   flush(socket: Socket): void;
+  /** Reports whether bytes of a next request wait behind whole requests in progress. */
+  hasNext(socket: Socket): boolean;
   /** Reads when the head came that is being parsed, and its length; undefined outside of the parser. */
   readHead(socket: Socket): ReceivedHead | undefined;
 }
@@ -267,6 +269,11 @@
       const record = records.get(socket);
       if (record !== undefined) runTurn(record, Infinity);
     },
+    hasNext(socket) {
+      const record = records.get(socket);
+      if (record === undefined || record.unreadBytes === 0 || !isOpen(record)) return false;
+      return connections.listAnswers(socket).at(-1)?.req.complete === true;
+    },
     readHead(socket) {
       const { parsedAtMs, headBytes = 0 } = records.get(socket) ?? {};
       return parsedAtMs === undefined ? undefined : { arrivalMs: parsedAtMs, bytes: headBytes };
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -11,6 +11,7 @@
   PlacementDecision,
   PlacementJob,
 } from "@jaypass/placement";
+import type { HostLimits } from "../compute_host_limits.ts";
 import { createForwarder } from "../create_forwarder.ts";
 import { createServerNotices } from "../create_server_notices.ts";
 import { indexConfiguration } from "../index_configuration.ts";
@@ -136,6 +137,8 @@
   engine?: EngineProfile;
   /** Chooses the servers of a job, in place of the next server by index. */
   place?: (job: PlacementJob) => PlacementDecision | Promise<PlacementDecision>;
+  /** Limits on what callers make the host hold; none by default. */
+  limits?: HostLimits;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -190,6 +193,7 @@
     log,
     metrics,
     notices,
+    limits: options.limits,
     codec: TEST_CODEC,
     configuration: () =>
       options.hasNoConfiguration ? undefined : indexConfiguration({
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -137,6 +137,10 @@
     onEndlessHead: (socket) => protocolError(createHeadOverflow(), socket),
   });
 
+  /** A request that waits unread would be cut off by the close, like one that was read. */
+  const shouldClose = (socket: Socket) =>
+    limits?.hasNext(socket) !== true && connections.shouldClose(socket);
+
   const serve = async (
     req: IncomingMessage,
     res: ServerResponse,
@@ -170,7 +174,7 @@
           body,
           arrivalMs,
           monitored,
-          connections,
+          shouldClose: () => shouldClose(req.socket),
         });
       } finally {
         releaseBody(holder ?? memory, body);
@@ -215,6 +219,7 @@
         monitored,
         connections,
         closer,
+        shouldClose: () => shouldClose(socket),
       });
     }
     await waitForDelivery(res);
@@ -342,11 +347,11 @@
   body: Buffer;
   arrivalMs: Millis;
   monitored: MonitoredRequest;
-  connections: CallerConnections;
+  shouldClose: () => boolean;
 }
 
 async function forward(context: ForwardingContext, options: ForwardOptions): Promise<void> {
-  const { req, res, holder, resolved, body, arrivalMs, monitored, connections } = options;
+  const { req, res, holder, resolved, body, arrivalMs, monitored, shouldClose } = options;
   const { metadata, route, service, workspace, timeoutMs } = resolved;
   const controller = new AbortController();
   let receivedCount = 0;
@@ -384,7 +389,7 @@
     signal: controller.signal,
     res,
     holder,
-    shouldClose: () => connections.shouldClose(req.socket),
+    shouldClose,
     onReceived: () => void (receivedCount += 1),
     onAttempts: (state) => void (monitored.attempts = state),
   };
@@ -417,7 +422,7 @@
  */
 async function answerWithFailure(
   context: ForwardingContext,
-  { req, res, err, monitor, monitored, connections, closer }: {
+  { req, res, err, monitor, monitored, connections, closer, shouldClose }: {
     req: IncomingMessage;
     res: ServerResponse;
     err: unknown;
@@ -425,6 +430,7 @@
     monitored: MonitoredRequest;
     connections: CallerConnections;
     closer: ConnectionCloser;
+    shouldClose: () => boolean;
   },
 ): Promise<void> {
   const failure = err instanceof ForwardingError
@@ -455,7 +461,7 @@
   }
   try {
     await sendFailure(context, req, res, failure, {
-      shouldClose: connections.shouldClose(req.socket),
+      shouldClose: shouldClose(),
       // A body that was within the limit when its caller sent it may be over it now.
       maxUnreadBytes: Math.max(
         context.configuration()?.limits.maxBodyBytes ?? 0,
