Serve a request whose headers wait for their turn at their timeout

The unread bytes were parsed before the number of requests was noted, so that a request found then still counted as missing: its caller got status 408, or its connection was closed. Bytes that came in the last look at the socket were not parsed at all. Both are parsed after that look now.

--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -250,9 +250,11 @@
       ),
     handleProtocolError(err, socket) {
       if (!isHeaderTimeout(err)) return protocolError(err, socket);
-      // The rest of the headers may wait for its turn.
-      limits?.flush(socket);
-      timeouts.handleHeaderTimeout(socket, () => protocolError(err, socket));
+      timeouts.handleHeaderTimeout(
+        socket,
+        () => protocolError(err, socket),
+        () => limits?.flush(socket),
+      );
     },
     handleTunnelRequest: (socket) => handleTunnelRequest({ connections, closer }, socket),
     size: () => size,
--- a/packages/kernel/create_caller_timeouts.ts
+++ b/packages/kernel/create_caller_timeouts.ts
@@ -13,9 +13,10 @@
   handleIdleTimeout(socket: Socket, close: () => void): void;
   /**
    * Handles headers that were not there when their timeout was checked; calls `close` if they are
-   * still missing after the socket has been read.
+   * still missing after the socket has been read. `parse` parses what was read and waits for its turn;
+   * by default nothing waits.
    */
-  handleHeaderTimeout(socket: Socket, close: () => void): void;
+  handleHeaderTimeout(socket: Socket, close: () => void, parse?: () => void): void;
 }
 
 /** Options of {@linkcode createCallerTimeouts}. */
@@ -87,9 +88,10 @@
         else if (remainingMs !== undefined) socket.setTimeout(Math.ceil(remainingMs));
       }, { clock });
     },
-    handleHeaderTimeout(socket, close) {
+    handleHeaderTimeout(socket, close, parse = () => {}) {
       const { arrivedCount } = findRecord(socket);
       runAfterRead(() => {
+        if (!socket.destroyed) parse();
         if (!socket.destroyed && findRecord(socket).arrivedCount === arrivedCount) close();
       }, { clock });
     },
