Keep a body that has ended

Between the end of a body and its use, another connection that needs memory could have it given up, so that the request was sent on with an empty body. The new test got an empty body before.

--- a/packages/forwarding/_lib/read_body.ts
+++ b/packages/forwarding/_lib/read_body.ts
@@ -50,6 +50,8 @@
       };
       req.on("data", onData);
       finished(req, { writable: false }, (err) => {
+        // A whole body must not be given up: it would be sent on empty.
+        memory.setGiveUp?.(undefined);
         if (err) reject(new ForwardingError(400, FAILURE.BODY_INCOMPLETE, { cause: err }));
         else resolve();
       });
