--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -11,6 +11,7 @@
   PlacementDecision,
   PlacementJob,
 } from "@jaypass/placement";
+import type { HostLimits } from "../compute_host_limits.ts";
 import { createForwarder } from "../create_forwarder.ts";
 import type { Hedging } from "../create_hedging.ts";
 import { createServerNotices } from "../create_server_notices.ts";
@@ -141,6 +142,8 @@
   maxBodyBytes?: number;
   /** Second runs of requests that are slower than usual; none by default. */
   hedging?: Hedging;
+  /** Limits on what callers make the host hold; none by default. */
+  limits?: HostLimits;
   /** Refusal that placement answers with. */
   refusal?: PlacementDecision & { kind: "refused" };
 }
@@ -196,6 +199,7 @@
     metrics,
     hedging: options.hedging,
     notices,
+    limits: options.limits,
     codec: TEST_CODEC,
     configuration: () =>
       options.hasNoConfiguration ? undefined : indexConfiguration({
