Count a least cost for each slice of a connection's turn

A chunked body of line ends was parsed in slices of 4 bytes, so that a turn of 16 KB took the time of thousands of them.

--- a/packages/forwarding/_lib/create_connection_gate.ts
+++ b/packages/forwarding/_lib/create_connection_gate.ts
@@ -5,6 +5,7 @@
   MAX_UNENDED_HEAD_BYTES,
   MAX_UNREAD_BYTES,
   MAX_UNREAD_PIECES,
+  MIN_SLICE_COST_BYTES,
   PARSE_TURN_BYTES,
   PIECE_COST_BYTES,
 } from "../constants.ts";
@@ -173,7 +174,7 @@
     while (turnBytes > 0 && isOpen(record) && canParse(record)) {
       const isHead = connections.listAnswers(record.socket).length === 0;
       const slice = takeSlice(record, turnBytes);
-      turnBytes -= slice.length;
+      turnBytes -= Math.max(slice.length, MIN_SLICE_COST_BYTES);
       if (isHead) countHead(record, slice);
       if (!isOpen(record)) break;
       record.parse(slice);
--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -236,6 +236,12 @@
 /** Bytes of one connection that are parsed before the others have their turn. */
 export const PARSE_TURN_BYTES = 16_384;
 
+/**
+ * Least bytes that a slice counts for in a turn. A body of line ends is parsed in slices of a few bytes,
+ * each of which takes as long as some hundred bytes of a long one.
+ */
+export const MIN_SLICE_COST_BYTES = 256;
+
 /** Bytes before the end of a head, empty lines included, above which the head is refused. */
 export const MAX_UNENDED_HEAD_BYTES = 65_536;
 
