Test the exit while a request waits unread behind an answer

The test of a body that is being read at the exit waits until two requests of a connection are in progress, which the limits on callers rule out; it stays for a host without them. With them, the request waits unread until the answer before it has ended. The new test guards against sending it after the exit has begun: it is refused once with 503, and its server gets nothing.

--- a/packages/forwarding/caller_limits_test.ts
+++ b/packages/forwarding/caller_limits_test.ts
@@ -19,8 +19,14 @@
   res.writeHead(200, { Attempt: "a1", Seal: "s" }).end("whole");
 };
 
-async function setUp(t: ExecutionContext) {
-  const host = await createTestHost([slow], { limits: LIMITS });
+const stream: ServerBehaviour = async (_req, res) => {
+  res.writeHead(200, { Attempt: "a1", Seal: "s" }).write("begun ");
+  await wait(300);
+  res.end("whole");
+};
+
+async function setUp(t: ExecutionContext, server: ServerBehaviour = slow) {
+  const host = await createTestHost([server], { limits: LIMITS });
   t.teardown(() => host.close());
   const [ip = "", port] = host.address.split(":");
   const socket = connect(Number(port), ip).on("error", () => {});
@@ -48,3 +54,19 @@
     "Connection: close",
   ]);
 });
+
+// A host without the limits reads such a request beside the first one; see stop_test.ts.
+test("a request that waits unread at the exit, with a part of its body, is refused and not sent", async (t) => {
+  const { host, socket, text, waitUntil } = await setUp(t, stream);
+  socket.write(POST);
+  await waitUntil(() => text().includes("begun"));
+  socket.write(POST.slice(0, -2));
+  await wait(50);
+  t.is(host.size(), 1);
+  host.beginExit();
+  await waitUntil(() => text().includes("HTTP/1.1 503"));
+  socket.write(POST.slice(-2));
+  await wait(200);
+  t.deepEqual(text().match(/HTTP\/1.1 \d+|whole/g), ["HTTP/1.1 200", "whole", "HTTP/1.1 503"]);
+  t.deepEqual([host.counters["stop_request refused"], host.arrivals.length], [1, 1]);
+});
