Name servers that are slow or fail degraded

The watch, its types and tests used a figurative word; events of callers that come back are named returned_early and returned_in_time.

--- a/packages/bench/simulate_placement.ts
+++ b/packages/bench/simulate_placement.ts
@@ -317,7 +317,7 @@
   })));
   const askedMs = new Map<string, number>();
   const askPaces = () => {
-    for (const { serverId, wantsPace } of placer.listTroubled()) {
+    for (const { serverId, wantsPace } of placer.listDegraded()) {
       if (!wantsPace || nowMs() - (askedMs.get(serverId) ?? -Infinity) < PACE_INTERVAL_MS) continue;
       askedMs.set(serverId, nowMs());
       placer.applyPace(serverId, findSlowness(load, Number(serverId), nowMs()));
--- a/packages/forwarding_host/constants.ts
+++ b/packages/forwarding_host/constants.ts
@@ -133,7 +133,7 @@
 export const PACE_PROBE_INTERVAL_MS = 1_000;
 
 /** Least time between two log lines on a server that is slow or fails. */
-export const TROUBLE_LOG_INTERVAL_MS = 1_000;
+export const DEGRADED_LOG_INTERVAL_MS = 1_000;
 
 /** Time within which a silent server must answer a check. */
 export const SERVER_CHECK_TIMEOUT_MS = 500;
--- a/packages/forwarding_host/create_trouble_watch.ts
+++ b/packages/forwarding_host/create_degraded_server_watch.ts
@@ -1,11 +1,11 @@
 import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
 import { SOUND_FAILURE_SHARE } from "@jaypass/placement";
-import type { PlacementServer, ServerTrouble } from "@jaypass/placement";
+import type { DegradedServer, PlacementServer } from "@jaypass/placement";
 import {
+  DEGRADED_LOG_INTERVAL_MS,
   MAX_PROBED_ENGINES,
   PACE_PROBE_INTERVAL_MS,
   PROBE_TIMEOUT_MS,
-  TROUBLE_LOG_INTERVAL_MS,
 } from "./constants.ts";
 import type { EngineReports } from "./types.ts";
 
@@ -15,10 +15,10 @@
 /** Change of a share of failures that is logged. */
 const SHARE_STEP = 0.1;
 
-/** Options of {@linkcode createTroubleWatch}. */
-export interface TroubleWatchOptions {
+/** Options of {@linkcode createDegradedServerWatch}. */
+export interface DegradedServerWatchOptions {
   /** Lists the servers that the hub's placer knows to be slow or to fail. */
-  listTroubled: () => ServerTrouble[];
+  listDegraded: () => DegradedServer[];
   /** Lists the engines whose pace may be requested. */
   engines: () => PlacementServer[];
   /** Reads the load reports of engines. */
@@ -33,7 +33,7 @@
 }
 
 /** Follows the servers that are slow or fail. */
-export interface TroubleWatch {
+export interface DegradedServerWatch {
   /** Logs changes, and requests the pace of engines that are or were slow; never rejects. */
   check(): Promise<void>;
 }
@@ -51,10 +51,12 @@
  * @example
  * await watch.check();
  */
-export function createTroubleWatch(options: TroubleWatchOptions): TroubleWatch {
+export function createDegradedServerWatch(
+  options: DegradedServerWatchOptions,
+): DegradedServerWatch {
   const { reports, onPace, clock, log, metrics } = options;
   const askedMs = new Map<string, Millis>();
-  const logged = new Map<string, ServerTrouble & { atMs: Millis }>();
+  const logged = new Map<string, DegradedServer & { atMs: Millis }>();
 
   const readPace = async ({ id, address }: PlacementServer) => {
     metrics.increment("pace_probe");
@@ -66,45 +68,45 @@
     }
   };
 
-  const hasChanged = (trouble: ServerTrouble) => {
-    const last = logged.get(trouble.serverId) ?? { factor: 1, failureShare: 0, atMs: -Infinity };
-    if (clock.nowMs() - last.atMs < TROUBLE_LOG_INTERVAL_MS) return false;
-    const isEnd = trouble.factor === 1 && trouble.failureShare === 0 &&
+  const hasChanged = (server: DegradedServer) => {
+    const last = logged.get(server.serverId) ?? { factor: 1, failureShare: 0, atMs: -Infinity };
+    if (clock.nowMs() - last.atMs < DEGRADED_LOG_INTERVAL_MS) return false;
+    const isEnd = server.factor === 1 && server.failureShare === 0 &&
       (last.factor > 1 || last.failureShare > 0);
-    return isEnd || Math.abs(trouble.factor - last.factor) >= FACTOR_STEP ||
-      Math.abs(trouble.failureShare - last.failureShare) >= SHARE_STEP;
+    return isEnd || Math.abs(server.factor - last.factor) >= FACTOR_STEP ||
+      Math.abs(server.failureShare - last.failureShare) >= SHARE_STEP;
   };
 
-  const logChanges = (troubled: readonly ServerTrouble[]) => {
-    const present = new Set(troubled.map(({ serverId }) => serverId));
+  const logChanges = (degraded: readonly DegradedServer[]) => {
+    const present = new Set(degraded.map(({ serverId }) => serverId));
     const ended = [...logged.keys()].filter((id) => !present.has(id))
       .map((serverId) => ({ serverId, factor: 1, failureShare: 0, wantsPace: false }));
-    for (const trouble of [...troubled, ...ended].filter(hasChanged)) {
-      const { serverId, factor, failureShare } = trouble;
+    for (const server of [...degraded, ...ended].filter(hasChanged)) {
+      const { serverId, factor, failureShare } = server;
       log.info(
         { server: serverId, factor: roundTo2(factor), failureShare: roundTo2(failureShare) },
         "Speed or failures of server changed",
       );
-      if (present.has(serverId)) logged.set(serverId, { ...trouble, atMs: clock.nowMs() });
+      if (present.has(serverId)) logged.set(serverId, { ...server, atMs: clock.nowMs() });
       else logged.delete(serverId);
     }
   };
 
   return {
     async check() {
-      const troubled = options.listTroubled();
-      logChanges(troubled);
-      metrics.gauge("slow_servers", troubled.filter(({ factor }) => factor > 1).length);
+      const degraded = options.listDegraded();
+      logChanges(degraded);
+      metrics.gauge("slow_servers", degraded.filter(({ factor }) => factor > 1).length);
       metrics.gauge(
         "failing_servers",
-        troubled.filter(({ failureShare }) => failureShare >= SOUND_FAILURE_SHARE).length,
+        degraded.filter(({ failureShare }) => failureShare >= SOUND_FAILURE_SHARE).length,
       );
       const nowMs = clock.nowMs();
       for (const [id, atMs] of askedMs) {
         if (nowMs - atMs >= PACE_PROBE_INTERVAL_MS) askedMs.delete(id);
       }
       const wanted = new Set(
-        troubled.filter((trouble) => trouble.wantsPace)
+        degraded.filter((server) => server.wantsPace)
           .map(({ serverId }) => serverId).filter((id) => !askedMs.has(id)),
       );
       if (wanted.size === 0) return;
--- a/packages/forwarding_host/create_trouble_watch_test.ts
+++ b/packages/forwarding_host/create_degraded_server_watch_test.ts
@@ -1,15 +1,15 @@
-import type { PlacementServer, ServerTrouble } from "@jaypass/placement";
+import type { DegradedServer, PlacementServer } from "@jaypass/placement";
 import test from "ava";
-import { createTroubleWatch } from "./create_trouble_watch.ts";
+import { createDegradedServerWatch } from "./create_degraded_server_watch.ts";
 
 test("only engines that were late are asked for their pace, each once a second, and changes are logged as often", async (t) => {
   let nowMs = 0;
-  let troubled: ServerTrouble[] = [];
+  let degraded: DegradedServer[] = [];
   const calls: string[] = [];
   const lines: unknown[] = [];
   const noop = () => {};
-  const watch = createTroubleWatch({
-    listTroubled: () => troubled,
+  const watch = createDegradedServerWatch({
+    listDegraded: () => degraded,
     engines: () => ["e1", "e2", "e3"].map((id) => ({ id, address: id }) as PlacementServer),
     reports: {
       read: ({ serverId }) =>
@@ -22,16 +22,16 @@
     log: { info: (fields: unknown) => void lines.push(fields), debug: noop } as never,
     metrics: { increment: noop, gauge: noop } as never,
   });
-  const trouble = { failureShare: 0, wantsPace: true };
+  const server = { failureShare: 0, wantsPace: true };
   for (; nowMs < 2_000; nowMs += 50) {
-    troubled = [
-      { ...trouble, serverId: "e1", factor: 1 + nowMs / 500 },
-      { ...trouble, serverId: "e2", factor: 1 },
-      { ...trouble, serverId: "e3", factor: 2, wantsPace: false },
+    degraded = [
+      { ...server, serverId: "e1", factor: 1 + nowMs / 500 },
+      { ...server, serverId: "e2", factor: 1 },
+      { ...server, serverId: "e3", factor: 2, wantsPace: false },
     ];
     await watch.check();
   }
-  troubled = [];
+  degraded = [];
   await watch.check();
   await watch.check();
   t.deepEqual(calls, ["0 e1 4", "1000 e1 4"]);
--- a/packages/forwarding_host/define_cluster_service.ts
+++ b/packages/forwarding_host/define_cluster_service.ts
@@ -22,7 +22,7 @@
 import { createCancelReport, createPlacementClient } from "./create_placement_client.ts";
 import { createPlacementEncoders } from "./create_placement_encoders.ts";
 import { createPlacementParsers } from "./create_placement_parsers.ts";
-import { createTroubleWatch } from "./create_trouble_watch.ts";
+import { createDegradedServerWatch } from "./create_degraded_server_watch.ts";
 import type { HostContext } from "./host_context.ts";
 import { SERVICE } from "./service_names.ts";
 import type { Cluster, PlacementFleet } from "./service_names.ts";
@@ -132,8 +132,8 @@
       for (const placer of [hubPlacer, localPlacer]) placer.applyReport(serverId, report);
     },
   });
-  const troubleWatch = createTroubleWatch({
-    listTroubled: hubPlacer.listTroubled,
+  const degradedWatch = createDegradedServerWatch({
+    listDegraded: hubPlacer.listDegraded,
     engines: listProbeable,
     reports: adapter.reports,
     onPace: hubPlacer.applyPace,
@@ -203,7 +203,7 @@
       else await sleepUntilTick(FLEET_TICK_MS, { clock, signal });
       if (hubPlacer.hasColdServers()) await new Promise<void>(afterRead);
       hubPlacer.dispatchReady();
-      if (fleet.isHub()) void troubleWatch.check();
+      if (fleet.isHub()) void degradedWatch.check();
     }
   });
   quarantine.run(tasks);
--- a/packages/placement/choose_probe_test.ts
+++ b/packages/placement/choose_probe_test.ts
@@ -23,7 +23,7 @@
   return { clock, loads, countFirst };
 }
 
-test("only a small share of short, repeatable first attempts probes a server in trouble", (t) => {
+test("only a small share of short, repeatable first attempts probes a degraded server", (t) => {
   const { loads, countFirst } = setUp({ failed: 10 });
   const probes = (changes: Partial<PlacementJob>, isShort = true) =>
     countFirst((job) => chooseProbe(job, loads, isShort)?.server.id === "s1", changes);
--- a/packages/placement/create_placer.ts
+++ b/packages/placement/create_placer.ts
@@ -383,7 +383,7 @@
       registry.applyPace(serverId, report.pace);
     },
     applyPace: registry.applyPace,
-    listTroubled() {
+    listDegraded() {
       const isActive = clock.nowMs() - lastDispatchMs < ACTIVE_PLACER_MS;
       return registry.list().map(({ server, speed, failures }) => ({
         serverId: server.id,
--- a/packages/placement/create_share_policy.ts
+++ b/packages/placement/create_share_policy.ts
@@ -133,7 +133,9 @@
       // A second try of a host is no return of its caller.
       if (!isPrioritized(job.service) || job.isRetry) return undefined;
       const returned = refusals.find(job);
-      if (returned !== undefined) onEvent(returned.isEarly ? "came_early" : "came_as_told", job);
+      if (returned !== undefined) {
+        onEvent(returned.isEarly ? "returned_early" : "returned_in_time", job);
+      }
       return returned;
     },
     placed(job, ageMs) {
--- a/packages/placement/server_trouble_test.ts
+++ b/packages/placement/degraded_server_test.ts
@@ -106,7 +106,7 @@
   const during = play(4_000, slow);
   t.true(shareOf(during, busiest) <= 0.05, JSON.stringify([...during]));
   const factorOf = (one: typeof placer) =>
-    one.listTroubled().find(({ serverId }) => serverId === busiest)?.factor ?? 1;
+    one.listDegraded().find(({ serverId }) => serverId === busiest)?.factor ?? 1;
   play(1_000, slow);
   t.is(factorOf(placer), factorOf(second));
   play(5_000);
@@ -118,7 +118,7 @@
 test("a model error that is common to all engines changes no placement", (t) => {
   const { placer, play } = setUp();
   play(6_000, { modelError: 3 });
-  t.deepEqual(placer.listTroubled().filter(({ factor }) => factor > 1), []);
+  t.deepEqual(placer.listDegraded().filter(({ factor }) => factor > 1), []);
 });
 
 test("a server that fails 45 of 100 requests gets fewer, none that may run only once, and comes back", (t) => {
@@ -140,11 +140,11 @@
   const share = 0.5;
   const limit = (4 * 1.5 + 5) * share;
   const { play } = setUp({ share: () => share, coldUntilMs: 60_000 });
-  const trouble: Behaviour = {
+  const server: Behaviour = {
     slowness: (id) => id === "s1" ? 1 : 4,
     outcome: (id) => id === "s1" ? JOB_OUTCOME.ANSWERED : JOB_OUTCOME.FAILED,
   };
   for (let second = 0; second < 8; second++) {
-    t.true((play(1_000, trouble).get("s1") ?? 0) <= limit);
+    t.true((play(1_000, server).get("s1") ?? 0) <= limit);
   }
 });
--- a/packages/placement/hedge_placement_test.ts
+++ b/packages/placement/hedge_placement_test.ts
@@ -54,7 +54,7 @@
   t.not(place(), "no_spare_room");
 });
 
-// Guards against hedges that slow a server down which is in trouble already.
+// Guards against hedges that slow down a server that is degraded already.
 test("a hedge goes to no server that is cold, suspect, leaving or full", (t) => {
   t.is(setUp({ coldUntilMs: 60_000 }).place(), "no_spare_room");
   const full = setUp();
--- a/packages/placement/placer_types.ts
+++ b/packages/placement/placer_types.ts
@@ -42,8 +42,8 @@
 
 /** What the shares of workspaces and the early refusals do, as it is counted. */
 export type ShareEvent =
-  | "came_early"
-  | "came_as_told"
+  | "returned_early"
+  | "returned_in_time"
   | "placed_below_share"
   | "placed_above_share"
   | `refused_${Exclude<RefusalCause, "cancelled">}`;
@@ -157,7 +157,7 @@
 }
 
 /** A server that is or was slow, or that fails requests. */
-export interface ServerTrouble {
+export interface DegradedServer {
   /** Id of the server. */
   serverId: string;
   /** Factor by which the server is slower than the others of its service; 1 for usual speed. */
@@ -190,7 +190,7 @@
   /** Applies only the pace of an engine's report; undefined if the report has none. */
   applyPace(serverId: string, pace: number | undefined): void;
   /** Lists the servers that are or were slow, or that fail requests. */
-  listTroubled(): ServerTrouble[];
+  listDegraded(): DegradedServer[];
   /** Counts a job that another placer placed. */
   addRunning(running: RunningJob): void;
   /** Records that the first byte of the answer has arrived. */
--- a/packages/placement/prioritized_load_test.ts
+++ b/packages/placement/prioritized_load_test.ts
@@ -82,7 +82,7 @@
   t.log(before, after);
   t.true(after.told > after.hasty);
   t.true(after.told > before.told);
-  t.true((after.events.get("came_as_told") ?? 0) > 0);
+  t.true((after.events.get("returned_in_time") ?? 0) > 0);
 });
 
 test("under sustained overload, the more urgent kinds are served most and none starves", async (t) => {
