Move the limits on clients into a package of their own

Cause: account, gate and bounds of connections stand in the package of the callers' port, so that no other server can take them. Change: they move to @jaypass/client_limits. createClientLimits holds the account and the bounds of the process, and attach() joins a server to them. A host creates them once, as a service. Reading on for slow callers is an option of the forwarder now, since it is no limit of the machine. The body collector gets the error for an exhausted budget from its user.

--- a/packages/forwarding/_lib/create_connection_gate.ts
+++ b/packages/client_limits/_lib/create_connection_gate.ts
@@ -10,9 +10,9 @@
   PIECE_COST_BYTES,
 } from "../constants.ts";
 import type { Clock, Millis } from "@jaypass/kernel";
-import type { CallerConnections } from "./create_caller_connections.ts";
 import { chooseSlice, TAIL_BYTES } from "./choose_slice.ts";
-import type { MemoryHolder } from "./create_memory_account.ts";
+import type { MemoryHolder } from "../create_memory_account.ts";
+import type { LimitedServer } from "../create_client_limits.ts";
 
 const LINE_END = 0x0a;
 
@@ -79,17 +79,16 @@
  * a turn of limited length, and counts what it holds. A socket is still read while its request is in
  * progress, up to a bound, since only a read tells that the caller has left.
  *
- * @param options clock, requests in progress on each connection, and what is done with a head without end
+ * @param options clock, and the server with the requests in progress on each connection
  * @returns the gate
  *
  * @example
  * server.on("connection", (socket) => gate.open(socket, holder));
  */
 export function createConnectionGate(
-  { clock, connections, onEndlessHead }: {
+  { clock, server }: {
     clock: Clock;
-    connections: Pick<CallerConnections, "listAnswers" | "isEnding">;
-    onEndlessHead: (socket: Socket) => void;
+    server: Pick<LimitedServer, "listAnswers" | "isEnding" | "onEndlessHead">;
   },
 ): ConnectionGate {
   const records = new WeakMap<Socket, GateRecord>();
@@ -97,12 +96,12 @@
   let isScheduled = false;
 
   const isOpen = ({ socket }: GateRecord) =>
-    !socket.destroyed && !socket.writableEnded && !connections.isEnding(socket) &&
+    !socket.destroyed && !socket.writableEnded && !server.isEnding(socket) &&
     (socket as ServerSocket).parser != null;
   const canParse = (record: GateRecord) => {
     if (record.unreadBytes === 0 || record.isParserPaused) return false;
     if ((record.socket as ServerSocket)._paused === true) return false;
-    const last = connections.listAnswers(record.socket).at(-1);
+    const last = server.listAnswers(record.socket).at(-1);
     return last === undefined || !last.req.complete;
   };
   const discard = (record: GateRecord) => {
@@ -147,7 +146,7 @@
   };
   /** Finds out to which request the parsed bytes belong. */
   const recordRequest = (record: GateRecord, length: number) => {
-    const last = connections.listAnswers(record.socket).at(-1)?.req;
+    const last = server.listAnswers(record.socket).at(-1)?.req;
     if (last === undefined || last.complete) {
       record.bodyBytes = undefined;
       // A request that has ended, or one that is not handled, ends the head as well.
@@ -172,7 +171,7 @@
   const runTurn = (record: GateRecord, mostBytes: number) => {
     let turnBytes = mostBytes;
     while (turnBytes > 0 && isOpen(record) && canParse(record)) {
-      const isHead = connections.listAnswers(record.socket).length === 0;
+      const isHead = server.listAnswers(record.socket).length === 0;
       const slice = takeSlice(record, turnBytes);
       turnBytes -= Math.max(slice.length, MIN_SLICE_COST_BYTES);
       if (isHead) countHead(record, slice);
@@ -180,7 +179,7 @@
       record.parse(slice);
       record.parsedAtMs = undefined;
       recordRequest(record, slice.length);
-      if (record.headBytes > MAX_UNENDED_HEAD_BYTES) onEndlessHead(record.socket);
+      if (record.headBytes > MAX_UNENDED_HEAD_BYTES) server.onEndlessHead(record.socket);
     }
     if (!isOpen(record)) discard(record);
     if (record.socket.destroyed) return;
@@ -273,7 +272,7 @@
     hasNext(socket) {
       const record = records.get(socket);
       if (record === undefined || record.unreadBytes === 0 || !isOpen(record)) return false;
-      return connections.listAnswers(socket).at(-1)?.req.complete === true;
+      return server.listAnswers(socket).at(-1)?.req.complete === true;
     },
     readHead(socket) {
       const { parsedAtMs, headBytes = 0 } = records.get(socket) ?? {};
--- a/packages/forwarding/compute_host_limits.ts
+++ b/packages/client_limits/compute_host_limits.ts
@@ -19,11 +19,6 @@
   connections: number | undefined;
   /** Open connections from one address; undefined if there is no limit. */
   addressConnections: number | undefined;
-  /**
-   * True if answers are read on from their servers into the held bytes while callers read slowly;
-   * false by default.
-   */
-  readsOn?: boolean;
 }
 
 /**
--- a/packages/forwarding/_lib/create_body_collector.ts
+++ b/packages/client_limits/create_body_collector.ts
@@ -1,13 +1,12 @@
-import { MAX_BODY_BLOCK_BYTES, MIN_BODY_BLOCK_BYTES, SMALL_PIECE_BYTES } from "../constants.ts";
-import { reserveBodyMemory } from "./create_body_memory_budget.ts";
-import type { BodyMemoryBudget } from "./create_body_memory_budget.ts";
+import { MAX_BODY_BLOCK_BYTES, MIN_BODY_BLOCK_BYTES, SMALL_PIECE_BYTES } from "./constants.ts";
+import type { MemoryBudget } from "./create_memory_account.ts";
 
 /** Collects the pieces of a body. */
 export interface BodyCollector {
   /**
    * Adds a piece.
    *
-   * @throws {ForwardingError} if the memory budget does not allow it
+   * @throws the error of the options if the memory budget does not allow it
    */
   add(piece: Buffer): void;
   /** Bytes of the pieces. */
@@ -23,13 +22,17 @@
  * byte takes a few hundred bytes as an object of its own.
  *
  * @param memory budget from which the memory is reserved
+ * @param createError creates the error for an exhausted budget
  * @returns the collector
  *
  * @example
- * const body = createBodyCollector(memory);
+ * const body = createBodyCollector(memory, createBodyMemoryError);
  * req.on("data", (piece) => body.add(piece));
  */
-export function createBodyCollector(memory: BodyMemoryBudget): BodyCollector {
+export function createBodyCollector(
+  memory: MemoryBudget,
+  createError: () => Error,
+): BodyCollector {
   const parts: Buffer[] = [];
   let block = Buffer.alloc(0);
   let used = 0;
@@ -37,7 +40,7 @@
   let reserved = 0;
 
   const reserve = (bytes: number) => {
-    reserveBodyMemory(memory, bytes);
+    if (!memory.tryReserve(bytes)) throw createError();
     reserved += bytes;
   };
   const closeBlock = () => {
--- a/packages/forwarding/_lib/create_memory_account.ts
+++ b/packages/client_limits/create_memory_account.ts
@@ -1,10 +1,17 @@
-import { CONNECTION_COST_BYTES, SMALL_HOLDER_BYTES } from "../constants.ts";
-import { chooseLargestHolder } from "./choose_largest_holder.ts";
-import type { HeldMemory } from "./choose_largest_holder.ts";
-import type { BodyMemoryBudget } from "./create_body_memory_budget.ts";
+import { CONNECTION_COST_BYTES, SMALL_HOLDER_BYTES } from "./constants.ts";
+import { chooseLargestHolder } from "./_lib/choose_largest_holder.ts";
+import type { HeldMemory } from "./_lib/choose_largest_holder.ts";
+
+/** A budget of memory, from which buffered bytes are reserved. */
+export interface MemoryBudget {
+  /** Reserves memory; returns false if the budget does not allow it. */
+  tryReserve(bytes: number): boolean;
+  /** Releases reserved memory. */
+  release(bytes: number): void;
+}
 
 /** The part of the memory account that belongs to one connection. */
-export interface MemoryHolder extends BodyMemoryBudget {
+export interface MemoryHolder extends MemoryBudget {
   /** Counts bytes that are held already; releases the largest holders if the limit is exceeded. */
   charge(bytes: number): void;
   /** Marks bytes as part of a request that a server has; a negative number takes the mark back. */
--- a/packages/forwarding/_lib/create_memory_account_test.ts
+++ b/packages/client_limits/create_memory_account_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { CONNECTION_COST_BYTES } from "../constants.ts";
+import { CONNECTION_COST_BYTES } from "./constants.ts";
 import { createMemoryAccount } from "./create_memory_account.ts";
 
 function setUp(limitBytes: number, count: number) {
--- /dev/null
+++ b/packages/client_limits/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * Limits on what clients make a process hold and work: memory, connections and turns of the HTTP
+ * parser, for every server that clients reach.
+ *
+ * @module
+ */
+
+export * from "./compute_host_limits.ts";
+export * from "./constants.ts";
+export * from "./create_body_collector.ts";
+export * from "./create_client_limits.ts";
+export * from "./create_memory_account.ts";
+export type { ReceivedHead } from "./_lib/create_connection_gate.ts";
--- a/packages/forwarding/_lib/create_body_memory_budget.ts
+++ b/packages/forwarding/_lib/create_body_memory_budget.ts
@@ -1,11 +1,8 @@
+import type { MemoryBudget } from "@jaypass/client_limits";
 import { FAILURE, ForwardingError } from "../errors.ts";
 
 /** Budget of the memory that a host uses to buffer request bodies. */
-export interface BodyMemoryBudget {
-  /** Reserves memory; returns false if the budget does not allow it. */
-  tryReserve(bytes: number): boolean;
-  /** Releases reserved memory. */
-  release(bytes: number): void;
+export interface BodyMemoryBudget extends MemoryBudget {
   /**
    * Sets what gives up memory of a body that is being read, for a budget that asks for it; undefined
    * when nothing can be given up any more.
--- a/packages/forwarding/_lib/create_caller_answer.ts
+++ b/packages/forwarding/_lib/create_caller_answer.ts
@@ -48,7 +48,7 @@
 ): CallerAnswer {
   const { res, signal } = request;
   const { holder } = request;
-  const unread = createUnreadAnswer(res, { holder, readsOn: context.limits?.readsOn === true });
+  const unread = createUnreadAnswer(res, { holder, readsOn: context.readsAnswersOn === true });
   let hasBegun = false;
 
   const sendHead = (answer: ServerAnswer, length: number | undefined) => {
--- a/packages/forwarding/_lib/create_unread_answer.ts
+++ b/packages/forwarding/_lib/create_unread_answer.ts
@@ -1,13 +1,13 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { setTimeout as wait } from "node:timers/promises";
+import type { MemoryHolder } from "@jaypass/client_limits";
 import {
   CALLER_BUFFER_BYTES,
   READ_ON_SHARE,
   UNREAD_ANSWER_CHECK_MS,
   UNREAD_ANSWER_PATIENCE_MS,
 } from "../constants.ts";
-import type { MemoryHolder } from "./create_memory_account.ts";
 
 /** The part of an answer that is held for a caller that reads slowly. */
 export interface UnreadAnswer {
--- a/packages/forwarding/_lib/create_unread_answer_test.ts
+++ b/packages/forwarding/_lib/create_unread_answer_test.ts
@@ -1,8 +1,8 @@
 import { EventEmitter } from "node:events";
 import type { ServerResponse } from "node:http";
 import test from "ava";
-import { CALLER_BUFFER_BYTES, CONNECTION_COST_BYTES } from "../constants.ts";
-import { createMemoryAccount } from "./create_memory_account.ts";
+import { CONNECTION_COST_BYTES, createMemoryAccount } from "@jaypass/client_limits";
+import { CALLER_BUFFER_BYTES } from "../constants.ts";
 import { createUnreadAnswer } from "./create_unread_answer.ts";
 
 function setUp({ readsOn }: { readsOn: boolean }) {
--- a/packages/forwarding/_lib/read_body.ts
+++ b/packages/forwarding/_lib/read_body.ts
@@ -1,9 +1,9 @@
 import type { IncomingMessage } from "node:http";
 import { finished } from "node:stream";
+import { createBodyCollector } from "@jaypass/client_limits";
 import { FAILURE, ForwardingError } from "../errors.ts";
 import type { BodyMemoryBudget } from "./create_body_memory_budget.ts";
 import { createBodyMemoryError } from "./create_body_memory_budget.ts";
-import { createBodyCollector } from "./create_body_collector.ts";
 
 /** Options of {@linkcode readBody}. */
 export interface ReadBodyOptions {
@@ -28,7 +28,7 @@
   const { maxBytes, memory } = options;
   const declaredLength = Number(req.headers["content-length"] ?? 0);
   if (declaredLength > maxBytes) throw new ForwardingError(413, FAILURE.BODY_TOO_LARGE);
-  const body = createBodyCollector(memory);
+  const body = createBodyCollector(memory, createBodyMemoryError);
   try {
     await new Promise<void>((resolve, reject) => {
       memory.setGiveUp?.(() => {
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -1,12 +1,11 @@
 import type { ServerResponse } from "node:http";
+import type { ClientLimits, MemoryHolder } from "@jaypass/client_limits";
 import type { Clock, Logger, Metrics, Millis, RandomSource } from "@jaypass/kernel";
 import type { JobOutcome, PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { Hedging } from "../create_hedging.ts";
 import type { ServerNotices } from "../create_server_notices.ts";
-import type { HostLimits } from "../compute_host_limits.ts";
 import type { Failure } from "../errors.ts";
 import type { AttemptState } from "./attempt.ts";
-import type { MemoryHolder } from "./create_memory_account.ts";
 import type {
   CallerMetadata,
   Configuration,
@@ -119,7 +118,12 @@
   /** The graceful stop, during which connections are closed after their current request. */
   stop: HostStop;
   /** Limits on what callers make the host hold; none by default. */
-  limits?: HostLimits;
+  clientLimits?: ClientLimits;
+  /**
+   * True if answers are read on from their servers into the held bytes while callers read slowly;
+   * false by default.
+   */
+  readsAnswersOn?: boolean;
 }
 
 /** A completely received request of a caller. */
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -3,6 +3,8 @@
 import type { Agent, IncomingMessage, Server, ServerOptions, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
+import { createClientLimits } from "@jaypass/client_limits";
+import type { HostLimits } from "@jaypass/client_limits";
 import { createClock } from "@jaypass/kernel";
 import type { Logger, Metrics } from "@jaypass/kernel";
 import type {
@@ -11,7 +13,6 @@
   PlacementDecision,
   PlacementJob,
 } from "@jaypass/placement";
-import type { HostLimits } from "../compute_host_limits.ts";
 import { createForwarder } from "../create_forwarder.ts";
 import type { Hedging } from "../create_hedging.ts";
 import { createServerNotices } from "../create_server_notices.ts";
@@ -199,7 +200,8 @@
     metrics,
     hedging: options.hedging,
     notices,
-    limits: options.limits,
+    clientLimits: options.limits &&
+      createClientLimits({ limits: options.limits, clock, log, metrics }),
     codec: TEST_CODEC,
     configuration: () =>
       options.hasNoConfiguration ? undefined : indexConfiguration({
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -2,15 +2,15 @@
 import { setMaxListeners } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { HEADER_LINE_COST_BYTES, REQUEST_COST_BYTES } from "@jaypass/client_limits";
+import type { ConnectionLimits, MemoryHolder } from "@jaypass/client_limits";
 import { createCallerTimeouts } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
 import {
   DEFAULT_IDLE_TIMEOUT_MS,
-  HEADER_LINE_COST_BYTES,
   MAX_BUFFERED_BODY_BYTES,
   MAX_UNREAD_BODY_BYTES,
   NO_CONFIGURATION_RETRY_AFTER_MS,
-  REQUEST_COST_BYTES,
 } from "./constants.ts";
 import { chooseTarget } from "./choose_target.ts";
 import { FAILURE, ForwardingError } from "./errors.ts";
@@ -18,7 +18,6 @@
 import { breakOff } from "./_lib/break_off.ts";
 import { createBodyMemoryBudget, reserveBodyMemory } from "./_lib/create_body_memory_budget.ts";
 import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
-import type { MemoryHolder } from "./_lib/create_memory_account.ts";
 import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
 import { handleTunnelRequest } from "./_lib/handle_tunnel_request.ts";
 import { readBody } from "./_lib/read_body.ts";
@@ -29,8 +28,6 @@
 import { sendFailure } from "./_lib/send_failure.ts";
 import { startEndTimer } from "./_lib/start_end_timer.ts";
 import { canTakeRequest } from "./_lib/stop_limit.ts";
-import { createCallerLimits } from "./_lib/create_caller_limits.ts";
-import type { CallerLimiter } from "./_lib/create_caller_limits.ts";
 import { createConnectionCloser } from "./_lib/create_connection_closer.ts";
 import type { ConnectionCloser, ConnectionCounts } from "./_lib/create_connection_closer.ts";
 import { createCallerConnections } from "./_lib/create_caller_connections.ts";
@@ -131,10 +128,11 @@
   let size = 0;
   const protocolError = (err: Error, socket: Socket) =>
     handleProtocolError(context, { connections, closer }, err, socket);
-  const limits: CallerLimiter | undefined = createCallerLimits(context, {
-    connections,
-    closer,
+  const limits: ConnectionLimits | undefined = context.clientLimits?.attach({
+    listAnswers: connections.listAnswers,
+    isEnding: connections.isEnding,
     onEndlessHead: (socket) => protocolError(createHeadOverflow(), socket),
+    close: closer.close,
   });
 
   /** A request that waits unread would be cut off by the close, like one that was read. */
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -9,7 +9,6 @@
 export * from "./compare_priorities.ts";
 export * from "./constants.ts";
 export * from "./compute_answer_ms.ts";
-export * from "./compute_host_limits.ts";
 export * from "./compute_latest_start_ms.ts";
 export * from "./compute_stop_answer_ms.ts";
 export * from "./create_event_splitter.ts";
--- a/packages/forwarding_host/create_forwarding_host.ts
+++ b/packages/forwarding_host/create_forwarding_host.ts
@@ -4,7 +4,11 @@
 import { createStopState } from "./create_stop_state.ts";
 import type { StopState } from "./create_stop_state.ts";
 import { defineClusterService } from "./define_cluster_service.ts";
-import { defineForwarderService, definePublicServers } from "./define_public_services.ts";
+import {
+  defineClientLimits,
+  defineForwarderService,
+  definePublicServers,
+} from "./define_public_services.ts";
 import type { HostContext } from "./host_context.ts";
 import { SERVICE } from "./service_names.ts";
 
@@ -27,6 +31,7 @@
     defineTasks(context),
     defineStopState(context),
     defineClusterService(context, polls),
+    defineClientLimits(context),
     defineForwarderService(context),
     definePublicServers(context),
   ]);
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -1,14 +1,11 @@
 import { createServer } from "node:http";
 import type { Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { computeHostLimits, createClientLimits } from "@jaypass/client_limits";
+import type { ClientLimits } from "@jaypass/client_limits";
 import { closeListener } from "@jaypass/kernel";
 import type { ServiceDefinition } from "@jaypass/kernel";
-import {
-  computeHostLimits,
-  createForwarder,
-  createHedging,
-  DEFAULT_IDLE_TIMEOUT_MS,
-} from "@jaypass/forwarding";
+import { createForwarder, createHedging, DEFAULT_IDLE_TIMEOUT_MS } from "@jaypass/forwarding";
 import type { Forwarder } from "@jaypass/forwarding";
 import { CONNECTION_CHECK_MS, DIRECTORY_TTL_MS, MAX_HEADER_BYTES } from "./constants.ts";
 import { createReservations } from "./create_reservations.ts";
@@ -23,6 +20,27 @@
 import type { Cluster, PublicServers } from "./service_names.ts";
 import type { StopState } from "./create_stop_state.ts";
 
+/**
+ * Defines the limits on clients, which all servers of the host share.
+ *
+ * @param context settings, clock, log and metrics
+ * @returns the definition, whose service is undefined if the settings state no machine
+ */
+export function defineClientLimits(
+  { settings, clock, log, metrics }: HostContext,
+): ServiceDefinition<ClientLimits | undefined> {
+  return {
+    name: SERVICE.CLIENT_LIMITS,
+    needs: [],
+    start() {
+      const { machine } = settings;
+      if (machine === undefined) return { service: undefined };
+      const limits = computeHostLimits(machine);
+      return { service: createClientLimits({ limits, clock, log, metrics }) };
+    },
+  };
+}
+
 /**
  * Defines the service that forwards requests.
  *
@@ -33,7 +51,7 @@
   const { adapter, settings, clock, random, log, metrics } = context;
   return {
     name: SERVICE.FORWARDER,
-    needs: [SERVICE.TASKS, SERVICE.STOP_STATE, SERVICE.CLUSTER],
+    needs: [SERVICE.TASKS, SERVICE.STOP_STATE, SERVICE.CLUSTER, SERVICE.CLIENT_LIMITS],
     start(lookup) {
       const { view, placement, notices } = lookup(SERVICE.CLUSTER);
       const stop = lookup(SERVICE.STOP_STATE);
@@ -63,8 +81,8 @@
         }),
         hedging: createHedging({ clock, limits: () => settings.hedge }),
         stop,
-        limits: settings.machine &&
-          { ...computeHostLimits(settings.machine), readsOn: settings.readsAnswersOn },
+        clientLimits: lookup(SERVICE.CLIENT_LIMITS),
+        readsAnswersOn: settings.readsAnswersOn,
       });
       return { service: forwarder };
     },
--- a/packages/forwarding_host/service_names.ts
+++ b/packages/forwarding_host/service_names.ts
@@ -1,4 +1,5 @@
 import { serviceName } from "@jaypass/kernel";
+import type { ClientLimits } from "@jaypass/client_limits";
 import type { ListenerClose, TaskGroup } from "@jaypass/kernel";
 import type { Fleet } from "@jaypass/fleet";
 import type { Forwarder, ServerNotices } from "@jaypass/forwarding";
@@ -14,6 +15,7 @@
 /** Names of the services of a forwarding host. */
 export const SERVICE = {
   TASKS: serviceName<TaskGroup>("tasks"),
+  CLIENT_LIMITS: serviceName<ClientLimits | undefined>("client-limits"),
   STOP_STATE: serviceName<StopState>("stop-state"),
   CLUSTER: serviceName<Cluster>("cluster"),
   FORWARDER: serviceName<Forwarder>("forwarder"),
