Collect dropped memory before it exceeds that of the machine

What callers saw: a host of 112 MB took up to 147 MB beside callers that keep no limits, so that its machine would have ended it. The smaller the account, the more a host refuses, and the more it took. Cause: the account counts what is held, and not what was dropped and is not collected. V8 collects buffers of received bytes when 64 MB of them have come together, and lets its young generation grow to 48 MB, on any machine. Change: released bytes stay in the account until they are collected. At a quarter of the limit, and before a holder is released, young objects are collected; all objects if far more is used than is held, for a tenth of the time at most. The address that holds most gives way first, so that many connections with a little each do not displace a caller with one large request.

--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,9 @@
+/** Tests that start crowds of clients run apart from all others; see `unruly.config.js`. */
+export default {
+  files: ["packages/**/*_test.ts", "platform/**/*_test.ts", "!**/unruly_*_test.ts"],
+  extensions: { ts: "module" },
+  nodeArguments: ["--import=tsx"],
+  workerThreads: false,
+  timeout: "3m",
+  concurrency: 4,
+};
--- a/packages/client_limits/constants.ts
+++ b/packages/client_limits/constants.ts
@@ -25,6 +25,15 @@
 /** Memory that is held for callers in any case: some bodies of the largest size. */
 export const MIN_HELD_MEMORY_BYTES = 16 * 1024 * 1024;
 
+/** Part of the heap of V8 that the program itself takes, with garbage. */
+export const BASE_HEAP_BYTES = 40 * 1024 * 1024;
+
+/** Share of the rest of the heap that the heads of requests may take. */
+export const HEAD_HEAP_SHARE = 0.6;
+
+/** Memory that heads may take in any case. */
+export const MIN_HEAD_BYTES = 16 * 1024 * 1024;
+
 /** Memory of an open connection without a request; 3,000 of them took 28 MB. */
 export const CONNECTION_COST_BYTES = 10 * 1024;
 
@@ -46,6 +55,48 @@
 /** Bytes of one connection that are parsed before the others have their turn. */
 export const PARSE_TURN_BYTES = 16_384;
 
+/** Time after which a turn ends with the slice that is being parsed. */
+export const MAX_TURN_MS = 2;
+
+/**
+ * Most bytes of a head or of a body in chunks that are parsed at a time: lines and chunks of a few bytes
+ * take about a millisecond then.
+ */
+export const MAX_FRAMED_SLICE_BYTES = 8_192;
+
+/** Time in one turn of the event loop for which connections are served as their bytes come. */
+export const MAX_DIRECT_MS = 2;
+
+/** Least time that a turn counts for. */
+export const MIN_TURN_COST_MS = 0.05;
+
+/** Time that a request takes after its head was parsed: the calls to its server, and its answer. */
+export const REQUEST_TURN_MS = 1;
+
+/** Part of the memory for callers that the unread bytes of one address may take. */
+export const MAX_ADDRESS_UNREAD_SHARE = 1 / 8;
+
+/** Unread bytes that an address may have in any case. */
+export const MIN_ADDRESS_UNREAD_BYTES = 1024 * 1024;
+
+/** Part of the memory for callers above which an address gives up small holders as well. */
+export const MAX_ADDRESS_MEMORY_SHARE = 1 / 2;
+
+/** Part of the memory for callers that may be dropped before it is collected. */
+export const COLLECTION_SHARE = 1 / 4;
+
+/** Least memory that is worth a collection. */
+export const MIN_COLLECTION_BYTES = 1024 * 1024;
+
+/** Memory that is used beyond what is held, as a part of the limit, above which all is collected. */
+export const EXCESS_SHARE = 1 / 4;
+
+/** Shortest time between two collections of all memory. */
+export const MIN_FULL_COLLECTION_MS = 50;
+
+/** Part of the time that collections of all memory may take. */
+export const MAX_FULL_COLLECTION_SHARE = 1 / 10;
+
 /**
  * Least bytes that a slice counts for in a turn. A body of line ends is parsed in slices of a few bytes,
  * each of which takes as long as some hundred bytes of a long one.
--- a/packages/client_limits/create_client_limits.ts
+++ b/packages/client_limits/create_client_limits.ts
@@ -7,6 +7,7 @@
 import type { MemoryHolder } from "./create_memory_account.ts";
 import { createConnectionGate } from "./_lib/create_connection_gate.ts";
 import type { ConnectionGate, ReceivedHead } from "./_lib/create_connection_gate.ts";
+import { createMemoryReclaimer } from "./_lib/create_memory_reclaimer.ts";
 import { CONNECTION_DECISION, decideConnection } from "./_lib/decide_connection.ts";
 
 /** Why a limit closes a connection. */
@@ -88,7 +89,12 @@
 ): ClientLimits | undefined {
   const { heldBytes, connections: limit = Infinity, addressConnections = Infinity } = limits;
   if (heldBytes === undefined && limit === Infinity) return undefined;
-  const account = createMemoryAccount(heldBytes ?? Infinity);
+  const account = createMemoryAccount(
+    heldBytes ?? Infinity,
+    heldBytes === undefined
+      ? undefined
+      : createMemoryReclaimer({ limitBytes: heldBytes, clock, onFull: () => count("collection") }),
+  );
   const open = new Map<Socket, OpenConnection>();
   const countByAddress = new Map<string, number>();
   const counts: Record<string, number> = {};
@@ -155,7 +161,7 @@
     const address = socket.remoteAddress ?? "";
     const holder = heldBytes === undefined
       ? undefined
-      : account.open(() => release(socket, server));
+      : account.open(() => release(socket, server), address);
     open.set(socket, { server, address, sinceMs: clock.nowMs(), holder });
     countByAddress.set(address, (countByAddress.get(address) ?? 0) + 1);
     socket.once("close", () => {
--- a/packages/client_limits/create_memory_account.ts
+++ b/packages/client_limits/create_memory_account.ts
@@ -1,4 +1,10 @@
-import { CONNECTION_COST_BYTES, SMALL_HOLDER_BYTES } from "./constants.ts";
+import {
+  COLLECTION_SHARE,
+  CONNECTION_COST_BYTES,
+  MAX_ADDRESS_MEMORY_SHARE,
+  MIN_COLLECTION_BYTES,
+  SMALL_HOLDER_BYTES,
+} from "./constants.ts";
 import { chooseLargestHolder } from "./_lib/choose_largest_holder.ts";
 import type { HeldMemory } from "./_lib/choose_largest_holder.ts";
 
@@ -8,6 +14,11 @@
   tryReserve(bytes: number): boolean;
   /** Releases reserved memory. */
   release(bytes: number): void;
+  /**
+   * Sets what gives up memory of a body that is being read, for a budget that asks for it; undefined
+   * when nothing can be given up any more.
+   */
+  setGiveUp?(giveUp: (() => void) | undefined): void;
 }
 
 /** The part of the memory account that belongs to one connection. */
@@ -26,37 +37,79 @@
 
 /** The record of the memory that a host holds for connections of callers. */
 export interface MemoryAccount {
-  /** Opens the part of a connection; `release` closes the connection. */
-  open(release: () => void): MemoryHolder;
+  /** Opens the part of a connection from an address; `release` closes the connection. */
+  open(release: () => void, address?: string): MemoryHolder;
+  /** Counts bytes that were read and dropped without having been held. */
+  drop(bytes: number): void;
   /** Bytes held for all connections. */
   heldBytes(): number;
 }
 
 interface HolderRecord extends HeldMemory {
+  address: string;
+  group: HolderGroup;
   giveUp: (() => void) | undefined;
   release: () => void;
   isClosed: boolean;
 }
 
+/** The connections of one address. */
+interface HolderGroup extends HeldMemory {
+  holders: Set<HolderRecord>;
+}
+
 /**
  * Creates the memory account of a host.
  *
+ * Memory that was released stays with the process until it is collected, so that it counts as well. It
+ * is collected before a holder is released for its sake.
+ *
+ * The address that holds most gives up first, and of its connections the largest: many connections with
+ * a little each would otherwise displace a caller with one large request.
+ *
  * @param limitBytes bytes above which the largest holders are released
+ * @param reclaim collects the memory that was dropped; gets the bytes that are held
  * @returns the account, which is empty
  *
  * @example
  * const account = createMemoryAccount(45 * 1024 * 1024);
- * const holder = account.open(() => socket.destroy());
+ * const holder = account.open(() => socket.destroy(), socket.remoteAddress);
  */
-export function createMemoryAccount(limitBytes: number): MemoryAccount {
-  const holders = new Set<HolderRecord>();
+export function createMemoryAccount(
+  limitBytes: number,
+  reclaim: (heldBytes: number) => void = () => {},
+): MemoryAccount {
+  const groups = new Map<string, HolderGroup>();
+  const collectionBytes = Math.max(MIN_COLLECTION_BYTES, limitBytes * COLLECTION_SHARE);
   let heldBytes = 0;
+  let droppedBytes = 0;
 
+  const collect = () => {
+    droppedBytes = 0;
+    reclaim(heldBytes);
+  };
+  const drop = (bytes: number) => {
+    droppedBytes += bytes;
+    if (droppedBytes >= collectionBytes) collect();
+  };
+  const add = (holder: HolderRecord, bytes: number) => {
+    holder.bytes += bytes;
+    holder.group.bytes += bytes;
+    heldBytes += bytes;
+  };
+  const pin = (holder: HolderRecord, bytes: number) => {
+    holder.pinnedBytes += bytes;
+    holder.group.pinnedBytes += bytes;
+  };
   const close = (holder: HolderRecord) => {
     if (holder.isClosed) return;
+    const { address, bytes, pinnedBytes, group } = holder;
+    add(holder, -bytes);
+    pin(holder, -pinnedBytes);
     holder.isClosed = true;
-    holders.delete(holder);
-    heldBytes -= holder.bytes;
+    group.holders.delete(holder);
+    if (group.holders.size === 0) groups.delete(address);
+    drop(bytes);
   };
   const giveUp = (holder: HolderRecord) => {
     const before = holder.bytes;
@@ -65,50 +118,85 @@
     close(holder);
     holder.release();
   };
-  /** Releases larger holders than one of `ownBytes` until `bytes` more fit; returns false if none is left. */
-  const makeRoom = (bytes: number, ownBytes: number): boolean => {
-    while (heldBytes + bytes > limitBytes) {
-      const largest = chooseLargestHolder(holders, Math.max(ownBytes, SMALL_HOLDER_BYTES));
-      if (largest === undefined) return false;
-      giveUp(largest);
+  /** Chooses what is released so that `bytes` more fit for a holder, or for those that hold already. */
+  const chooseReleased = (
+    holder: HolderRecord | undefined,
+    bytes: number,
+  ): HolderRecord | undefined => {
+    const group = chooseLargestHolder(groups.values(), 0);
+    if (group === undefined) return undefined;
+    const own = holder?.group;
+    const isOther = own === undefined ||
+      (group !== own && group.bytes - group.pinnedBytes > own.bytes - own.pinnedBytes + bytes);
+    // A connection is not released for the sake of a larger one of the same address.
+    const ownBytes = isOther || holder === undefined
+      ? 0
+      : holder.bytes - holder.pinnedBytes + bytes;
+    const isGroupOver = isOther &&
+      group.bytes - group.pinnedBytes > limitBytes * MAX_ADDRESS_MEMORY_SHARE;
+    const minBytes = isGroupOver ? 0 : SMALL_HOLDER_BYTES;
+    const candidates = isOther ? group.holders : own.holders;
+    return chooseLargestHolder(candidates, Math.max(ownBytes, minBytes));
+  };
+  /** Collects and releases memory until `bytes` more fit; returns false if none is left to release. */
+  const makeRoom = (holder: HolderRecord | undefined, bytes: number): boolean => {
+    while (true) {
+      const isCollectable = droppedBytes >= MIN_COLLECTION_BYTES;
+      if (heldBytes + bytes + (isCollectable ? droppedBytes : 0) <= limitBytes) return true;
+      if (isCollectable) {
+        collect();
+        continue;
+      }
+      const released = chooseReleased(holder, bytes);
+      if (released === undefined) return false;
+      giveUp(released);
     }
-    return true;
   };
 
   return {
-    open(release) {
+    open(release, address = "") {
+      let group = groups.get(address);
+      if (group === undefined) {
+        group = { bytes: 0, pinnedBytes: 0, holders: new Set() };
+        groups.set(address, group);
+      }
       const holder: HolderRecord = {
-        bytes: CONNECTION_COST_BYTES,
-        pinnedBytes: CONNECTION_COST_BYTES,
+        address,
+        bytes: 0,
+        pinnedBytes: 0,
+        group,
         giveUp: undefined,
         release,
         isClosed: false,
       };
-      holders.add(holder);
-      heldBytes += CONNECTION_COST_BYTES;
-      const add = (bytes: number) => {
-        if (holder.isClosed) return;
-        holder.bytes += bytes;
-        heldBytes += bytes;
-      };
+      group.holders.add(holder);
+      add(holder, CONNECTION_COST_BYTES);
+      pin(holder, CONNECTION_COST_BYTES);
       return {
         tryReserve(bytes) {
-          if (holder.isClosed) return false;
-          if (!makeRoom(bytes, holder.bytes - holder.pinnedBytes + bytes)) return false;
-          add(bytes);
+          if (holder.isClosed || !makeRoom(holder, bytes)) return false;
+          add(holder, bytes);
           return true;
         },
         charge(bytes) {
-          add(bytes);
-          makeRoom(0, 0);
+          if (holder.isClosed) return;
+          add(holder, bytes);
+          makeRoom(undefined, 0);
+        },
+        release(bytes) {
+          if (holder.isClosed) return;
+          add(holder, -bytes);
+          drop(bytes);
+        },
+        pin(bytes) {
+          if (!holder.isClosed) pin(holder, bytes);
         },
-        release: (bytes) => add(-bytes),
-        pin: (bytes) => void (holder.pinnedBytes += bytes),
         setGiveUp: (giveUp) => void (holder.giveUp = giveUp),
         freeBytes: () => Math.max(0, limitBytes - heldBytes),
         close: () => close(holder),
       };
     },
+    drop,
     heldBytes: () => heldBytes,
   };
 }
--- a/packages/client_limits/create_memory_account_test.ts
+++ b/packages/client_limits/create_memory_account_test.ts
@@ -35,3 +35,37 @@
   c?.charge(20_000);
   t.deepEqual(released, [2]);
 });
+
+// Many connections with little each displaced a caller with one large body.
+test("the address that holds most gives way, and small holders of an address over its share as well", (t) => {
+  const released: string[] = [];
+  const limitBytes = 2_600_000;
+  const account = createMemoryAccount(limitBytes);
+  const open = (name: string, address: string) => account.open(() => released.push(name), address);
+  const crowd = Array.from({ length: 100 }, (_, at) => open(`crowd ${at}`, "crowd"));
+  const ordinary = open("ordinary", "ordinary");
+  for (const holder of crowd) holder.charge(5_000);
+  t.true(ordinary.tryReserve(200_000));
+  for (const holder of crowd) holder.charge(11_000);
+  t.true(released.length > 0);
+  t.false(released.includes("ordinary"));
+  t.true(account.heldBytes() <= limitBytes);
+});
+
+// A small account refused more and so took more memory: dropped bytes stayed until the heap had grown.
+test("memory that was dropped counts until it is collected", (t) => {
+  const limitBytes = 8_000_000;
+  const collections: number[] = [];
+  const account = createMemoryAccount(limitBytes, (heldBytes) => collections.push(heldBytes));
+  const holder = account.open(() => {});
+  const other = account.open(() => {});
+  holder.charge(1_500_000);
+  holder.release(1_500_000);
+  t.deepEqual(collections, []);
+  account.drop(500_000);
+  t.is(collections.length, 1, "a quarter of the limit");
+  account.drop(1_100_000);
+  t.true(other.tryReserve(limitBytes - 1_000_000));
+  t.is(collections.length, 2, "memory is collected before it is refused");
+  t.false(other.tryReserve(2_000_000));
+});
--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -11,5 +11,8 @@
 export * from "./expected_tokens.ts";
 export * from "./list_raw_answers.ts";
 export * from "./platform_types.ts";
+export * from "./run_unruly_clients.ts";
 export * from "./send_cut_answer.ts";
 export * from "./service_types.ts";
+export * from "./unruly_clients.ts";
+export * from "./watch_process.ts";
