Bound reads and turns by caller address, and turns by time

What callers saw: beside 200 connections of one address that send legal heads of 3,000 lines, an ordinary caller got 2 answers in 8 s. 300 connections with large bodies took a host of 112 MB to 147 MB. Cause: the gate bounds each connection and not its caller. 200 connections have 200 turns to the one of another address, and a turn counts bytes although a head of 3,000 lines takes 6 ms. A read of each of 300 connections takes 19 MB before any of it is parsed, and a paused stream reads 64 KB more that nobody counts. Change: addresses have equal parts of the processor time (start-time fair queuing); a turn ends after 2 ms, and heads and chunks are parsed 8 KB at a time. What handlers go on with counts, and 1 ms for each request. The unread bytes of an address are bounded at an eighth of the memory for callers, and a socket that is not to be read is stopped at its handle. A piece counts until all of it was parsed, since it stays whole until then.

--- a/packages/client_limits/_lib/create_connection_gate.ts
+++ b/packages/client_limits/_lib/create_connection_gate.ts
@@ -2,6 +2,8 @@
 import { Socket } from "node:net";
 import {
   HEADER_LINE_COST_BYTES,
+  MAX_FRAMED_SLICE_BYTES,
+  MAX_TURN_MS,
   MAX_UNENDED_HEAD_BYTES,
   MAX_UNREAD_BYTES,
   MAX_UNREAD_PIECES,
@@ -10,6 +12,10 @@
   PIECE_COST_BYTES,
 } from "../constants.ts";
 import type { Clock, Millis } from "@jaypass/kernel";
+import { createSocketReads } from "./create_socket_reads.ts";
+import type { SocketReads } from "./create_socket_reads.ts";
+import type { TurnMember, TurnQueue, TurnResult } from "./create_turn_queue.ts";
+import type { AddressReader, AddressReads } from "./create_address_reads.ts";
 import { chooseSlice, TAIL_BYTES } from "./choose_slice.ts";
 import type { MemoryHolder } from "../create_memory_account.ts";
 import type { LimitedServer } from "../create_client_limits.ts";
@@ -39,16 +45,15 @@
 }
 
 /** The unread bytes of a connection, and what is known of those that were parsed. */
-interface GateRecord {
+interface GateRecord extends TurnMember, AddressReader {
   socket: Socket;
   holder: MemoryHolder;
+  reads: SocketReads;
   parse: (bytes: Buffer) => void;
-  pieces: { bytes: Buffer; atMs: Millis }[];
+  pieces: Piece[];
   /** Time at which the bytes came that are being parsed. */
   parsedAtMs: Millis | undefined;
   unreadBytes: number;
-  /** Cost at which the pieces are counted. */
-  unreadCost: number;
   /** Last bytes that were parsed. */
   tail: Buffer;
   /** Request whose body is being parsed. */
@@ -60,7 +65,16 @@
   headCost: number;
   /** True while the parser has no place for more bytes. */
   isParserPaused: boolean;
-  isWaiting: boolean;
+  /** True while its bytes are being parsed. */
+  isParsing: boolean;
+}
+
+/** Bytes that were read at a time, without those that were parsed. */
+interface Piece {
+  bytes: Buffer;
+  atMs: Millis;
+  /** Memory that it takes until all of it was parsed. */
+  cost: number;
 }
 
 /** The parts of a socket that the HTTP server of Node.js adds. */
@@ -79,21 +93,23 @@
  * a turn of limited length, and counts what it holds. A socket is still read while its request is in
  * progress, up to a bound, since only a read tells that the caller has left.
  *
- * @param options clock, and the server with the requests in progress on each connection
+ * @param options clock, the server with the requests in progress on each connection, what all servers
+ * of the process share, and what counts bytes that are dropped unparsed
  * @returns the gate
  *
  * @example
  * server.on("connection", (socket) => gate.open(socket, holder));
  */
 export function createConnectionGate(
-  { clock, server }: {
+  { clock, turns, addressReads, drop, server }: {
     clock: Clock;
+    turns: TurnQueue;
+    addressReads: AddressReads;
+    drop: (bytes: number) => void;
     server: Pick<LimitedServer, "listAnswers" | "isEnding" | "onEndlessHead">;
   },
 ): ConnectionGate {
   const records = new WeakMap<Socket, GateRecord>();
-  const waiting: GateRecord[] = [];
-  let isScheduled = false;
 
   const isOpen = ({ socket }: GateRecord) =>
     !socket.destroyed && !socket.writableEnded && !server.isEnding(socket) &&
@@ -104,35 +120,38 @@
     const last = server.listAnswers(record.socket).at(-1);
     return last === undefined || !last.req.complete;
   };
+  const countUnread = (record: GateRecord, bytes: number) => {
+    record.unreadBytes += bytes;
+    addressReads.count(record, bytes);
+  };
   const discard = (record: GateRecord) => {
-    record.pieces = [];
-    record.unreadBytes = 0;
-    record.holder.release(record.unreadCost + record.headCost);
-    record.unreadCost = 0;
+    record.holder.release(record.headCost);
     record.headCost = 0;
+    record.holder.release(sumCosts(record.pieces));
+    record.pieces = [];
+    countUnread(record, -record.unreadBytes);
   };
   /** Reads the socket while few bytes are unread; what a closing connection sends is discarded. */
   const updateFlow = (record: GateRecord) => {
-    const { socket, unreadBytes } = record;
-    if (unreadBytes > MAX_UNREAD_BYTES) Socket.prototype.pause.call(socket);
-    else if (socket.isPaused() || socket.readableFlowing !== true) {
-      Socket.prototype.resume.call(socket);
-    }
+    if (record.unreadBytes >= MAX_UNREAD_BYTES || !addressReads.mayRead(record)) {
+      record.reads.pause();
+    } else record.reads.resume();
   };
 
   const takeSlice = (record: GateRecord, turnBytes: number): Buffer => {
-    const [{ bytes, atMs } = { bytes: Buffer.alloc(0), atMs: 0 }] = record.pieces;
+    const [piece] = record.pieces;
+    if (piece === undefined) return Buffer.alloc(0);
+    const { bytes, atMs } = piece;
     const { tail, bodyBytes } = record;
     const length = chooseSlice(bytes, { tail, bodyBytes, turnBytes });
     const slice = bytes.subarray(0, length);
-    if (length === bytes.length) record.pieces.shift();
-    else record.pieces[0] = { bytes: bytes.subarray(length), atMs };
     record.parsedAtMs = atMs;
-    record.unreadBytes -= length;
+    countUnread(record, -length);
     record.tail = Buffer.concat([tail, slice.subarray(-TAIL_BYTES)]).subarray(-TAIL_BYTES);
-    const cost = record.unreadBytes === 0 ? record.unreadCost : length;
-    record.unreadCost -= cost;
-    record.holder.release(cost);
+    if (length === bytes.length) {
+      record.pieces.shift();
+      record.holder.release(piece.cost);
+    } else piece.bytes = bytes.subarray(length);
     return slice;
   };
   /** Counts the bytes and lines of a head that has not ended yet. */
@@ -168,59 +187,51 @@
     record.headCost = 0;
   };
 
-  const runTurn = (record: GateRecord, mostBytes: number) => {
+  const offer = (record: GateRecord) => {
+    // Node.js resumes the socket from within the parser, which must not be called again meanwhile.
+    if (!record.isParsing) turns.offer(record);
+  };
+  const runTurn = (record: GateRecord, mostBytes: number, mostMs: Millis): TurnResult => {
+    const endMs = clock.nowMs() + mostMs;
     let turnBytes = mostBytes;
+    let requests = 0;
     while (turnBytes > 0 && isOpen(record) && canParse(record)) {
       const isHead = server.listAnswers(record.socket).length === 0;
-      const slice = takeSlice(record, turnBytes);
+      const sliceBytes = record.bodyBytes === undefined
+        ? Math.min(turnBytes, MAX_FRAMED_SLICE_BYTES)
+        : turnBytes;
+      const slice = takeSlice(record, sliceBytes);
       turnBytes -= Math.max(slice.length, MIN_SLICE_COST_BYTES);
       if (isHead) countHead(record, slice);
       if (!isOpen(record)) break;
+      const { current } = record;
+      record.isParsing = true;
       record.parse(slice);
+      record.isParsing = false;
       record.parsedAtMs = undefined;
       recordRequest(record, slice.length);
+      if (record.current !== undefined && record.current !== current) requests += 1;
       if (record.headBytes > MAX_UNENDED_HEAD_BYTES) server.onEndlessHead(record.socket);
+      if (clock.nowMs() >= endMs) break;
     }
     if (!isOpen(record)) discard(record);
-    if (record.socket.destroyed) return;
-    updateFlow(record);
-    if (isOpen(record) && canParse(record)) enqueue(record);
-  };
-  const enqueue = (record: GateRecord) => {
-    if (record.isWaiting) return;
-    record.isWaiting = true;
-    waiting.push(record);
-    schedule();
-  };
-  const schedule = () => {
-    if (isScheduled || waiting.length === 0) return;
-    isScheduled = true;
-    // One connection has its turn between two polls, so that others are read and answered meanwhile.
-    setImmediate(() => {
-      isScheduled = false;
-      const next = waiting.shift();
-      if (next !== undefined) {
-        next.isWaiting = false;
-        runTurn(next, PARSE_TURN_BYTES);
-      }
-      schedule();
-    });
+    if (!record.socket.destroyed) updateFlow(record);
+    return { isUnfinished: isOpen(record) && canParse(record), requests };
   };
 
-  const take = (record: GateRecord, piece: Buffer) => {
-    if (!isOpen(record)) return discard(record);
-    const atMs = clock.nowMs();
-    record.pieces.push({ bytes: piece, atMs });
-    record.unreadBytes += piece.length;
-    record.unreadCost += piece.length + PIECE_COST_BYTES;
-    record.holder.charge(piece.length + PIECE_COST_BYTES);
-    if (record.pieces.length > MAX_UNREAD_PIECES) {
-      record.holder.release(record.unreadCost - record.unreadBytes - PIECE_COST_BYTES);
-      record.unreadCost = record.unreadBytes + PIECE_COST_BYTES;
-      record.pieces = [{ bytes: Buffer.concat(record.pieces.map(({ bytes }) => bytes)), atMs }];
+  const take = (record: GateRecord, bytes: Buffer) => {
+    if (!isOpen(record)) {
+      drop(bytes.length);
+      return discard(record);
     }
-    if (record.isWaiting) updateFlow(record);
-    else runTurn(record, PARSE_TURN_BYTES);
+    const atMs = clock.nowMs();
+    const cost = bytes.length + PIECE_COST_BYTES;
+    record.pieces.push({ bytes, atMs, cost });
+    countUnread(record, bytes.length);
+    record.holder.charge(cost);
+    if (record.pieces.length > MAX_UNREAD_PIECES) joinPieces(record, atMs);
+    updateFlow(record);
+    if (canParse(record)) offer(record);
   };
 
   return {
@@ -228,22 +239,27 @@
       const [parse] = socket.listeners("data");
       if (parse === undefined) return;
       const record: GateRecord = {
+        address: socket.remoteAddress ?? "",
         socket,
         holder,
+        reads: createSocketReads(socket),
+        updateFlow: () => updateFlow(record),
+        run: () => runTurn(record, PARSE_TURN_BYTES, MAX_TURN_MS),
         parse: parse as GateRecord["parse"],
         pieces: [],
         parsedAtMs: undefined,
         unreadBytes: 0,
-        unreadCost: 0,
         tail: Buffer.alloc(0),
         current: undefined,
         bodyBytes: undefined,
         headBytes: 0,
         headCost: 0,
         isParserPaused: false,
+        isParsing: false,
         isWaiting: false,
       };
       records.set(socket, record);
+      addressReads.add(record);
       socket.removeListener("data", record.parse);
       // Node.js pauses and resumes the socket for its parser.
       socket.pause = () => {
@@ -253,21 +269,26 @@
       socket.resume = () => {
         record.isParserPaused = false;
         updateFlow(record);
-        if (record.unreadBytes > 0) enqueue(record);
+        if (record.unreadBytes > 0) offer(record);
         return socket;
       };
       socket.on("data", (piece: Buffer) => take(record, piece));
+      socket.once("close", () => {
+        discard(record);
+        addressReads.remove(record);
+      });
+      Socket.prototype.resume.call(socket);
       updateFlow(record);
     },
     advance(socket) {
       const record = records.get(socket);
       if (record === undefined) return;
       record.current = undefined;
-      if (record.unreadBytes > 0) enqueue(record);
+      if (record.unreadBytes > 0) offer(record);
     },
     flush(socket) {
       const record = records.get(socket);
-      if (record !== undefined) runTurn(record, Infinity);
+      if (record !== undefined) runTurn(record, Infinity, Infinity);
     },
     hasNext(socket) {
       const record = records.get(socket);
@@ -280,3 +301,16 @@
     },
   };
 }
+
+function sumCosts(pieces: readonly Piece[]): number {
+  return pieces.reduce((sum, { cost }) => sum + cost, 0);
+}
+
+/** Joins the pieces of a connection, since each takes more than its bytes. */
+function joinPieces(record: GateRecord, atMs: Millis): void {
+  const bytes = Buffer.concat(record.pieces.map((piece) => piece.bytes));
+  const cost = bytes.length + PIECE_COST_BYTES;
+  record.holder.release(sumCosts(record.pieces));
+  record.holder.charge(cost);
+  record.pieces = [{ bytes, atMs, cost }];
+}
--- a/packages/client_limits/create_client_limits.ts
+++ b/packages/client_limits/create_client_limits.ts
@@ -4,10 +4,12 @@
 import type { HostLimits } from "./compute_host_limits.ts";
 import { LIMIT_LOG_INTERVAL_MS } from "./constants.ts";
 import { createMemoryAccount } from "./create_memory_account.ts";
-import type { MemoryHolder } from "./create_memory_account.ts";
+import { createAddressReads } from "./_lib/create_address_reads.ts";
 import { createConnectionGate } from "./_lib/create_connection_gate.ts";
 import type { ConnectionGate, ReceivedHead } from "./_lib/create_connection_gate.ts";
 import { createMemoryReclaimer } from "./_lib/create_memory_reclaimer.ts";
+import type { MemoryHolder } from "./create_memory_account.ts";
+import { createTurnQueue } from "./_lib/create_turn_queue.ts";
 import { CONNECTION_DECISION, decideConnection } from "./_lib/decide_connection.ts";
 
 /** Why a limit closes a connection. */
@@ -95,6 +97,8 @@
       ? undefined
       : createMemoryReclaimer({ limitBytes: heldBytes, clock, onFull: () => count("collection") }),
   );
+  const turns = createTurnQueue(clock);
+  const addressReads = createAddressReads(heldBytes ?? Infinity, () => count("address_unread"));
   const open = new Map<Socket, OpenConnection>();
   const countByAddress = new Map<string, number>();
   const counts: Record<string, number> = {};
@@ -176,7 +180,13 @@
 
   return {
     attach(server) {
-      const gate = createConnectionGate({ clock, server });
+      const gate = createConnectionGate({
+        clock,
+        turns,
+        addressReads,
+        drop: account.drop,
+        server,
+      });
       return {
         admit,
         open: (socket) => openConnection(socket, server, gate),
