Limit clients of the directory, readiness and metrics as those of callers

What callers saw: 100 clients that pipeline directory calls end a host of 112 MB for want of memory. 300 that send bodies in chunks of one byte keep it from answering anybody. 3,000 idle connections take 3,028 of 2,870 descriptors. Cause: createEndableServer has none of the limits of the callers' port. Change: it takes the limits that all servers of the host share: one account, the gate, the turns and the bound of connections.

--- a/packages/forwarding_host/_lib/create_endable_server_test.ts
+++ b/packages/forwarding_host/_lib/create_endable_server_test.ts
@@ -15,7 +15,7 @@
   const endable = createEndableServer(async (_req, res) => {
     await wait(100);
     res.end("ok");
-  }, stopSignal);
+  }, { stopSignal });
   endable.server.listen(0, "127.0.0.1");
   t.teardown(() => endable.server.close());
   await once(endable.server, "listening");
@@ -94,7 +94,7 @@
 test.serial("a request that arrives while the process is stalled beyond the idle timeout is answered", async (t) => {
   const { server } = createEndableServer(
     (_req, res) => void res.end("ok"),
-    new AbortController().signal,
+    { stopSignal: new AbortController().signal },
   );
   server.keepAliveTimeout = 2_000;
   server.listen(0, "127.0.0.1");
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -99,13 +99,20 @@
   const { settings, clock } = context;
   return {
     name: SERVICE.PUBLIC_SERVERS,
-    needs: [SERVICE.STOP_STATE, SERVICE.CLUSTER, SERVICE.FORWARDER],
+    needs: [
+      SERVICE.STOP_STATE,
+      SERVICE.CLUSTER,
+      SERVICE.CLIENT_LIMITS,
+      SERVICE.FORWARDER,
+    ],
     async start(lookup) {
       const cluster = lookup(SERVICE.CLUSTER);
       const stop = lookup(SERVICE.STOP_STATE);
+      const clientLimits = lookup(SERVICE.CLIENT_LIMITS);
       const forwarder = lookup(SERVICE.FORWARDER);
       const callerServer = createCallerServer(context, cluster, forwarder);
-      const create = (handle: RequestHandler) => createEndableServer(handle, stop.signal);
+      const create = (handle: RequestHandler) =>
+        createEndableServer(handle, { stopSignal: stop.signal, clientLimits });
       const readiness = create(createReadinessHandler(context, cluster, stop));
       const directory = create(createDirectoryHandler(context, cluster));
       const metrics = create(createMetricsHandler(context));
