Bound the heads in progress by the heap

What callers saw: a host of 602 MB ends with an exhausted heap when 1,000 callers send legal heads of 3,000 lines to a server that takes 2 s. Cause: the account follows the memory of the machine, and heads are in the heap of V8, which is started with one size for all machines (120 MB). Change: heads have an account of their own beside the one for all memory, of 0.6 of the heap beyond 40 MB. Beyond it new requests get 503 body_memory, and the address with most in heads gives way. The costs of heads, and the error for a head without end, are part of the limits now, for use by other servers. Evidence: the test on a large machine ends the process on (Ineffective mark-compacts near heap limit); it passes with 126 MB and this change.

--- a/packages/client_limits/_lib/create_connection_gate.ts
+++ b/packages/client_limits/_lib/create_connection_gate.ts
@@ -17,7 +17,7 @@
 import type { TurnMember, TurnQueue, TurnResult } from "./create_turn_queue.ts";
 import type { AddressReader, AddressReads } from "./create_address_reads.ts";
 import { chooseSlice, TAIL_BYTES } from "./choose_slice.ts";
-import type { MemoryHolder } from "../create_memory_account.ts";
+import type { ConnectionMemory } from "./open_connection_memory.ts";
 import type { LimitedServer } from "../create_client_limits.ts";
 
 const LINE_END = 0x0a;
@@ -25,7 +25,7 @@
 /** Passes the bytes of callers to the parser of Node.js, in turns. */
 export interface ConnectionGate {
   /** Takes over the reads of a connection, on which the server of Node.js listens already. */
-  open(socket: Socket, holder: MemoryHolder): void;
+  open(socket: Socket, holder: ConnectionMemory): void;
   /** Goes on with a connection after an answer on it has ended. */
   advance(socket: Socket): void;
   /** Parses all bytes of a connection that may be parsed now, out of turn. */
@@ -47,7 +47,7 @@
 /** The unread bytes of a connection, and what is known of those that were parsed. */
 interface GateRecord extends TurnMember, AddressReader {
   socket: Socket;
-  holder: MemoryHolder;
+  holder: ConnectionMemory;
   reads: SocketReads;
   parse: (bytes: Buffer) => void;
   pieces: Piece[];
@@ -125,7 +125,7 @@
     addressReads.count(record, bytes);
   };
   const discard = (record: GateRecord) => {
-    record.holder.release(record.headCost);
+    record.holder.releaseHead(record.headCost);
     record.headCost = 0;
     record.holder.release(sumCosts(record.pieces));
     record.pieces = [];
@@ -161,7 +161,7 @@
     const cost = slice.length + lines * HEADER_LINE_COST_BYTES;
     record.headBytes += slice.length;
     record.headCost += cost;
-    record.holder.charge(cost);
+    record.holder.chargeHead(cost);
   };
   /** Finds out to which request the parsed bytes belong. */
   const recordRequest = (record: GateRecord, length: number) => {
@@ -182,7 +182,7 @@
     }
   };
   const resetHead = (record: GateRecord) => {
-    record.holder.release(record.headCost);
+    record.holder.releaseHead(record.headCost);
     record.headBytes = 0;
     record.headCost = 0;
   };
--- a/packages/client_limits/create_client_limits.ts
+++ b/packages/client_limits/create_client_limits.ts
@@ -1,14 +1,17 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { getHeapStatistics } from "node:v8";
 import type { Clock, Logger, Metrics, Millis } from "@jaypass/kernel";
 import type { HostLimits } from "./compute_host_limits.ts";
 import { LIMIT_LOG_INTERVAL_MS } from "./constants.ts";
 import { createMemoryAccount } from "./create_memory_account.ts";
+import { computeHeadLimit } from "./_lib/compute_head_limit.ts";
 import { createAddressReads } from "./_lib/create_address_reads.ts";
 import { createConnectionGate } from "./_lib/create_connection_gate.ts";
 import type { ConnectionGate, ReceivedHead } from "./_lib/create_connection_gate.ts";
 import { createMemoryReclaimer } from "./_lib/create_memory_reclaimer.ts";
-import type { MemoryHolder } from "./create_memory_account.ts";
+import { openConnectionMemory } from "./_lib/open_connection_memory.ts";
+import type { ConnectionMemory } from "./_lib/open_connection_memory.ts";
 import { createTurnQueue } from "./_lib/create_turn_queue.ts";
 import { CONNECTION_DECISION, decideConnection } from "./_lib/decide_connection.ts";
 
@@ -42,7 +45,7 @@
   /** Takes over the reads of a connection that was registered. */
   open(socket: Socket): void;
   /** Finds the part of the memory account that belongs to a connection. */
-  findHolder(socket: Socket): MemoryHolder | undefined;
+  findHolder(socket: Socket): ConnectionMemory | undefined;
   /** Goes on with a connection after an answer on it has ended. */
   advance(socket: Socket): void;
   /** Parses all bytes of a connection that may be parsed now. */
@@ -68,12 +71,17 @@
   metrics: Metrics;
 }
 
+/** Creates the error of the HTTP parser for a head that is too large. */
+export function createHeadOverflow(): NodeJS.ErrnoException {
+  return Object.assign(new Error("Head without end"), { code: "HPE_HEADER_OVERFLOW" });
+}
+
 /** An open connection. */
 interface OpenConnection {
   server: LimitedServer;
   address: string;
   sinceMs: Millis;
-  holder: MemoryHolder | undefined;
+  holder: ConnectionMemory | undefined;
 }
 
 /**
@@ -97,6 +105,7 @@
       ? undefined
       : createMemoryReclaimer({ limitBytes: heldBytes, clock, onFull: () => count("collection") }),
   );
+  const headAccount = createMemoryAccount(computeHeadLimit(getHeapStatistics().heap_size_limit));
   const turns = createTurnQueue(clock);
   const addressReads = createAddressReads(heldBytes ?? Infinity, () => count("address_unread"));
   const open = new Map<Socket, OpenConnection>();
@@ -165,7 +174,10 @@
     const address = socket.remoteAddress ?? "";
     const holder = heldBytes === undefined
       ? undefined
-      : account.open(() => release(socket, server), address);
+      : openConnectionMemory({ account, headAccount }, {
+        address,
+        release: () => release(socket, server),
+      });
     open.set(socket, { server, address, sinceMs: clock.nowMs(), holder });
     countByAddress.set(address, (countByAddress.get(address) ?? 0) + 1);
     socket.once("close", () => {
--- a/packages/forwarding/_lib/read_body.ts
+++ b/packages/forwarding/_lib/read_body.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage } from "node:http";
 import { finished } from "node:stream";
 import { createBodyCollector } from "@jaypass/client_limits";
+import type { MemoryBudget } from "@jaypass/client_limits";
 import { FAILURE, ForwardingError } from "../errors.ts";
-import type { BodyMemoryBudget } from "./create_body_memory_budget.ts";
 import { createBodyMemoryError } from "./create_body_memory_budget.ts";
 
 /** Options of {@linkcode readBody}. */
@@ -10,7 +10,7 @@
   /** Largest size of a body. */
   maxBytes: number;
   /** Memory budget of the host; the caller of this function releases the length of the body. */
-  memory: BodyMemoryBudget;
+  memory: MemoryBudget;
 }
 
 /**
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -2,8 +2,8 @@
 import { setMaxListeners } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { HEADER_LINE_COST_BYTES, REQUEST_COST_BYTES } from "@jaypass/client_limits";
-import type { ConnectionLimits, MemoryHolder } from "@jaypass/client_limits";
+import { countHeadCost, countHeaderBytes, createHeadOverflow } from "@jaypass/client_limits";
+import type { ConnectionLimits, MemoryBudget, MemoryHolder } from "@jaypass/client_limits";
 import { createCallerTimeouts } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
 import {
@@ -16,8 +16,7 @@
 import { FAILURE, ForwardingError } from "./errors.ts";
 import { createStoppingError } from "./_lib/attempt_errors.ts";
 import { breakOff } from "./_lib/break_off.ts";
-import { createBodyMemoryBudget, reserveBodyMemory } from "./_lib/create_body_memory_budget.ts";
-import type { BodyMemoryBudget } from "./_lib/create_body_memory_budget.ts";
+import { createBodyMemoryBudget, createBodyMemoryError } from "./_lib/create_body_memory_budget.ts";
 import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
 import { handleTunnelRequest } from "./_lib/handle_tunnel_request.ts";
 import { readBody } from "./_lib/read_body.ts";
@@ -147,8 +146,9 @@
   ) => {
     const holder = limits?.findHolder(req.socket);
     const headCost = holder === undefined ? 0 : countHeadCost(req);
-    if (holder !== undefined) reserveBodyMemory(holder, headCost);
-    let pinned = 0;
+    if (holder?.tryReserveHead(headCost) === false) throw createBodyMemoryError();
+    let pinnedBytes = 0;
+    let isHeadPinned = false;
     try {
       const resolved = resolveRequest(context, req, {
         arrivalMs,
@@ -161,8 +161,10 @@
         memory: holder ?? memory,
       });
       // What a server has is not given up for the sake of others.
-      pinned = headCost + body.length;
-      holder?.pin(pinned);
+      pinnedBytes = body.length;
+      holder?.pin(pinnedBytes);
+      holder?.pinHead(headCost);
+      isHeadPinned = true;
       try {
         await forward(context, {
           req,
@@ -178,8 +180,9 @@
         releaseBody(holder ?? memory, body);
       }
     } finally {
-      holder?.pin(-pinned);
-      holder?.release(headCost);
+      holder?.pin(-pinnedBytes);
+      if (isHeadPinned) holder?.pinHead(-headCost);
+      holder?.releaseHead(headCost);
     }
   };
 
@@ -268,18 +271,7 @@
   return code === "ERR_HTTP_REQUEST_TIMEOUT";
 }
 
-/** Creates the error of the HTTP parser for a head that is too large. */
-function createHeadOverflow(): NodeJS.ErrnoException {
-  return Object.assign(new Error("Head without end"), { code: "HPE_HEADER_OVERFLOW" });
-}
-
-/** Counts the memory of a request in progress without its body. */
-function countHeadCost(req: IncomingMessage): number {
-  const lines = req.rawHeaders.length / 2;
-  return REQUEST_COST_BYTES + countHeaderBytes(req) + lines * HEADER_LINE_COST_BYTES;
-}
-
-function releaseBody(memory: Pick<BodyMemoryBudget, "release">, body: Buffer): void {
+function releaseBody(memory: Pick<MemoryBudget, "release">, body: Buffer): void {
   memory.release(body.length);
 }
 
@@ -321,13 +313,6 @@
   return { metadata, configuration, route, service, workspace, timeoutMs };
 }
 
-/** Counts the bytes of the request line and the headers, each with its line end. */
-function countHeaderBytes({ method = "", url = "", rawHeaders }: IncomingMessage): number {
-  const requestLine = `${method} ${url} HTTP/1.1\r\n`.length;
-  // A name or a value is followed by ": " or by a line end.
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, requestLine);
-}
-
 function findWorkspace(
   configuration: Configuration,
   route: Route,
