Limit callers of jaypassd as those of a host

What callers saw: 100 callers whose bodies come in chunks of one byte keep jaypassd from answering anybody, and so do 100 that pipeline calls for addresses without reading, and 1,500 connections with half a head. Cause: its server has a budget of payload and a number of connections only. Each chunk of a body is an object of its own, all pipelined requests of a read run at once, and connections beyond the number are dropped, idle or not. Change: it takes the same limits as a host: account, gate, turns, connections in all and by address. The account is limits.maxHeldBytes, at least 16 MiB, and bodies keep their own budget of that size. Bodies are collected in blocks. Full collections may take a third of the time, not a tenth: bodies that were held for long are not freed by collections of young objects, and the process took 202 MB beside other load. Tests can start hosts without source maps, which take 60 MB at the first error.

--- a/packages/client_limits/constants.ts
+++ b/packages/client_limits/constants.ts
@@ -92,10 +92,10 @@
 export const EXCESS_SHARE = 1 / 4;
 
 /** Shortest time between two collections of all memory. */
-export const MIN_FULL_COLLECTION_MS = 50;
+export const MIN_FULL_COLLECTION_MS = 20;
 
 /** Part of the time that collections of all memory may take. */
-export const MAX_FULL_COLLECTION_SHARE = 1 / 10;
+export const MAX_FULL_COLLECTION_SHARE = 1 / 3;
 
 /**
  * Least bytes that a slice counts for in a turn. A body of line ends is parsed in slices of a few bytes,
--- a/packages/entry/http/create_body_budget.ts
+++ b/packages/entry/http/create_body_budget.ts
@@ -1,22 +1,16 @@
-/** Memory budget for the request bodies of a host. */
-export interface BodyBudget {
-  /** Reserves bytes; returns false if they exceed the budget. */
-  tryReserve(bytes: number): boolean;
-  release(bytes: number): void;
-  reservedBytes(): number;
-}
+import type { MemoryBudget } from "@jaypass/client_limits";
 
 /**
- * Creates a budget that limits the memory of request bodies on a host.
+ * Creates a budget that limits the memory of bodies that are not counted for a connection.
  *
  * @param maxBytes maximum number of bytes of all bodies together
  * @returns the budget
  *
  * @example
- * const budget = createBodyBudget(256 * 1024 * 1024);
- * if (!budget.take(chunk.length)) refuse();
+ * const budget = createBodyBudget(MAX_BODY_BYTES);
+ * if (!budget.tryReserve(chunk.length)) refuse();
  */
-export function createBodyBudget(maxBytes: number): BodyBudget {
+export function createBodyBudget(maxBytes: number): MemoryBudget {
   let reserved = 0;
   return {
     tryReserve(bytes) {
@@ -27,6 +21,5 @@
     release(bytes) {
       reserved -= bytes;
     },
-    reservedBytes: () => reserved,
   };
 }
--- a/packages/entry/http/create_http_server.ts
+++ b/packages/entry/http/create_http_server.ts
@@ -2,18 +2,27 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import {
+  countHeadCost,
+  createClientLimits,
+  createHeadOverflow,
+  MAX_ADDRESS_SHARE,
+  MIN_HELD_MEMORY_BYTES,
+} from "@jaypass/client_limits";
+import type { ConnectionMemory } from "@jaypass/client_limits";
 import { closeListener, createCallerTimeouts } from "@jaypass/kernel";
 import { BAD_REQUEST, CLOSE_LISTENER_TIMEOUT_MS } from "../constants.ts";
 import { BadRequestError } from "../errors.ts";
 import { createBodyBudget } from "./create_body_budget.ts";
 import { createOpenConnections } from "./create_open_connections.ts";
 import { describeError } from "./describe_error.ts";
-import type { HttpContext } from "./http_context.ts";
+import type { HttpContext, RequestContext } from "./http_context.ts";
 import { answerProtocolError, HEADER_TIMEOUT_CODE } from "./answer_protocol_error.ts";
 import { handleAddresses } from "./handle_addresses.ts";
 import { handleChatCompletion } from "./handle_chat_completion.ts";
 import { handlePlainService } from "./handle_plain_service.ts";
 import { handleRequestStatus } from "./handle_request_status.ts";
+import { createBusyError } from "./read_body.ts";
 import { redirectIfDataCentreOut } from "./redirect_if_data_centre_out.ts";
 import { sendRefusal } from "./send_refusal.ts";
 
@@ -21,7 +30,7 @@
 export type MountedHandler = (req: IncomingMessage, res: ServerResponse) => Promise<boolean>;
 
 /** Options of {@linkcode createHttpServer}. */
-export interface HttpServerOptions extends Omit<HttpContext, "budget"> {
+export interface HttpServerOptions extends HttpContext {
   /** Additional handlers, tried in order before the routes of the server itself. */
   mounted: readonly MountedHandler[];
   /** Timeouts of connections; 10 s for headers and 30 s without a request by default. */
@@ -59,17 +68,20 @@
  */
 export function createHttpServer(options: HttpServerOptions): HttpServer {
   const { settings, log, metrics } = options;
-  const context: HttpContext = {
-    ...options,
-    budget: createBodyBudget(settings.limits.maxHeldBytes),
-  };
+  const context: HttpContext = options;
+  const { maxHeldBytes, maxConnections } = settings.limits;
+  const bodies = createBodyBudget(maxHeldBytes);
 
-  const handle = async (req: IncomingMessage, res: ServerResponse) => {
+  const handle = async (req: IncomingMessage, res: ServerResponse, memory: ConnectionMemory) => {
     const startMs = context.clock.nowMs();
+    const headCost = countHeadCost(req);
+    let reservedBytes = 0;
     // Keep-alive connections would bring new requests to a host that is draining.
     if (context.drain.isDraining()) res.shouldKeepAlive = false;
     try {
-      await route(req, res, context, options.mounted);
+      if (!memory.tryReserveHead(headCost)) throw createBusyError();
+      reservedBytes = headCost;
+      await route(req, res, { ...context, bodies, memory }, options.mounted);
     } catch (err) {
       if (res.destroyed) {
         metrics.increment("caller_disconnected");
@@ -85,6 +97,7 @@
         : { "retry-after": String(Math.ceil(retryAfterMs / 1_000)) };
       await sendRefusal(res, body, { status, headers, limits: settings.limits });
     } finally {
+      memory.releaseHead(reservedBytes);
       metrics.timing("request", context.clock.nowMs() - startMs);
     }
   };
@@ -100,24 +113,47 @@
       req.resume();
       return;
     }
-    timeouts.requestArrived(req.socket);
-    res.once("close", () => timeouts.requestEnded(req.socket));
-    void handle(req, res);
+    const { socket } = req;
+    const memory = connectionLimits?.findHolder(socket);
+    // The connection has been closed by a limit.
+    if (memory === undefined) return;
+    timeouts.requestArrived(socket);
+    res.once("close", () => {
+      timeouts.requestEnded(socket);
+      connectionLimits?.advance(socket);
+    });
+    void handle(req, res, memory);
   });
-  server.maxConnections = settings.limits.maxConnections;
   const connections = createOpenConnections();
   const timeouts = createCallerTimeouts({
     clock: context.clock,
     idleTimeoutMs: () => KEEP_ALIVE_TIMEOUT_MS,
   });
-  server.on("connection", (socket) => connections.add(socket));
+  const connectionLimits = createClientLimits({
+    ...context,
+    limits: {
+      heldBytes: Math.max(maxHeldBytes, MIN_HELD_MEMORY_BYTES),
+      connections: maxConnections,
+      addressConnections: Math.ceil(maxConnections * MAX_ADDRESS_SHARE),
+    },
+  })?.attach({
+    listAnswers: connections.listResponses,
+    isEnding: connections.isEnding,
+    onEndlessHead: (socket) => answerProtocolError(createHeadOverflow(), socket, connections),
+    close: (_socket, _reason, shut) => shut(),
+  });
+  server.on("connection", (socket) => {
+    if (connectionLimits?.admit(socket) === false) return;
+    connections.add(socket);
+    connectionLimits?.open(socket);
+  });
   // With listeners, Node.js leaves the close of connections to them.
   server.on("timeout", (socket) => timeouts.handleIdleTimeout(socket, () => socket.destroy()));
   server.on("clientError", (err: NodeJS.ErrnoException, duplex) => {
     const socket = duplex as Socket;
     const answer = () => answerProtocolError(err, socket, connections);
-    if (err.code === HEADER_TIMEOUT_CODE) timeouts.handleHeaderTimeout(socket, answer);
-    else answer();
+    if (err.code !== HEADER_TIMEOUT_CODE) return answer();
+    timeouts.handleHeaderTimeout(socket, answer, () => connectionLimits?.flush(socket));
   });
 
   return {
@@ -138,7 +174,7 @@
 async function route(
   req: IncomingMessage,
   res: ServerResponse,
-  context: HttpContext,
+  context: RequestContext,
   mounted: readonly MountedHandler[],
 ) {
   const url = new URL(req.url ?? "/", "http://host");
--- a/packages/entry/http/create_open_connections.ts
+++ b/packages/entry/http/create_open_connections.ts
@@ -13,6 +13,10 @@
    * false if its connection has been closed with a refusal, so that it must not be handled.
    */
   addRequest(res: ServerResponse): boolean;
+  /** Lists the responses to the requests in progress on a connection. */
+  listResponses(socket: Socket): ServerResponse[];
+  /** Reports whether a connection is closed after its requests in progress. */
+  isEnding(socket: Socket): boolean;
   /** Reports whether a request that has been received completely is in progress on a connection. */
   hasWholeRequest(socket: Socket): boolean;
   /** Reports whether the status of a response has been sent on a connection whose request is in progress. */
@@ -69,6 +73,8 @@
       });
       return true;
     },
+    listResponses: (socket) => [...responses.get(socket) ?? []],
+    isEnding: (socket) => ending.has(socket),
     hasWholeRequest,
     hasBegunResponse: (socket) =>
       [...responses.get(socket) ?? []].some(({ headersSent }) => headersSent),
--- a/packages/entry/http/handle_chat_completion.ts
+++ b/packages/entry/http/handle_chat_completion.ts
@@ -4,7 +4,7 @@
 import { BadRequestError } from "../errors.ts";
 import { authenticateCaller } from "./authenticate_caller.ts";
 import { createRequestDeadline } from "./create_request_deadline.ts";
-import type { HttpContext } from "./http_context.ts";
+import type { RequestContext } from "./http_context.ts";
 import { createCloseSignal } from "./create_close_signal.ts";
 import { parseChatRequest } from "./parse_chat_request.ts";
 import { readCallerBody } from "./read_caller_body.ts";
@@ -22,7 +22,7 @@
 export async function handleChatCompletion(
   req: IncomingMessage,
   res: ServerResponse,
-  context: HttpContext,
+  context: RequestContext,
 ): Promise<void> {
   const { configuration, membership, router } = context;
   const caller = authenticateCaller(req, configuration.document());
--- a/packages/entry/http/handle_plain_service.ts
+++ b/packages/entry/http/handle_plain_service.ts
@@ -3,7 +3,7 @@
 import { RAN } from "@jaypass/idempotency";
 import { authenticateCaller } from "./authenticate_caller.ts";
 import { createRequestDeadline } from "./create_request_deadline.ts";
-import type { HttpContext } from "./http_context.ts";
+import type { RequestContext } from "./http_context.ts";
 import { readCallerBody } from "./read_caller_body.ts";
 import { trackRequest } from "./track_request.ts";
 
@@ -21,7 +21,7 @@
 export async function handlePlainService(
   req: IncomingMessage,
   res: ServerResponse,
-  context: HttpContext & { service: string; operation: string },
+  context: RequestContext & { service: string; operation: string },
 ): Promise<void> {
   const { configuration, membership, router, service, operation } = context;
   const caller = authenticateCaller(req, configuration.document());
--- a/packages/entry/http/http_context.ts
+++ b/packages/entry/http/http_context.ts
@@ -1,9 +1,9 @@
+import type { ConnectionMemory, MemoryBudget } from "@jaypass/client_limits";
 import type { Configuration } from "@jaypass/configuration";
 import type { Clock, Logger, Metrics } from "@jaypass/kernel";
 import type { Drain, Membership } from "@jaypass/membership";
 import type { Router } from "@jaypass/routing";
 import type { Settings } from "../settings.ts";
-import type { BodyBudget } from "./create_body_budget.ts";
 
 /** Services that the HTTP handlers share. */
 export interface HttpContext {
@@ -13,7 +13,14 @@
   membership: Membership;
   router: Router;
   drain: Drain;
-  budget: BodyBudget;
   log: Logger;
   metrics: Metrics;
 }
+
+/** What the handler of a request needs besides the services. */
+export interface RequestContext extends HttpContext {
+  /** Budget of all bodies of the host. */
+  bodies: MemoryBudget;
+  /** Memory of the connection that the request came on. */
+  memory: ConnectionMemory;
+}
--- a/packages/entry/http/read_body.ts
+++ b/packages/entry/http/read_body.ts
@@ -1,14 +1,15 @@
 import type { IncomingMessage } from "node:http";
+import { createBodyCollector } from "@jaypass/client_limits";
+import type { BodyCollector, MemoryBudget } from "@jaypass/client_limits";
 import { BAD_REQUEST } from "../constants.ts";
 import { BadRequestError } from "../errors.ts";
-import type { BodyBudget } from "./create_body_budget.ts";
 
 /** Options of {@linkcode readBody}. */
 export interface ReadBodyOptions {
   maxBytes: number;
   /** Timeout for the complete body in milliseconds; bounds the memory held for slow senders. */
   timeoutMs: number;
-  budget: BodyBudget;
+  budget: MemoryBudget;
 }
 
 /** A body whose bytes are reserved in the budget until `release` is called. */
@@ -33,28 +34,21 @@
   options: ReadBodyOptions,
 ): Promise<BufferedBody> {
   const { maxBytes, timeoutMs, budget } = options;
-  let reservedBytes = 0;
-  let isReleased = false;
-  const release = () => {
-    if (!isReleased) budget.release(reservedBytes);
-    isReleased = true;
-  };
   if (Number(req.headers["content-length"] ?? 0) > maxBytes) throw tooLarge(maxBytes);
-
+  const body = createBodyCollector(budget, createBusyError);
   try {
-    const bytes = await collect(req, {
-      timeoutMs,
-      onChunk: (length) => {
-        if (reservedBytes + length > maxBytes) throw tooLarge(maxBytes);
-        if (!budget.tryReserve(length)) throw hostBusy();
-        reservedBytes += length;
-      },
-    });
-    return { bytes, release };
+    await collect(req, { body, maxBytes, timeoutMs, budget });
   } catch (err) {
-    release();
+    body.discard();
     throw err;
   }
+  const bytes = body.finish();
+  let isReleased = false;
+  const release = () => {
+    if (!isReleased) budget.release(bytes.length);
+    isReleased = true;
+  };
+  return { bytes, release };
 }
 
 /**
@@ -64,34 +58,40 @@
  */
 function collect(
   req: IncomingMessage,
-  options: { timeoutMs: number; onChunk: (length: number) => void },
-): Promise<Buffer> {
+  { body, maxBytes, timeoutMs, budget }: ReadBodyOptions & { body: BodyCollector },
+): Promise<void> {
   return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
     const settle = (err?: unknown) => {
       clearTimeout(timer);
+      // A whole body must not be given up: its request would go on with an empty one.
+      budget.setGiveUp?.(undefined);
       req.off("data", onData).off("end", onEnd).off("close", onClose).off("error", onClose);
-      if (err === undefined) return resolve(Buffer.concat(chunks));
+      if (err === undefined) return resolve();
       req.pause();
       reject(err);
     };
     const onData = (chunk: Buffer) => {
       try {
-        options.onChunk(chunk.length);
-        chunks.push(chunk);
+        if (body.length() + chunk.length > maxBytes) throw tooLarge(maxBytes);
+        body.add(chunk);
       } catch (err) {
         settle(err);
       }
     };
     const onEnd = () => settle();
     const onClose = (cause?: unknown) => settle(truncated(cause));
-    const timer = setTimeout(() => settle(bodyTimeout(options.timeoutMs)), options.timeoutMs);
+    const timer = setTimeout(() => settle(bodyTimeout(timeoutMs)), timeoutMs);
+    budget.setGiveUp?.(() => {
+      body.discard();
+      settle(createBusyError());
+    });
     req.on("data", onData).on("end", onEnd).on("close", onClose).on("error", onClose);
   });
 }
 
-function hostBusy(): BadRequestError {
-  return new BadRequestError("Host holds too many request bodies", {
+/** Creates the refusal of a request for which the host has no memory; it has not run. */
+export function createBusyError(): BadRequestError {
+  return new BadRequestError("Host holds too much for its callers", {
     status: 503,
     reason: BAD_REQUEST.HOST_BUSY,
   });
--- a/packages/system_tests/_lib/spawn_program.ts
+++ b/packages/system_tests/_lib/spawn_program.ts
@@ -28,15 +28,17 @@
  *
  * @param name name in `scripts/programs.json`
  * @param args command line arguments
+ * @param nodeArguments options of Node.js; source maps by default
  * @returns the program and the port that it printed
  * @throws when it ends, or prints no ready line within 30 s
  */
 export async function spawnProgram(
   name: string,
   args: string[],
+  nodeArguments: readonly string[] = ["--enable-source-maps"],
 ): Promise<{ program: Program; port: number }> {
   const file = join(findDistFolder(), `${name}.js`);
-  const child = spawn(process.execPath, ["--enable-source-maps", file, ...args], {
+  const child = spawn(process.execPath, [...nodeArguments, file, ...args], {
     stdio: ["ignore", "pipe", "pipe"],
   });
   let stderr = "";
--- a/packages/system_tests/start_system.ts
+++ b/packages/system_tests/start_system.ts
@@ -32,6 +32,8 @@
   platformOptions?: Record<string, unknown>;
   /** Settings of every host besides those of the system itself. */
   hostSettings?: Record<string, unknown>;
+  /** Options of Node.js for every host; source maps by default. */
+  hostNodeArguments?: readonly string[];
   /** Changes the configuration document before it is applied. */
   editDocument?: (document: Record<string, Record<string, unknown>>) => void;
 }
@@ -99,7 +101,8 @@
   const folder = mkdtempSync(join(tmpdir(), "jaypass-"));
   const programs: Program[] = [];
   const start = async (name: string, args: string[]) => {
-    const started = await spawnProgram(name, args);
+    const nodeArguments = name === "jaypassd" ? options.hostNodeArguments : undefined;
+    const started = await spawnProgram(name, args, nodeArguments);
     programs.push(started.program);
     return started;
   };
