Leave the room of bodies to bodies in jaypassd

Cause: connections count 10 KB each in the account, so that 20,000 of them, the default, would take 200 of the 256 MiB that were for bodies alone before. Change: the account has room for the connections beside limits.maxHeldBytes. The reclaimer reads sizes from V8 alone, without a look at the process's pages.

--- a/packages/client_limits/_lib/create_memory_reclaimer.ts
+++ b/packages/client_limits/_lib/create_memory_reclaimer.ts
@@ -1,4 +1,4 @@
-import { setFlagsFromString } from "node:v8";
+import { getHeapStatistics, setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import type { Clock, Millis } from "@jaypass/kernel";
 import { EXCESS_SHARE, MAX_FULL_COLLECTION_SHARE, MIN_FULL_COLLECTION_MS } from "../constants.ts";
@@ -66,8 +66,8 @@
 }
 
 function readProcessBytes(): number {
-  const { heapUsed, external } = process.memoryUsage();
-  return heapUsed + external;
+  const { used_heap_size, external_memory } = getHeapStatistics();
+  return used_heap_size + external_memory;
 }
 
 /** Creates the collector at its first use, since that takes memory that a process in calm never needs. */
--- a/packages/entry/http/create_http_server.ts
+++ b/packages/entry/http/create_http_server.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import {
+  CONNECTION_COST_BYTES,
   countHeadCost,
   createClientLimits,
   createHeadOverflow,
@@ -132,7 +133,9 @@
   const connectionLimits = createClientLimits({
     ...context,
     limits: {
-      heldBytes: Math.max(maxHeldBytes, MIN_HELD_MEMORY_BYTES),
+      // Connections count as well, and must not take the room of bodies.
+      heldBytes: Math.max(maxHeldBytes, MIN_HELD_MEMORY_BYTES) +
+        maxConnections * CONNECTION_COST_BYTES,
       connections: maxConnections,
       addressConnections: Math.ceil(maxConnections * MAX_ADDRESS_SHARE),
     },
