--- a/packages/stand_ins/unruly_clients.ts
+++ b/packages/stand_ins/unruly_clients.ts
@@ -129,6 +129,12 @@
   },
   /** A body in chunks of one byte that stops short of its limit. */
   oneByteChunks: stopChunksShort(1),
+  /** Chunks of one byte with a long extension each, without end. */
+  extendedChunks: (socket, target) =>
+    flood(socket, target, {
+      first: formatPost(target, "Transfer-Encoding: chunked"),
+      repeat: `1${";a=b".repeat(2_000)}\r\nx\r\n`,
+    }),
   /** An extension of a chunk without end. */
   chunkExtensions: (socket, target) =>
     flood(socket, target, {
