--- a/packages/stand_ins/unruly_clients.ts
+++ b/packages/stand_ins/misbehaving_clients.ts
@@ -3,7 +3,7 @@
 import { sleep } from "@jaypass/kernel";
 
 /** What a client without limits knows of the server that it connects to. */
-export interface UnrulyTarget {
+export interface MisbehavingTarget {
   /** Path of a `GET` request that the server answers. */
   getPath: string;
   /** Path to which bodies are sent. */
@@ -19,7 +19,7 @@
 }
 
 /** Sends on a new connection until its time has passed or the connection has closed. */
-export type UnrulyClient = (socket: Socket, target: UnrulyTarget) => Promise<void>;
+export type MisbehavingClient = (socket: Socket, target: MisbehavingTarget) => Promise<void>;
 
 /** Bytes by which a body stops short of its limit. */
 const MISSING_BYTES = 10;
@@ -30,11 +30,11 @@
 /** Time between two header lines that are sent one by one. */
 const LINE_INTERVAL_MS = 20;
 
-const formatGet = ({ getPath, headers }: UnrulyTarget, lines = "") =>
+const formatGet = ({ getPath, headers }: MisbehavingTarget, lines = "") =>
   `GET ${getPath} HTTP/1.1\r\n${headers}${lines}\r\n`;
 
 /** Formats a `GET` request of the largest legal size that consists of one line over and over. */
-function formatLargeHead(target: UnrulyTarget, line: string): string {
+function formatLargeHead(target: MisbehavingTarget, line: string): string {
   const rest = target.maxHeadBytes - formatGet(target).length;
   return formatGet(target, line.repeat(Math.floor(rest / line.length)));
 }
@@ -42,7 +42,7 @@
 /** Writes pieces as fast as the connection takes them, for the time or until it is closed. */
 async function flood(
   socket: Socket,
-  { durationMs }: UnrulyTarget,
+  { durationMs }: MisbehavingTarget,
   { first = "", repeat }: { first?: string; repeat: string },
 ): Promise<void> {
   const endMs = performance.now() + durationMs;
@@ -56,7 +56,7 @@
 }
 
 /** Sends a request, waits for its answer, and goes on so for the time. */
-async function repeatRequest(socket: Socket, { durationMs }: UnrulyTarget, request: string) {
+async function repeatRequest(socket: Socket, { durationMs }: MisbehavingTarget, request: string) {
   const timeout = AbortSignal.timeout(durationMs);
   const endMs = performance.now() + durationMs;
   while (!socket.destroyed && performance.now() < endMs) {
@@ -66,16 +66,21 @@
 }
 
 /** Sends all but the last bytes of a body, and keeps the connection open. */
-async function stopShort(socket: Socket, { durationMs }: UnrulyTarget, head: string, body: string) {
+async function stopShort(
+  socket: Socket,
+  { durationMs }: MisbehavingTarget,
+  head: string,
+  body: string,
+) {
   socket.write(head);
   socket.write(body);
   await sleep(durationMs);
 }
 
-const formatPost = ({ postPath, headers }: UnrulyTarget, line: string) =>
+const formatPost = ({ postPath, headers }: MisbehavingTarget, line: string) =>
   `POST ${postPath} HTTP/1.1\r\n${headers}${line}\r\n\r\n`;
 
-function stopChunksShort(chunkBytes: number): UnrulyClient {
+function stopChunksShort(chunkBytes: number): MisbehavingClient {
   const chunk = `${chunkBytes.toString(16)}\r\n${"x".repeat(chunkBytes)}\r\n`;
   return (socket, target) => {
     const bytes = target.maxBodyBytes - MISSING_BYTES;
@@ -85,7 +90,7 @@
 }
 
 /** Clients that send what a server must bound. None of them reads unless its name says so. */
-export const UNRULY_CLIENT = {
+export const MISBEHAVING_CLIENT = {
   /** Legal heads of very many short lines, each after the answer to the one before it. */
   headsOfShortLines: (socket, target) =>
     repeatRequest(socket, target, formatLargeHead(target, "a:b\r\n")),
@@ -154,7 +159,7 @@
   },
   /** No byte. */
   idle: (_socket, target) => sleep(target.durationMs),
-} as const satisfies Record<string, UnrulyClient>;
+} as const satisfies Record<string, MisbehavingClient>;
 
-/** Name of one of {@linkcode UNRULY_CLIENT}. */
-export type UnrulyClientName = keyof typeof UNRULY_CLIENT;
+/** Name of one of {@linkcode MISBEHAVING_CLIENT}. */
+export type MisbehavingClientName = keyof typeof MISBEHAVING_CLIENT;
--- a/packages/stand_ins/run_unruly_clients.ts
+++ b/packages/stand_ins/run_misbehaving_clients.ts
@@ -2,8 +2,8 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { sleep } from "@jaypass/kernel";
-import { UNRULY_CLIENT } from "./unruly_clients.ts";
-import type { UnrulyClientName, UnrulyTarget } from "./unruly_clients.ts";
+import { MISBEHAVING_CLIENT } from "./misbehaving_clients.ts";
+import type { MisbehavingClientName, MisbehavingTarget } from "./misbehaving_clients.ts";
 
 /** Connections that are opened at a time, so that the queue of the listener does not overflow. */
 const CONNECT_BATCH = 100;
@@ -11,12 +11,12 @@
 /** Time between two batches. */
 const CONNECT_INTERVAL_MS = 50;
 
-/** Options of {@linkcode runUnrulyClients}. */
-export interface UnrulyClientsOptions extends UnrulyTarget {
+/** Options of {@linkcode runMisbehavingClients}. */
+export interface MisbehavingClientsOptions extends MisbehavingTarget {
   /** IP address and port of the server. */
   address: string;
   /** What each client sends. */
-  client: UnrulyClientName;
+  client: MisbehavingClientName;
   /** Number of clients, each with a connection of its own. */
   count: number;
   /** Address that the clients connect from. */
@@ -24,7 +24,7 @@
 }
 
 /** Clients that have sent all that they send. */
-export interface UnrulyClients {
+export interface MisbehavingClients {
   /** Closes their connections. */
   close(): void;
 }
@@ -36,10 +36,12 @@
  * @returns the clients, when all of them have acted
  *
  * @example
- * const clients = await runUnrulyClients({ address, client: "emptyLines", count: 100, ...target });
+ * const clients = await runMisbehavingClients({ address, client: "emptyLines", count: 100, ...target });
  * clients.close();
  */
-export async function runUnrulyClients(options: UnrulyClientsOptions): Promise<UnrulyClients> {
+export async function runMisbehavingClients(
+  options: MisbehavingClientsOptions,
+): Promise<MisbehavingClients> {
   const { address, client, count, localAddress } = options;
   const [host = "", port] = address.split(":");
   const sockets: Socket[] = [];
@@ -49,7 +51,7 @@
     socket.on("error", () => {});
     sockets.push(socket);
     await Promise.race([once(socket, "connect"), once(socket, "close")]).catch(() => {});
-    if (!socket.destroyed) await UNRULY_CLIENT[client](socket, options);
+    if (!socket.destroyed) await MISBEHAVING_CLIENT[client](socket, options);
   };
   while (runs.length < count) {
     const batch = Math.min(CONNECT_BATCH, count - runs.length);
--- a/packages/system_tests/unruly_clients_test.ts
+++ b/packages/system_tests/misbehaving_clients_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { sleep } from "@jaypass/kernel";
-import { runUnrulyClients, watchProcess } from "@jaypass/stand_ins";
-import type { UnrulyClientName } from "@jaypass/stand_ins";
+import { runMisbehavingClients, watchProcess } from "@jaypass/stand_ins";
+import type { MisbehavingClientName } from "@jaypass/stand_ins";
 import { getApiKey } from "./build_document.ts";
 import { createCaller } from "./create_caller.ts";
 import { startSystem } from "./start_system.ts";
@@ -35,7 +35,7 @@
 
 const testClients = test.macro({
   title: (providedTitle) => `jaypassd survives callers that send ${providedTitle}`,
-  async exec(t, client: UnrulyClientName, count: number, { hasKey = false } = {}) {
+  async exec(t, client: MisbehavingClientName, count: number, { hasKey = false } = {}) {
     const system = await startSystem({
       hosts: 1,
       engines: 1,
@@ -58,7 +58,7 @@
     const watch = watchProcess(host.program.pid);
     t.teardown(() => watch.end());
     const key = hasKey ? `authorization: Bearer ${getApiKey("school")}\r\n` : "";
-    const clients = await runUnrulyClients({
+    const clients = await runMisbehavingClients({
       address: new URL(host.url).host,
       client,
       count,
