--- a/packages/client_limits/_lib/create_memory_reclaimer.ts
+++ b/packages/client_limits/_lib/create_memory_reclaimer.ts
@@ -25,8 +25,8 @@
  *
  * V8 collects the buffers of received bytes when its heap has grown or when they take 64 MB, however
  * small the machine is, so that a host that refuses much would exceed its memory. A collection of young
- * objects takes about a millisecond. A full one follows if far more is used than is held, at most for a
- * small share of the time.
+ * objects takes about a millisecond. A full one follows if far more is used than is held; it may take a
+ * third of the time, since the memory of the machine is a hard limit.
  *
  * @param options limit, clock, and the collector
  * @returns a function that takes the bytes held for clients and collects what was dropped
