Count what is held of servers' answers

Cause: heads of answers, bodies that are kept for a retry and events that have not ended were bounded for each answer and not for all of them. Change: they count for the connection of their caller.

--- a/packages/client_limits/create_body_collector.ts
+++ b/packages/client_limits/create_body_collector.ts
@@ -9,6 +9,8 @@
    * @throws the error of the options if the memory budget does not allow it
    */
   add(piece: Buffer): void;
+  /** Adds a piece; returns false if the memory budget does not allow it. */
+  tryAdd(piece: Buffer): boolean;
   /** Bytes of the pieces. */
   length(): number;
   /** Returns the whole body, whose length stays reserved; the collector must not be used afterwards. */
@@ -22,7 +24,7 @@
  * byte takes a few hundred bytes as an object of its own.
  *
  * @param memory budget from which the memory is reserved
- * @param createError creates the error for an exhausted budget
+ * @param createError creates the error for an exhausted budget that {@linkcode BodyCollector.add} throws
  * @returns the collector
  *
  * @example
@@ -31,7 +33,7 @@
  */
 export function createBodyCollector(
   memory: MemoryBudget,
-  createError: () => Error,
+  createError: () => Error = () => new Error("Memory budget is exhausted"),
 ): BodyCollector {
   const parts: Buffer[] = [];
   let block = Buffer.alloc(0);
@@ -39,9 +41,10 @@
   let length = 0;
   let reserved = 0;
 
-  const reserve = (bytes: number) => {
-    if (!memory.tryReserve(bytes)) throw createError();
+  const tryReserve = (bytes: number): boolean => {
+    if (!memory.tryReserve(bytes)) return false;
     reserved += bytes;
+    return true;
   };
   const closeBlock = () => {
     if (used > 0) parts.push(block.subarray(0, used));
@@ -56,24 +59,30 @@
     block = Buffer.alloc(0);
   };
 
-  return {
-    add(piece) {
-      if (piece.length >= SMALL_PIECE_BYTES) {
-        reserve(piece.length);
+  const tryAdd = (piece: Buffer): boolean => {
+    if (piece.length >= SMALL_PIECE_BYTES) {
+      if (!tryReserve(piece.length)) return false;
+      closeBlock();
+      parts.push(piece);
+    } else {
+      if (used + piece.length > block.length) {
+        const wanted = Math.min(MAX_BODY_BLOCK_BYTES, Math.max(MIN_BODY_BLOCK_BYTES, length));
+        const size = Math.max(wanted, piece.length);
+        if (!tryReserve(size)) return false;
         closeBlock();
-        parts.push(piece);
-      } else {
-        if (used + piece.length > block.length) {
-          const wanted = Math.min(MAX_BODY_BLOCK_BYTES, Math.max(MIN_BODY_BLOCK_BYTES, length));
-          const size = Math.max(wanted, piece.length);
-          reserve(size);
-          closeBlock();
-          block = Buffer.allocUnsafeSlow(size);
-        }
-        used += piece.copy(block, used);
+        block = Buffer.allocUnsafeSlow(size);
       }
-      length += piece.length;
+      used += piece.copy(block, used);
+    }
+    length += piece.length;
+    return true;
+  };
+
+  return {
+    add(piece) {
+      if (!tryAdd(piece)) throw createError();
     },
+    tryAdd,
     length: () => length,
     finish() {
       closeBlock();
--- a/packages/client_limits/create_client_limits.ts
+++ b/packages/client_limits/create_client_limits.ts
@@ -54,6 +54,8 @@
   hasNext(socket: Socket): boolean;
   /** Reads when the head came that is being parsed, and its length; undefined outside of the parser. */
   readHead(socket: Socket): ReceivedHead | undefined;
+  /** Counts that a limit took effect, by its reason, and logs it at a bounded rate. */
+  count(reason: string): void;
 }
 
 /** The limits on what clients make a process hold and work, over all of its servers. */
@@ -211,6 +213,7 @@
         flush: (socket) => gate.flush(socket),
         hasNext: (socket) => gate.hasNext(socket),
         readHead: (socket) => gate.readHead(socket),
+        count,
       };
     },
   };
--- a/packages/forwarding/_lib/create_concurrent_runs_test.ts
+++ b/packages/forwarding/_lib/create_concurrent_runs_test.ts
@@ -2,6 +2,7 @@
 import test from "ava";
 import fc from "fast-check";
 import { CALLER_BUFFER_BYTES, MAX_CONCURRENT_RUNS } from "../constants.ts";
+import { createAnswerMemory } from "./create_answer_memory.ts";
 import { createConcurrentRuns } from "./create_concurrent_runs.ts";
 import type { Run } from "./create_concurrent_runs.ts";
 import { createStreamHandler } from "./create_stream_handler.ts";
@@ -192,6 +193,7 @@
     metadata: {},
     arrivalMs: 0,
     signal: controller.signal,
+    answerMemory: createAnswerMemory(undefined, () => {}),
     shouldClose: () => false,
   } as unknown as CallerRequest;
   const handler = createStreamHandler(context, request);
--- a/packages/forwarding/_lib/create_plain_handler.ts
+++ b/packages/forwarding/_lib/create_plain_handler.ts
@@ -1,19 +1,19 @@
+import { createBodyCollector } from "@jaypass/client_limits";
+import type { MemoryBudget } from "@jaypass/client_limits";
 import { JOB_OUTCOME } from "@jaypass/placement";
 import { MAX_BUFFERED_ANSWER_BYTES } from "../constants.ts";
 import { FAILURE } from "../errors.ts";
-import type { ServerAnswer } from "../open_exchange.ts";
 import { ROUTE_KIND } from "../types.ts";
 import { DROPPED } from "./attempt.ts";
 import type { AnswerHandler, AttemptResult, ReceivedAnswer } from "./attempt.ts";
 import { createCallerAnswer } from "./create_caller_answer.ts";
-import type { CallerAnswer } from "./create_caller_answer.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /**
  * Creates the handler of answers that are not streams of events. An answer is buffered until it is
  * complete, so that the request can be retried if the answer is truncated; a large answer is passed
- * on as it arrives, and no other server is tried once its head is sent. Of two runs, the first one with
- * an answer that may be passed on answers the caller.
+ * on as it arrives, and no other server is tried once its head is sent; so is one for which the host has
+ * no memory. Of two runs, the first one with an answer that may be passed on answers the caller.
  *
  * @param context services of the host
  * @param request the caller's request
@@ -32,7 +32,8 @@
     }
     onChunk();
     const body = reportChunks(answer.body, onChunk);
-    const { chunks, isWhole } = await bufferAnswer(body);
+    const { body: memory } = request.answerMemory;
+    const { bytes, excess, isWhole } = await bufferAnswer(body, memory);
     const isRepeatableFailure = answer.status >= 500 &&
       request.route.kind === ROUTE_KIND.IDEMPOTENT;
     if (!isWhole) {
@@ -40,10 +41,16 @@
         return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure: FAILURE.SERVER_BROKE_OFF };
       }
       if (!run.claim()) return DROPPED;
-      await streamAnswer(callerAnswer, answer, chunks, body);
+      callerAnswer.begin(answer);
+      const written = callerAnswer.write(bytes);
+      memory.release(bytes.length);
+      await written;
+      if (excess !== undefined) await callerAnswer.write(excess);
+      for await (const chunk of body) await callerAnswer.write(chunk);
+      callerAnswer.end();
       return { outcome: JOB_OUTCOME.ANSWERED, isDone: true, failure: FAILURE.INTERNAL };
     }
-    const deliver = () => callerAnswer.send(answer, Buffer.concat(chunks));
+    const deliver = () => callerAnswer.send(answer, bytes);
     if (isRepeatableFailure) {
       return {
         outcome: JOB_OUTCOME.FAILED,
@@ -71,27 +78,32 @@
   }
 }
 
-/** Reads a body up to the buffer limit; `isWhole` is false if more follows. */
-async function bufferAnswer(body: AsyncGenerator<Buffer>) {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  while (length <= MAX_BUFFERED_ANSWER_BYTES) {
-    const next = await body.next();
-    if (next.done) return { chunks, isWhole: true };
-    chunks.push(next.value);
-    length += next.value.length;
-  }
-  return { chunks, isWhole: false };
+/** The beginning of a body, or all of it. */
+interface BufferedAnswer {
+  /** Bytes that were read, whose memory stays reserved. */
+  bytes: Buffer;
+  /** Bytes behind them for which the host has no memory. */
+  excess: Buffer | undefined;
+  /** False if more follows. */
+  isWhole: boolean;
 }
 
-async function streamAnswer(
-  callerAnswer: CallerAnswer,
-  answer: ServerAnswer,
-  chunks: Buffer[],
-  rest: AsyncIterable<Buffer>,
-): Promise<void> {
-  callerAnswer.begin(answer);
-  for (const chunk of chunks) await callerAnswer.write(chunk);
-  for await (const chunk of rest) await callerAnswer.write(chunk);
-  callerAnswer.end();
+/** Reads a body up to the buffer limit, or as far as the memory allows. */
+async function bufferAnswer(
+  body: AsyncGenerator<Buffer>,
+  memory: MemoryBudget,
+): Promise<BufferedAnswer> {
+  const kept = createBodyCollector(memory);
+  let excess: Buffer | undefined;
+  try {
+    while (excess === undefined && kept.length() <= MAX_BUFFERED_ANSWER_BYTES) {
+      const next = await body.next();
+      if (next.done) return { bytes: kept.finish(), excess, isWhole: true };
+      if (!kept.tryAdd(next.value)) excess = next.value;
+    }
+  } catch (err) {
+    kept.discard();
+    throw err;
+  }
+  return { bytes: kept.finish(), excess, isWhole: false };
 }
--- a/packages/forwarding/_lib/create_stream_handler.ts
+++ b/packages/forwarding/_lib/create_stream_handler.ts
@@ -1,3 +1,5 @@
+import { createBodyCollector } from "@jaypass/client_limits";
+import type { MemoryBudget } from "@jaypass/client_limits";
 import type { Millis } from "@jaypass/kernel";
 import { JOB_OUTCOME } from "@jaypass/placement";
 import type { JobOutcome } from "@jaypass/placement";
@@ -38,7 +40,7 @@
   context: ForwardingContext,
   request: CallerRequest,
 ): AnswerHandler {
-  const { route } = request;
+  const { route, answerMemory } = request;
   const callerAnswer = createCallerAnswer(context, request);
   let lastEventId: number | undefined;
   const invalidAnswer = (
@@ -64,6 +66,7 @@
     }
     if (!isSuccess) return await handleFailure(answer, run);
     const splitter = createEventSplitter();
+    const eventMemory = createEventMemory(answerMemory.body);
     const stallTimer = createStallTimer(computeStallTimeoutMs(route), onStalled);
     const streamTimer = createStreamTimer(context, request);
     let repeatedBytes = 0;
@@ -94,11 +97,14 @@
           lastEventId = event.id;
           await callerAnswer.write(event.bytes);
         }
-        if (splitter.rest().length > MAX_EVENT_BYTES) return invalidAnswer("Event is too long");
+        const restBytes = splitter.rest().length;
+        if (restBytes > MAX_EVENT_BYTES) return invalidAnswer("Event is too long");
+        if (!eventMemory.tryHold(restBytes)) return invalidAnswer("No memory for an event");
         stallTimer.start();
       }
     } finally {
       stallTimer.clear();
+      eventMemory.tryHold(0);
     }
     if (!run.isActive()) return DROPPED;
     const rest = splitter.rest();
@@ -137,14 +143,15 @@
     answer: ServerAnswer,
     run: ReceivedAnswer["run"],
   ): Promise<AttemptResult> => {
-    const chunks: Buffer[] = [];
-    let length = 0;
+    const body = createBodyCollector(answerMemory.body);
     for await (const chunk of answer.body) {
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length > MAX_BUFFERED_ANSWER_BYTES) return invalidAnswer("Error answer is too long");
+      const isTaken = body.tryAdd(chunk);
+      if (isTaken && body.length() <= MAX_BUFFERED_ANSWER_BYTES) continue;
+      body.discard();
+      return invalidAnswer(isTaken ? "Error answer is too long" : "No memory for an error answer");
     }
-    const deliver = () => callerAnswer.send(answer, Buffer.concat(chunks));
+    const bytes = body.finish();
+    const deliver = () => callerAnswer.send(answer, bytes);
     if (answer.status >= 500) {
       const failure = FAILURE.SERVER_BROKE_OFF;
       return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure, deliver };
@@ -184,6 +191,20 @@
   };
 }
 
+/** Counts the bytes of the event that has not ended yet. */
+function createEventMemory(memory: MemoryBudget) {
+  let heldBytes = 0;
+  return {
+    /** Sets the number of bytes; returns false if the memory does not allow it. */
+    tryHold(bytes: number): boolean {
+      if (bytes > heldBytes && !memory.tryReserve(bytes - heldBytes)) return false;
+      if (bytes < heldBytes) memory.release(heldBytes - bytes);
+      heldBytes = bytes;
+      return true;
+    },
+  };
+}
+
 /** Computes the silence after which a stream counts as interrupted; 0 if the route has no target. */
 function computeStallTimeoutMs({ pauseGoalMs }: Route): Millis {
   return pauseGoalMs === 0 ? 0 : Math.max(SILENCE_TOLERANCE_MS, STALL_TIMEOUT_FACTOR * pauseGoalMs);
--- a/packages/forwarding/_lib/exchange_once.ts
+++ b/packages/forwarding/_lib/exchange_once.ts
@@ -126,6 +126,9 @@
     if (NOT_RUN_STATUSES.has(answer.status)) {
       return { outcome: JOB_OUTCOME.FAILED, isDone: false, failure: FAILURE.INVALID_ANSWER };
     }
+    if (!request.answerMemory.tryReserveHead(answer.headers)) {
+      return { outcome: JOB_OUTCOME.BROKEN, isDone: false, failure: FAILURE.INVALID_ANSWER };
+    }
     const onChunk = () => {
       clearInterval(firstByteTimer);
       silence.recordData();
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -6,6 +6,7 @@
 import type { ServerNotices } from "../create_server_notices.ts";
 import type { Failure } from "../errors.ts";
 import type { AttemptState } from "./attempt.ts";
+import type { AnswerMemory } from "./create_answer_memory.ts";
 import type {
   CallerMetadata,
   Configuration,
@@ -160,6 +161,8 @@
   res: ServerResponse;
   /** Memory of the caller's connection; undefined if it is not counted. */
   holder: MemoryHolder | undefined;
+  /** Memory of what servers answer. */
+  answerMemory: AnswerMemory;
   /** Reports whether the answer must announce that its connection is closed afterwards. */
   shouldClose: () => boolean;
   /** Called for each part of a server's answer that was read: its head, pieces of its body, its end. */
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { countHeadCost, countHeaderBytes, createHeadOverflow } from "@jaypass/client_limits";
-import type { ConnectionLimits, MemoryBudget, MemoryHolder } from "@jaypass/client_limits";
+import type { ConnectionLimits, ConnectionMemory, MemoryBudget } from "@jaypass/client_limits";
 import { createCallerTimeouts } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
 import {
@@ -16,6 +16,8 @@
 import { FAILURE, ForwardingError } from "./errors.ts";
 import { createStoppingError } from "./_lib/attempt_errors.ts";
 import { breakOff } from "./_lib/break_off.ts";
+import { createAnswerMemory } from "./_lib/create_answer_memory.ts";
+import type { AnswerMemory } from "./_lib/create_answer_memory.ts";
 import { createBodyMemoryBudget, createBodyMemoryError } from "./_lib/create_body_memory_budget.ts";
 import { handleProtocolError } from "./_lib/handle_protocol_error.ts";
 import { handleTunnelRequest } from "./_lib/handle_tunnel_request.ts";
@@ -165,11 +167,13 @@
       holder?.pin(pinnedBytes);
       holder?.pinHead(headCost);
       isHeadPinned = true;
+      const answerMemory = createAnswerMemory(holder, (reason) => limits?.count(reason));
       try {
         await forward(context, {
           req,
           res,
           holder,
+          answerMemory,
           resolved,
           body,
           arrivalMs,
@@ -177,6 +181,7 @@
           shouldClose: () => shouldClose(req.socket),
         });
       } finally {
+        answerMemory.close();
         releaseBody(holder ?? memory, body);
       }
     } finally {
@@ -327,7 +332,8 @@
 interface ForwardOptions {
   req: IncomingMessage;
   res: ServerResponse;
-  holder: MemoryHolder | undefined;
+  holder: ConnectionMemory | undefined;
+  answerMemory: AnswerMemory;
   resolved: ResolvedRequest;
   body: Buffer;
   arrivalMs: Millis;
@@ -336,7 +342,8 @@
 }
 
 async function forward(context: ForwardingContext, options: ForwardOptions): Promise<void> {
-  const { req, res, holder, resolved, body, arrivalMs, monitored, shouldClose } = options;
+  const { req, res, holder, answerMemory, resolved, body, arrivalMs, monitored, shouldClose } =
+    options;
   const { metadata, route, service, workspace, timeoutMs } = resolved;
   const controller = new AbortController();
   let receivedCount = 0;
@@ -374,6 +381,7 @@
     signal: controller.signal,
     res,
     holder,
+    answerMemory,
     shouldClose,
     onReceived: () => void (receivedCount += 1),
     onAttempts: (state) => void (monitored.attempts = state),
