Read on in turns from an address over its bound of unread bytes

Cause: beyond the bound on the unread bytes of an address, none of its connections was read. Bytes behind open requests keep the bound full, so that a proper client behind the same address got 408 for a request that nobody had read. Change: connections whose bytes would be parsed are read eight at a time, in turns of 10 ms.

--- a/packages/client_limits/_lib/create_connection_gate.ts
+++ b/packages/client_limits/_lib/create_connection_gate.ts
@@ -109,11 +109,13 @@
   const isOpen = ({ socket }: GateRecord) =>
     !socket.destroyed && !socket.writableEnded && !server.isEnding(socket) &&
     (socket as ServerSocket).parser != null;
+  /** Reports whether a request in progress holds back the bytes behind it. */
+  const hasWholeRequest = ({ socket }: GateRecord) =>
+    server.listAnswers(socket).at(-1)?.req.complete === true;
   const canParse = (record: GateRecord) => {
     if (record.unreadBytes === 0 || record.isParserPaused) return false;
     if ((record.socket as ServerSocket)._paused === true) return false;
-    const last = server.listAnswers(record.socket).at(-1);
-    return last === undefined || !last.req.complete;
+    return !hasWholeRequest(record);
   };
   const countUnread = (record: GateRecord, bytes: number) => {
     record.unreadBytes += bytes;
@@ -244,6 +246,7 @@
         socket,
         holder,
         reads: createSocketReads(socket),
+        isReady: () => record.unreadBytes === 0 && !hasWholeRequest(record),
         updateFlow: () => updateFlow(record),
         run: () => runTurn(record, PARSE_TURN_BYTES, MAX_TURN_MS),
         parse: parse as GateRecord["parse"],
@@ -294,7 +297,7 @@
     hasNext(socket) {
       const record = records.get(socket);
       if (record === undefined || record.unreadBytes === 0 || !isOpen(record)) return false;
-      return server.listAnswers(socket).at(-1)?.req.complete === true;
+      return hasWholeRequest(record);
     },
     readHead(socket) {
       const { parsedAtMs, headBytes = 0 } = records.get(socket) ?? {};
--- a/packages/client_limits/constants.ts
+++ b/packages/client_limits/constants.ts
@@ -79,6 +79,12 @@
 /** Unread bytes that an address may have in any case. */
 export const MIN_ADDRESS_UNREAD_BYTES = 1024 * 1024;
 
+/** Interval at which connections of an address over its bound are admitted to be read. */
+export const ADDRESS_READ_INTERVAL_MS = 10;
+
+/** Connections that are admitted at a time; each may read 64 KB. */
+export const ADMITTED_READS = 8;
+
 /** Part of the memory for callers above which an address gives up small holders as well. */
 export const MAX_ADDRESS_MEMORY_SHARE = 1 / 2;
 
