Count trailers with the heads of requests

Cause: Node.js keeps the lines of trailers until their request has ended, and the gate did not count them. Change: the gate counts the trailers that the parser holds, at the cost of header lines.

--- a/packages/client_limits/_lib/create_connection_gate.ts
+++ b/packages/client_limits/_lib/create_connection_gate.ts
@@ -64,6 +64,8 @@
   /** Bytes of a head that has not ended, and their cost. */
   headBytes: number;
   headCost: number;
+  /** Cost of the trailers of the current request. */
+  trailerCost: number;
   /** True while the parser has no place for more bytes. */
   isParserPaused: boolean;
   /** True while its bytes are being parsed. */
@@ -72,8 +74,8 @@
 
 /** The parts of a socket that the HTTP server of Node.js adds. */
 interface ServerSocket {
-  /** The parser; null once the server has given up the socket. */
-  parser?: object | null;
+  /** The parser, with the lines that it has handed over; null once the server has given up the socket. */
+  parser?: { _headers?: readonly string[] } | null;
   /** True while too much of an answer is queued. */
   _paused?: boolean;
 }
@@ -121,9 +123,14 @@
     record.unreadBytes += bytes;
     addressReads.count(record, bytes);
   };
+  const releaseTrailers = (record: GateRecord) => {
+    record.holder.releaseHead(record.trailerCost);
+    record.trailerCost = 0;
+  };
   const discard = (record: GateRecord) => {
     record.holder.releaseHead(record.headCost);
     record.headCost = 0;
+    releaseTrailers(record);
     record.holder.release(sumCosts(record.pieces));
     record.pieces = [];
     countUnread(record, -record.unreadBytes);
@@ -160,6 +167,16 @@
     record.headCost += cost;
     record.holder.chargeHead(cost);
   };
+  /** Counts the trailers so far, which the parser keeps until their request has ended. */
+  const countTrailers = (record: GateRecord) => {
+    const { _headers: texts = [] } = (record.socket as ServerSocket).parser ?? {};
+    const lines = texts.length / 2;
+    const cost = texts.reduce((sum, { length }) => sum + length, lines * HEADER_LINE_COST_BYTES);
+    if (cost <= record.trailerCost) return;
+    const added = cost - record.trailerCost;
+    record.trailerCost = cost;
+    record.holder.chargeHead(added);
+  };
   /** Finds out to which request the parsed bytes belong. */
   const recordRequest = (record: GateRecord, length: number) => {
     const last = server.listAnswers(record.socket).at(-1)?.req;
@@ -207,6 +224,7 @@
       record.isParsing = false;
       record.parsedAtMs = undefined;
       recordRequest(record, slice.length);
+      if (record.current?.complete === false) countTrailers(record);
       if (record.current !== undefined && record.current !== current) requests += 1;
       if (record.headBytes > MAX_UNENDED_HEAD_BYTES) server.onEndlessHead(record.socket);
       if (clock.nowMs() < endMs) continue;
@@ -258,6 +276,7 @@
         bodyBytes: undefined,
         headBytes: 0,
         headCost: 0,
+        trailerCost: 0,
         isParserPaused: false,
         isParsing: false,
         isWaiting: false,
@@ -288,6 +307,7 @@
       const record = records.get(socket);
       if (record === undefined) return;
       record.current = undefined;
+      releaseTrailers(record);
       if (record.unreadBytes > 0) offer(record);
     },
     flush(socket) {
