Keep times out of two tests of the limits on clients

Cause: create_client_limits_test compares all counters while its clock runs, so that a turn of more than 2 ms on a busy machine adds "turn_time" (1 of 6 runs at a load average of 25). create_socket_reads_test takes 50 ms for the time in which a first write is read; found by reading. Change: the clock of the first test stands still, and the second one waits until the write has been read. All assertions stay.

--- a/packages/client_limits/_lib/create_socket_reads_test.ts
+++ b/packages/client_limits/_lib/create_socket_reads_test.ts
@@ -18,7 +18,7 @@
   socket.on("data", (piece: Buffer) => bytes += piece.length);
   const reads = createSocketReads(socket);
   client.write("first");
-  await wait(50);
+  while (bytes === 0) await wait(5);
   reads.pause();
   client.write("x".repeat(100_000));
   await wait(100);
--- a/packages/client_limits/create_client_limits_test.ts
+++ b/packages/client_limits/create_client_limits_test.ts
@@ -30,7 +30,8 @@
     },
   } as unknown as Metrics;
   const state = { nowMs: 0 };
-  const clock = { ...createClock(), nowMs: () => performance.now() + state.nowMs };
+  // Stands still, so that no turn ends for its time, which is counted as well.
+  const clock = { ...createClock(), nowMs: () => state.nowMs };
   const limits = createClientLimits({
     limits: { heldBytes, connections, addressConnections },
     clock,
