Bound the lines of all links together

Cause: a line that has not ended may have 4 MB on each link, and the number of links is not limited. 20 links that send 4,000,000 characters each and do not end the line take an idle host of 112 MB to 148 MB. Change: lines that have not ended have 8 MB over all links that other hosts have opened, beyond which the link with the longest one is closed.

--- a/packages/fleet/_lib/json_link.ts
+++ b/packages/fleet/_lib/json_link.ts
@@ -1,5 +1,6 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import type { MemoryAccount, MemoryBudget } from "@jaypass/client_limits";
 import { runAfterRead } from "@jaypass/kernel";
 import type { Millis } from "@jaypass/kernel";
 import { LINK_MAX_BUFFER_BYTES, LINK_MAX_LINE_CHARACTERS } from "../constants.ts";
@@ -26,7 +27,7 @@
  * @param socket a connected socket
  * @param options `idleTimeoutMs`: milliseconds without received data after which the link fails;
  * `parse`: checks a decoded message, and returns undefined for one to skip; `traffic`: counts the
- * bytes of messages
+ * bytes of messages; `memory`: bounds the lines that have not ended, over several links
  * @returns the link; `messages` throws a {@linkcode LinkError} when the link fails or a message is
  * not valid
  */
@@ -36,6 +37,7 @@
     idleTimeoutMs: Millis;
     parse: (value: unknown) => In | undefined;
     traffic?: Pick<LinkTraffic, "count">;
+    memory?: MemoryAccount;
   },
 ): JsonLink<In, Out> {
   socket.setNoDelay(true);
@@ -51,7 +53,9 @@
   socket.once("close", () => clearTimeout(idleTimer));
   // `messages` reports errors to its reader; without a listener they would end the process.
   socket.on("error", () => {});
-  const { parse, traffic } = options;
+  const { parse, traffic, memory } = options;
+  const holder = memory?.open(() => socket.destroy(createSharedLimitError()));
+  socket.once("close", () => holder?.close());
   const sendLine = (message: Out, line: string) => {
     if (socket.destroyed) return;
     traffic?.count(message, "sent", line);
@@ -69,19 +73,28 @@
   return {
     send: (message) => sendLine(message, encodeMessage(message)),
     sendLine,
-    messages: () => readMessages<In>(socket, parseLine, () => idleTimer.refresh()),
+    messages: () =>
+      readMessages<In>(socket, { parseLine, memory: holder, onChunk: () => idleTimer.refresh() }),
     close: () => socket.destroy(),
   };
 }
 
+function createSharedLimitError(): LinkError {
+  return new LinkError("Peers sent lines that are too long together");
+}
+
 async function* readMessages<In>(
   socket: Socket,
-  parseLine: (line: string) => In | undefined,
-  onChunk: () => void,
+  { parseLine, memory, onChunk }: {
+    parseLine: (line: string) => In | undefined;
+    memory: MemoryBudget | undefined;
+    onChunk: () => void;
+  },
 ): AsyncGenerator<In> {
   // The chunks of a line are joined only once, at its end, because a large table takes many chunks.
   let parts: string[] = [];
   let length = 0;
+  let reserved = 0;
   try {
     for await (const chunk of socket.setEncoding("utf8")) {
       onChunk();
@@ -97,6 +110,9 @@
       if (length > LINK_MAX_LINE_CHARACTERS) {
         throw new LinkError("Peer sent a line that is too long");
       }
+      if (length < reserved) memory?.release(reserved - length);
+      else if (memory?.tryReserve(length - reserved) === false) throw createSharedLimitError();
+      reserved = length;
     }
   } catch (err) {
     throw new LinkError(`Reading from the link failed: ${(err as Error).message}`, { cause: err });
--- a/packages/fleet/constants.ts
+++ b/packages/fleet/constants.ts
@@ -110,6 +110,12 @@
  */
 export const LINK_MAX_LINE_CHARACTERS = 4 * 1024 * 1024;
 
+/**
+ * Characters of lines that have not ended, over all links that other hosts have opened; the link with
+ * the longest one is closed beyond them.
+ */
+export const LINKS_MAX_HELD_CHARACTERS = 8 * 1024 * 1024;
+
 /** Bytes that may be buffered on a link before it is closed because its peer reads too slowly. */
 export const LINK_MAX_BUFFER_BYTES = 4 * 1024 * 1024;
 
--- a/packages/fleet/create_hub_server.ts
+++ b/packages/fleet/create_hub_server.ts
@@ -1,12 +1,14 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { once } from "node:events";
+import { createMemoryAccount } from "@jaypass/client_limits";
 import { ESSENTIAL, sleepUntilTick } from "@jaypass/kernel";
 import type { Clock, Logger, Millis, TaskGroup } from "@jaypass/kernel";
 import {
   INVITE_INTERVAL_MS,
   LINK_CONNECT_TIMEOUT_MS,
   LINK_IDLE_TIMEOUT_MS,
+  LINKS_MAX_HELD_CHARACTERS,
   VIEW_INTERVAL_MS,
 } from "./constants.ts";
 import { encodeMessage } from "./_lib/encode_message.ts";
@@ -135,6 +137,7 @@
   const disconnectedAtMs = new Map<string, Millis>();
   let memberLostAtMs = -Infinity;
   const sockets = new Set<Socket>();
+  const memory = createMemoryAccount(LINKS_MAX_HELD_CHARACTERS);
 
   const listLive = () =>
     [...members.values()].filter((member) => !member.isDraining).map((member) => member.entry);
@@ -283,6 +286,7 @@
         idleTimeoutMs: LINK_IDLE_TIMEOUT_MS,
         parse: (value) => parseMemberMessage(value, options.parsers),
         traffic,
+        memory,
       },
     );
     let member: Member | undefined;
