--- a/packages/forwarding/_lib/create_plain_handler.ts
+++ b/packages/forwarding/_lib/create_plain_handler.ts
@@ -43,6 +43,7 @@
       if (!run.claim()) return DROPPED;
       callerAnswer.begin(answer);
       const written = callerAnswer.write(bytes);
+      // What the caller has not read of them is counted by the write.
       memory.release(bytes.length);
       await written;
       if (excess !== undefined) await callerAnswer.write(excess);
