Mark what is held of an answer before it is counted

Cause: found by reading. Counting gives up the largest holder when the account is full, which could be the connection whose answer is counted, since what belongs to a request at a server was marked as such only afterwards. Change: a small head and a body are marked first. No test shows the case.

--- a/packages/forwarding/_lib/create_answer_memory.ts
+++ b/packages/forwarding/_lib/create_answer_memory.ts
@@ -62,12 +62,15 @@
       if (holder === undefined || isClosed) return true;
       const lines = headers.length / 2;
       const cost = countHeaderBytes({ rawHeaders: headers }) + lines * HEADER_LINE_COST_BYTES;
-      if (cost <= SMALL_HOLDER_BYTES) holder.chargeHead(cost);
-      else if (!holder.tryReserveHead(cost)) {
+      if (cost <= SMALL_HOLDER_BYTES) {
+        // Marked first, since counting may give up what is not marked.
+        holder.pinHead(cost);
+        holder.chargeHead(cost);
+      } else if (holder.tryReserveHead(cost)) holder.pinHead(cost);
+      else {
         onLimit(ANSWER_LIMIT.HEAD);
         return false;
       }
-      holder.pinHead(cost);
       headBytes += cost;
       return true;
     },
@@ -79,8 +82,8 @@
           onLimit(ANSWER_LIMIT.BODY);
           return false;
         }
-        holder.charge(bytes);
         holder.pin(bytes);
+        holder.charge(bytes);
         bodyBytes += bytes;
         return true;
       },
