--- a/packages/client_limits/_lib/create_connection_gate.ts
+++ b/packages/client_limits/_lib/create_connection_gate.ts
@@ -2,7 +2,6 @@
 import { Socket } from "node:net";
 import type { Clock, Millis } from "@jaypass/kernel";
 import {
-  HEADER_LINE_COST_BYTES,
   MAX_FRAMED_SLICE_BYTES,
   MAX_TURN_MS,
   MAX_UNENDED_HEAD_BYTES,
@@ -14,6 +13,8 @@
 import type { LimitedServer } from "../create_client_limits.ts";
 import { chooseSlice, TAIL_BYTES } from "./choose_slice.ts";
 import type { AddressReader, AddressReads } from "./create_address_reads.ts";
+import { createHeadMemory } from "./create_head_memory.ts";
+import type { HeadMemory } from "./create_head_memory.ts";
 import { createSocketReads } from "./create_socket_reads.ts";
 import type { SocketReads } from "./create_socket_reads.ts";
 import type { TurnMember, TurnQueue, TurnResult } from "./create_turn_queue.ts";
@@ -21,8 +22,6 @@
 import { createPiece, joinPieces, sumCosts } from "./unread_pieces.ts";
 import type { Piece } from "./unread_pieces.ts";
 
-const LINE_END = 0x0a;
-
 /** Passes the bytes of callers to the parser of Node.js, in turns. */
 export interface ConnectionGate {
   /** Takes over the reads of a connection, on which the server of Node.js listens already. */
@@ -61,11 +60,8 @@
   current: IncomingMessage | undefined;
   /** Bytes of its body that are left; undefined if its length is not stated. */
   bodyBytes: number | undefined;
-  /** Bytes of a head that has not ended, and their cost. */
-  headBytes: number;
-  headCost: number;
-  /** Cost of the trailers of the current request. */
-  trailerCost: number;
+  /** Memory of the head and the trailers that are being parsed. */
+  head: HeadMemory;
   /** True while the parser has no place for more bytes. */
   isParserPaused: boolean;
   /** True while its bytes are being parsed. */
@@ -123,14 +119,9 @@
     record.unreadBytes += bytes;
     addressReads.count(record, bytes);
   };
-  const releaseTrailers = (record: GateRecord) => {
-    record.holder.releaseHead(record.trailerCost);
-    record.trailerCost = 0;
-  };
   const discard = (record: GateRecord) => {
-    record.holder.releaseHead(record.headCost);
-    record.headCost = 0;
-    releaseTrailers(record);
+    record.head.endHead();
+    record.head.endTrailers();
     record.holder.release(sumCosts(record.pieces));
     record.pieces = [];
     countUnread(record, -record.unreadBytes);
@@ -158,32 +149,13 @@
     } else piece.bytes = bytes.subarray(length);
     return slice;
   };
-  /** Counts the bytes and lines of a head that has not ended yet. */
-  const countHead = (record: GateRecord, slice: Buffer) => {
-    let lines = 0;
-    for (const byte of slice) if (byte === LINE_END) lines += 1;
-    const cost = slice.length + lines * HEADER_LINE_COST_BYTES;
-    record.headBytes += slice.length;
-    record.headCost += cost;
-    record.holder.chargeHead(cost);
-  };
-  /** Counts the trailers so far, which the parser keeps until their request has ended. */
-  const countTrailers = (record: GateRecord) => {
-    const { _headers: texts = [] } = (record.socket as ServerSocket).parser ?? {};
-    const lines = texts.length / 2;
-    const cost = texts.reduce((sum, { length }) => sum + length, lines * HEADER_LINE_COST_BYTES);
-    if (cost <= record.trailerCost) return;
-    const added = cost - record.trailerCost;
-    record.trailerCost = cost;
-    record.holder.chargeHead(added);
-  };
   /** Finds out to which request the parsed bytes belong. */
   const recordRequest = (record: GateRecord, length: number) => {
     const last = server.listAnswers(record.socket).at(-1)?.req;
     if (last === undefined || last.complete) {
       record.bodyBytes = undefined;
       // A request that has ended, or one that is not handled, ends the head as well.
-      if (last !== record.current) resetHead(record);
+      if (last !== record.current) record.head.endHead();
       record.current = last;
     } else if (last === record.current) {
       if (record.bodyBytes !== undefined) record.bodyBytes -= length;
@@ -192,14 +164,9 @@
       record.current = last;
       const stated = Number(last.headers["content-length"]);
       record.bodyBytes = stated > 0 ? stated : undefined;
-      resetHead(record);
+      record.head.endHead();
     }
   };
-  const resetHead = (record: GateRecord) => {
-    record.holder.releaseHead(record.headCost);
-    record.headBytes = 0;
-    record.headCost = 0;
-  };
 
   const offer = (record: GateRecord) => {
     // Node.js resumes the socket from within the parser, which must not be called again meanwhile.
@@ -216,7 +183,7 @@
         : turnBytes;
       const slice = takeSlice(record, sliceBytes);
       turnBytes -= Math.max(slice.length, MIN_SLICE_COST_BYTES);
-      if (isHead) countHead(record, slice);
+      if (isHead) record.head.count(slice);
       if (!isOpen(record)) break;
       const { current } = record;
       record.isParsing = true;
@@ -224,9 +191,11 @@
       record.isParsing = false;
       record.parsedAtMs = undefined;
       recordRequest(record, slice.length);
-      if (record.current?.complete === false) countTrailers(record);
+      if (record.current?.complete === false) {
+        record.head.countTrailers((record.socket as ServerSocket).parser?._headers ?? []);
+      }
       if (record.current !== undefined && record.current !== current) requests += 1;
-      if (record.headBytes > MAX_UNENDED_HEAD_BYTES) server.onEndlessHead(record.socket);
+      if (record.head.bytes() > MAX_UNENDED_HEAD_BYTES) server.onEndlessHead(record.socket);
       if (clock.nowMs() < endMs) continue;
       onLongTurn();
       break;
@@ -274,9 +243,7 @@
         tail: Buffer.alloc(0),
         current: undefined,
         bodyBytes: undefined,
-        headBytes: 0,
-        headCost: 0,
-        trailerCost: 0,
+        head: createHeadMemory(holder),
         isParserPaused: false,
         isParsing: false,
         isWaiting: false,
@@ -307,7 +274,7 @@
       const record = records.get(socket);
       if (record === undefined) return;
       record.current = undefined;
-      releaseTrailers(record);
+      record.head.endTrailers();
       if (record.unreadBytes > 0) offer(record);
     },
     flush(socket) {
@@ -320,8 +287,9 @@
       return hasWholeRequest(record);
     },
     readHead(socket) {
-      const { parsedAtMs, headBytes = 0 } = records.get(socket) ?? {};
-      return parsedAtMs === undefined ? undefined : { arrivalMs: parsedAtMs, bytes: headBytes };
+      const { parsedAtMs, head } = records.get(socket) ?? {};
+      if (parsedAtMs === undefined || head === undefined) return undefined;
+      return { arrivalMs: parsedAtMs, bytes: head.bytes() };
     },
   };
 }
