--- a/packages/client_limits/_lib/create_connection_gate.ts
+++ b/packages/client_limits/_lib/create_connection_gate.ts
@@ -70,7 +70,7 @@
 
 /** The parts of a socket that the HTTP server of Node.js adds. */
 interface ServerSocket {
-  /** The parser, with the lines that it has handed over; null once the server has given up the socket. */
+  /** The parser, with the trailers so far as names and values; null once the socket was given up. */
   parser?: { _headers?: readonly string[] } | null;
   /** True while too much of an answer is queued. */
   _paused?: boolean;
