Count the shortest read of a prompt when a stopping host takes it

Seen: callers waited up to 3.9 s for the refusal of a long prompt that a stopping host had taken with no other host ready. Cause: until a prompt is placed, its read counted as two passes, whatever its length, so that prompts were taken and waited whose read alone takes too long. Change: the read counts as shared by all engines of the service, the least time that any placement can need.

--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "@jaypass/kernel";
 import { computeAnswerMs } from "../compute_answer_ms.ts";
 import { computeLatestStartMs } from "../compute_latest_start_ms.ts";
+import { computeShortestFirstByteMs } from "../compute_shortest_first_byte_ms.ts";
 import { computeStopAnswerMs } from "../compute_stop_answer_ms.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
@@ -9,7 +10,7 @@
 
 /** What is known of the time that an answer takes. */
 export interface AnswerTimeOptions {
-  /** Expected milliseconds to the first byte, once the request is placed. */
+  /** Expected milliseconds to the first byte, once the request is placed; the shortest by default. */
   firstByteMs?: Millis;
   /** Converts the expected time of the whole answer to the time that must be left for it. */
   addMargin?: (answerMs: Millis) => Millis;
@@ -88,7 +89,10 @@
   if (stopTime === undefined) return Infinity;
   const profile = context.configuration()?.services.get(service)?.engine;
   // How long a call to a plain service takes is unknown, so that only its deadline bounds it.
-  const expectedMs = profile === undefined ? Infinity : computeAnswerMs(metadata, profile, options);
+  const expectedMs = profile === undefined ? Infinity : computeAnswerMs(metadata, profile, {
+    firstByteMs: options.firstByteMs ??
+      computeShortestFirstByteMs(metadata, profile, context.listServers(service).length),
+  });
   const answerMs = options.addMargin?.(expectedMs) ?? expectedMs;
   const hostEndMs = context.clock.nowMs() + stopTime.remainingMs;
   return computeLatestStartMs({ endMs, answerMs }, hostEndMs);
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -50,7 +50,13 @@
   /** Number of released memory reservations. */
   releaseCount(): number;
   /** Starts the graceful stop of the host, which ends after `remainingMs`. */
-  stop(options: { remainingMs: number; isNeeded?: boolean; hasOtherHosts?: boolean }): void;
+  stop(options: {
+    /** Milliseconds since the signal; 0 by default. */
+    elapsedMs?: number;
+    remainingMs: number;
+    isNeeded?: boolean;
+    hasOtherHosts?: boolean;
+  }): void;
   /** Starts the exit at the end of a graceful stop. */
   beginExit(): void;
   /** Closes idle connections of callers, and the others when they have no request any more. */
@@ -85,6 +91,8 @@
   path?: string;
   deadlineMs?: number;
   key?: string;
+  /** Length of the prompt; 0 by default. */
+  promptTokens?: number;
   /** Maximum length of the answer. */
   answerTokens?: number;
   /** Milliseconds after which the caller closes its connection. */
@@ -267,12 +275,15 @@
     call: (call = {}) => callHost(addressOf(front), call),
     arrivals,
     outcomes,
-    stop({ remainingMs, isNeeded: isStillNeeded = false, hasOtherHosts: areOthersReady = false }) {
-      const startMs = clock.nowMs();
-      const elapsedMs = () => clock.nowMs() - startMs;
-      readStopTime = () => ({ elapsedMs: elapsedMs(), remainingMs: remainingMs - elapsedMs() });
-      isNeeded = isStillNeeded;
-      hasOtherHosts = areOthersReady;
+    stop(options) {
+      const startMs = clock.nowMs() - (options.elapsedMs ?? 0);
+      const endMs = clock.nowMs() + options.remainingMs;
+      readStopTime = () => ({
+        elapsedMs: clock.nowMs() - startMs,
+        remainingMs: endMs - clock.nowMs(),
+      });
+      isNeeded = options.isNeeded ?? false;
+      hasOtherHosts = options.hasOtherHosts ?? false;
       stopping.abort();
     },
     beginExit: () => exiting.abort(),
@@ -346,7 +357,7 @@
       : Number(find(headers, "deadline")),
     key: find(headers, "key"),
     lastEventId: undefined,
-    promptTokens: 0,
+    promptTokens: Number(find(headers, "prompt-tokens") ?? 0),
     maxAnswerTokens: Number(find(headers, "answer-tokens") ?? 0),
     estimatedAnswerTokens: undefined,
     promptParts: [],
@@ -429,6 +440,7 @@
         Attempt: "a1",
         Key: call.key ?? "k1",
         Deadline: String(call.deadlineMs ?? 3_000),
+        "Prompt-Tokens": String(call.promptTokens ?? 0),
         "Answer-Tokens": String(call.answerTokens ?? 0),
       },
     }, (res) => {
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -10,6 +10,7 @@
 export * from "./constants.ts";
 export * from "./compute_answer_ms.ts";
 export * from "./compute_latest_start_ms.ts";
+export * from "./compute_shortest_first_byte_ms.ts";
 export * from "./compute_stop_answer_ms.ts";
 export * from "./create_event_splitter.ts";
 export * from "./create_forwarder.ts";
