Leave time for a silence of the server to prompts that come late in a stop

Seen by callers: status 200, the first events and a closed connection, of a prompt sent 3.08 s after the SIGTERM of its host while no other host was ready. Cause: a stopping host asks late prompts for time for a silence of their server when it takes them, when the read of the prompt is not known yet. Change: one function decides what may still be sent, with the same margin when a request is taken, waits, is placed and is sent again. It counts a request as late by the time at which it was read as a whole, so that a long wait costs an early one nothing and a slow upload makes a request late. In turn, the margin may use the time for which answers linger in the exit.

--- a/packages/forwarding/_lib/place_unless_aborted.ts
+++ b/packages/forwarding/_lib/place_unless_aborted.ts
@@ -1,25 +1,16 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
-import { STOP_SILENCE_MARGIN_MS } from "../constants.ts";
 import type { AnswerHandler, Attempt } from "./attempt.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import { canStart, watchLatestStart } from "./stop_limit.ts";
 
-/**
- * Reports whether a placed request may still be sent, although the host may be stopping. If callers have
- * other hosts, time for a silence of the server must be left: a refused caller loses little, since the
- * servers that are free now can serve it through another host.
- */
+/** Reports whether a placed request may still be sent, although the host may be stopping. */
 export function isInTime(
   context: ForwardingContext,
   request: CallerRequest,
   { decision, handler }: Pick<Attempt, "decision" | "handler">,
 ): boolean {
-  const marginMs = context.stop.hasOtherHosts() ? STOP_SILENCE_MARGIN_MS : 0;
-  return hasBegun(handler) || canStart(context, request, {
-    firstByteMs: decision.expectedMs,
-    addMargin: (answerMs) => answerMs + marginMs,
-  });
+  return hasBegun(handler) || canStart(context, request, decision.expectedMs);
 }
 
 /** A stream that has begun goes on during a stop, since its caller cannot start it again. */
@@ -49,7 +40,7 @@
   handler: AnswerHandler,
 ): Promise<PlacementDecision | undefined> {
   const { signal } = request;
-  if (signal.aborted) return undefined;
+  if (signal.aborted || !(hasBegun(handler) || canStart(context, request))) return undefined;
   let onAbort = () => {};
   const aborted = new Promise<undefined>((resolve) => {
     onAbort = () => resolve(undefined);
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -77,6 +77,8 @@
   exit: AbortSignal;
   /** Progress of the stop; undefined before it begins. */
   time(): StopTime | undefined;
+  /** Milliseconds for which answers that have begun go on after the remaining time at least. */
+  lingerMs(): Millis;
   /**
    * True while callers may hold an unexpired answer of the directory that names this host, or have no
    * other host; `requests` is the number of other requests in progress.
@@ -151,6 +153,8 @@
   fingerprint: string;
   /** Monotonic time at which the headers had arrived. */
   arrivalMs: Millis;
+  /** Monotonic time at which the body had arrived as well. */
+  receivedMs: Millis;
   /** Monotonic time of the deadline. */
   endMs: Millis;
   /** Failure at the deadline, which states whether the caller or the route has set it. */
--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -6,15 +6,10 @@
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 
 /** The parts of a request that decide whether its answer can end before the host does. */
-export type StoppableRequest = Pick<CallerRequest, "endMs" | "metadata" | "service">;
-
-/** What is known of the time that an answer takes. */
-export interface AnswerTimeOptions {
-  /** Expected milliseconds to the first byte, once the request is placed; the shortest by default. */
-  firstByteMs?: Millis;
-  /** Converts the expected time of the whole answer to the time that must be left for it. */
-  addMargin?: (answerMs: Millis) => Millis;
-}
+export type StoppableRequest = Pick<
+  CallerRequest,
+  "endMs" | "metadata" | "receivedMs" | "service"
+>;
 
 /**
  * Reports whether a host may take a new request.
@@ -37,22 +32,24 @@
   const stopTime = context.stop.time();
   if (stopTime === undefined) return true;
   if (context.stop.exit.aborted) return false;
-  const { elapsedMs } = stopTime;
-  const hasOtherHosts = context.stop.hasOtherHosts();
   const endsBeforeHost = request.endMs <= context.clock.nowMs() + stopTime.remainingMs;
-  return endsBeforeHost ||
-    (context.stop.isNeeded(requests) && canStart(context, request, {
-      addMargin: (answerMs) => computeStopAnswerMs(answerMs, { elapsedMs, hasOtherHosts }),
-    }));
+  return endsBeforeHost || (context.stop.isNeeded(requests) && canStart(context, request));
 }
 
-/** Reports whether the answer of a request that is sent now is expected to end before the host. */
+/**
+ * Reports whether the answer of a request that is sent now is expected to end before the host, with the
+ * margin of {@linkcode computeStopAnswerMs}.
+ *
+ * @param context services of the host
+ * @param request the request
+ * @param firstByteMs expected milliseconds to the first byte; by default the shortest possible time
+ */
 export function canStart(
   context: ForwardingContext,
   request: StoppableRequest,
-  options: AnswerTimeOptions = {},
+  firstByteMs?: Millis,
 ): boolean {
-  return context.clock.nowMs() <= findLatestStartMs(context, request, options);
+  return context.clock.nowMs() <= findLatestStartMs(context, request, firstByteMs);
 }
 
 /**
@@ -68,32 +65,56 @@
 ): () => void {
   const { signal } = context.stop;
   let timer: NodeJS.Timeout | undefined;
-  const startTimer = () => {
+  const check = () => {
     const waitMs = findLatestStartMs(context, request) - context.clock.nowMs();
-    if (waitMs < Infinity) timer = setTimeout(onTooLate, Math.max(0, waitMs));
+    if (waitMs < 0) onTooLate();
+    // The margin and the end of the host may change meanwhile.
+    else if (waitMs < Infinity) timer = setTimeout(check, waitMs + 1);
   };
-  if (signal.aborted) startTimer();
-  else signal.addEventListener("abort", startTimer, { once: true });
+  if (signal.aborted) check();
+  else signal.addEventListener("abort", check, { once: true });
   return () => {
     clearTimeout(timer);
-    signal.removeEventListener("abort", startTimer);
+    signal.removeEventListener("abort", check);
   };
 }
 
 function findLatestStartMs(
   context: ForwardingContext,
-  { endMs, metadata, service }: StoppableRequest,
-  options: AnswerTimeOptions = {},
+  { endMs, receivedMs, ...request }: StoppableRequest,
+  firstByteMs?: Millis,
 ): Millis {
-  const stopTime = context.stop.time();
+  const { clock, stop } = context;
+  const stopTime = stop.time();
   if (stopTime === undefined) return Infinity;
+  const nowMs = clock.nowMs();
+  const { shortestFirstByteMs, writeMs } = computeTimes(context, request);
+  const beginMs = firstByteMs ?? shortestFirstByteMs;
+  // Only a request that came early in the stop may be cut off, however long it has waited since.
+  const elapsedMs = stopTime.elapsedMs - (nowMs - receivedMs);
+  const longestMs = beginMs +
+    computeStopAnswerMs(writeMs, { elapsedMs, hasOtherHosts: stop.hasOtherHosts() });
+  const exitMs = nowMs + stopTime.remainingMs;
+  return Math.min(
+    computeLatestStartMs({ endMs, answerMs: beginMs + writeMs }, exitMs),
+    computeLatestStartMs({ endMs, answerMs: longestMs - stop.lingerMs() }, exitMs),
+  );
+}
+
+/** Computes the shortest time to the first byte, and the time that the answer takes after it. */
+function computeTimes(
+  context: ForwardingContext,
+  { metadata, service }: Pick<StoppableRequest, "metadata" | "service">,
+): { shortestFirstByteMs: Millis; writeMs: Millis } {
   const profile = context.configuration()?.services.get(service)?.engine;
   // How long a call to a plain service takes is unknown, so that only its deadline bounds it.
-  const expectedMs = profile === undefined ? Infinity : computeAnswerMs(metadata, profile, {
-    firstByteMs: options.firstByteMs ??
-      computeShortestFirstByteMs(metadata, profile, context.listServers(service).length),
-  });
-  const answerMs = options.addMargin?.(expectedMs) ?? expectedMs;
-  const hostEndMs = context.clock.nowMs() + stopTime.remainingMs;
-  return computeLatestStartMs({ endMs, answerMs }, hostEndMs);
+  if (profile === undefined) return { shortestFirstByteMs: 0, writeMs: Infinity };
+  return {
+    shortestFirstByteMs: computeShortestFirstByteMs(
+      metadata,
+      profile,
+      context.listServers(service).length,
+    ),
+    writeMs: computeAnswerMs(metadata, profile, { firstByteMs: 0 }),
+  };
 }
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -258,6 +258,7 @@
       signal: stopping.signal,
       exit: exiting.signal,
       time: () => readStopTime(),
+      lingerMs: () => 0,
       isNeeded: () => isNeeded,
       hasOtherHosts: () => hasOtherHosts,
     },
--- a/packages/forwarding/compute_stop_answer_ms.ts
+++ b/packages/forwarding/compute_stop_answer_ms.ts
@@ -2,14 +2,14 @@
 import { LATE_ANSWER_FACTOR, LATE_IN_STOP_MS, STOP_SILENCE_MARGIN_MS } from "./constants.ts";
 
 /**
- * Computes the time that a stopping host must have left to begin an answer.
+ * Computes the time that a stopping host must have left for an answer from its first byte on.
  *
  * Callers that have other hosts lose only a retry by a refusal, and the rest of the answer if the host
  * ends before it; without other hosts, they lose the answer by a refusal as well.
  *
  * @param answerMs expected milliseconds of the answer
- * @param stop elapsedMs: milliseconds since the signal; hasOtherHosts: whether enough other hosts accept
- * callers
+ * @param stop elapsedMs: milliseconds from the signal to the arrival of the request; hasOtherHosts:
+ * whether enough other hosts accept callers
  * @returns milliseconds
  *
  * @example
--- a/packages/forwarding/create_forwarder.ts
+++ b/packages/forwarding/create_forwarder.ts
@@ -311,7 +311,8 @@
   const service = chooseTarget(route, context.random);
   if (service === undefined) throw new ForwardingError(503, FAILURE.NO_SERVER);
   const timeoutMs = Math.min(route.timeoutMs, metadata.deadlineMs ?? route.timeoutMs);
-  const stoppable = { endMs: arrivalMs + timeoutMs, metadata, service };
+  const receivedMs = context.clock.nowMs();
+  const stoppable = { endMs: arrivalMs + timeoutMs, metadata, receivedMs, service };
   if (!canTakeRequest(context, stoppable, otherRequests)) {
     throw new ForwardingError(503, FAILURE.STOPPING, { retryAfterMs: 0 });
   }
@@ -376,6 +377,7 @@
     workspace,
     fingerprint: computeFingerprint(req, metadata, body),
     arrivalMs,
+    receivedMs: context.clock.nowMs(),
     endMs: arrivalMs + timeoutMs,
     endFailure: timeoutMs < route.timeoutMs ? FAILURE.DEADLINE : FAILURE.ROUTE_TIMEOUT,
     signal: controller.signal,
--- a/packages/forwarding/late_in_stop_test.ts
+++ b/packages/forwarding/late_in_stop_test.ts
@@ -1,7 +1,12 @@
+import { once } from "node:events";
+import { connect } from "node:net";
+import { text } from "node:stream/consumers";
+import { setTimeout as wait } from "node:timers/promises";
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
 import test from "ava";
 import type { ExecutionContext } from "ava";
-import { createTestHost } from "./_testing/create_test_host.ts";
+import { SILENCE_TOLERANCE_MS } from "./constants.ts";
+import { createTestHost, resetConnection } from "./_testing/create_test_host.ts";
 import type { CallOptions, ServerBehaviour, TestHostOptions } from "./_testing/create_test_host.ts";
 import { TOKEN_ENGINE } from "./_testing/token_engine.ts";
 import { ROUTE_KIND } from "./types.ts";
@@ -9,12 +14,17 @@
 /** A stop in which no other host accepts callers, 3.08 s after its signal. */
 const LATE = { elapsedMs: 3_080, remainingMs: 4_420, isNeeded: true };
 
+/** Time to the first byte with which an answer of 1.8 s would end in time unless its server is silent. */
+const SLOW_MS = 2_400;
+
 /** Time to the first byte that leaves time for a silence of the server as well. */
 const FAST_MS = 300;
 
 const SEALED = { Attempt: "a1", Seal: "s" };
 const EVENT = "id: 1\ndata: x\n\n";
 const answer: ServerBehaviour = (_req, res) => void res.writeHead(200, SEALED).end(EVENT);
+const reject: ServerBehaviour = (_req, res) => void res.writeHead(503, { "Not-Run": "1" }).end();
+const reset: ServerBehaviour = (_req, res) => resetConnection(res);
 
 /** A prompt whose answer takes 1.8 s once it has begun. */
 const PROMPT: CallOptions = {
@@ -47,6 +57,59 @@
   };
 }
 
+// Guards against answers that a stopping host cuts off since a silence of their server came on top.
+for (const kind of Object.values(ROUTE_KIND)) {
+  test(`late in a stop, a ${kind} prompt is sent only if its placement leaves time for a silence of its server`, async (t) => {
+    const send = async (expectedMs: number) => {
+      const host = await startHost(t, { expectedMs });
+      host.stop(LATE);
+      const { status } = await host.call({ ...PROMPT, kind });
+      return { status, arrivals: host.arrivals.length };
+    };
+    t.deepEqual(await send(SLOW_MS), { status: 503, arrivals: 0 });
+    t.deepEqual(await send(FAST_MS), { status: 200, arrivals: 1 });
+  });
+}
+
+for (
+  const { title, first, status } of [
+    { title: "was not run by its first server", first: reject, status: 503 },
+    { title: "may have been run by its first server", first: reset, status: 502 },
+  ]
+) {
+  test(`late in a stop, a prompt that ${title} is not sent again without time for a silence`, async (t) => {
+    const place = placeInTurn([FAST_MS, SLOW_MS]);
+    const host = await startHost(t, { servers: [first, answer], place });
+    host.stop(LATE);
+    const result = await host.call(PROMPT);
+    t.deepEqual([result.status, host.arrivals.length], [status, 1]);
+  });
+}
+
+test("late in a stop, a prompt of a silent server is not sent to another one without time for its silence", async (t) => {
+  const late: ServerBehaviour = (req, res, body) =>
+    void setTimeout(() => answer(req, res, body), SILENCE_TOLERANCE_MS + 1_000);
+  const place = placeInTurn([FAST_MS, SLOW_MS]);
+  const host = await startHost(t, { servers: [late, answer], place });
+  host.stop({ ...LATE, remainingMs: 6_000 });
+  const { status } = await host.call(PROMPT);
+  t.deepEqual([status, host.arrivals.length], [200, 1]);
+});
+
+test("late in a stop, a prompt that waits is refused once no time for a silence would be left", async (t) => {
+  const host = await startHost(t, { placementMs: 4_000 });
+  host.stop(LATE);
+  const startMs = performance.now();
+  const { status, retryAfter } = await host.call(PROMPT);
+  t.deepEqual({ status, retryAfter, arrivals: host.arrivals.length }, {
+    status: 503,
+    retryAfter: "0",
+    arrivals: 0,
+  });
+  // 0.6 s are left for the wait; without the time for a silence it would be 2.6 s.
+  t.true(performance.now() - startMs < 1_600);
+});
+
 test("a prompt whose read alone takes too long for a stopping host is refused before it is placed", async (t) => {
   let placements = 0;
   const place = placeInTurn([FAST_MS]);
@@ -61,3 +124,34 @@
   const { status } = await host.call({ ...PROMPT, answerTokens: 500, promptTokens: 400_000 });
   t.deepEqual({ status, placements }, { status: 503, placements: 0 });
 });
+
+for (
+  const { title, bodyMs, status } of [
+    {
+      title: "whose body arrives late in a stop is refused like a late one",
+      bodyMs: 500,
+      status: 503,
+    },
+    {
+      title: "that arrives early in a stop is sent without time for a silence",
+      bodyMs: 0,
+      status: 200,
+    },
+  ]
+) {
+  test(`a prompt ${title} if callers have no other host`, async (t) => {
+    const host = await startHost(t, { expectedMs: SLOW_MS });
+    host.stop({ elapsedMs: 2_300, remainingMs: 5_200, isNeeded: true });
+    const [ip = "", port] = host.address.split(":");
+    const socket = connect(Number(port), ip);
+    t.teardown(() => socket.destroy());
+    await once(socket, "connect");
+    socket.write(
+      "POST /streaming/1 HTTP/1.1\r\nHost: a.example\r\nAttempt: a1\r\nKey: k1\r\n" +
+        "Deadline: 9000\r\nAnswer-Tokens: 1800\r\nConnection: close\r\nContent-Length: 1\r\n\r\n",
+    );
+    await wait(bodyMs);
+    socket.write("q");
+    t.is((await text(socket)).split(" ")[1], String(status));
+  });
+}
--- a/packages/forwarding_host/create_stop_state.ts
+++ b/packages/forwarding_host/create_stop_state.ts
@@ -1,6 +1,7 @@
 import type { Clock, Millis } from "@jaypass/kernel";
 import type { HostStop } from "@jaypass/forwarding";
 import {
+  EXIT_LINGER_MS,
   LAST_MARGIN_SHARE,
   LEAVE_SPREAD_MS,
   MIN_STALL_MS,
@@ -145,6 +146,7 @@
     observeStall: (stallMs) => stallPeak.add(stallMs),
     time: () =>
       startMs === undefined ? undefined : { elapsedMs: elapsedMs(), remainingMs: remainingMs() },
+    lingerMs: () => Math.min(EXIT_LINGER_MS, readMarginMs() / 2),
     isNeeded: (requests) => isStoppingHostNeeded(describe(requests)),
     hasOtherHosts: () => isStoppingHostReplaceable({ readyHosts, usualHosts }),
     nextStep: (requests) =>
--- a/packages/forwarding_host/create_stop_state_test.ts
+++ b/packages/forwarding_host/create_stop_state_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { EXIT_LINGER_MS } from "./constants.ts";
 import { createStopState } from "./create_stop_state.ts";
 import { STOP_STEP } from "./decide_stop_step.ts";
 
@@ -49,6 +50,15 @@
   t.deepEqual(stop.time(), { elapsedMs: 7_550, remainingMs: -50 });
 });
 
+// Guards against answers for which a stopping host leaves more time than its exit gives them.
+test("answers that have begun linger for the time that the exit waits for callers, within the margin", (t) => {
+  const lingerMs = (graceMs: number) => {
+    const clock = { nowMs: () => 0, wallMs: () => 0 };
+    return createStopState({ clock, graceMs: () => graceMs }).lingerMs();
+  };
+  t.deepEqual([8_000, 2_000].map(lingerMs), [EXIT_LINGER_MS, 125]);
+});
+
 for (const graceMs of [1_000, 2_000]) {
   test(`a grace period of ${graceMs} ms does not end before its last sixth while a request runs`, (t) => {
     let nowMs = 0;
