Tell placement until when a stopping host needs the first byte

Seen by callers: a long prompt that a stopping host had taken with no other host ready was refused only after up to 3.9 s, or placed on fewer engines than would have answered it in time. Cause: placement knew when the caller gives up and not when the host ends, so that hubs let prompts wait for engines beyond the time at which their answers could still end, and chose engines by a later deadline than the true one. Change: the time that a job has for its first byte also ends when the end of the host, with its margin, would cut off the answer. A refusal for this reason states that the host stops, with Retry-After 0, and not the pause of a busy service.

--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -5,6 +5,7 @@
 import { findPriority } from "./find_priority.ts";
 import { listUnusableServers } from "./list_unusable_servers.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
+import { findLatestFirstByteMs } from "./stop_limit.ts";
 
 /** Describes the next attempt of a request for placement; each description has an id of its own. */
 export function describeJob(
@@ -26,7 +27,7 @@
     answerTokens: metadata.estimatedAnswerTokens ?? metadata.maxAnswerTokens,
     goalMs: route.goalMs,
     pauseGoalMs: route.pauseGoalMs,
-    remainingMs: firstByteDeadlineMs(request, now, handler.resumeAfter() !== undefined) - now,
+    remainingMs: findFirstByteDeadlineMs(context, request, handler) - now,
     wholeWithinMs: request.endMs - now,
     elapsedMs: now - request.arrivalMs,
     excludedIds: [...new Set([...excludedIds, ...unusable.map(({ id }) => id)])],
@@ -43,15 +44,48 @@
 }
 
 /**
- * Computes the monotonic time until which a first byte from the next server is useful.
+ * Finds the monotonic time until which a first byte from the next server is useful: the time until which
+ * the caller waits for it, or the time from which the end of the host would cut off the answer.
+ */
+function findFirstByteDeadlineMs(
+  context: ForwardingContext,
+  request: CallerRequest,
+  handler: AnswerHandler,
+): Millis {
+  const callerMs = findCallerDeadlineMs(context, request, handler);
+  // A stream that has begun goes on during a stop, since its caller cannot start it again.
+  return handler.resumeAfter() !== undefined
+    ? callerMs
+    : Math.min(callerMs, findLatestFirstByteMs(context, request));
+}
+
+/** Reports whether the end of the host, rather than the caller, limits the time to the first byte. */
+export function isLimitedByStop(
+  context: ForwardingContext,
+  request: CallerRequest,
+  handler: AnswerHandler,
+): boolean {
+  return findFirstByteDeadlineMs(context, request, handler) <
+    findCallerDeadlineMs(context, request, handler);
+}
+
+/**
+ * Finds the monotonic time until which a caller waits for the first byte from the next server.
  *
  * Before the first event, this is the time at which callers abandon a stream, or the deadline if
  * that is earlier. Afterwards, or if the caller stays connected for longer, only the deadline
  * counts.
  */
-function firstByteDeadlineMs(request: CallerRequest, nowMs: Millis, hasBegun: boolean): Millis {
+function findCallerDeadlineMs(
+  { clock }: ForwardingContext,
+  request: CallerRequest,
+  handler: AnswerHandler,
+): Millis {
   const patienceMs = request.arrivalMs + request.route.patienceMs;
-  return hasBegun || patienceMs <= nowMs ? request.endMs : Math.min(request.endMs, patienceMs);
+  const hasBegun = handler.resumeAfter() !== undefined;
+  return hasBegun || patienceMs <= clock.nowMs()
+    ? request.endMs
+    : Math.min(request.endMs, patienceMs);
 }
 
 /** Reports whether the request may be executed by a second server. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -1,4 +1,4 @@
-import { JOB_OUTCOME } from "@jaypass/placement";
+import { JOB_OUTCOME, PLACEMENT_REFUSAL } from "@jaypass/placement";
 import { MAX_CONNECT_FAILURES, MAX_DIVERSIONS, MIN_RETRY_REMAINING_MS } from "../constants.ts";
 import type { ForwardingError } from "../errors.ts";
 import type { AnswerHandler, AttemptResult, AttemptState } from "./attempt.ts";
@@ -8,7 +8,7 @@
   createNoServerError,
   createRefusalError,
 } from "./attempt_errors.ts";
-import { describeJob, hasAttemptLeft, isRepeatable } from "./describe_job.ts";
+import { describeJob, hasAttemptLeft, isLimitedByStop, isRepeatable } from "./describe_job.ts";
 import { isInTime, placeUnlessAborted } from "./place_unless_aborted.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import { runConcurrently } from "./run_concurrently.ts";
@@ -60,6 +60,10 @@
     const { job, decision } = await placeNext(context, request, state, handler);
     if (decision === undefined) return fail(createAbortError(request, state));
     if (decision.kind === "refused") {
+      const isUnservable = decision.reason === PLACEMENT_REFUSAL.UNSERVABLE;
+      if (isUnservable && isLimitedByStop(context, request, handler)) {
+        return fail(createAbortError(request, state));
+      }
       return fail(createRefusalError(context, request, state, decision));
     }
     const server = context.findServer(decision.serverId);
--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -79,6 +79,17 @@
   };
 }
 
+/**
+ * Finds the monotonic time until which the first byte must arrive for the answer to end before the
+ * host; `Infinity` if the host does not limit the request.
+ */
+export function findLatestFirstByteMs(
+  context: ForwardingContext,
+  request: StoppableRequest,
+): Millis {
+  return findLatestStartMs(context, request, 0);
+}
+
 function findLatestStartMs(
   context: ForwardingContext,
   { endMs, receivedMs, ...request }: StoppableRequest,
--- a/packages/forwarding/late_in_stop_test.ts
+++ b/packages/forwarding/late_in_stop_test.ts
@@ -2,6 +2,7 @@
 import { connect } from "node:net";
 import { text } from "node:stream/consumers";
 import { setTimeout as wait } from "node:timers/promises";
+import { PLACEMENT_REFUSAL } from "@jaypass/placement";
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
 import test from "ava";
 import type { ExecutionContext } from "ava";
@@ -110,6 +111,35 @@
   t.true(performance.now() - startMs < 1_600);
 });
 
+test("placement knows until when the first byte must come for the answer to end before the host", async (t) => {
+  const remainingMs: number[] = [];
+  const place = placeInTurn([FAST_MS, FAST_MS]);
+  const host = await startHost(t, {
+    place(job) {
+      remainingMs.push(job.remainingMs);
+      return place(job);
+    },
+  });
+  await host.call(PROMPT);
+  host.stop(LATE);
+  await host.call(PROMPT);
+  const [before = 0, late = 0] = remainingMs;
+  t.true(before > 4_000, `${before}`);
+  t.true(late > 0 && late <= LATE.remainingMs - 1_800 - 1_800, `${late}`);
+});
+
+test("a prompt that placement cannot serve before the end of the host is refused because of the stop", async (t) => {
+  const refusal = {
+    kind: "refused",
+    reason: PLACEMENT_REFUSAL.UNSERVABLE,
+    retryAfterMs: 3_000,
+  } as const;
+  const host = await startHost(t, { refusal });
+  const before = await host.call(PROMPT);
+  host.stop(LATE);
+  t.snapshot({ before, late: await host.call(PROMPT) });
+});
+
 test("a prompt whose read alone takes too long for a stopping host is refused before it is placed", async (t) => {
   let placements = 0;
   const place = placeInTurn([FAST_MS]);
