--- a/packages/placement/types.ts
+++ b/packages/placement/types.ts
@@ -87,7 +87,10 @@
   goalMs: Millis;
   /** Goal for the longest pause between two events; 0 if the answer is not streamed. */
   pauseGoalMs: Millis;
-  /** Milliseconds until the caller gives up if no first byte has arrived. */
+  /**
+   * Milliseconds until the caller gives up if no first byte has arrived, or until its host stops too
+   * soon for the answer to end.
+   */
   remainingMs: Millis;
   /** Milliseconds until the caller's deadline for the complete answer. */
   wholeWithinMs: Millis;
