Give the stop to the job of a test, and name the check of answers that have begun

Whether an answer has begun was written in two places. Change: the context of that test has a stop that has not begun; its assertions are as before. has_begun.ts names the check.

--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -2,6 +2,7 @@
 import type { PlacementJob } from "@jaypass/placement";
 import { ROUTE_KIND } from "../types.ts";
 import type { AnswerHandler, AttemptState } from "./attempt.ts";
+import { hasBegun } from "./has_begun.ts";
 import { findPriority } from "./find_priority.ts";
 import { listUnusableServers } from "./list_unusable_servers.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
@@ -53,10 +54,7 @@
   handler: AnswerHandler,
 ): Millis {
   const callerMs = findCallerDeadlineMs(context, request, handler);
-  // A stream that has begun goes on during a stop, since its caller cannot start it again.
-  return handler.resumeAfter() !== undefined
-    ? callerMs
-    : Math.min(callerMs, findLatestFirstByteMs(context, request));
+  return hasBegun(handler) ? callerMs : Math.min(callerMs, findLatestFirstByteMs(context, request));
 }
 
 /** Reports whether the end of the host, rather than the caller, limits the time to the first byte. */
@@ -82,8 +80,7 @@
   handler: AnswerHandler,
 ): Millis {
   const patienceMs = request.arrivalMs + request.route.patienceMs;
-  const hasBegun = handler.resumeAfter() !== undefined;
-  return hasBegun || patienceMs <= clock.nowMs()
+  return hasBegun(handler) || patienceMs <= clock.nowMs()
     ? request.endMs
     : Math.min(request.endMs, patienceMs);
 }
--- a/packages/forwarding/_lib/place_unless_aborted.ts
+++ b/packages/forwarding/_lib/place_unless_aborted.ts
@@ -2,6 +2,7 @@
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { AnswerHandler, Attempt } from "./attempt.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
+import { hasBegun } from "./has_begun.ts";
 import { canStart, watchLatestStart } from "./stop_limit.ts";
 
 /** Reports whether a placed request may still be sent, although the host may be stopping. */
@@ -13,11 +14,6 @@
   return hasBegun(handler) || canStart(context, request, decision.expectedMs);
 }
 
-/** A stream that has begun goes on during a stop, since its caller cannot start it again. */
-function hasBegun(handler: AnswerHandler): boolean {
-  return handler.resumeAfter() !== undefined;
-}
-
 /** Lists those of the servers of a decision that want no requests now. */
 export function listUnwillingIds(
   context: ForwardingContext,
@@ -40,7 +36,8 @@
   handler: AnswerHandler,
 ): Promise<PlacementDecision | undefined> {
   const { signal } = request;
-  if (signal.aborted || !(hasBegun(handler) || canStart(context, request))) return undefined;
+  const isTooLate = !hasBegun(handler) && !canStart(context, request);
+  if (signal.aborted || isTooLate) return undefined;
   let onAbort = () => {};
   const aborted = new Promise<undefined>((resolve) => {
     onAbort = () => resolve(undefined);
--- a/packages/forwarding/index_configuration_test.ts
+++ b/packages/forwarding/index_configuration_test.ts
@@ -67,6 +67,7 @@
       clock: { nowMs: () => 0 },
       configuration: () => configuration,
       notices: { listUnusable: () => [] },
+      stop: { time: () => undefined },
       listServers: () => [],
     };
     const [route] = configuration.routes;
