Answer only the host of their own test from servers of tests

Cause: servers of tests use free ports of loopback. A host of another test that still checks a server that has ended reaches the next server with its port. Change: requests of a test host state its name; servers refuse all others with 421 and do not count them. What tests expect of their own requests is as before.

--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -101,6 +101,8 @@
   agent?: Agent;
 }
 
+let nextHost = 1;
+
 const SILENT_LOG = {
   debug: () => {},
   info: () => {},
@@ -164,10 +166,11 @@
   behaviours: readonly ServerBehaviour[],
   options: TestHostOptions = {},
 ): Promise<TestHost> {
+  const name = `${process.pid}.${nextHost++}`;
   const arrivals: TestHost["arrivals"] = [];
   const servers = await Promise.all(
     behaviours.map((behaviour, index) => {
-      const server = createBackend(arrivals, behaviour, index);
+      const server = createBackend({ name, arrivals, behaviour, index });
       server.on("connection", (socket: Socket) => options.onConnection?.(socket, index));
       return listen(server);
     }),
@@ -210,7 +213,7 @@
     notices,
     clientLimits: options.limits &&
       createClientLimits({ limits: options.limits, clock, log, metrics }),
-    codec: TEST_CODEC,
+    codec: createTestCodec(name),
     configuration: () =>
       options.hasNoConfiguration ? undefined : indexConfiguration({
         version: 1,
@@ -348,8 +351,12 @@
   };
 }
 
-/** Uses simple header names, so that the tests do not depend on those of a platform. */
-const TEST_CODEC: HeaderCodec = {
+/**
+ * Creates a codec with simple header names, so that the tests do not depend on those of a platform.
+ *
+ * @param name name of the host, which its requests state
+ */
+const createTestCodec = (name: string): HeaderCodec => ({
   retryAfterName: "Retry-After",
   readCaller: (headers) => ({
     attemptId: find(headers, "attempt"),
@@ -366,6 +373,8 @@
   writeServerRequest: (headers, metadata) => [
     "Host",
     "server",
+    "Test-Host",
+    name,
     "Attempt",
     find(headers, "attempt") ?? "",
     "Server",
@@ -389,7 +398,7 @@
     isEncoded: find(headers, "content-encoding") !== undefined,
   }),
   writeCallerAnswer: (headers) => ["Seal", find(headers, "seal") ?? ""],
-};
+});
 
 function find(headers: string[], name: string): string | undefined {
   const at = headers.findIndex((field, index) => index % 2 === 0 && field.toLowerCase() === name);
@@ -397,11 +406,16 @@
 }
 
 function createBackend(
-  arrivals: TestHost["arrivals"],
-  behaviour: ServerBehaviour,
-  index: number,
+  { name, arrivals, behaviour, index }: {
+    name: string;
+    arrivals: TestHost["arrivals"];
+    behaviour: ServerBehaviour;
+    index: number;
+  },
 ): Server {
   return createServer(async (req, res) => {
+    // Hosts of other tests may still call a server whose port this one got.
+    if (req.headers["test-host"] !== name) return void res.writeHead(421).end();
     let body = "";
     try {
       for await (const chunk of req.setEncoding("utf8")) body += chunk;
