--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -2,8 +2,8 @@
 import type { PlacementJob } from "@jaypass/placement";
 import { ROUTE_KIND } from "../types.ts";
 import type { AnswerHandler, AttemptState } from "./attempt.ts";
-import { hasBegun } from "./has_begun.ts";
 import { findPriority } from "./find_priority.ts";
+import { hasBegun } from "./has_begun.ts";
 import { listUnusableServers } from "./list_unusable_servers.ts";
 import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import { findLatestFirstByteMs } from "./stop_limit.ts";
@@ -45,8 +45,8 @@
 }
 
 /**
- * Finds the monotonic time until which a first byte from the next server is useful: the time until which
- * the caller waits for it, or the time from which the end of the host would cut off the answer.
+ * Finds the monotonic time until which a first byte from the next server is useful: until the caller
+ * gives up, or until the answer could not end before the host any more if that is earlier.
  */
 function findFirstByteDeadlineMs(
   context: ForwardingContext,
--- a/packages/forwarding/_lib/place_unless_aborted.ts
+++ b/packages/forwarding/_lib/place_unless_aborted.ts
@@ -1,8 +1,8 @@
 import { JOB_OUTCOME } from "@jaypass/placement";
 import type { PlacementDecision, PlacementJob } from "@jaypass/placement";
 import type { AnswerHandler, Attempt } from "./attempt.ts";
-import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import { hasBegun } from "./has_begun.ts";
+import type { CallerRequest, ForwardingContext } from "./request_context.ts";
 import { canStart, watchLatestStart } from "./stop_limit.ts";
 
 /** Reports whether a placed request may still be sent, although the host may be stopping. */
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -77,7 +77,7 @@
   exit: AbortSignal;
   /** Progress of the stop; undefined before it begins. */
   time(): StopTime | undefined;
-  /** Milliseconds for which answers that have begun go on after the remaining time at least. */
+  /** Least time for which answers that have begun go on once no time remains, in milliseconds. */
   lingerMs(): Millis;
   /**
    * True while callers may hold an unexpired answer of the directory that names this host, or have no
@@ -153,7 +153,7 @@
   fingerprint: string;
   /** Monotonic time at which the headers had arrived. */
   arrivalMs: Millis;
-  /** Monotonic time at which the body had arrived as well. */
+  /** Monotonic time at which the body had been read. */
   receivedMs: Millis;
   /** Monotonic time of the deadline. */
   endMs: Millis;
--- a/packages/forwarding/_lib/stop_limit.ts
+++ b/packages/forwarding/_lib/stop_limit.ts
@@ -42,14 +42,14 @@
  *
  * @param context services of the host
  * @param request the request
- * @param firstByteMs expected milliseconds to the first byte; by default the shortest possible time
+ * @param expectedFirstByteMs milliseconds to the first byte; by default the shortest possible time
  */
 export function canStart(
   context: ForwardingContext,
   request: StoppableRequest,
-  firstByteMs?: Millis,
+  expectedFirstByteMs?: Millis,
 ): boolean {
-  return context.clock.nowMs() <= findLatestStartMs(context, request, firstByteMs);
+  return context.clock.nowMs() <= findLatestStartMs(context, request, expectedFirstByteMs);
 }
 
 /**
@@ -90,25 +90,29 @@
   return findLatestStartMs(context, request, 0);
 }
 
+/** Finds the monotonic time until which a request may be sent for its answer to end before the host. */
 function findLatestStartMs(
   context: ForwardingContext,
   { endMs, receivedMs, ...request }: StoppableRequest,
-  firstByteMs?: Millis,
+  expectedFirstByteMs?: Millis,
 ): Millis {
   const { clock, stop } = context;
   const stopTime = stop.time();
   if (stopTime === undefined) return Infinity;
   const nowMs = clock.nowMs();
   const { shortestFirstByteMs, writeMs } = computeTimes(context, request);
-  const beginMs = firstByteMs ?? shortestFirstByteMs;
-  // Only a request that came early in the stop may be cut off, however long it has waited since.
+  const firstByteMs = expectedFirstByteMs ?? shortestFirstByteMs;
+  // The platform excuses the loss of a request that came early in the stop, however long it has waited.
   const elapsedMs = stopTime.elapsedMs - (nowMs - receivedMs);
-  const longestMs = beginMs +
-    computeStopAnswerMs(writeMs, { elapsedMs, hasOtherHosts: stop.hasOtherHosts() });
+  const hasOtherHosts = stop.hasOtherHosts();
+  const longestWriteMs = computeStopAnswerMs(writeMs, { elapsedMs, hasOtherHosts });
   const exitMs = nowMs + stopTime.remainingMs;
   return Math.min(
-    computeLatestStartMs({ endMs, answerMs: beginMs + writeMs }, exitMs),
-    computeLatestStartMs({ endMs, answerMs: longestMs - stop.lingerMs() }, exitMs),
+    computeLatestStartMs({ endMs, answerMs: firstByteMs + writeMs }, exitMs),
+    computeLatestStartMs(
+      { endMs, answerMs: firstByteMs + longestWriteMs - stop.lingerMs() },
+      exitMs,
+    ),
   );
 }
 
--- a/packages/forwarding/late_in_stop_test.ts
+++ b/packages/forwarding/late_in_stop_test.ts
@@ -60,7 +60,7 @@
 
 // Guards against answers that a stopping host cuts off since a silence of their server came on top.
 for (const kind of Object.values(ROUTE_KIND)) {
-  test(`late in a stop, a ${kind} prompt is sent only if its placement leaves time for a silence of its server`, async (t) => {
+  test(`late in a stop, a prompt of a route of kind ${kind} is sent only if its placement leaves time for a silence`, async (t) => {
     const send = async (expectedMs: number) => {
       const host = await startHost(t, { expectedMs });
       host.stop(LATE);
