Name placements apart from the attempt ids of callers

Cause: hosts named a placement after the attempt id of the caller and a number that began with 0 for each request. Hubs, engines and other hosts know it by that name alone, so that two requests with one id became one: the load of the first was never removed from its engine, the first of two waiting ones was never decided on, and both used one ticket for memory, which the end of the first one released.

Change: a host adds a part that belongs to its own start, and a number that it never uses twice.

Ruled out: keeping placements by host and name at the hub alone. Two requests at one host, and the tickets of engines, would still be shared.

--- a/packages/forwarding/_lib/attempt.ts
+++ b/packages/forwarding/_lib/attempt.ts
@@ -70,8 +70,6 @@
   connectFailureCount: number;
   /** Placements that were given up because a chosen server wants no requests. */
   diversionCount: number;
-  /** Placements that were requested so far. */
-  placementCount: number;
   mayHaveRun: boolean;
   /** Servers that have the request and have not answered it. */
   inFlightCount: number;
--- a/packages/forwarding/_lib/describe_job.ts
+++ b/packages/forwarding/_lib/describe_job.ts
@@ -22,7 +22,7 @@
   const configuration = context.configuration();
   const service = configuration?.services.get(request.service);
   return {
-    id: `${request.id}.${state.placementCount++}`,
+    id: context.createJobId(request.id),
     service: request.service,
     promptTokens: metadata.promptTokens,
     answerTokens: metadata.estimatedAnswerTokens ?? metadata.maxAnswerTokens,
--- a/packages/forwarding/_lib/request_context.ts
+++ b/packages/forwarding/_lib/request_context.ts
@@ -94,6 +94,8 @@
   clock: Clock;
   /** Source of random numbers. */
   random: RandomSource;
+  /** Names a placement after the id of its request. */
+  createJobId: (requestId: string) => string;
   /** Log of attempts and failures. */
   log: Logger;
   /** Counters and histograms. */
--- a/packages/forwarding/_lib/run_attempts.ts
+++ b/packages/forwarding/_lib/run_attempts.ts
@@ -36,7 +36,6 @@
     lostCount: 0,
     connectFailureCount: 0,
     diversionCount: 0,
-    placementCount: 0,
     mayHaveRun: false,
     inFlightCount: 0,
     excludedIds: [],
--- a/packages/forwarding/_testing/create_test_host.ts
+++ b/packages/forwarding/_testing/create_test_host.ts
@@ -15,6 +15,7 @@
 } from "@jaypass/placement";
 import { createForwarder } from "../create_forwarder.ts";
 import type { Hedging } from "../create_hedging.ts";
+import { createJobIds } from "../create_job_ids.ts";
 import { createServerNotices } from "../create_server_notices.ts";
 import { indexConfiguration } from "../index_configuration.ts";
 import { ROUTE_KIND, SERVER_STATUS } from "../types.ts";
@@ -126,7 +127,7 @@
   /** Time that a memory reservation takes; if set, each placement needs a ticket. */
   reservationMs?: number;
   /** Reports whether a reservation succeeds; all do by default. */
-  canReserve?: () => boolean | Promise<boolean>;
+  canReserve?: (jobId: string) => boolean | Promise<boolean>;
   /** Expected time to the first byte, as stated by placement; 10 ms by default. */
   expectedMs?: number;
   /** Target for the longest pause of streams; 100 ms by default. */
@@ -207,6 +208,7 @@
   const forwarder = createForwarder({
     clock,
     random: () => 0.5,
+    createJobId: createJobIds(Math.random),
     log,
     metrics,
     hedging: options.hedging,
@@ -251,9 +253,9 @@
       finished: (_jobId, outcome) => void outcomes.push(outcome),
     },
     reservations: {
-      async reserve() {
+      async reserve(jobId) {
         await wait(options.reservationMs);
-        if (await options.canReserve?.() === false) return undefined;
+        if (await options.canReserve?.(jobId) === false) return undefined;
         return { tickets: new Map(), release: () => void (releaseCount += 1) };
       },
     },
--- a/packages/forwarding/create_forwarder_test.ts
+++ b/packages/forwarding/create_forwarder_test.ts
@@ -257,6 +257,21 @@
   t.deepEqual([body, host.releaseCount()], ["whole", 2]);
 });
 
+// Guards against two requests that use one ticket, so that the end of the first cuts off the other.
+test("requests with one attempt id reserve memory under different names", async (t) => {
+  const jobIds = new Set<string>();
+  const host = await createTestHost([answer("first"), answer("second")], {
+    reservationMs: 1,
+    canReserve: (jobId) => {
+      jobIds.add(jobId);
+      return true;
+    },
+  });
+  t.teardown(() => host.close());
+  const answers = await Promise.all([host.call(), host.call()]);
+  t.deepEqual([answers.map(({ status }) => status), jobIds.size], [[200, 200], 2]);
+});
+
 test.serial("a request is cancelled at the server when its caller disconnects", async (t) => {
   let isClosed = false;
   const host = await createTestHost([(_req, res) => {
--- a/packages/forwarding/index_configuration_test.ts
+++ b/packages/forwarding/index_configuration_test.ts
@@ -65,6 +65,7 @@
   const describe = (configuration: ReturnType<typeof index>) => {
     const context = {
       clock: { nowMs: () => 0 },
+      createJobId: (id: string) => id,
       configuration: () => configuration,
       notices: { listUnusable: () => [] },
       stop: { time: () => undefined },
--- a/packages/forwarding/mod.ts
+++ b/packages/forwarding/mod.ts
@@ -16,6 +16,7 @@
 export * from "./create_forwarder.ts";
 export * from "./create_hedge_budget.ts";
 export * from "./create_hedging.ts";
+export * from "./create_job_ids.ts";
 export * from "./create_latency_quantiles.ts";
 export * from "./detect_reset.ts";
 export * from "./ends_with_connection.ts";
--- a/packages/forwarding_host/define_public_services.ts
+++ b/packages/forwarding_host/define_public_services.ts
@@ -5,7 +5,12 @@
 import type { ClientLimits } from "@jaypass/client_limits";
 import { closeListener } from "@jaypass/kernel";
 import type { ServiceDefinition } from "@jaypass/kernel";
-import { createForwarder, createHedging, DEFAULT_IDLE_TIMEOUT_MS } from "@jaypass/forwarding";
+import {
+  createForwarder,
+  createHedging,
+  createJobIds,
+  DEFAULT_IDLE_TIMEOUT_MS,
+} from "@jaypass/forwarding";
 import type { Forwarder } from "@jaypass/forwarding";
 import { CONNECTION_CHECK_MS, DIRECTORY_TTL_MS, MAX_HEADER_BYTES } from "./constants.ts";
 import { createReservations } from "./create_reservations.ts";
@@ -58,6 +63,7 @@
       const forwarder = createForwarder({
         clock,
         random,
+        createJobId: createJobIds(random),
         log,
         metrics,
         codec: adapter.codec,
