Bound the prompt parts that a host looks at

Ruled out: a higher cost of such heads. It would bound their number, and leave the comparisons as they are.

--- a/packages/forwarding/constants.ts
+++ b/packages/forwarding/constants.ts
@@ -205,3 +205,9 @@
  * answer that is unread for some seconds.
  */
 export const UNREAD_ANSWER_PATIENCE_MS = 1_500;
+
+/**
+ * Parts of a prompt that a host looks at. It keeps them as long as the request, and compares them with
+ * those of others after a crash: lists of 3,100 took 100 KB each, and 900 of them the heap.
+ */
+export const MAX_PROMPT_PARTS = 128;
--- a/packages/forwarding/types.ts
+++ b/packages/forwarding/types.ts
@@ -131,7 +131,7 @@
   maxAnswerTokens: number;
   /** The caller's estimate of the length of the answer in tokens. */
   estimatedAnswerTokens: number | undefined;
-  /** Ids of the parts of the prompt, in order; prompts share parts. */
+  /** Ids of the parts of the prompt, in order, `MAX_PROMPT_PARTS` at most; prompts share parts. */
   promptParts: readonly string[];
 }
 
--- a/packages/stand_ins/misbehaving_clients.ts
+++ b/packages/stand_ins/misbehaving_clients.ts
@@ -10,6 +10,8 @@
   postPath: string;
   /** Header lines of each request, each with its line end. */
   headers: string;
+  /** Header whose value the server reads as a list of `ID:NUMBER` entries; none by default. */
+  listHeader?: string;
   /** Largest head that the server allows. */
   maxHeadBytes: number;
   /** Largest body that the server allows. */
@@ -89,6 +91,19 @@
   };
 }
 
+/** Formats a head of the largest legal size with a list that fills it, of a request with a body. */
+function formatListHead(target: MisbehavingTarget): string {
+  const lines = `Content-Length: ${target.maxBodyBytes}\r\n${target.listHeader ?? "List"}: `;
+  const entries: string[] = [];
+  let bytes = formatPost(target, lines).length;
+  for (let at = 0;; at++) {
+    const entry = `${at.toString(16)}:,`;
+    bytes += entry.length;
+    if (bytes > target.maxHeadBytes) return formatPost(target, `${lines}${entries.join("")}`);
+    entries.push(entry);
+  }
+}
+
 /** Clients that send what a server must bound. None of them reads unless its name says so. */
 export const MISBEHAVING_CLIENT = {
   /** Legal heads of very many short lines, each after the answer to the one before it. */
@@ -152,6 +167,8 @@
       first: `${formatPost(target, "Transfer-Encoding: chunked")}0\r\n`,
       repeat: "a:b\r\n",
     }),
+  /** A legal head with a list of thousands of entries, without its body. */
+  longList: (socket, target) => stopShort(socket, target, formatListHead(target), ""),
   /** Half of a head, and nothing more. */
   halfHead: async (socket, target) => {
     socket.write(formatGet(target).slice(0, -2));
